--- /dev/null
+++ b/src/control.cpp
@@ -0,0 +1,726 @@
+// The decisions of a workload manager, all of them. Callers reach it through WorkloadManager (control.h): one
+// method for each thing that can happen, which acts by calling the Host. From the top: what is kept for a dispatch,
+// a job, an engine and the instance; then the events; then the steps of a choice, in the order in which it is made:
+// may the job go (rules), which engine and grant (ledger), what else is held, and when to give up. docs/design.md
+// says where the mechanism comes from and when each exception to it acts.
+#include "control.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <map>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace pearchute {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double infinite = std::numeric_limits<double>::infinity();
+
+double in_ms(Span span) { return static_cast<double>(span.count()) / 1000; }
+Span from_ms(double ms) { return Span(static_cast<Span::rep>(std::clamp(ms, 0.0, 4e6) * 1000)); }
+
+bool proves_not_run(Outcome outcome) {
+  return outcome == Outcome::full || outcome == Outcome::unreachable || outcome == Outcome::never_sent;
+}
+
+// Same at every manager, so that they agree on a data set's home engines without a word between them.
+std::uint64_t shared_hash(DataSetId data_set, EngineId engine) {
+  std::uint64_t x = static_cast<std::uint64_t>(data_set.value) * 0x9E3779B97F4A7C15ULL + engine.value;
+  x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ULL;
+  x = (x ^ (x >> 27)) * 0x94D049BB133111EBULL;
+  return x ^ (x >> 31);
+}
+
+}  // namespace
+
+WorkloadManager::WorkloadManager(const ServiceDefinition& service, std::uint64_t seed, Host& host)
+    : host_(host), chance_(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32))), rules_(service), subscribe_wait_(milliseconds(500)), cut_(infinite) {
+  for (const ReservationType& type : service.types) types_.push_back({.type = type});
+  // Managers carry unequal parts of the traffic, so a customer's even part is taken half again as large.
+  for (const Customer& customer : service.customers) {
+    customer_quota_.push_back(customer.jobs_per_second * std::min(1.0, 1.5 / service.managers));
+  }
+  customer_rate_.assign(service.customers.size(), 0);
+  kinds_ = service.kinds;
+  rules_.types.clear();
+  rules_.customers.clear();
+  rules_.kinds.clear();
+  share_ = std::min(1.0, 2.0 / std::max(1, service.managers));
+  spare_end_ = 2 * service.round + milliseconds(10);  // a wake comes up to one round late
+  if (service.list_on_request) host_.subscribe_list();
+  host_.wake_in(milliseconds(100), beat_mark);
+}
+
+// ---- What happens ----
+
+void WorkloadManager::list_came(Span now, ListNews news, const std::vector<ListedEngine>& engines) {
+  if (news != ListNews::remembered) subscribe_wait_ = milliseconds(500);
+  std::set<EngineId> named;
+  for (const ListedEngine& listed : engines) {
+    named.insert(listed.id);
+    const bool first = !engines_.contains(listed.id);
+    Engine& engine = engines_[listed.id];
+    const bool was_up = engine.known_up;
+    const bool restarted = listed.online_since && listed.online_since != engine.listed.online_since;
+    engine.known_up = listed.state == EngineState::up;
+    engine.listed = listed;
+    if (first) {
+      const int cores = listed.kind.value >= 0 ? kinds_[listed.kind.value].cores : 1;
+      engine.slots = 2.0 * cores * share_;
+    }
+    if (first || restarted || (engine.known_up && !was_up)) {
+      engine.told = now;
+      engine.strikes = 0;
+      engine.error_rate = 0;
+      engine.closed_until = now;
+      engine.on_trial = false;
+      engine.stretch = first ? 1 : std::max(1.0, middle_stretch());
+      engine.others_bytes.reset();
+    }
+  }
+  if (news != ListNews::changes) {
+    for (auto& [id, engine] : engines_) {
+      if (!named.contains(id)) engine.known_up = false;
+    }
+  }
+  release(now);
+}
+
+void WorkloadManager::list_refused(Span now) {
+  (void)now;
+  if (!rules_.list_on_request) return;
+  // Guards against asking a discovery that is already overrun: twice as long after each refusal, and unevenly.
+  const double part = 0.75 + 0.5 * std::generate_canonical<double, 32>(chance_);
+  host_.wake_in(from_ms(in_ms(subscribe_wait_) * part), subscribe_mark);
+  const Span longest = std::max<Span>(seconds(1), rules_.ask_within / 4);
+  subscribe_wait_ = std::min(2 * subscribe_wait_, longest);
+}
+
+void WorkloadManager::job_taken(Span now, const Job& job) {
+  TypeFigures& type = types_[job.type.value];
+  HeldJob& held = jobs_[job.id];
+  held.job = job;
+  held.turn = next_turn_++;
+  turns_[held.turn] = job.id;
+  if (job.work_ms && *job.work_ms > 0) {
+    type.jobs += 1;
+    type.usual_work_ms += (*job.work_ms - type.usual_work_ms) / type.jobs;
+  }
+  held.work_ms = job.work_ms && *job.work_ms > 0 ? *job.work_ms : type.usual_work_ms;
+  works_ += 1;
+  mean_work_ms_ += (held.work_ms - mean_work_ms_) / works_;
+  held.end = now + std::max<Span>(job.time_left - spare_end_, Span(0));
+  const Span sla = type.type.sla_time + from_ms(type.type.sla_stretch * ideal_ms(held));
+  held.sla_end = std::min(now + sla, held.end);
+  if (rules_.ration_window) taken_.push_back(now);
+  if (job.customer.value >= 0) customer_rate_[job.customer.value] += 1;
+  if (job.key && type.type.in_order) lines_[*job.key].jobs.push_back(job.id);
+  host_.wake_in(held.end - now, held.turn);
+  largest_ = std::max(largest_, 1 / density(held));
+  // One bounded queue. The bound keeps a scan of it well under a round's processor time.
+  constexpr std::size_t longest_queue = 600;
+  // Guards against overload of any cause: what asks most engine time for its billed value is not taken on.
+  const bool costly = 1 / density(held) > cut_ && held.work_ms > type.usual_work_ms / 2;
+  if (costly || held_.size() >= longest_queue || held.end <= now) {
+    give_up(now, held);
+    return;
+  }
+  held.held = true;
+  held_[held.turn] = job.id;
+  release(now);
+}
+
+void WorkloadManager::job_withdrawn(Span now, JobId id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  over(it->second);
+  forget_if_done(now, id);
+  release(now);
+}
+
+void WorkloadManager::heard(Span now, JobId id, int number) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || number >= static_cast<int>(it->second.dispatches.size())) return;
+  engines_[it->second.dispatches[number].engine].last_word = now;
+}
+
+void WorkloadManager::stream_started(Span now, JobId id, int number) {
+  heard(now, id, number);
+  if (const auto it = jobs_.find(id); it != jobs_.end()) it->second.streaming = true;
+}
+
+void WorkloadManager::progress_told(Span now, JobId id, int number, double share_done) {
+  heard(now, id, number);
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.over || number >= static_cast<int>(it->second.dispatches.size())) return;
+  HeldJob& held = it->second;
+  Dispatch& dispatch = held.dispatches[number];
+  const TypeFigures& type = types_[held.job.type.value];
+  if (!dispatch.out || dispatch.stopping || !rules_.may_stop || type.type.effect != Effect::restartable) return;
+  const double elapsed_ms = in_ms(now - dispatch.sent);
+  const double whole_ms = elapsed_ms / std::max(share_done, 0.002);
+  const double usual_ms = ideal_ms(held) * type.best_pace * std::max(1.0, engines_[dispatch.engine].stretch);
+  // Guards against a dispatch with a bad plan, or stuck by whatever is drawn anew for each dispatch: where one takes
+  // six times the usual (beyond any estimate's scatter) and a new one would come sooner, start it again.
+  const bool can_repeat = static_cast<int>(held.dispatches.size()) < rules_.most_dispatches;
+  if (whole_ms > 6 * usual_ms && whole_ms - elapsed_ms > 2 * usual_ms && can_repeat) {
+    dispatch.stopping = true;
+    host_.stop_dispatch(id, number);
+  }
+}
+
+void WorkloadManager::spill_told(Span now, JobId id, int number, double missing_mb) {
+  heard(now, id, number);
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || number >= static_cast<int>(it->second.dispatches.size())) return;
+  const double estimate = it->second.job.memory_mb.value_or(0);
+  const double grant = it->second.dispatches[number].grant;
+  if (estimate <= 0 || grant < estimate) return;  // not the estimate's fault
+  TypeFigures& type = types_[it->second.job.type.value];
+  // Guards against estimates that lie low by type: an eighth of the way, so that one odd job moves little.
+  type.memory_bias += ((grant + missing_mb) / estimate - type.memory_bias) / 8;
+  type.memory_bias = std::clamp(type.memory_bias, 0.5, 2.0);
+}
+
+void WorkloadManager::dispatch_ended(Span now, JobId id, int number, Outcome outcome, Span elapsed,
+                                           bool finished, std::optional<double> work_ms,
+                                           std::optional<double> memory_mb, const LoadReport& load) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || number >= static_cast<int>(it->second.dispatches.size())) return;
+  HeldJob& held = it->second;
+  Dispatch& dispatch = held.dispatches[number];
+  if (!dispatch.out) return;
+  dispatch.out = false;
+  held.out -= 1;
+  Engine& engine = engines_[dispatch.engine];
+  TypeFigures& type = types_[held.job.type.value];
+  engine.live_bytes -= dispatch.grant;
+  engine.live_threads -= dispatch.threads;
+  engine.dispatches -= 1;
+  engine.out.erase({dispatch.sent, {id, number}});
+  if (engine.protecting) {
+    const double floor = capacity(engine) / std::max(8.0, engine.slots);
+    engine.protected_bytes = std::min(floor, engine.protected_bytes + dispatch.grant);
+  }
+  if (type.type.holds_data && --engine.loads[held.job.data_set] <= 0) engine.loads.erase(held.job.data_set);
+  heed(engine, load);
+
+  if (outcome == Outcome::done) {
+    engine.last_word = now;
+    engine.strikes = 0;
+    engine.on_trial = engine.error_rate > 0.2;
+    engine.error_rate *= 0.9;  // a memory of about ten dispatches
+    if (work_ms && *work_ms > 0 && held.job.work_ms && *held.job.work_ms > 0) {
+      type.work_bias += (std::clamp(*work_ms / *held.job.work_ms, 0.2, 5.0) - type.work_bias) / 50;
+    } else if (!held.job.work_ms) {
+      type.jobs += 1;
+      const double took = work_ms.value_or(in_ms(elapsed) * type.type.threads);
+      type.usual_work_ms += (took - type.usual_work_ms) / type.jobs;
+    }
+    if (memory_mb && *memory_mb > 0) {
+      type.memories += 1;
+      type.usual_memory_mb += (*memory_mb - type.usual_memory_mb) / type.memories;
+      if (held.job.memory_mb && *held.job.memory_mb > 0) {
+        type.memory_bias += (std::clamp(*memory_mb / *held.job.memory_mb, 0.5, 2.0) - type.memory_bias) / 50;
+      }
+    }
+    learn(now, engine, held, dispatch, elapsed);
+  } else if (outcome == Outcome::error) {
+    engine.last_word = now;
+    engine.error_rate = 0.9 * engine.error_rate + 0.1;
+    if (engine.error_rate > 0.3 || engine.on_trial) sign_of_trouble(now, engine, false);
+  } else if (outcome == Outcome::full) {
+    engine.last_word = now;
+    engine.last_full = now;
+    engine.slots = std::max(engine.slots * 0.8, 2.0);
+  } else if (outcome == Outcome::unreachable || outcome == Outcome::reset) {
+    sign_of_trouble(now, engine, true);
+  } else if (outcome == Outcome::timed_out && engine.last_word < dispatch.sent) {
+    sign_of_trouble(now, engine, false);
+  }
+
+  if (!proves_not_run(outcome) && outcome != Outcome::done && !held.first_doubt) {
+    held.first_doubt = dispatch.sent;
+    held.doubt_zone = engine.listed.zone;
+    held.doubt_cell = engine.listed.cell;
+  }
+  const bool unsure = outcome == Outcome::timed_out || outcome == Outcome::reset || outcome == Outcome::stopped;
+  if (held.job.key && type.type.in_order && unsure) {
+    OrderLine& line = lines_[*held.job.key];
+    line.rests_until = std::max(line.rests_until, now + rules_.order_rest);
+    host_.wake_in(rules_.order_rest + rules_.round, beat_mark + 2);
+  }
+  if (finished) {
+    over(held);
+  } else if (!held.over && held.out == 0) {
+    if (now >= held.end || outcome == Outcome::never_sent) {
+      give_up(now, held);
+    } else {
+      held.held = true;
+      held_[held.turn] = id;
+    }
+  }
+  forget_if_done(now, id);
+  release(now);
+}
+
+void WorkloadManager::wait_told(Span now, JobId id, int number, Wait) { heard(now, id, number); }
+
+void WorkloadManager::probe_ended(Span now, EngineId id, Outcome outcome, Span, const LoadReport& load) {
+  const auto it = engines_.find(id);
+  if (it == engines_.end()) return;
+  if (outcome == Outcome::done) {
+    heed(it->second, load);
+    release(now);
+  }
+}
+
+void WorkloadManager::woken(Span now, std::uint64_t mark) {
+  if (mark == beat_mark) {
+    beat(now);
+  } else if (mark == subscribe_mark) {
+    host_.subscribe_list();
+  } else if (const auto turn = turns_.find(mark); turn != turns_.end()) {
+    HeldJob& held = jobs_.at(turn->second);
+    if (!held.over && !held.streaming && now >= held.end) {
+      const JobId id = held.job.id;
+      give_up(now, held);
+      forget_if_done(now, id);
+    }
+  }
+  release(now);
+}
+
+// ---- Rules ----
+
+bool WorkloadManager::may_throttle(Span now, const HeldJob& held) const {
+  const ReservationType& type = types_[held.job.type.value].type;
+  if (type.effect == Effect::restartable) return true;
+  if (held.out == 0 && !held.first_doubt) return true;
+  if (type.effect == Effect::run_once || type.reach != Reach::all) return false;
+  const Span first = held.first_doubt ? *held.first_doubt : held.dispatches.front().sent;
+  return now < first + type.repeat_window;
+}
+
+// Dispatches past the first: two at once only for a restartable job, and within the ration.
+bool WorkloadManager::may_go(Span now, const HeldJob& held) {
+  const ReservationType& type = types_[held.job.type.value].type;
+  if (held.over || held.streaming || now >= held.end) return false;
+  if (static_cast<int>(held.dispatches.size()) >= rules_.most_dispatches) return false;
+  if (held.out > 0 && (!rules_.second_copies || type.effect != Effect::restartable)) return false;
+  if (type.effect == Effect::run_once && held.first_doubt) return false;
+  if (type.effect == Effect::keyed && held.first_doubt) {
+    // Two rounds short of the window: what is decided now leaves at once, but clocks are read a round apart.
+    if (now + 2 * rules_.round >= *held.first_doubt + type.repeat_window) return false;
+  }
+  if (held.job.key && type.in_order) {
+    const OrderLine& line = lines_.at(*held.job.key);
+    if (line.jobs.front() != held.job.id) return false;
+    if (held.dispatches.empty() && now < line.rests_until) return false;
+  }
+  return held.dispatches.empty() || within_ration(now);
+}
+
+bool WorkloadManager::within_ration(Span now) {
+  if (!rules_.ration_window) return true;
+  // A job taken just at the window's edge is not counted, a dispatch there is.
+  while (!taken_.empty() && taken_.front() <= now - *rules_.ration_window + rules_.round) taken_.pop_front();
+  while (!resent_.empty() && resent_.front() < now - *rules_.ration_window - rules_.round) resent_.pop_front();
+  const double earned = rules_.ration_few + rules_.ration_share * static_cast<double>(taken_.size());
+  return static_cast<double>(resent_.size()) + 1 <= earned;
+}
+
+bool WorkloadManager::may_go_to(Span now, const HeldJob& held, const Engine& engine) const {
+  const ReservationType& type = types_[held.job.type.value].type;
+  if (!engine.known_up) return false;
+  const auto named = [](const auto& allowed, auto id) { return !allowed || std::ranges::count(*allowed, id); };
+  if (!named(type.zones, engine.listed.zone) || !named(type.kinds, engine.listed.kind)) return false;
+  if (held.first_doubt && type.effect == Effect::keyed) {
+    if (type.reach == Reach::zone && engine.listed.zone != held.doubt_zone) return false;
+    if (type.reach == Reach::cell && engine.listed.cell != held.doubt_cell) return false;
+  }
+  if (now < engine.closed_until || (engine.on_trial && engine.dispatches > 0)) return false;
+  // No second try where the job is still out or has just failed, while others are there.
+  for (const Dispatch& earlier : held.dispatches) {
+    if (earlier.engine == engine.listed.id && earlier.out) return false;
+  }
+  return true;
+}
+
+// What may still be sent to an engine that is cold, as work of the usual size. Infinite for a warm one.
+double WorkloadManager::cold_room(Span now, Engine& engine) const {
+  if (rules_.tip_multiple <= 0 || rules_.tip_window <= Span(0)) return infinite;
+  // Cold counts from the latest of what is known: the listed start, or when the list first told of it.
+  if (!engine.listed.online_since) return infinite;
+  const Span since = std::max(*engine.listed.online_since, std::min(engine.told, *engine.listed.online_since + seconds(5)));
+  if (now >= since + rules_.cold_lasts) return infinite;
+  while (!engine.cold_sends.empty() && engine.cold_sends.front().first < now - rules_.tip_window - rules_.round) {
+    engine.cold_sends.pop_front();
+  }
+  double sent = 0;
+  for (const auto& [when, work] : engine.cold_sends) sent += work;
+  const int cores = engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value].cores : 1;
+  // Half of the budget of this manager's even part: speeds, learned means and the others' restarts are uncertain.
+  double budget = 0.5 * rules_.tip_multiple * rules_.cold_from * cores * in_ms(rules_.tip_window) / rules_.managers;
+  // Guards against a restarted manager spending again what its last life has spent.
+  if (now < rules_.tip_window) budget /= 2;
+  return budget - sent;
+}
+
+void WorkloadManager::over(HeldJob& held) {
+  held.over = true;
+  held.held = false;
+  held_.erase(held.turn);
+  for (auto& [id, engine] : engines_) {
+    if (engine.protecting && engine.protected_for == held.job.id) {
+      engine.protecting = false;
+      engine.protected_bytes = 0;
+    }
+  }
+  if (!rules_.may_stop) return;
+  for (std::size_t i = 0; i < held.dispatches.size(); ++i) {
+    Dispatch& dispatch = held.dispatches[i];
+    if (!dispatch.out || dispatch.stopping) continue;
+    dispatch.stopping = true;
+    host_.stop_dispatch(held.job.id, static_cast<int>(i));
+  }
+}
+
+void WorkloadManager::forget_if_done(Span, JobId id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || !it->second.over || it->second.out > 0) return;
+  const HeldJob& held = it->second;
+  if (held.job.key && types_[held.job.type.value].type.in_order) {
+    std::erase(lines_[*held.job.key].jobs, id);
+  }
+  turns_.erase(held.turn);
+  jobs_.erase(it);
+}
+
+// ---- The ordinary path: ledger, slots, floor, headroom ----
+
+double WorkloadManager::capacity(const Engine& engine) const {
+  if (engine.listed.kind.value < 0) return 0;
+  const double memory = kinds_[engine.listed.kind.value].memory_mb;
+  double usual = 0;
+  for (const TypeFigures& type : types_) usual = std::max(usual, type.usual_memory_mb);
+  double most = std::max(memory * share_, std::min(memory, 2 * usual));
+  // Exception: where load reports show what the others hold, the ledger is bounded by what they leave.
+  if (engine.others_bytes) most = std::min(most, std::max(memory - *engine.others_bytes, 0.1 * memory));
+  return most;
+}
+
+double WorkloadManager::ideal_ms(const HeldJob& held) const {
+  const TypeFigures& type = types_[held.job.type.value];
+  return held.work_ms * type.work_bias / type.type.threads;
+}
+
+double WorkloadManager::need_mb(const HeldJob& held) const {
+  const TypeFigures& type = types_[held.job.type.value];
+  const double estimate = held.job.memory_mb.value_or(0);
+  // An eighth over the estimate: half of what engines choose by themselves, since the bias is learned.
+  return estimate > 0 ? 1.125 * type.memory_bias * estimate : type.usual_memory_mb;
+}
+
+bool WorkloadManager::pressed(Span now, const Engine& engine) const {
+  // Twice the best is where SLA times begin to be at risk; a full engine counts for two seconds.
+  return engine.stretch > 2 || now < engine.last_full + seconds(2) || engine.live_threads >= 2 * engine.slots;
+}
+
+int WorkloadManager::open_threads(const Engine& engine, const HeldJob& held) const {
+  const int largest = std::ranges::max(types_, {}, [](const TypeFigures& t) { return t.type.threads; }).type.threads;
+  int slots = std::max(static_cast<int>(engine.slots), largest);
+  if (engine.protecting && engine.protected_for != held.job.id) {
+    slots -= types_[jobs_.at(engine.protected_for).job.type.value].type.threads;
+  }
+  return slots - engine.live_threads;
+}
+
+// The grant that the job would get there, or nothing where the ledger has no room.
+std::optional<double> WorkloadManager::grant_on(Span now, const Engine& engine, const HeldJob& held) const {
+  const int threads = types_[held.job.type.value].type.threads;
+  const double whole = capacity(engine);
+  const double cap = rules_.grant_cap * (engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value].memory_mb : 0);
+  const double need = need_mb(held);
+  if (!pressed(now, engine)) return need > 0 ? std::min(need, cap) : std::min(whole / 8, cap);
+  const int open = open_threads(engine, held) - threads;
+  const double floor = whole / std::max(8.0, engine.slots);
+  const double kept = engine.protecting && engine.protected_for != held.job.id ? engine.protected_bytes : 0;
+  const double most = std::min(whole - engine.live_bytes - kept - floor * std::max(open, 0), cap);
+  if (open < 0 || most < floor) return std::nullopt;
+  return need > 0 ? std::clamp(need, floor, most) : most;
+}
+
+double WorkloadManager::density(const HeldJob& held) const {
+  const TypeFigures& type = types_[held.job.type.value];
+  double value = std::max(type.type.billed_value, 1e-9);
+  if (const int customer = held.job.customer.value; customer >= 0 && customer_quota_[customer] > 0) {
+    const double beyond = std::max(0.0, 1 - customer_quota_[customer] / std::max(customer_rate_[customer], 1e-9));
+    value *= 1 - beyond * (1 - rules_.over_share_value);
+  }
+  return value / std::max(held.work_ms * type.work_bias, 1e-3);
+}
+
+// Short work first on scarce cores and disks: more of it is answered in time for the same engine time. Steps of four
+// follow the scale of the ranks and keep the longest from being starved.
+int WorkloadManager::priority(const HeldJob& held) const {
+  const double size = held.work_ms / std::max(mean_work_ms_, 1e-6);
+  return size < 0.5 ? 3 : size < 2 ? 2 : size < 6 ? 1 : 0;
+}
+
+void WorkloadManager::release(Span now) {
+  constexpr int overtake_budget = 4;  // the design's starting value
+  std::vector<HeldJob*> passed;
+  for (auto it = held_.begin(); it != held_.end();) {
+    HeldJob& held = jobs_.at(it->second);
+    ++it;
+    if (!may_go(now, held)) continue;
+    if (!place(now, held)) {
+      passed.push_back(&held);
+      continue;
+    }
+    for (HeldJob* older : passed) older->overtaken += 1;
+  }
+  for (HeldJob* waiter : passed) {
+    if (waiter->overtaken <= overtake_budget) continue;
+    Engine* chosen = nullptr;
+    bool has_one = false;
+    for (auto& [id, engine] : engines_) {
+      if (engine.protecting && engine.protected_for == waiter->job.id) {
+        // Retargeted when the engine closes.
+        if (may_go_to(now, *waiter, engine)) has_one = true;
+        else engine.protecting = false, engine.protected_bytes = 0;
+      } else if (!engine.protecting && may_go_to(now, *waiter, engine)) {
+        if (!chosen || capacity(engine) - engine.live_bytes > capacity(*chosen) - chosen->live_bytes) chosen = &engine;
+      }
+    }
+    if (has_one || !chosen) continue;
+    chosen->protecting = true;
+    chosen->protected_for = waiter->job.id;
+    chosen->protected_bytes = 0;
+  }
+}
+
+bool WorkloadManager::place(Span now, HeldJob& held) {
+  const TypeFigures& type = types_[held.job.type.value];
+  // Homes: the two engines that all managers agree on for a data set (two, so that one can fail).
+  std::uint64_t first_home = 0, second_home = 0;
+  for (const auto& [id, engine] : engines_) {
+    if (!engine.known_up) continue;
+    const std::uint64_t hash = shared_hash(held.job.data_set, id);
+    if (hash > first_home) second_home = first_home, first_home = hash;
+    else if (hash > second_home) second_home = hash;
+  }
+  const double middle = middle_stretch();
+  Engine* best = nullptr;
+  double best_grant = 0;
+  std::tuple<double, int, double, std::uint64_t> best_rank{};
+  std::uint64_t place_in_list = 0;
+  for (auto& [id, engine] : engines_) {
+    // Exception: ties go round from this manager's own place in the list, lest fresh ledgers all pick the lowest id.
+    const std::uint64_t count = engines_.size();
+    const std::uint64_t offset = count * static_cast<std::uint64_t>(rules_.own_number) / std::max(1, rules_.managers);
+    const std::uint64_t turn = (place_in_list++ + count - offset % count) % count;
+    if (!may_go_to(now, held, engine)) continue;
+    const double room = cold_room(now, engine);
+    if (room < std::max(type.usual_work_ms, 1e-3) * 1.0) continue;
+    const std::optional<double> grant = grant_on(now, engine, held);
+    if (!grant) continue;
+    // Spare bytes after the grant, of an engine that does its full work. Exceptions: one that takes longer than the
+    // middle of the fleet counts in proportion; the homes of the job's data count a quarter of the capacity more, for
+    // the reading saved; another zone counts less by what crossing costs; a data set held by a load there, nothing.
+    const double whole = capacity(engine);
+    double health = std::clamp(middle / engine.stretch, 0.2, 1.0);
+    if (room < infinite) health *= rules_.cold_from;
+    double spare = whole * health - engine.live_bytes - *grant;
+    const std::uint64_t hash = shared_hash(held.job.data_set, id);
+    if (hash == first_home || hash == second_home) spare += 0.25 * whole;
+    if (engine.listed.zone != rules_.zone) spare -= rules_.crossing_price * whole;
+    if ((type.type.waits_for_load || type.type.holds_data) && engine.loads.contains(held.job.data_set)) spare -= whole;
+    for (const Dispatch& earlier : held.dispatches) {
+      if (earlier.engine == id) spare -= whole;  // one that has just failed the job comes last
+    }
+    const std::tuple rank{-spare, engine.dispatches, engine.live_bytes, turn};
+    if (best && rank >= best_rank) continue;
+    best = &engine;
+    best_grant = *grant;
+    best_rank = rank;
+  }
+  if (!best) return false;
+  send(now, held, *best, best_grant);
+  return true;
+}
+
+void WorkloadManager::send(Span now, HeldJob& held, Engine& engine, double grant) {
+  const TypeFigures& type = types_[held.job.type.value];
+  held_.erase(held.turn);
+  held.held = false;
+  held.overtaken = 0;
+  if (engine.protecting && engine.protected_for == held.job.id) engine.protecting = false, engine.protected_bytes = 0;
+  if (!held.dispatches.empty() && rules_.ration_window) resent_.push_back(now);
+  const int number = static_cast<int>(held.dispatches.size());
+  Dispatch dispatch{.engine = engine.listed.id, .sent = now, .grant = grant, .threads = type.type.threads};
+  engine.live_bytes += grant;
+  engine.live_threads += dispatch.threads;
+  engine.dispatches += 1;
+  engine.out.insert({now, {held.job.id, number}});
+  if (type.type.holds_data) engine.loads[held.job.data_set] += 1;
+  if (rules_.tip_multiple > 0 && engine.listed.online_since) {
+    engine.cold_sends.push_back({now, std::max(type.usual_work_ms * type.work_bias, 1e-3)});
+  }
+  held.out += 1;
+  held.dispatches.push_back(dispatch);
+  if (rules_.takes_grants || rules_.takes_priority) {
+    host_.set_terms(held.job.id, rules_.takes_grants ? grant : 0, priority(held));
+  }
+  host_.dispatch(held.job.id, engine.listed.id, Span(0));
+}
+
+// ---- Health ----
+
+double WorkloadManager::middle_stretch() const {
+  std::vector<double> all;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.known_up) all.push_back(engine.stretch);
+  }
+  if (all.empty()) return 1;
+  const auto middle = all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2);
+  std::ranges::nth_element(all, middle);
+  return *middle;
+}
+
+void WorkloadManager::learn(Span, Engine& engine, const HeldJob& held, const Dispatch& dispatch, Span elapsed) {
+  (void)dispatch;
+  TypeFigures& type = types_[held.job.type.value];
+  const double ideal = ideal_ms(held);
+  if (ideal <= 0) return;
+  const double pace = in_ms(elapsed) / ideal;
+  // Quantiles by steps: each settles where the steps down and up balance, at 10% and 95%.
+  type.best_pace *= pace < type.best_pace ? 0.955 : 1.005;
+  type.slow_pace *= pace > type.slow_pace ? 1.0475 : 0.9975;
+  const double sample = std::clamp(pace / type.best_pace, 0.5, 20.0);
+  // A long dispatch tells more than a short one, which its priority hides from the crowd.
+  const double weight = 0.03 + 0.17 * std::min(1.0, held.work_ms / std::max(4 * mean_work_ms_, 1e-6));
+  engine.stretch += weight * (sample - engine.stretch);
+  // The slot limit follows: a little up while answers come near their best, down when they come far above it.
+  const int cores = engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value].cores : 1;
+  const double start = 2.0 * cores * share_;
+  engine.slots = std::clamp(engine.slots * (engine.stretch > 3 ? 0.995 : 1.002), start / 2, start * 1.5);
+}
+
+void WorkloadManager::sign_of_trouble(Span now, Engine& engine, bool sure) {
+  if (now < engine.closed_until) return;
+  // Never closes more than a third of the fleet on suspicion alone: the rest would be overrun, and what all share
+  // is no single engine's fault.
+  int up = 0, closed = 0;
+  for (const auto& [id, other] : engines_) {
+    if (!other.known_up) continue;
+    up += 1;
+    if (now < other.closed_until || other.on_trial) closed += 1;
+  }
+  if (!sure && !engine.on_trial && closed + 1 > std::max(1, up / 3)) return;
+  engine.strikes = std::min(engine.strikes + 1, 5);
+  // Half a second, doubled with each failed trial up to eight: soon back from a blip, cheap on a dead engine.
+  engine.closed_until = now + milliseconds(250) * (1 << engine.strikes);
+  engine.on_trial = true;
+}
+
+// Looks for dispatches that are overdue on an engine from which nothing has come since they went there.
+void WorkloadManager::look_after(Span now, Engine& engine) {
+  bool silent = false;
+  for (const auto& [sent, which] : engine.out) {
+    const HeldJob& held = jobs_.at(which.first);
+    const TypeFigures& type = types_[held.job.type.value];
+    const double usual = ideal_ms(held) * type.slow_pace;
+    const Span limit = from_ms(std::max(1.5 * usual, 150.0));
+    const bool note_missed = rules_.tells_every > Span(0) && now - sent > 2 * rules_.tells_every + milliseconds(500) &&
+                             now - engine.last_word > 2 * rules_.tells_every + milliseconds(500);
+    if (engine.last_word <= sent + milliseconds(20) && (now - sent > limit || note_missed)) silent = true;
+  }
+  if (!silent) return;
+  sign_of_trouble(now, engine, false);
+  if (now >= engine.closed_until) return;
+  // Guards against engines that take work and answer nothing: what may be repeated goes elsewhere.
+  const auto out = engine.out;
+  for (const auto& [sent, which] : out) {
+    HeldJob& held = jobs_.at(which.first);
+    Dispatch& dispatch = held.dispatches[which.second];
+    if (held.over || dispatch.stopping || dispatch.overdue || held.streaming) continue;
+    if (static_cast<int>(held.dispatches.size()) >= rules_.most_dispatches) continue;
+    if (types_[held.job.type.value].type.effect != Effect::restartable) continue;
+    if (rules_.second_copies) {
+      dispatch.overdue = true;
+      held.held = true;
+      held_[held.turn] = held.job.id;
+    } else if (rules_.may_stop) {
+      dispatch.stopping = true;
+      host_.stop_dispatch(which.first, which.second);
+    }
+  }
+}
+
+// Others' part of the engine's memory, where it tells: the one thing that separate ledgers cannot add up.
+void WorkloadManager::heed(Engine& engine, const LoadReport& load) {
+  if (!load.memory_share || engine.listed.kind.value < 0) return;
+  const double memory = kinds_[engine.listed.kind.value].memory_mb;
+  const double others = std::clamp(*load.memory_share * memory - engine.live_bytes, 0.0, memory);
+  engine.others_bytes = engine.others_bytes ? *engine.others_bytes + (others - *engine.others_bytes) / 2 : others;
+}
+
+void WorkloadManager::beat(Span now) {
+  host_.wake_in(milliseconds(100), beat_mark);
+  // Customers' rates over about five seconds.
+  const double kept = std::exp(-0.1 / 5);
+  for (double& rate : customer_rate_) rate *= kept;
+  for (auto& [id, engine] : engines_) look_after(now, engine);
+  if (rules_.may_probe && rules_.reports_in_probes && now - last_probe_ >= milliseconds(500)) {
+    last_probe_ = now;
+    for (const auto& [id, engine] : engines_) {
+      if (engine.known_up) host_.probe(id);
+    }
+  }
+  // The cut: down while the middle engine takes far longer than its best or jobs wait, up again when not.
+  const bool crowded = middle_stretch() > 2.5 || held_.size() > 20;
+  largest_ *= 0.998;
+  if (crowded) {
+    cut_ = std::min(cut_, largest_) * 0.96;
+  } else {
+    cut_ *= 1.02;
+    if (cut_ > largest_) cut_ = infinite;
+  }
+  // Held jobs that can no longer make it: an answer now is worth more than one at the end.
+  std::vector<JobId> late;
+  for (const auto& [turn, id] : held_) {
+    const HeldJob& held = jobs_.at(id);
+    if (held.out == 0 && now + from_ms(ideal_ms(held)) > held.sla_end) late.push_back(id);
+  }
+  for (const JobId id : late) {
+    give_up(now, jobs_.at(id));
+    forget_if_done(now, id);
+  }
+}
+
+// ---- Giving up ----
+
+void WorkloadManager::give_up(Span now, HeldJob& held) {
+  if (held.over) return;
+  const JobId id = held.job.id;
+  const bool harmless = may_throttle(now, held);
+  over(held);
+  if (harmless) {
+    // Half the time that is left to its SLA, so that a later try can still be in time.
+    const Span advice = std::clamp<Span>((held.sla_end - now) / 2, milliseconds(50), seconds(2));
+    host_.throttle(id, rules_.takes_retry_advice ? std::min(advice, rules_.longest_retry_advice) : Span(0));
+  } else {
+    host_.cancel_for_good(id);
+  }
+  forget_if_done(now, id);
+}
+
+}  // namespace pearchute
--- /dev/null
+++ b/src/control.h
@@ -0,0 +1,110 @@
+// The workload manager's interface, and the host through which it acts.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "state.h"
+#include "types.h"
+
+namespace pearchute {
+
+class Host {
+ public:
+  virtual ~Host() = default;
+  virtual void dispatch(JobId job, EngineId engine, Span time_limit) = 0;  // a limit of 0: the job timeout
+  virtual void set_terms(JobId job, double grant_mb, int priority) = 0;    // a grant of 0: the engine chooses
+  virtual void stop_dispatch(JobId job, int number) = 0;
+  virtual void throttle(JobId job, Span come_back_in) = 0;
+  virtual void cancel_for_good(JobId id) = 0;
+  virtual void wake_in(Span span, std::uint64_t mark) = 0;
+  virtual void probe(EngineId engine) = 0;
+  virtual void subscribe_list() = 0;
+  virtual void remark(std::string_view text) = 0;
+};
+
+// One method for each thing that can happen; `now` never goes back. Dispatches of a job count from 0.
+class WorkloadManager {
+ public:
+  WorkloadManager(const ServiceDefinition& service, std::uint64_t seed, Host& host);
+  WorkloadManager(const WorkloadManager&) = delete;
+  WorkloadManager& operator=(const WorkloadManager&) = delete;
+
+  void list_came(Span now, ListNews news, const std::vector<ListedEngine>& engines);
+  void list_refused(Span now);
+  void job_taken(Span now, const Job& job);
+  void job_withdrawn(Span now, JobId id);
+  void stream_started(Span now, JobId job, int number);
+  void progress_told(Span now, JobId id, int number, double share_done);
+  void spill_told(Span now, JobId id, int number, double missing_mb);
+  void wait_told(Span now, JobId id, int number, Wait wait);
+  // `work_ms` and `memory_mb` are what the job needed, where answers tell.
+  void dispatch_ended(Span now, JobId id, int number, Outcome outcome, Span elapsed, bool job_finished,
+                      std::optional<double> work_ms, std::optional<double> memory_mb, const LoadReport& load);
+  void probe_ended(Span now, EngineId engine, Outcome outcome, Span elapsed, const LoadReport& load);
+  void woken(Span now, std::uint64_t mark);
+
+ private:
+  enum : std::uint64_t { beat_mark = 1, subscribe_mark = 2, job_marks = 16 };
+
+  void heard(Span now, JobId id, int number);
+  // Rules
+  bool may_throttle(Span now, const HeldJob& held) const;
+  bool may_go(Span now, const HeldJob& held);
+  bool may_go_to(Span now, const HeldJob& held, const Engine& engine) const;
+  bool within_ration(Span now);
+  double cold_room(Span now, Engine& engine) const;
+  void over(HeldJob& held);
+  void forget_if_done(Span now, JobId id);
+  // The ordinary path
+  void release(Span now);
+  bool place(Span now, HeldJob& held);
+  void send(Span now, HeldJob& held, Engine& engine, double grant);
+  double capacity(const Engine& engine) const;
+  int open_threads(const Engine& engine, const HeldJob& held) const;
+  bool pressed(Span now, const Engine& engine) const;
+  std::optional<double> grant_on(Span now, const Engine& engine, const HeldJob& held) const;
+  double ideal_ms(const HeldJob& held) const;
+  double need_mb(const HeldJob& held) const;
+  int priority(const HeldJob& held) const;
+  double density(const HeldJob& held) const;
+  // Health
+  void sign_of_trouble(Span now, Engine& engine, bool sure);
+  void learn(Span now, Engine& engine, const HeldJob& held, const Dispatch& dispatch, Span elapsed);
+  void look_after(Span now, Engine& engine);
+  void heed(Engine& engine, const LoadReport& load);
+  double middle_stretch() const;
+  void beat(Span now);
+  // Giving up
+  void give_up(Span now, HeldJob& held);
+
+  Host& host_;
+  std::knuth_b chance_;
+  std::vector<TypeFigures> types_;
+  ServiceDefinition rules_;  // figures only: its lists are emptied once read
+  std::vector<double> customer_quota_, customer_rate_;  // jobs a second, a smoothed count
+  std::vector<MachineKind> kinds_;
+  double share_ = 1;
+  Span spare_end_{};  // how long before the client's end a final answer is sent
+  std::map<EngineId, Engine> engines_;
+  std::unordered_map<JobId, HeldJob> jobs_;
+  std::map<std::uint64_t, JobId> held_;   // by order of arrival
+  std::map<std::uint64_t, JobId> turns_;  // every job not forgotten, for wake marks
+  std::map<OrderKey, OrderLine> lines_;
+  std::deque<Span> taken_, resent_;
+  std::uint64_t next_turn_ = job_marks;
+  Span subscribe_wait_;
+  double cut_;     // most work for a unit of billed value that is taken on
+  double largest_ = 0;         // recent largest of the same
+  double mean_work_ms_ = 0;
+  double works_ = 0;
+  Span last_probe_{};
+};
+
+}  // namespace pearchute
--- /dev/null
+++ b/src/drill/fields.cpp
@@ -0,0 +1,97 @@
+#include "fields.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace pearchute::drill {
+
+namespace {
+
+[[noreturn]] void reject(std::string_view name, std::string_view value, const char* wanted) {
+  throw Malformed("'" + std::string(name) + "' is '" + std::string(value) + "', not " + wanted);
+}
+
+}  // namespace
+
+std::vector<std::string_view> split(std::string_view text, char by) {
+  std::vector<std::string_view> parts;
+  while (true) {
+    const std::size_t end = text.find(by);
+    parts.push_back(text.substr(0, end));
+    if (end == std::string_view::npos) return parts;
+    text.remove_prefix(end + 1);
+  }
+}
+
+std::int64_t whole_in(std::string_view name, std::string_view value) {
+  std::int64_t result = 0;
+  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), result);
+  if (error == std::errc{} && end == value.data() + value.size()) return result;
+  const double number = number_in(name, value);  // a whole number may be written with a point
+  if (number != std::floor(number) || std::abs(number) > 9e15) reject(name, value, "a whole number");
+  return static_cast<std::int64_t>(number);
+}
+
+double number_in(std::string_view name, std::string_view value) {
+  double result = 0;
+  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), result);
+  if (error != std::errc{} || end != value.data() + value.size() || !std::isfinite(result)) {
+    reject(name, value, "a number");
+  }
+  return result;
+}
+
+void Fields::read(std::string_view line) {
+  pairs_.clear();
+  std::size_t start = line.find('\t');
+  message_ = line.substr(0, start);
+  while (start != std::string_view::npos) {
+    line.remove_prefix(start + 1);
+    start = line.find('\t');
+    const std::string_view part = line.substr(0, start);
+    if (part.empty()) continue;
+    const std::size_t equals = part.find('=');
+    if (equals == std::string_view::npos || equals == 0) {
+      throw Malformed("'" + std::string(part) + "' is not name=value");
+    }
+    pairs_.emplace_back(part.substr(0, equals), part.substr(equals + 1));
+  }
+}
+
+std::optional<std::string_view> Fields::text(std::string_view name) const {
+  for (const auto& [pair_name, value] : pairs_) {
+    if (pair_name == name) return value;
+  }
+  return std::nullopt;
+}
+
+std::string_view Fields::required_text(std::string_view name) const {
+  const auto value = text(name);
+  if (!value) throw Malformed("'" + std::string(name) + "' is missing");
+  return *value;
+}
+
+std::optional<std::int64_t> Fields::whole(std::string_view name) const {
+  const auto value = text(name);
+  if (!value || value->empty()) return std::nullopt;
+  return whole_in(name, *value);
+}
+
+std::int64_t Fields::required_whole(std::string_view name) const {
+  return whole_in(name, required_text(name));
+}
+
+std::optional<double> Fields::number(std::string_view name) const {
+  const auto value = text(name);
+  if (!value || value->empty()) return std::nullopt;
+  return number_in(name, *value);
+}
+
+bool Fields::flag(std::string_view name) const {
+  const auto value = text(name);
+  if (!value || *value == "0" || *value == "false" || value->empty()) return false;
+  if (*value == "1" || *value == "true") return true;
+  reject(name, *value, "1 or 0");
+}
+
+}  // namespace pearchute::drill
--- /dev/null
+++ b/src/drill/main.cpp
@@ -0,0 +1,16 @@
+#include <exception>
+#include <iostream>
+
+#include "session.h"
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  std::cin.tie(nullptr);
+  try {
+    pearchute::drill::Session(std::cin, std::cout).run();
+  } catch (const std::exception& error) {
+    std::cerr << "pearchute_drill: " << error.what() << "\n";
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/drill/session.cpp
@@ -0,0 +1,397 @@
+#include "session.h"
+
+#include <algorithm>
+#include <istream>
+#include <ostream>
+
+#include "control.h"
+
+namespace pearchute::drill {
+
+namespace {
+
+int position(const std::vector<std::string>& names, std::string_view name) {
+  const auto it = std::ranges::find(names, name);
+  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+}
+
+std::vector<std::string> list(const Fields& fields, std::string_view name) {
+  std::vector<std::string> items;
+  const auto value = fields.text(name);
+  if (!value || value->empty()) return items;
+  for (const std::string_view item : split(*value, ',')) items.emplace_back(item);
+  return items;
+}
+
+Span span_of(const Fields& fields, std::string_view name) { return Span(fields.whole(name).value_or(0)); }
+
+template <class Value>
+Value one_of(std::string_view name, std::string_view word,
+             std::initializer_list<std::pair<std::string_view, Value>> words) {
+  for (const auto& [known, value] : words) {
+    if (known == word) return value;
+  }
+  throw Malformed("'" + std::string(name) + "' is '" + std::string(word) + "', which is not known");
+}
+
+Outcome outcome_of(std::string_view word) {
+  return one_of<Outcome>("stateCode", word,
+                         {{"OK", Outcome::done},
+                          {"INTERNAL", Outcome::error},
+                          {"RESOURCE_EXHAUSTED", Outcome::full},
+                          {"DEADLINE_EXCEEDED", Outcome::timed_out},
+                          {"UNAVAILABLE", Outcome::unreachable},
+                          {"ABORTED", Outcome::reset},
+                          {"CANCELLED", Outcome::stopped},
+                          {"TOO_LATE", Outcome::never_sent}});
+}
+
+LoadReport report_of(const Fields& fields) {
+  LoadReport report;
+  const auto usage = fields.text("usage");
+  if (!usage || usage->empty()) return report;
+  for (const std::string_view part : split(*usage, ',')) {
+    const std::size_t colon = part.find(':');
+    if (colon == std::string_view::npos) throw Malformed("'usage' has '" + std::string(part) + "', not name:value");
+    const std::string_view name = part.substr(0, colon);
+    const double value = number_in(name, part.substr(colon + 1));
+    if (name == "outstanding") report.outstanding = value;
+    if (name == "backlog") report.backlog = value;
+    if (name == "x0") report.memory_share = value;
+    if (name == "x1") report.disk_share = value;
+  }
+  return report;
+}
+
+}  // namespace
+
+// One workload manager and its Host; the names of its settings become positions and back.
+class Instance final : public Host {
+ public:
+  Instance(Session& session, std::int64_t number, const Fields& fields)
+      : session_(session), number_(number), start_(session.clock_) {
+    const ServiceDefinition service = service_of(fields);
+    manager_ = std::make_unique<WorkloadManager>(
+        service, static_cast<std::uint64_t>(fields.required_whole("nonce64")), *this);
+  }
+
+  WorkloadManager& manager() { return *manager_; }
+  Span now() const { return session_.clock_ - start_; }
+  Span start() const { return start_; }
+  TypeId type(std::string_view name) const {
+    const int at = position(types_, name);
+    if (at < 0) throw Malformed("'type' is '" + std::string(name) + "', which the settings do not name");
+    return TypeId{at};
+  }
+  CustomerId customer(std::string_view name) const { return CustomerId{position(customers_, name)}; }
+  ZoneId zone(std::string_view name) const { return ZoneId{position(zones_, name)}; }
+  KindId kind(std::string_view name) const { return KindId{position(kinds_, name)}; }
+
+  void dispatch(JobId job, EngineId engine, Span time_limit) override {
+    begin("TRANSMIT").add("handle", job.value).add("engine", engine.value);
+    if (time_limit > Span(0)) add("giveUpAfter", time_limit.count());
+    end();
+  }
+  void set_terms(JobId job, double grant_mb, int priority) override {
+    begin("ASSIGN_TERMS").add("handle", job.value).add("memoryGrant", grant_mb).add("weightClass", priority).end();
+  }
+  void stop_dispatch(JobId job, int number) override {
+    begin("STOP_ATTEMPT").add("handle", job.value).add("copy", number).end();
+  }
+  void throttle(JobId job, Span come_back_in) override {
+    begin("REJECT").add("handle", job.value);
+    if (come_back_in > Span(0)) add("retryIn", come_back_in.count());
+    end();
+  }
+  void cancel_for_good(JobId job) override { begin("END_FAILED").add("handle", job.value).end(); }
+  void wake_in(Span span, std::uint64_t mark) override {
+    begin("NOTIFY_ME").add("in", span.count()).add("mark", mark).end();
+  }
+  void probe(EngineId engine) override { begin("PROBE").add("engine", engine.value).end(); }
+  void subscribe_list() override { begin("TRACK").add("on", 1).end(); }
+  void remark(std::string_view text) override { begin("REMARK").add("noteText", text).end(); }
+
+ private:
+  ServiceDefinition service_of(const Fields& fields);
+
+  Instance& begin(std::string_view action) {
+    std::string& reply = session_.reply_;
+    if (session_.reply_for_ != number_) {
+      reply.append("BY\tmanager=").append(std::to_string(number_)).append("\n");
+      session_.reply_for_ = number_;
+    }
+    reply.append(action);
+    return *this;
+  }
+  Instance& add(std::string_view name, std::string_view value) {
+    session_.reply_.append("\t").append(name).append("=").append(value);
+    return *this;
+  }
+  template <class Number>
+  Instance& add(std::string_view name, Number value) {
+    return add(name, std::string_view(std::to_string(value)));
+  }
+  void end() { session_.reply_.append("\n"); }
+
+  Session& session_;
+  std::int64_t number_;
+  Span start_;
+  std::vector<std::string> types_, customers_, zones_, kinds_;
+  std::unique_ptr<WorkloadManager> manager_;
+};
+
+ServiceDefinition Instance::service_of(const Fields& fields) {
+  ServiceDefinition service;
+  zones_ = list(fields, "failureDomains");
+  kinds_ = list(fields, "hostTypes");
+  service.zone = zone(fields.text("zone").value_or(""));
+  service.own_number = static_cast<int>(fields.whole("me").value_or(0));
+  service.managers = static_cast<int>(fields.whole("nInstances").value_or(1));
+
+  const auto per_type = [&](std::string_view name, std::size_t i) -> std::optional<std::string> {
+    const std::vector<std::string> items = list(fields, name);
+    return i < items.size() ? std::optional(items[i]) : std::nullopt;
+  };
+  const std::int64_t types = fields.required_whole("classes.count");
+  if (types < 1 || types > 1000) throw Malformed("'classes.count' is out of range");
+  for (std::int64_t i = 0; i < types; ++i) {
+    const auto at = [&](const char* name) { return "classes." + std::to_string(i) + "." + name; };
+    types_.emplace_back(fields.required_text(at("name")));
+    ReservationType type;
+    type.effect = one_of<Effect>(at("repeat"), fields.text(at("repeat")).value_or("pure"),
+                                 {{"pure", Effect::restartable}, {"token", Effect::keyed}, {"side_effect", Effect::run_once}});
+    type.reach = one_of<Reach>(at("keyScope"), fields.text(at("keyScope")).value_or("all"),
+                               {{"all", Reach::all}, {"zone", Reach::zone}, {"cell", Reach::cell}});
+    type.repeat_window = span_of(fields, at("window"));
+    type.sla_time = span_of(fields, at("slo"));
+    type.sla_stretch = fields.number(at("aimStretch")).value_or(0);
+    type.job_timeout = span_of(fields, at("giveUp"));
+    type.billed_value = fields.number(at("worth")).value_or(1);
+    type.late_share = fields.number(at("lateValue")).value_or(0);
+    type.in_order = fields.flag(at("byArrival"));
+    const std::size_t index = static_cast<std::size_t>(i);
+    if (const auto threads = per_type("familyInfo.parallelism", index)) {
+      type.threads = std::max(1, static_cast<int>(whole_in("familyInfo.parallelism", *threads)));
+    }
+    type.holds_data = per_type("familyInfo.classLoad", index) == "true";
+    type.waits_for_load = per_type("familyInfo.classWaits", index) == "true";
+    if (const auto names = list(fields, at("runsIn")); !names.empty()) {
+      type.zones.emplace();
+      for (const std::string& name : names) type.zones->push_back(zone(name));
+    }
+    if (const auto names = list(fields, at("boundTo")); !names.empty()) {
+      type.kinds.emplace();
+      for (const std::string& name : names) type.kinds->push_back(kind(name));
+    }
+    service.types.push_back(type);
+  }
+  const std::int64_t customers = fields.whole("orgs.count").value_or(0);
+  for (std::int64_t i = 0; i < customers; ++i) {
+    const std::string at = "orgs." + std::to_string(i) + ".";
+    customers_.emplace_back(fields.text(at + "name").value_or(""));
+    service.customers.push_back({.jobs_per_second = fields.number(at + "quotaPerS").value_or(0)});
+  }
+  for (std::size_t i = 0; i < kinds_.size(); ++i) {
+    MachineKind machine;
+    if (const auto cores = per_type("familyInfo.coresByKind", i)) {
+      machine.cores = std::max(1, static_cast<int>(number_in("familyInfo.coresByKind", *cores)));
+    }
+    if (const auto size = per_type("familyInfo.sizeMb", i)) machine.memory_mb = number_in("familyInfo.sizeMb", *size);
+    service.kinds.push_back(machine);
+  }
+  service.list_on_request = fields.text("discovery") == "on_request";
+  service.ask_within = span_of(fields, "obligations.askWithin");
+  service.round = span_of(fields, "round");
+  service.drain_grace = span_of(fields, "obligations.stopSendingWithin");
+  service.cold_lasts = span_of(fields, "obligations.cold");
+  service.cold_from = fields.number("obligations.coldFrom").value_or(1);
+  service.tip_multiple = fields.number("obligations.tipMultiple").value_or(0);
+  service.tip_window = span_of(fields, "obligations.fall");
+  service.order_rest = span_of(fields, "obligations.orderPause");
+  if (const auto span = fields.whole("obligations.ratioSpan")) {
+    service.ration_window = Span(*span);
+    service.ration_few = fields.number("obligations.freeResends").value_or(0);
+    service.ration_share = fields.number("obligations.extraShare").value_or(0);
+  }
+  service.most_dispatches = static_cast<int>(fields.whole("limits.attemptsCap").value_or(1));
+  service.second_copies = fields.flag("limits.secondCopies");
+  service.may_stop = fields.flag("limits.cancel");
+  service.may_probe = fields.flag("limits.mayProbe");
+  service.takes_retry_advice = fields.flag("limits.retryAfter");
+  service.longest_retry_advice = span_of(fields, "limits.maxRetryAfter");
+  service.reports_in_probes = fields.text("feedback.how") == "probe";
+  service.takes_grants = fields.flag("familyInfo.takesGrants");
+  service.takes_priority = fields.flag("familyInfo.takesPriority");
+  service.grant_cap = fields.number("familyInfo.grantCap").value_or(1);
+  service.out_of_memory = one_of<OutOfMemory>(
+      "familyInfo.outOfMemory", fields.text("familyInfo.outOfMemory").value_or("line_up"),
+      {{"line_up", OutOfMemory::line_up}, {"cut", OutOfMemory::cut}, {"overcommit", OutOfMemory::overcommit}});
+  service.tells_every = span_of(fields, "familyInfo.tellsEvery");
+  service.over_share_value = fields.number("overShareWorth").value_or(1);
+  service.crossing_price = fields.number("prices.crossZone").value_or(0);
+  service.probe_price = fields.number("prices.probe").value_or(0);
+  return service;
+}
+
+Session::Session(std::istream& in, std::ostream& out) : in_(in), out_(out) {}
+Session::~Session() = default;
+
+bool Session::next_line() {
+  if (!std::getline(in_, line_)) return false;
+  ++line_number_;
+  if (!line_.empty() && line_.back() == '\r') line_.pop_back();
+  return true;
+}
+
+void Session::run() {
+  bool in_batch = false;
+  try {
+    while (next_line()) {
+      if (line_.empty()) continue;
+      fields_.read(line_);
+      if (fields_.message() == "MARK") {
+        if (in_batch) throw Malformed("MARK before the END of the last batch");
+        const Span clock(fields_.required_whole("simTime"));
+        if (clock < clock_) throw Malformed("the clock goes back");
+        clock_ = clock;
+        in_batch = true;
+        addressed_.reset();
+        reply_for_.reset();
+        reply_.clear();
+      } else if (!in_batch) {
+        throw Malformed("'" + std::string(fields_.message()) + "' outside a batch");
+      } else if (fields_.message() == "END") {
+        in_batch = false;
+        reply_.append("ACK\n");
+        out_.write(reply_.data(), static_cast<std::streamsize>(reply_.size()));
+        out_.flush();
+        if (!out_) throw std::runtime_error("the reply could not be written");
+      } else {
+        serve_line();
+      }
+    }
+    if (in_batch) throw Malformed("the input ended within a batch");
+  } catch (const Malformed& error) {
+    throw Malformed("line " + std::to_string(line_number_) + ": " + error.what());
+  }
+}
+
+void Session::serve_line() {
+  const std::string_view message = fields_.message();
+  if (message == "AT") {
+    addressed_ = fields_.required_whole("manager");
+  } else if (message == "POOL") {
+    read_pool();
+  } else if (!addressed_) {
+    throw Malformed("'" + std::string(message) + "' before any AT");
+  } else if (message == "LAUNCH") {
+    launch();
+  } else {
+    const auto it = instances_.find(*addressed_);
+    if (it == instances_.end()) {
+      throw Malformed("manager " + std::to_string(*addressed_) + " has not been launched");
+    }
+    if (message == "CRASH_NOW") {
+      instances_.erase(it);
+    } else {
+      decode_event(*it->second, message);
+    }
+  }
+}
+
+void Session::launch() {
+  instances_.erase(*addressed_);
+  instances_[*addressed_] = std::make_unique<Instance>(*this, *addressed_, fields_);
+}
+
+void Session::read_pool() {
+  const std::int64_t bank = fields_.required_whole("bank");
+  const std::int64_t rows = fields_.required_whole("rows");
+  std::vector<PoolEntry> entries;
+  for (std::int64_t i = 0; i < rows; ++i) {
+    if (!next_line()) throw Malformed("the input ended within a POOL");
+    fields_.read(line_);
+    if (fields_.message() != "ENTRY") throw Malformed("ENTRY wanted, not '" + std::string(fields_.message()) + "'");
+    PoolEntry& entry = entries.emplace_back();
+    entry.engine.id = EngineId{static_cast<std::uint32_t>(fields_.required_whole("engine"))};
+    entry.engine.state = one_of<EngineState>(
+        "mode", fields_.text("mode").value_or("up"),
+        {{"up", EngineState::up}, {"draining", EngineState::draining}, {"removed", EngineState::gone}});
+    entry.engine.cell = CellId{fields_.whole("unitGroup").value_or(0)};
+    entry.zone = fields_.text("failureDomain").value_or("");
+    entry.kind = fields_.text("familyType").value_or("");
+    entry.online_since = fields_.whole("onlineSince");
+  }
+  pools_[bank] = std::move(entries);
+}
+
+void Session::decode_event(Instance& instance, std::string_view message) {
+  WorkloadManager& manager = instance.manager();
+  const Span now = instance.now();
+  const auto job = [&] { return JobId{static_cast<std::uint64_t>(fields_.required_whole("handle"))}; };
+  const auto copy = [&] {
+    const std::int64_t number = fields_.required_whole("copy");
+    if (number < 0 || number > 1'000'000) throw Malformed("'copy' is out of range");
+    return static_cast<int>(number);
+  };
+  const auto elapsed = [&] { return Span(fields_.whole("elapsed").value_or(0)); };
+
+  if (message == "REQ") {
+    Job taken;
+    taken.id = job();
+    taken.type = instance.type(fields_.required_text("type"));
+    taken.customer = instance.customer(fields_.text("party").value_or(""));
+    if (const auto key = fields_.whole("target")) taken.key = OrderKey{static_cast<std::uint64_t>(*key)};
+    taken.time_left = Span(fields_.required_whole("expiresIn"));
+    const std::int64_t flags = fields_.whole("flags").value_or(0);
+    if (const auto work = fields_.number("guess"); work && (flags & 1)) taken.work_ms = *work / 1000;
+    if (const auto need = fields_.number("needMb"); need && *need > 0) taken.memory_mb = *need;
+    taken.data_set = DataSetId{static_cast<std::int64_t>(fields_.number("sourceSet").value_or(0))};
+    manager.job_taken(now, taken);
+  } else if (message == "ANSWER") {
+    std::optional<double> work, memory;
+    if (const std::int64_t bill = fields_.whole("bill").value_or(0); bill > 0) {
+      work = static_cast<double>(bill / 4096);
+      memory = static_cast<double>(bill % 4096) * 4;
+    }
+    manager.dispatch_ended(now, job(), copy(), outcome_of(fields_.required_text("stateCode")), elapsed(),
+                           fields_.flag("finished"), work, memory, report_of(fields_));
+  } else if (message == "WAKE") {
+    manager.woken(now, static_cast<std::uint64_t>(fields_.required_whole("mark")));
+  } else if (message == "NOTE") {
+    const std::int64_t kind = fields_.required_whole("kind");
+    const double amount = fields_.number("amount").value_or(0);
+    if (kind == 1) manager.progress_told(now, job(), copy(), amount);
+    else if (kind == 2) manager.spill_told(now, job(), copy(), amount);
+    else if (kind == 3) manager.wait_told(now, job(), copy(), amount == 2 ? Wait::load : Wait::memory);
+    else throw Malformed("'kind' is not 1, 2 or 3");
+  } else if (message == "MEMBERSHIP") {
+    const std::string_view mode = fields_.required_text("mode");
+    if (mode == "refused") return manager.list_refused(now);
+    const ListNews news = one_of<ListNews>(
+        "mode", mode,
+        {{"changes", ListNews::changes}, {"all", ListNews::complete}, {"remembered", ListNews::remembered}});
+    const std::int64_t bank = fields_.required_whole("bank");
+    const auto pool = pools_.find(bank);
+    if (pool == pools_.end()) throw Malformed("list " + std::to_string(bank) + " has not been given");
+    std::vector<ListedEngine> engines;
+    for (const PoolEntry& entry : pool->second) {
+      ListedEngine& engine = engines.emplace_back(entry.engine);
+      engine.zone = instance.zone(entry.zone);
+      engine.kind = instance.kind(entry.kind);
+      if (entry.online_since && *entry.online_since > 0) engine.online_since = Span(*entry.online_since) - instance.start();
+    }
+    manager.list_came(now, news, engines);
+  } else if (message == "PING_RESULT") {
+    manager.probe_ended(now, EngineId{static_cast<std::uint32_t>(fields_.required_whole("engine"))},
+                        outcome_of(fields_.required_text("stateCode")), elapsed(), report_of(fields_));
+  } else if (message == "STREAMING") {
+    manager.stream_started(now, job(), copy());
+  } else if (message == "WITHDRAWN") {
+    manager.job_withdrawn(now, job());
+  } else if (message != "DATAGRAM") {  // managers have nothing to say to each other
+    throw Malformed("'" + std::string(message) + "' is not a message of this wire");
+  }
+}
+
+}  // namespace pearchute::drill
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,84 @@
+// What a workload manager keeps, by how long it lives: for a dispatch, a job, an engine, and a reservation type
+// (which lives as long as the instance). Records only; what they mean for a choice stands in control.cpp.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "types.h"
+
+namespace pearchute {
+
+struct Dispatch {
+  EngineId engine;
+  Span sent{};
+  double grant = 0;
+  int threads = 0;
+  bool out = true;
+  bool stopping = false;
+  bool overdue = false;
+};
+
+struct HeldJob {
+  Job job;
+  std::uint64_t turn = 0;  // order of arrival
+  Span sla_end{};
+  Span end{};  // the final answer goes out by then
+  double work_ms = 0;
+  std::vector<Dispatch> dispatches;
+  int out = 0;
+  int overtaken = 0;
+  std::optional<Span> first_doubt;  // when the first dispatch that may have run was sent
+  ZoneId doubt_zone{-1};
+  CellId doubt_cell{};
+  bool held = false;
+  bool over = false;
+  bool streaming = false;
+};
+
+struct Engine {
+  ListedEngine listed;
+  bool known_up = false;
+  Span told{};                  // when it was first listed, or listed with a new start
+  double live_bytes = 0;
+  int live_threads = 0;
+  int dispatches = 0;
+  double slots = 0;
+  double stretch = 1;           // time taken against the type's best, smoothed
+  double error_rate = 0;
+  int strikes = 0;              // signs of trouble in a row
+  Span closed_until{};
+  bool on_trial = false;
+  Span last_word{};
+  Span last_full{-1'000'000'000};
+  JobId protected_for{};
+  bool protecting = false;
+  double protected_bytes = 0;
+  std::deque<std::pair<Span, double>> cold_sends;
+  std::optional<double> others_bytes;
+  double others_jobs = 0;
+  std::map<DataSetId, int> loads;  // own loads that hold a data set there
+  std::set<std::pair<Span, std::pair<JobId, int>>> out;  // own dispatches, oldest first
+};
+
+struct TypeFigures {
+  ReservationType type;
+  double usual_work_ms = 0;  // running mean of the estimates, or of what is learned
+  double jobs = 0;
+  double usual_memory_mb = 0;
+  double memories = 0;
+  double work_bias = 1;
+  double memory_bias = 1;
+  double best_pace = 1;   // low quantile of time taken over ideal time
+  double slow_pace = 3;   // high quantile of the same
+};
+
+// The jobs of one order key, in turn.
+struct OrderLine {
+  std::deque<JobId> jobs;
+  Span rests_until{};
+};
+
+}  // namespace pearchute
--- /dev/null
+++ b/src/types.h
@@ -0,0 +1,146 @@
+// What the module and its callers share: ids, spans, outcomes, and the service as it is defined at start.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace pearchute {
+
+// All times are spans since the instance started; one that lies before the start is negative.
+using Span = std::chrono::microseconds;
+
+template <class Tag, class Number>
+struct Id {
+  Number value{};
+  auto operator<=>(const Id&) const = default;
+};
+
+using JobId = Id<struct JobTag, std::uint64_t>;
+using EngineId = Id<struct EngineTag, std::uint32_t>;
+using OrderKey = Id<struct OrderKeyTag, std::uint64_t>;
+using DataSetId = Id<struct DataSetTag, std::int64_t>;
+// Positions in the lists of the ServiceDefinition; -1 where a name is not in its list.
+using TypeId = Id<struct TypeTag, int>;
+using CustomerId = Id<struct CustomerTag, int>;
+using ZoneId = Id<struct ZoneTag, int>;
+using KindId = Id<struct KindTag, int>;
+using CellId = Id<struct CellTag, std::int64_t>;
+
+enum class Outcome {
+  done,         // answered, and the answer is with the client
+  error,        // the engine said it failed; it may have run
+  full,         // turned away unseen
+  timed_out,    // no answer in time; it may have run or be running
+  unreachable,  // no connection
+  reset,        // the connection broke; it may have run
+  stopped,      // called off; it may have run
+  never_sent,   // did not leave: the job was over or the dispatches used up
+};
+
+enum class Effect { restartable, keyed, run_once };
+enum class Reach { all, zone, cell };  // which engines drop a repeat of a keyed job
+enum class EngineState { up, draining, gone };
+enum class ListNews { changes, complete, remembered };
+enum class Wait { memory, load };
+enum class OutOfMemory { line_up, cut, overcommit };
+
+struct ReservationType {
+  Effect effect = Effect::restartable;
+  Reach reach = Reach::all;
+  Span repeat_window{};      // how long a keyed job's repeats are known
+  Span sla_time{};           // answered within this, it earns the whole billed value
+  double sla_stretch = 0;    // the SLA time grows by this multiple of the job's work over its threads
+  Span job_timeout{};        // the client's whole patience
+  double billed_value = 1;
+  double late_share = 0;     // what an answer after the SLA time still earns
+  int threads = 1;
+  bool in_order = false;     // jobs with one key run one at a time, as taken
+  bool holds_data = false;   // a load, which holds its data set while it runs
+  bool waits_for_load = false;
+  std::optional<std::vector<ZoneId>> zones = std::nullopt;  // where bound: nowhere else
+  std::optional<std::vector<KindId>> kinds = std::nullopt;
+};
+
+struct Customer {
+  double jobs_per_second = 0;  // within its share, over all managers
+};
+
+struct MachineKind {
+  int cores = 1;
+  double memory_mb = 0;
+};
+
+struct ServiceDefinition {
+  std::vector<ReservationType> types;
+  std::vector<Customer> customers;
+  std::vector<MachineKind> kinds;
+  ZoneId zone{-1};
+  int own_number = 0;
+  int managers = 1;
+  bool list_on_request = false;
+  Span ask_within{};
+  Span round{};          // least time between two deliveries of events
+  Span drain_grace{};
+  Span cold_lasts{};
+  double cold_from = 1;
+  double tip_multiple = 0;  // 0: engines cannot be pushed over
+  Span tip_window{};
+  Span order_rest{};
+  std::optional<Span> ration_window;
+  double ration_few = 0;
+  double ration_share = 0;
+  int most_dispatches = 1;
+  bool second_copies = false;
+  bool may_stop = false;
+  bool may_probe = false;
+  bool reports_in_probes = false;
+  bool takes_grants = false;
+  bool takes_priority = false;
+  bool takes_retry_advice = false;
+  Span longest_retry_advice{};
+  double grant_cap = 1;  // most of an engine's memory that one job gets
+  OutOfMemory out_of_memory = OutOfMemory::line_up;
+  Span tells_every{};    // 0: nothing tells how far a dispatch is
+  double over_share_value = 1;
+  double crossing_price = 0;
+  double probe_price = 0;
+};
+
+struct ListedEngine {
+  EngineId id;
+  EngineState state = EngineState::up;
+  ZoneId zone{-1};
+  KindId kind{-1};
+  CellId cell{};
+  std::optional<Span> online_since;
+};
+
+struct Job {
+  JobId id;
+  TypeId type;
+  CustomerId customer{-1};
+  std::optional<OrderKey> key;
+  Span time_left{};
+  std::optional<double> work_ms;    // estimated, as time on one thread
+  std::optional<double> memory_mb;  // estimated
+  DataSetId data_set;
+};
+
+// What an engine tells of its load, as far as it does.
+struct LoadReport {
+  std::optional<double> outstanding;
+  std::optional<double> backlog;
+  std::optional<double> memory_share;
+  std::optional<double> disk_share;
+};
+
+}  // namespace pearchute
+
+template <class Tag, class Number>
+struct std::hash<pearchute::Id<Tag, Number>> {
+  std::size_t operator()(const pearchute::Id<Tag, Number>& id) const { return std::hash<Number>{}(id.value); }
+};
--- /dev/null
+++ b/tests/test_rules.cpp
@@ -0,0 +1,239 @@
+// The seven rules, each as a table of cases.
+#include "bench.h"
+
+using namespace pearchute;
+
+// Rule 2: after each outcome, may the job go out again, and how does it end if no engine is left?
+void effects() {
+  struct Case {
+    Effect effect;
+    Reach reach;
+    Outcome outcome;
+    bool goes_again;
+    bool throttled;  // else cancelled for good, once nothing can take it
+  };
+  const Case cases[] = {
+      {Effect::restartable, Reach::all, Outcome::timed_out, true, true},
+      {Effect::restartable, Reach::all, Outcome::reset, true, true},
+      {Effect::keyed, Reach::all, Outcome::error, true, true},
+      {Effect::keyed, Reach::zone, Outcome::error, true, false},
+      {Effect::keyed, Reach::zone, Outcome::full, true, true},
+      {Effect::run_once, Reach::all, Outcome::full, true, true},
+      {Effect::run_once, Reach::all, Outcome::unreachable, true, true},
+      {Effect::run_once, Reach::all, Outcome::error, false, false},
+      {Effect::run_once, Reach::all, Outcome::timed_out, false, false},
+      {Effect::run_once, Reach::all, Outcome::reset, false, false},
+      {Effect::run_once, Reach::all, Outcome::stopped, false, false},
+  };
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.types[1].effect = c.effect;
+    service.types[1].reach = c.reach;
+    service.types[1].repeat_window = seconds(60);
+    Bench bench(service);
+    bench.take(1, 1, 1000);
+    assert(bench.dispatches(1) == 1);
+    bench.now += ms(50);
+    bench.end(1, c.outcome);
+    assert((bench.dispatches(1) == 2) == c.goes_again);
+    Bench lost(service);
+    lost.take(1, 1, 1000);
+    lost.list(ListNews::complete, {});
+    lost.now += ms(50);
+    lost.end(1, c.outcome);
+    lost.pass(seconds(21));
+    assert(lost.answers(1) == 1);
+    assert(lost.throttled(1) == c.throttled);
+  }
+}
+
+// Rule 2: a keyed job that may have run stays with those that drop its repeats, and only as long as they know it.
+void keyed_stays() {
+  struct Case {
+    Reach reach;
+    int other_zone;  // of engine 2, the only one left
+    Span window, wait;
+    bool goes;
+  };
+  const Case cases[] = {
+      {Reach::all, 1, seconds(10), ms(50), true},   {Reach::zone, 1, seconds(10), ms(50), false},
+      {Reach::zone, 0, seconds(10), ms(50), true},  {Reach::cell, 1, seconds(10), ms(50), false},
+      {Reach::all, 0, ms(1000), ms(991), false},    {Reach::all, 0, ms(1000), ms(985), true},
+  };
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.types[1].effect = Effect::keyed;
+    service.types[1].reach = c.reach;
+    service.types[1].repeat_window = c.window;
+    Bench bench(service, 1);
+    bench.take(1, 1, 1000);
+    bench.list(ListNews::complete, {Bench::engine(2, EngineState::up, c.other_zone)});
+    bench.now += c.wait;
+    bench.end(1, Outcome::error);
+    assert((bench.dispatches(1) == 2) == c.goes);
+  }
+}
+
+// Rule 1: one final answer in time, whatever becomes of the dispatch.
+void one_answer() {
+  struct Case {
+    bool has_engine;
+    bool answered;  // the engine reports a time-out at the very end
+    Effect effect;
+  };
+  const Case cases[] = {{true, false, Effect::restartable}, {false, false, Effect::restartable},
+                        {true, true, Effect::run_once},     {true, false, Effect::run_once},
+                        {false, false, Effect::run_once},   {true, false, Effect::keyed}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.types[0].effect = c.effect;
+    Bench bench(service, c.has_engine ? 1 : 0);
+    bench.take(1, 0, 80);
+    bench.pass(ms(2000));
+    assert(bench.answers(1) == 1);
+    const std::size_t sent = bench.host.sent.size();
+    if (c.answered) bench.end(1, Outcome::timed_out, ms(2000));
+    bench.pass(ms(3000));
+    assert(bench.answers(1) == 1 && bench.host.sent.size() == sent);
+  }
+}
+
+// Rule 3: nothing to an engine that drains or is gone, also when it was left out of a complete list.
+void drains() {
+  struct Case {
+    ListNews news;
+    std::vector<ListedEngine> engines;
+    bool goes;
+  };
+  const Case cases[] = {
+      {ListNews::changes, {Bench::engine(1, EngineState::draining)}, false},
+      {ListNews::changes, {Bench::engine(1, EngineState::gone)}, false},
+      {ListNews::complete, {}, false},
+      {ListNews::changes, {}, true},
+      {ListNews::complete, {Bench::engine(1)}, true},
+  };
+  for (const Case& c : cases) {
+    Bench bench(small_service(), 1);
+    bench.list(c.news, c.engines);
+    bench.take(1, 0, 80);
+    assert((bench.dispatches(1) == 1) == c.goes);
+  }
+}
+
+// Rule 4: within any window a cold engine gets no more than this manager's part, however it came to be cold.
+void cold_engines() {
+  struct Case {
+    Span age_at_listing;
+    Span launched_before;  // how long the manager had run
+    bool limited;
+  };
+  const Case cases[] = {{ms(0), seconds(20), true}, {seconds(5), seconds(20), true}, {ms(0), ms(0), true},
+                        {seconds(30), seconds(40), false}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.cold_lasts = seconds(15);
+    service.cold_from = 0.3;
+    service.tip_multiple = 2.5;
+    service.tip_window = seconds(1);
+    Bench bench(service, 0);
+    bench.pass(c.launched_before);
+    ListedEngine cold = Bench::engine(9);
+    cold.online_since = bench.now - c.age_at_listing;
+    bench.list(ListNews::changes, {cold});
+    for (int i = 1; i <= 200; ++i) bench.take(i, 0, 150);
+    // 2.5 x 0.3 x 8 cores x 1 s over two managers: 3 s of work.
+    const double work_s = 0.15 * static_cast<double>(bench.host.sent.size());
+    assert((work_s <= 3) == c.limited);
+    assert(work_s > 0);
+  }
+}
+
+// Rule 5: jobs of one key in turn, with a rest after an end that is not sure.
+void order() {
+  struct Case {
+    Outcome outcome;
+    bool rests;
+  };
+  const Case cases[] = {{Outcome::done, false}, {Outcome::reset, true}, {Outcome::timed_out, true}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.types[1].in_order = true;
+    service.order_rest = ms(300);
+    service.most_dispatches = 1;
+    Bench bench(service);
+    bench.take(1, 1, 1000, 5);
+    bench.take(2, 1, 1000, 5);
+    bench.take(3, 1, 1000, 6);
+    assert(bench.dispatches(1) == 1 && bench.dispatches(2) == 0 && bench.dispatches(3) == 1);
+    bench.pass(ms(200));
+    bench.end(1, c.outcome);
+    if (c.rests) {
+      assert(bench.dispatches(2) == 0);
+      bench.pass(ms(50));
+      assert(bench.dispatches(2) == 0);
+    } else {
+      assert(bench.dispatches(2) == 1);
+    }
+  }
+}
+
+// Rule 6: a bound type goes only where it is bound to, or nowhere.
+void placement() {
+  struct Case {
+    std::optional<std::vector<ZoneId>> zones;
+    std::optional<std::vector<KindId>> kinds;
+    int goes_to;  // 0: nowhere
+  };
+  const Case cases[] = {{std::vector{ZoneId{1}}, std::nullopt, 2},
+                        {std::nullopt, std::vector{KindId{1}}, 3},
+                        {std::vector{ZoneId{1}}, std::vector{KindId{1}}, 0},
+                        {std::vector{ZoneId{-1}}, std::nullopt, 0}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.types[0].zones = c.zones;
+    service.types[0].kinds = c.kinds;
+    Bench bench(service, 0);
+    bench.list(ListNews::complete, {Bench::engine(1), Bench::engine(2, EngineState::up, 1),
+                                    Bench::engine(3, EngineState::up, 0, 1)});
+    bench.take(1, 0, 80);
+    assert(bench.engine_of(1) == c.goes_to);
+    if (c.goes_to) {
+      bench.end(1, Outcome::error);
+      assert(bench.engine_of(1) == c.goes_to);
+    }
+  }
+}
+
+// Rule 7: dispatches beyond the first stay within the few and the share that the window's jobs have earned.
+void ration() {
+  struct Case {
+    double few, share;
+    int jobs, most;
+  };
+  const Case cases[] = {{0, 0.1, 30, 3}, {2, 0, 30, 2}, {0, 0, 10, 0}, {1, 0.5, 10, 6}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.ration_window = seconds(10);
+    service.ration_few = c.few;
+    service.ration_share = c.share;
+    Bench bench(service, 3);
+    for (int i = 1; i <= c.jobs; ++i) bench.take(i, 0, 50);
+    for (int i = 1; i <= c.jobs; ++i) bench.end(i, Outcome::full);
+    bench.pass(ms(100));
+    const int again = static_cast<int>(bench.host.sent.size()) - c.jobs;
+    assert(again <= c.most);
+    assert(c.most == 0 || again > 0);
+  }
+}
+
+int main() {
+  effects();
+  keyed_stays();
+  one_answer();
+  drains();
+  cold_engines();
+  order();
+  placement();
+  ration();
+  return 0;
+}
