Bound the cut at the mean cost, call it crowded only while jobs are held, refuse hopeless work

The first cut had no lower bound and followed latency, so it went on refusing short jobs from idle engines.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -115,6 +115,7 @@
   held.work_ms = job.work_ms && *job.work_ms > 0 ? *job.work_ms : type.usual_work_ms;
   works_ += 1;
   mean_work_ms_ += (held.work_ms - mean_work_ms_) / works_;
+  held.taken = now;
   held.end = now + std::max<Span>(job.time_left - spare_end_, Span(0));
   const Span sla = type.type.sla_time + from_ms(type.type.sla_stretch * ideal_ms(held));
   held.sla_end = std::min(now + sla, held.end);
@@ -122,12 +123,18 @@
   if (job.customer.value >= 0) customer_rate_[job.customer.value] += 1;
   if (job.key && type.type.in_order) lines_[*job.key].jobs.push_back(job.id);
   host_.wake_in(held.end - now, held.turn);
-  largest_ = std::max(largest_, 1 / density(held));
+  const double cost = 1 / density(held);
+  largest_ = std::max(largest_, cost);
+  work_taken_ += held.work_ms;
+  value_taken_ += held.work_ms / cost;
+  mean_cost_ = work_taken_ / std::max(value_taken_, 1e-9);
   // One bounded queue. The bound keeps a scan of it well under a round's processor time.
   constexpr std::size_t longest_queue = 600;
   // Guards against overload of any cause: what asks most engine time for its billed value is not taken on.
-  const bool costly = 1 / density(held) > cut_ && held.work_ms > type.usual_work_ms / 2;
-  if (costly || held_.size() >= longest_queue || held.end <= now) {
+  const bool costly = cost > cut_;
+  // Guards against work that cannot be done in the client's time: it would fill an engine and then be lost.
+  const bool hopeless = now + from_ms(ideal_ms(held) * std::max(1.0, type.best_pace)) > held.sla_end;
+  if (costly || hopeless || held_.size() >= longest_queue || held.end <= now) {
     give_up(now, held);
     return;
   }
@@ -685,13 +692,18 @@
       if (engine.known_up) host_.probe(id);
     }
   }
-  // The cut: down while the middle engine takes far longer than its best or jobs wait, up again when not.
-  const bool crowded = middle_stretch() > 2.5 || held_.size() > 20;
-  largest_ *= 0.998;
+  // The cut: down a tenth each beat while a job that may go has waited for room past a tenth of a second, up again
+  // slower when not; never under the mean, where it would cut what pays best and leave engines idle.
+  largest_ = std::max(largest_ * 0.998, mean_cost_);
+  bool crowded = false;
+  for (const auto& [turn, id] : held_) {
+    const HeldJob& held = jobs_.at(id);
+    if (held.out == 0 && may_go(now, held) && now > held.taken + milliseconds(100)) crowded = true;
+  }
   if (crowded) {
-    cut_ = std::min(cut_, largest_) * 0.96;
+    cut_ = std::max(std::min(cut_, largest_) * 0.9, mean_cost_);
   } else {
-    cut_ *= 1.02;
+    cut_ *= 1.03;
     if (cut_ > largest_) cut_ = infinite;
   }
   // Held jobs that can no longer make it: an answer now is worth more than one at the end.
--- a/src/control.h
+++ b/src/control.h
@@ -102,6 +102,8 @@
   Span subscribe_wait_;
   double cut_;     // most work for a unit of billed value that is taken on
   double largest_ = 0;         // recent largest of the same
+  double mean_cost_ = 0;       // work for a unit of billed value, over all jobs taken
+  double work_taken_ = 0, value_taken_ = 0;
   double mean_work_ms_ = 0;
   double works_ = 0;
   Span last_probe_{};
--- a/src/state.h
+++ b/src/state.h
@@ -24,6 +24,7 @@
 struct HeldJob {
   Job job;
   std::uint64_t turn = 0;  // order of arrival
+  Span taken{};
   Span sla_end{};
   Span end{};  // the final answer goes out by then
   double work_ms = 0;
