Let short jobs overrun pressed slots by half

Cause: where the ledgers bind, held lookups waited behind reports although they are a seventh of the work. Could harm where short jobs alone fill an engine; the half bounds that.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -457,6 +457,12 @@
   const double cap = rules_.grant_cap * (engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value].memory_mb : 0);
   const double need = need_mb(held);
   if (!pressed(now, engine)) return need > 0 ? std::min(need, cap) : std::min(whole / 8, cap);
+  // Exception: a job of the highest priority, short and soon gone, may overrun the slots by half, within the bytes of
+  // the whole engine, so that long jobs that fill the ledgers do not shut out what pays most for its engine time.
+  if (need > 0 && priority(held) == 3 && engine.live_threads + threads <= 1.5 * engine.slots + 1) {
+    const double left = kinds_[engine.listed.kind.value].memory_mb - engine.live_bytes - engine.others_bytes.value_or(0);
+    if (need <= left) return std::min(need, cap);
+  }
   const int open = open_threads(engine, held) - threads;
   const double floor = whole / std::max(8.0, engine.slots);
   const double kept = engine.protecting && engine.protected_for != held.job.id ? engine.protected_bytes : 0;
