--- a/src/control.cpp
+++ b/src/control.cpp
@@ -124,6 +124,7 @@
   if (job.customer.value >= 0) customer_rate_[job.customer.value] += 1;
   if (job.key && type.type.in_order) lines_[*job.key].jobs.push_back(job.id);
   host_.wake_in(held.end - now, held.turn);
+  job_rate_ += 1.0 / 5;
   const double cost = 1 / density(held);
   largest_ = std::max(largest_, cost);
   work_taken_ += held.work_ms;
@@ -547,15 +548,17 @@
     const std::optional<double> grant = grant_on(now, engine, held);
     if (!grant) continue;
     // Spare bytes after the grant, of an engine that does its full work. Exceptions: one that takes longer than the
-    // middle of the fleet counts in proportion; the homes of the job's data count a quarter of the capacity more, for
-    // the reading saved; another zone counts less by what crossing costs; a data set held by a load there, nothing.
+    // middle of the fleet counts in proportion; the homes of the job's data count up to a quarter of the capacity more,
+    // for the reading saved; another zone less by what crossing costs beside the job's work; an engine where a load
+    // holds the data comes last.
     const double whole = capacity(engine);
     double health = std::clamp(middle / engine.stretch, 0.2, 1.0);
     if (room < infinite) health *= rules_.cold_from;
     double spare = whole * health - engine.live_bytes - *grant;
     const std::uint64_t hash = shared_hash(held.job.data_set, id);
-    if (hash == first_home || hash == second_home) spare += 0.25 * whole;
-    if (engine.listed.zone != rules_.zone) spare -= rules_.crossing_price * whole;
+    const double size = held.work_ms / std::max(mean_work_ms_, 1e-6);
+    if (hash == first_home || hash == second_home) spare += 0.25 * std::min(1.0, size) * whole;
+    if (engine.listed.zone != rules_.zone) spare -= std::min(0.25, rules_.crossing_price / std::max(size, 1e-3)) * whole;
     if ((type.type.waits_for_load || type.type.holds_data) && engine.loads.contains(held.job.data_set)) spare -= whole;
     for (const Dispatch& earlier : held.dispatches) {
       if (earlier.engine == id) spare -= whole;  // one that has just failed the job comes last
@@ -707,10 +710,18 @@
     }
     if (engine.stretch > 2) engine.slots = std::max(engine.slots * 0.99, engine.least_slots);
   }
-  if (rules_.may_probe && rules_.reports_in_probes && now - last_probe_ >= milliseconds(500)) {
-    last_probe_ = now;
-    for (const auto& [id, engine] : engines_) {
-      if (engine.known_up) host_.probe(id);
+  // Probes where only they tell the load: in turn, as many a job as cost half a point in a hundred by their price,
+  // and none to an engine sooner than every half second, which is about how often reports change.
+  if (rules_.may_probe && rules_.reports_in_probes && !engines_.empty()) {
+    const double most = 0.2 * static_cast<double>(engines_.size());
+    const double earned = 0.005 / std::max(rules_.probe_price, 1e-4) * job_rate_ / 10;
+    probes_due_ += std::min(most, earned);
+    job_rate_ *= 1 - 0.1 / 5;
+    for (; probes_due_ >= 1; probes_due_ -= 1) {
+      auto next = engines_.upper_bound(last_probed_);
+      if (next == engines_.end()) next = engines_.begin();
+      last_probed_ = next->first;
+      if (next->second.known_up) host_.probe(next->first);
     }
   }
   // The cut: down a tenth each beat while a job that may go has waited for room past a tenth of a second, up again
--- a/src/control.h
+++ b/src/control.h
@@ -106,7 +106,9 @@
   double work_taken_ = 0, value_taken_ = 0;
   double mean_work_ms_ = 0;
   double works_ = 0;
-  Span last_probe_{};
+  double job_rate_ = 0;  // jobs a second, smoothed
+  double probes_due_ = 0;
+  EngineId last_probed_{};
 };
 
 }  // namespace pearchute
