--- a/src/control.cpp
+++ b/src/control.cpp
@@ -631,7 +631,7 @@
   const int cores = engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value].cores : 1;
   const double start = 2.0 * cores * share_;
   if (engine.stretch > 2) engine.slots *= 1 - 0.15 * weight;
-  else if (engine.live_threads > 0.7 * engine.slots) engine.slots *= 1 + 0.05 * weight;
+  else if (engine.live_threads > 0.7 * engine.slots) engine.slots *= 1 + 0.15 * weight;
   engine.slots = std::clamp(engine.slots, start / 4, start * 1.5);
 }
 
@@ -735,7 +735,7 @@
   if (crowded) {
     cut_ = std::max(std::min(cut_, largest_) * 0.9, mean_cost_);
   } else {
-    cut_ *= 1.03;
+    cut_ *= 1.06;
     if (cut_ > largest_) cut_ = infinite;
   }
   // Held jobs that can no longer make it: an answer now is worth more than one at the end.
