--- a/src/control.cpp
+++ b/src/control.cpp
@@ -492,12 +492,20 @@
 void WorkloadManager::release(Span now) {
   constexpr int overtake_budget = 4;  // the design's starting value
   std::vector<HeldJob*> passed;
+  std::map<std::pair<TypeId, int>, double> blocked;  // least need that found no room in this scan
   for (auto it = held_.begin(); it != held_.end();) {
     HeldJob& held = jobs_.at(it->second);
     ++it;
     if (!may_go(now, held)) continue;
-    if (!place(now, held)) {
+    // What asks no less than a like job just blocked is blocked too; it keeps long queues within the processor time.
+    const auto like = blocked.find({held.job.type, priority(held)});
+    const bool sure = like != blocked.end() && held.dispatches.empty() && need_mb(held) >= like->second;
+    if (sure || !place(now, held)) {
       passed.push_back(&held);
+      if (held.dispatches.empty()) {
+        const auto [least, first] = blocked.try_emplace({held.job.type, priority(held)}, need_mb(held));
+        if (!first) least->second = std::min(least->second, need_mb(held));
+      }
       continue;
     }
     for (HeldJob* older : passed) older->overtaken += 1;
@@ -532,7 +540,6 @@
     if (hash > first_home) second_home = first_home, first_home = hash;
     else if (hash > second_home) second_home = hash;
   }
-  const double middle = middle_stretch();
   Engine* best = nullptr;
   double best_grant = 0;
   std::tuple<double, int, double, std::uint64_t> best_rank{};
@@ -552,7 +559,7 @@
     // for the reading saved; another zone less by what crossing costs beside the job's work; an engine where a load
     // holds the data comes last.
     const double whole = capacity(engine);
-    double health = std::clamp(middle / engine.stretch, 0.2, 1.0);
+    double health = std::clamp(middle_ / engine.stretch, 0.2, 1.0);
     if (room < infinite) health *= rules_.cold_from;
     double spare = whole * health - engine.live_bytes - *grant;
     const std::uint64_t hash = shared_hash(held.job.data_set, id);
@@ -696,6 +703,7 @@
 
 void WorkloadManager::beat(Span now) {
   host_.wake_in(milliseconds(100), beat_mark);
+  middle_ = middle_stretch();
   // Customers' rates over about five seconds.
   const double kept = std::exp(-0.1 / 5);
   for (double& rate : customer_rate_) rate *= kept;
--- a/src/control.h
+++ b/src/control.h
@@ -106,6 +106,7 @@
   double work_taken_ = 0, value_taken_ = 0;
   double mean_work_ms_ = 0;
   double works_ = 0;
+  double middle_ = 1;    // the middle of the engines' stretches
   double job_rate_ = 0;  // jobs a second, smoothed
   double probes_due_ = 0;
   EngineId last_probed_{};
