--- a/src/control.cpp
+++ b/src/control.cpp
@@ -469,7 +469,12 @@
   const double kept = engine.protecting && engine.protected_for != held.job.id ? engine.protected_bytes : 0;
   const double most = std::min(whole - engine.live_bytes - kept - floor * std::max(open, 0), cap);
   if (open < 0 || most < floor) return std::nullopt;
-  return need > 0 ? std::clamp(need, floor, most) : most;
+  if (need <= 0) return most;
+  // Exception: headroom yields to an estimate, since a spill costs the engine more than a slot left without bytes; and
+  // where even that is too little, the job waits, but for one that would not fit an empty ledger either.
+  const double bare = std::min(whole - engine.live_bytes - kept, cap);
+  if (need > std::max(most, bare) && engine.live_bytes > 0) return std::nullopt;
+  return std::clamp(need, floor, std::max(most, bare));
 }
 
 double WorkloadManager::density(const HeldJob& held) const {
