--- a/src/control.cpp
+++ b/src/control.cpp
@@ -135,7 +135,11 @@
   // Guards against overload of any cause: what asks most engine time for its billed value is not taken on.
   const bool costly = cost > cut_;
   // Guards against work that cannot be done in the client's time: it would fill an engine and then be lost.
-  const bool hopeless = now + from_ms(ideal_ms(held) * std::max(1.0, type.best_pace)) > held.sla_end;
+  // Where nothing can be called off, half as much again is allowed for, since a time-out leaves it running.
+  // Jobs of the highest priority hardly feel the crowd.
+  const double crowd = priority(held) == 3 ? 1 : middle_ * (rules_.may_stop ? 1.0 : 1.5);
+  const double pace = std::max(1.0, type.best_pace * crowd);
+  const bool hopeless = now + from_ms(ideal_ms(held) * pace) > held.sla_end;
   if (costly || hopeless || held_.size() >= longest_queue || held.end <= now) {
     give_up(now, held);
     return;
