--- a/src/control.cpp
+++ b/src/control.cpp
@@ -441,9 +441,9 @@
   return estimate > 0 ? 1.125 * type.memory_bias * estimate : type.usual_memory_mb;
 }
 
-bool WorkloadManager::pressed(Span now, const Engine& engine) const {
+bool WorkloadManager::pressed(Span now, const Engine& engine, int threads) const {
   // Twice the best is where SLA times begin to be at risk; a full engine counts for two seconds.
-  return engine.stretch > 2 || now < engine.last_full + seconds(2) || engine.live_threads + 1 >= engine.slots;
+  return engine.stretch > 2 || now < engine.last_full + seconds(2) || engine.live_threads + threads >= engine.slots;
 }
 
 int WorkloadManager::open_threads(const Engine& engine, const HeldJob& held) const {
@@ -460,13 +460,13 @@
   const int threads = types_[held.job.type.value].type.threads;
   const double whole = capacity(engine);
   const double cap = rules_.grant_cap * (engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value].memory_mb : 0);
-  const double need = need_mb(held);
-  if (!pressed(now, engine)) return need > 0 ? std::min(need, cap) : std::min(whole / 8, cap);
+  const double need = std::min(need_mb(held), cap);
+  if (!pressed(now, engine, threads)) return need > 0 ? need : std::min(whole / 8, cap);
   // Exception: a job of the highest priority, short and soon gone, may overrun the slots by half, within the bytes of
   // the whole engine, so that long jobs that fill the ledgers do not shut out what pays most for its engine time.
   if (need > 0 && priority(held) == 3 && engine.live_threads + threads <= 1.5 * engine.slots + 1) {
     const double left = kinds_[engine.listed.kind.value].memory_mb - engine.live_bytes - engine.others_bytes.value_or(0);
-    if (need <= left) return std::min(need, cap);
+    if (need <= left) return need;
   }
   const int open = open_threads(engine, held) - threads;
   const double floor = whole / std::max(8.0, engine.slots);
@@ -661,7 +661,7 @@
     up += 1;
     if (now < other.closed_until || other.on_trial) closed += 1;
   }
-  if (!sure && !engine.on_trial && closed + 1 > std::max(1, up / 3)) return;
+  if (!sure && !engine.on_trial && (up < 2 || closed + 1 > std::max(1, up / 3))) return;
   engine.strikes = std::min(engine.strikes + 1, 5);
   // Half a second, doubled with each failed trial up to eight: soon back from a blip, cheap on a dead engine.
   engine.closed_until = now + milliseconds(250) * (1 << engine.strikes);
--- a/src/control.h
+++ b/src/control.h
@@ -68,7 +68,7 @@
   void send(Span now, HeldJob& held, Engine& engine, double grant);
   double capacity(const Engine& engine) const;
   int open_threads(const Engine& engine, const HeldJob& held) const;
-  bool pressed(Span now, const Engine& engine) const;
+  bool pressed(Span now, const Engine& engine, int threads) const;
   std::optional<double> grant_on(Span now, const Engine& engine, const HeldJob& held) const;
   double ideal_ms(const HeldJob& held) const;
   double need_mb(const HeldJob& held) const;
--- /dev/null
+++ b/tests/test_health.cpp
@@ -0,0 +1,117 @@
+// What is done about engines that err, fall silent, reset or come back, and about dispatches gone wrong.
+#include "bench.h"
+
+using namespace pearchute;
+
+// How many of 40 short jobs engine 1 gets after it has ended twelve in this way.
+void engines_in_trouble() {
+  struct Case {
+    Outcome outcome;
+    bool avoided;
+  };
+  const Case cases[] = {{Outcome::done, false}, {Outcome::error, true}, {Outcome::reset, true},
+                        {Outcome::unreachable, true}};
+  for (const Case& c : cases) {
+    Bench bench;
+    int id = 0;
+    for (int seen = 0; seen < 12 && id < 300;) {
+      bench.take(++id, 0, 80);
+      const bool first = bench.engine_of(id) == 1;
+      seen += first;
+      bench.end(id, first ? c.outcome : Outcome::done, ms(60));
+      if (first && c.outcome != Outcome::done && bench.dispatches(id) > 1) bench.end(id, Outcome::done, ms(60));
+    }
+    const std::size_t before = bench.host.sent.size();
+    for (int i = 0; i < 40; ++i) bench.take(++id, 0, 80);
+    int first = 0;
+    for (std::size_t k = before; k < bench.host.sent.size(); ++k) first += bench.host.sent[k].engine.value == 1;
+    assert(c.avoided ? first <= 1 : first >= 6);
+  }
+}
+
+// Whatever all engines do alike, most of them stay open.
+void never_all_closed() {
+  for (const int engines : {1, 2, 6}) {
+    Bench bench(small_service(), engines);
+    std::map<int, int> ended;
+    for (int id = 1; id <= 200; ++id) {
+      bench.take(id, 0, 80);
+      while (bench.answers(id) == 0 && bench.dispatches(id) > ended[id]) bench.end(id, Outcome::error, ms(30), ended[id]++);
+    }
+    std::map<std::uint32_t, int> used;
+    const std::size_t before = bench.host.sent.size();
+    for (int id = 201; id <= 260; ++id) bench.take(id, 0, 80);
+    for (std::size_t k = before; k < bench.host.sent.size(); ++k) used[bench.host.sent[k].engine.value] += 1;
+    assert(static_cast<int>(used.size()) >= engines - std::max(1, engines / 3));
+  }
+}
+
+// An engine that takes work and answers nothing: what may run again goes elsewhere, in the way the service allows.
+void silence() {
+  struct Case {
+    bool second_copies, may_stop;
+    Effect effect;
+    bool copied, stopped;
+  };
+  const Case cases[] = {{true, false, Effect::restartable, true, false}, {false, true, Effect::restartable, false, true},
+                        {true, false, Effect::run_once, false, false},   {false, true, Effect::keyed, false, false},
+                        {false, false, Effect::restartable, false, false}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.second_copies = c.second_copies;
+    service.may_stop = c.may_stop;
+    service.types[1].effect = c.effect;
+    Bench bench(service);
+    bench.take(1, 1, 1000);
+    bench.pass(seconds(8));
+    assert((bench.dispatches(1) > 1) == c.copied);
+    assert((bench.host.stopped.size() > 0) == c.stopped);
+    if (c.copied) assert(bench.host.sent[0].engine != bench.host.sent[1].engine);
+  }
+}
+
+// A dispatch whose notes show a bad plan is started again; one that is merely slow is left.
+void bad_plans() {
+  struct Case {
+    double share_done;
+    Effect effect;
+    bool stopped;
+  };
+  const Case cases[] = {{0.02, Effect::restartable, true}, {0.5, Effect::restartable, false},
+                        {0.02, Effect::keyed, false}, {0.02, Effect::run_once, false}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.may_stop = true;
+    service.tells_every = seconds(1);
+    service.types[1].effect = c.effect;
+    Bench bench(service);
+    bench.take(1, 1, 2000);
+    bench.now += seconds(1);
+    bench.manager.progress_told(bench.now, JobId{1}, 0, c.share_done);
+    assert((bench.host.stopped.size() == 1) == c.stopped);
+  }
+}
+
+// A refused list is asked for again, later each time.
+void list_refused() {
+  ServiceDefinition service = small_service();
+  service.list_on_request = true;
+  service.ask_within = seconds(10);
+  Bench bench(service, 0);
+  assert(bench.host.subscriptions == 1);
+  for (int i = 2; i <= 5; ++i) {
+    bench.manager.list_refused(bench.now);
+    assert(bench.host.subscriptions == i - 1);
+    bench.pass(seconds(4));
+    assert(bench.host.subscriptions == i);
+  }
+}
+
+int main() {
+  engines_in_trouble();
+  never_all_closed();
+  silence();
+  bad_plans();
+  list_refused();
+  return 0;
+}
--- /dev/null
+++ b/tests/test_ledger.cpp
@@ -0,0 +1,117 @@
+// The ordinary path: grants, slots, order of release, ranking, homes; and what is not taken on.
+#include "bench.h"
+
+#include <cmath>
+
+using namespace pearchute;
+
+// One manager of two on one engine of 8 cores and 16000 MB: 16 slots, a floor of 1000 MB.
+void grants() {
+  struct Case {
+    int running;      // long jobs of two threads and 1000 MB out before
+    double need;
+    bool goes;
+    double least, most;
+  };
+  const Case cases[] = {
+      {0, 500, true, 560, 565},        // no pressure: the estimate and an eighth
+      {0, 20000, true, 7999, 8001},    // never more than the cap of half an engine
+      {7, 500, true, 999, 1001},       // the last slots: at least the floor
+      {7, 2500, true, 2800, 2820},     // headroom yields to the estimate
+      {7, 9000, true, 7999, 8001},     // the cap bounds the estimate
+      {7, -6000, false, 0, 0},         // would spill beside others that hold more: waits
+      {8, 500, false, 0, 0},           // slots full
+  };
+  for (const Case& c : cases) {
+    Bench bench(small_service(), 1);
+    for (int i = 1; i <= c.running; ++i) bench.take(i, 1, 2000, std::nullopt, c.need < 0 ? 1500 : 1000);
+    bench.take(100, 1, 2000, std::nullopt, std::abs(c.need));
+    assert((bench.dispatches(100) == 1) == c.goes);
+    if (c.goes) assert(bench.host.sent.back().grant >= c.least && bench.host.sent.back().grant <= c.most);
+  }
+}
+
+// The oldest runnable job leaves first, and a job that ends gives back its slots.
+void release() {
+  Bench bench(small_service(), 1);
+  for (int i = 1; i <= 8; ++i) bench.take(i, 1, 2000);
+  for (int i = 9; i <= 12; ++i) bench.take(i, 1, 2000);
+  assert(bench.dispatches(9) == 0);
+  bench.now += ms(500);
+  bench.end(3, Outcome::done, ms(1000));
+  assert(bench.dispatches(9) == 1 && bench.dispatches(10) == 0);
+  // Whatever the outcome, the slots come back.
+  int waiting = 10;
+  for (const Outcome outcome : {Outcome::timed_out, Outcome::error, Outcome::stopped}) {
+    const int id = waiting - 6;
+    bench.manager.job_withdrawn(bench.now, JobId{static_cast<std::uint64_t>(id)});
+    assert(bench.dispatches(waiting) == 0);
+    bench.end(id, outcome);
+    assert(bench.dispatches(waiting) == 1);
+    ++waiting;
+  }
+}
+
+// A waiter passed over more often than its budget gets a slot kept for it.
+void overtaking() {
+  Bench bench(small_service(), 1);
+  for (int i = 1; i <= 7; ++i) bench.take(i, 1, 2000, std::nullopt, 1500);
+  bench.take(50, 1, 2000, std::nullopt, 6000);  // too large for what is left
+  for (int i = 51; i <= 60; ++i) {
+    bench.take(i, 1, 2000, std::nullopt, 500);
+    if (bench.dispatches(i)) bench.end(i, Outcome::done, ms(1000));
+  }
+  int passed = 0;
+  for (int i = 51; i <= 60; ++i) passed += bench.dispatches(i);
+  assert(bench.dispatches(50) == 0 && passed >= 4 && passed <= 6);
+}
+
+// Spare bytes decide; a healthy engine before a slow one; no engine gets it all.
+void ranking() {
+  struct Case {
+    Span first_took;  // how long engine 1 takes for each of its jobs; the others take 500 ms
+    int least, most;  // of 60 jobs that engine 1 gets
+  };
+  const Case cases[] = {{ms(500), 10, 30}, {ms(5000), 0, 9}};
+  for (const Case& c : cases) {
+    Bench bench;
+    for (int round = 0; round < 2; ++round) {
+      const int from = 1 + round * 60;
+      const std::size_t before = bench.host.sent.size();
+      for (int i = from; i < from + 60; ++i) {
+        bench.take(i, 1, 1000);
+        if (i % 6 != 0) continue;
+        for (int j = i - 5; j <= i; ++j) bench.end(j, Outcome::done, bench.engine_of(j) == 1 ? c.first_took : ms(500));
+      }
+      if (round == 0) continue;
+      int first = 0;
+      for (std::size_t k = before; k < bench.host.sent.size(); ++k) first += bench.host.sent[k].engine.value == 1;
+      assert(first >= c.least && first <= c.most);
+    }
+  }
+}
+
+// What cannot be done in time is throttled at once, with its final answer.
+void hopeless() {
+  struct Case {
+    double work_ms;
+    bool may_stop, taken_on;
+  };
+  const Case cases[] = {{1000, true, true}, {39000, true, true}, {39000, false, false}, {60000, true, false}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.may_stop = c.may_stop;
+    Bench bench(service);
+    bench.take(1, 1, c.work_ms);
+    assert((bench.dispatches(1) == 1) == c.taken_on && bench.throttled(1) != c.taken_on);
+  }
+}
+
+int main() {
+  grants();
+  release();
+  overtaking();
+  ranking();
+  hopeless();
+  return 0;
+}
