--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -59,7 +59,9 @@
   bench.take(50, 1, 2000, std::nullopt, 6000);  // too large for what is left
   for (int i = 51; i <= 60; ++i) {
     bench.take(i, 1, 2000, std::nullopt, 500);
-    if (bench.dispatches(i)) bench.end(i, Outcome::done, ms(1000));
+    if (bench.dispatches(i) == 0) continue;
+    bench.manager.job_withdrawn(bench.now, JobId{static_cast<std::uint64_t>(i)});
+    bench.end(i, Outcome::stopped);
   }
   int passed = 0;
   for (int i = 51; i <= 60; ++i) passed += bench.dispatches(i);
