--- a/src/control.cpp
+++ b/src/control.cpp
@@ -221,6 +221,7 @@
     const double floor = capacity(engine) / std::max(8.0, engine.slots);
     engine.protected_bytes = std::min(floor, engine.protected_bytes + dispatch.grant);
   }
+  if (dispatch.trial) engine.trying = false;
   if (type.type.holds_data && --engine.loads[held.job.data_set] <= 0) engine.loads.erase(held.job.data_set);
   heed(engine, load);
 
@@ -283,7 +284,12 @@
   release(now);
 }
 
-void WorkloadManager::wait_told(Span now, JobId id, int number, Wait) { heard(now, id, number); }
+void WorkloadManager::wait_told(Span now, JobId id, int number, Wait wait) {
+  heard(now, id, number);
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || number >= static_cast<int>(it->second.dispatches.size())) return;
+  if (wait == Wait::load) it->second.dispatches[number].behind_load = true;
+}
 
 void WorkloadManager::probe_ended(Span now, EngineId id, Outcome outcome, Span, const LoadReport& load) {
   const auto it = engines_.find(id);
@@ -358,7 +364,9 @@
     if (type.reach == Reach::zone && engine.listed.zone != held.doubt_zone) return false;
     if (type.reach == Reach::cell && engine.listed.cell != held.doubt_cell) return false;
   }
-  if (now < engine.closed_until || (engine.on_trial && engine.dispatches > 0)) return false;
+  // A trial is one short job, whose answer comes soon; a long one would keep the engine waiting for its verdict.
+  if (now < engine.closed_until) return false;
+  if (engine.on_trial && (engine.trying || priority(held) < 2)) return false;
   // No second try where the job is still out or has just failed, while others are there.
   for (const Dispatch& earlier : held.dispatches) {
     if (earlier.engine == engine.listed.id && earlier.out) return false;
@@ -604,6 +612,7 @@
   engine.dispatches += 1;
   engine.out.insert({now, {held.job.id, number}});
   if (type.type.holds_data) engine.loads[held.job.data_set] += 1;
+  if (engine.on_trial) engine.trying = dispatch.trial = true;
   if (rules_.tip_multiple > 0 && engine.listed.online_since) {
     engine.cold_sends.push_back({now, std::max(type.usual_work_ms * type.work_bias, 1e-3)});
   }
@@ -628,26 +637,35 @@
   return *middle;
 }
 
+// A long dispatch tells more of an engine than a short one, which its priority hides from the crowd.
+double WorkloadManager::weight(const HeldJob& held) const {
+  return 0.01 + 0.19 * std::min(1.0, held.work_ms / std::max(2 * mean_work_ms_, 1e-6));
+}
+
+double WorkloadManager::usual_ideal(const HeldJob& held) const {
+  const TypeFigures& type = types_[held.job.type.value];
+  return type.usual_work_ms * type.work_bias / type.type.threads;
+}
+
 void WorkloadManager::learn(Span, Engine& engine, const HeldJob& held, const Dispatch& dispatch, Span elapsed) {
-  (void)dispatch;
   TypeFigures& type = types_[held.job.type.value];
+  // Guards against slowness that is not the engine's: a job behind a load says nothing of it, nor does one that is very
+  // short for its type, since most of its time is not work.
   const double ideal = ideal_ms(held);
-  if (ideal <= 0) return;
+  if (dispatch.behind_load || ideal <= 0 || ideal < usual_ideal(held) / 4) return;
   const double pace = in_ms(elapsed) / ideal;
   // Quantiles by steps: each settles where the steps down and up balance, at 10% and 95%.
   type.best_pace *= pace < type.best_pace ? 0.955 : 1.005;
   type.slow_pace *= pace > type.slow_pace ? 1.0475 : 0.9975;
   const double sample = std::clamp(pace / type.best_pace, 0.5, 20.0);
-  // A long dispatch tells more than a short one, which its priority hides from the crowd.
-  const double weight = 0.01 + 0.19 * std::min(1.0, held.work_ms / std::max(2 * mean_work_ms_, 1e-6));
-  engine.stretch += weight * (sample - engine.stretch);
+  engine.stretch += weight(held) * (sample - engine.stretch);
   // The slot limit follows: up while it is used and answers come near their best, down when they come far above it.
   // Two is the target since SLA times of long jobs allow little more; a quarter of the start is the least, where
   // the even parts of all managers add up to one thread a core.
   const int cores = engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value].cores : 1;
   const double start = 2.0 * cores * share_;
-  if (engine.stretch > 2) engine.slots *= 1 - 0.15 * weight;
-  else if (engine.live_threads > 0.7 * engine.slots) engine.slots *= 1 + 0.15 * weight;
+  if (engine.stretch > 2) engine.slots *= 1 - 0.15 * weight(held);
+  else if (engine.live_threads > 0.7 * engine.slots) engine.slots *= 1 + 0.15 * weight(held);
   engine.slots = std::clamp(engine.slots, start / 4, start * 1.5);
 }
 
@@ -721,9 +739,10 @@
     // Guards against learning too late: what is out and already far behind counts before its answer comes.
     for (const auto& [sent, which] : engine.out) {
       const HeldJob& held = jobs_.at(which.first);
+      if (held.dispatches[which.second].behind_load || ideal_ms(held) < usual_ideal(held) / 4) continue;
       const double best = ideal_ms(held) * types_[held.job.type.value].best_pace;
       const double sample = std::min(in_ms(now - sent) / std::max(best, 1.0), 10.0);
-      if (sample > std::max(2.0, engine.stretch)) engine.stretch += 0.005 * (sample - engine.stretch);
+      if (sample > std::max(2.0, engine.stretch)) engine.stretch += 0.025 * weight(held) * (sample - engine.stretch);
     }
     if (engine.stretch > 2) engine.slots = std::max(engine.slots * 0.99, engine.least_slots);
   }
--- a/src/control.h
+++ b/src/control.h
@@ -79,6 +79,8 @@
   void learn(Span now, Engine& engine, const HeldJob& held, const Dispatch& dispatch, Span elapsed);
   void look_after(Span now, Engine& engine);
   void heed(Engine& engine, const LoadReport& load);
+  double weight(const HeldJob& held) const;
+  double usual_ideal(const HeldJob& held) const;
   double middle_stretch() const;
   void beat(Span now);
   // Giving up
--- a/src/state.h
+++ b/src/state.h
@@ -19,6 +19,8 @@
   bool out = true;
   bool stopping = false;
   bool overdue = false;
+  bool behind_load = false;
+  bool trial = false;
 };
 
 struct HeldJob {
@@ -53,6 +55,7 @@
   int strikes = 0;              // signs of trouble in a row
   Span closed_until{};
   bool on_trial = false;
+  bool trying = false;          // a trial is out
   Span last_word{};
   Span last_full{-1'000'000'000};
   JobId protected_for{};
