Slots fall from one and a half times the best pace on

Cause: two times the best is past the knee, and crowded engines don't recover. Could harm where the usual pace scatters that much without crowding.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -664,7 +664,7 @@
   // the even parts of all managers add up to one thread a core.
   const int cores = engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value].cores : 1;
   const double start = 2.0 * cores * share_;
-  if (engine.stretch > 2) engine.slots *= 1 - 0.15 * weight(held);
+  if (engine.stretch > 1.5) engine.slots *= 1 - 0.15 * weight(held);
   else if (engine.live_threads > 0.7 * engine.slots) engine.slots *= 1 + 0.15 * weight(held);
   engine.slots = std::clamp(engine.slots, start / 4, start * 1.5);
 }
@@ -744,7 +744,7 @@
       const double sample = std::min(in_ms(now - sent) / std::max(best, 1.0), 10.0);
       if (sample > std::max(2.0, engine.stretch)) engine.stretch += 0.025 * weight(held) * (sample - engine.stretch);
     }
-    if (engine.stretch > 2) engine.slots = std::max(engine.slots * 0.99, engine.least_slots);
+    if (engine.stretch > 1.5) engine.slots = std::max(engine.slots * 0.99, engine.least_slots);
   }
   // Probes where only they tell the load: in turn, as many a job as cost half a point in a hundred by their price,
   // and none to an engine sooner than every half second, which is about how often reports change.
