Rescue overdue dispatches one by one: answers get lost on engines that look well

Should also catch partial hangs and lost requests; could waste work where everything slows at once, which the ration of one by ten jobs bounds.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -125,6 +125,7 @@
   if (job.key && type.type.in_order) lines_[*job.key].jobs.push_back(job.id);
   host_.wake_in(held.end - now, held.turn);
   job_rate_ += 1.0 / 5;
+  rescues_due_ = std::min(rescues_due_ + 0.1, 10.0);
   const double cost = 1 / density(held);
   largest_ = std::max(largest_, cost);
   work_taken_ += held.work_ms;
@@ -160,7 +161,8 @@
 void WorkloadManager::heard(Span now, JobId id, int number) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end() || number >= static_cast<int>(it->second.dispatches.size())) return;
-  engines_[it->second.dispatches[number].engine].last_word = now;
+  Dispatch& dispatch = it->second.dispatches[number];
+  engines_[dispatch.engine].last_word = dispatch.last_note = now;
 }
 
 void WorkloadManager::stream_started(Span now, JobId id, int number) {
@@ -606,7 +608,7 @@
   if (engine.protecting && engine.protected_for == held.job.id) engine.protecting = false, engine.protected_bytes = 0;
   if (!held.dispatches.empty() && rules_.ration_window) resent_.push_back(now);
   const int number = static_cast<int>(held.dispatches.size());
-  Dispatch dispatch{.engine = engine.listed.id, .sent = now, .grant = grant, .threads = type.type.threads};
+  Dispatch dispatch{.engine = engine.listed.id, .sent = now, .last_note = now, .grant = grant, .threads = type.type.threads};
   engine.live_bytes += grant;
   engine.live_threads += dispatch.threads;
   engine.dispatches += 1;
@@ -686,37 +688,45 @@
   engine.on_trial = true;
 }
 
-// Looks for dispatches that are overdue on an engine from which nothing has come since they went there.
+// Looks for dispatches that are overdue, on an engine that says nothing or by themselves.
 void WorkloadManager::look_after(Span now, Engine& engine) {
   bool silent = false;
+  std::vector<std::pair<JobId, int>> lost;
   for (const auto& [sent, which] : engine.out) {
     const HeldJob& held = jobs_.at(which.first);
-    const TypeFigures& type = types_[held.job.type.value];
-    const double usual = ideal_ms(held) * type.slow_pace;
-    const Span limit = from_ms(std::max(1.5 * usual, 150.0));
-    const bool note_missed = rules_.tells_every > Span(0) && now - sent > 2 * rules_.tells_every + milliseconds(500) &&
-                             now - engine.last_word > 2 * rules_.tells_every + milliseconds(500);
-    if (engine.last_word <= sent + milliseconds(20) && (now - sent > limit || note_missed)) silent = true;
-  }
-  if (!silent) return;
-  sign_of_trouble(now, engine, false);
-  if (now >= engine.closed_until) return;
-  // Guards against engines that take work and answer nothing: what may be repeated goes elsewhere.
-  const auto out = engine.out;
-  for (const auto& [sent, which] : out) {
-    HeldJob& held = jobs_.at(which.first);
-    Dispatch& dispatch = held.dispatches[which.second];
-    if (held.over || dispatch.stopping || dispatch.overdue || held.streaming) continue;
-    if (static_cast<int>(held.dispatches.size()) >= rules_.most_dispatches) continue;
-    if (types_[held.job.type.value].type.effect != Effect::restartable) continue;
-    if (rules_.second_copies) {
-      dispatch.overdue = true;
-      held.held = true;
-      held_[held.turn] = held.job.id;
+    const Dispatch& dispatch = held.dispatches[which.second];
+    // Twice what all but one in twenty take. Where notes tell of progress, more than one has to be missing, too.
+    const Span usual = from_ms(std::max(2 * ideal_ms(held) * types_[held.job.type.value].slow_pace, 150.0));
+    const Span quiet = now - dispatch.last_note, notes = rules_.tells_every;
+    const bool late = now - sent > usual && (notes <= Span(0) || quiet > std::min(3 * notes / 2, now - sent - Span(1)));
+    if (!late && (notes <= Span(0) || quiet < 5 * notes / 2)) continue;
+    lost.push_back(which);
+    if (engine.last_word <= sent + milliseconds(20)) silent = true;
+  }
+  if (silent) sign_of_trouble(now, engine, false);
+  if (now < engine.closed_until) {
+    lost.clear();
+    for (const auto& [sent, which] : engine.out) lost.push_back(which);
+  }
+  // Guards against engines that answer nothing, and against answers that get lost while the engine looks well.
+  for (const auto& [id, number] : lost) {
+    HeldJob& held = jobs_.at(id);
+    Dispatch& dispatch = held.dispatches[number];
+    const Effect effect = types_[held.job.type.value].type.effect;
+    if (held.over || held.held || held.streaming || dispatch.stopping || dispatch.overdue) continue;
+    if (static_cast<int>(held.dispatches.size()) >= rules_.most_dispatches || effect == Effect::run_once) continue;
+    // No storm: rescues from engines that answer others are earned, one by ten jobs taken.
+    if (now >= engine.closed_until && rescues_due_ < 1) continue;
+    if (rules_.second_copies && effect == Effect::restartable) {
+      dispatch.overdue = held.held = true;
+      held_[held.turn] = id;
     } else if (rules_.may_stop) {
       dispatch.stopping = true;
-      host_.stop_dispatch(which.first, which.second);
+      host_.stop_dispatch(id, number);
+    } else {
+      continue;
     }
+    if (now >= engine.closed_until) rescues_due_ -= 1;
   }
 }
 
--- a/src/control.h
+++ b/src/control.h
@@ -111,6 +111,7 @@
   double middle_ = 1;    // the middle of the engines' stretches
   double job_rate_ = 0;  // jobs a second, smoothed
   double probes_due_ = 0;
+  double rescues_due_ = 0;
   EngineId last_probed_{};
 };
 
--- a/src/state.h
+++ b/src/state.h
@@ -14,6 +14,7 @@
 struct Dispatch {
   EngineId engine;
   Span sent{};
+  Span last_note{};
   double grant = 0;
   int threads = 0;
   bool out = true;
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -54,7 +54,8 @@
     bool copied, stopped;
   };
   const Case cases[] = {{true, false, Effect::restartable, true, false}, {false, true, Effect::restartable, false, true},
-                        {true, false, Effect::run_once, false, false},   {false, true, Effect::keyed, false, false},
+                        {true, false, Effect::run_once, false, false},   {false, true, Effect::keyed, false, true},
+                        {false, true, Effect::run_once, false, false},
                         {false, false, Effect::restartable, false, false}};
   for (const Case& c : cases) {
     ServiceDefinition service = small_service();
