--- a/src/control.cpp
+++ b/src/control.cpp
@@ -48,9 +48,7 @@
   }
   customer_rate_.assign(service.customers.size(), 0);
   kinds_ = service.kinds;
-  rules_.types.clear();
-  rules_.customers.clear();
-  rules_.kinds.clear();
+  rules_.types.clear(), rules_.customers.clear(), rules_.kinds.clear();
   share_ = std::min(1.0, 2.0 / std::max(1, service.managers));
   spare_end_ = 2 * service.round + milliseconds(10);  // a wake comes up to one round late
   if (service.list_on_request) host_.subscribe_list();
@@ -77,10 +75,7 @@
     }
     if (first || restarted || (engine.known_up && !was_up)) {
       engine.told = now;
-      engine.strikes = 0;
-      engine.error_rate = 0;
-      engine.closed_until = now;
-      engine.on_trial = false;
+      engine.strikes = 0, engine.error_rate = 0, engine.closed_until = now, engine.on_trial = false;
       engine.stretch = first ? 1 : std::max(1.0, middle_stretch());
       engine.others_bytes.reset();
     }
@@ -93,8 +88,7 @@
   release(now);
 }
 
-void WorkloadManager::list_refused(Span now) {
-  (void)now;
+void WorkloadManager::list_refused(Span) {
   if (!rules_.list_on_request) return;
   // Guards against asking a discovery that is already overrun: twice as long after each refusal, and unevenly.
   const double part = 0.75 + 0.5 * std::generate_canonical<double, 32>(chance_);
@@ -167,7 +161,7 @@
 
 void WorkloadManager::stream_started(Span now, JobId id, int number) {
   heard(now, id, number);
-  if (const auto it = jobs_.find(id); it != jobs_.end()) it->second.streaming = true;
+  if (jobs_.contains(id)) jobs_.at(id).streaming = true;
 }
 
 void WorkloadManager::progress_told(Span now, JobId id, int number, double share_done) {
@@ -295,11 +289,8 @@
 
 void WorkloadManager::probe_ended(Span now, EngineId id, Outcome outcome, Span, const LoadReport& load) {
   const auto it = engines_.find(id);
-  if (it == engines_.end()) return;
-  if (outcome == Outcome::done) {
-    heed(it->second, load);
-    release(now);
-  }
+  if (it != engines_.end() && outcome == Outcome::done) heed(it->second, load);
+  release(now);
 }
 
 void WorkloadManager::woken(Span now, std::uint64_t mark) {
@@ -369,11 +360,9 @@
   // A trial is one short job, whose answer comes soon; a long one would keep the engine waiting for its verdict.
   if (now < engine.closed_until) return false;
   if (engine.on_trial && (engine.trying || priority(held) < 2)) return false;
-  // No second try where the job is still out or has just failed, while others are there.
-  for (const Dispatch& earlier : held.dispatches) {
-    if (earlier.engine == engine.listed.id && earlier.out) return false;
-  }
-  return true;
+  // No copy to where the job is still out.
+  const auto there = [&](const Dispatch& earlier) { return earlier.engine == engine.listed.id && earlier.out; };
+  return std::ranges::none_of(held.dispatches, there);
 }
 
 // What may still be sent to an engine that is cold, as work of the usual size. Infinite for a warm one.
@@ -521,10 +510,7 @@
     const bool sure = like != blocked.end() && held.dispatches.empty() && need_mb(held) >= like->second;
     if (sure || !place(now, held)) {
       passed.push_back(&held);
-      if (held.dispatches.empty()) {
-        const auto [least, first] = blocked.try_emplace({held.job.type, priority(held)}, need_mb(held));
-        if (!first) least->second = std::min(least->second, need_mb(held));
-      }
+      if (!sure && held.dispatches.empty()) blocked[{held.job.type, priority(held)}] = need_mb(held);
       continue;
     }
     for (HeldJob* older : passed) older->overtaken += 1;
@@ -754,6 +740,8 @@
       const double sample = std::min(in_ms(now - sent) / std::max(best, 1.0), 10.0);
       if (sample > std::max(2.0, engine.stretch)) engine.stretch += 0.025 * weight(held) * (sample - engine.stretch);
     }
+    // Guards against a judgement that outlives its cause: little used, an engine is believed better within ten seconds.
+    if (engine.live_threads < 0.5 * engine.slots) engine.stretch += 0.01 * (1 - engine.stretch);
     if (engine.stretch > 1.5) engine.slots = std::max(engine.slots * 0.99, engine.least_slots);
   }
   // Probes where only they tell the load: in turn, as many a job as cost half a point in a hundred by their price,
