--- a/src/control.cpp
+++ b/src/control.cpp
@@ -740,8 +740,8 @@
       const double sample = std::min(in_ms(now - sent) / std::max(best, 1.0), 10.0);
       if (sample > std::max(2.0, engine.stretch)) engine.stretch += 0.025 * weight(held) * (sample - engine.stretch);
     }
-    // Guards against a judgement that outlives its cause: little used, an engine is believed better within ten seconds.
-    if (engine.live_threads < 0.5 * engine.slots) engine.stretch += 0.01 * (1 - engine.stretch);
+    // Guards against a judgement that outlives its cause: hardly used, an engine is believed better in five seconds.
+    if (engine.live_threads < 0.25 * engine.slots) engine.stretch += 0.02 * (1 - engine.stretch);
     if (engine.stretch > 1.5) engine.slots = std::max(engine.slots * 0.99, engine.least_slots);
   }
   // Probes where only they tell the load: in turn, as many a job as cost half a point in a hundred by their price,
