Where engines tell what they hold, use a share of the free threads beside the learned slots

Could harm where reports are stale: they count for two seconds, and only the manager's share of what is free.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -219,7 +219,7 @@
   }
   if (dispatch.trial) engine.trying = false;
   if (type.type.holds_data && --engine.loads[held.job.data_set] <= 0) engine.loads.erase(held.job.data_set);
-  heed(engine, load);
+  heed(now, engine, load);
 
   if (outcome == Outcome::done) {
     engine.last_word = now;
@@ -289,7 +289,7 @@
 
 void WorkloadManager::probe_ended(Span now, EngineId id, Outcome outcome, Span, const LoadReport& load) {
   const auto it = engines_.find(id);
-  if (it != engines_.end() && outcome == Outcome::done) heed(it->second, load);
+  if (it != engines_.end() && outcome == Outcome::done) heed(now, it->second, load);
   release(now);
 }
 
@@ -440,18 +440,22 @@
   return estimate > 0 ? 1.125 * type.memory_bias * estimate : type.usual_memory_mb;
 }
 
+double WorkloadManager::slots(Span now, const Engine& engine) const {
+  return now < engine.told_at + seconds(2) ? std::max(engine.slots, engine.told_slots) : engine.slots;
+}
+
 bool WorkloadManager::pressed(Span now, const Engine& engine, int threads) const {
   // Twice the best is where SLA times begin to be at risk; a full engine counts for two seconds.
-  return engine.stretch > 2 || now < engine.last_full + seconds(2) || engine.live_threads + threads >= engine.slots;
+  return engine.stretch > 2 || now < engine.last_full + seconds(2) || engine.live_threads + threads >= slots(now, engine);
 }
 
-int WorkloadManager::open_threads(const Engine& engine, const HeldJob& held) const {
+int WorkloadManager::open_threads(Span now, const Engine& engine, const HeldJob& held) const {
   const int largest = std::ranges::max(types_, {}, [](const TypeFigures& t) { return t.type.threads; }).type.threads;
-  int slots = std::max(static_cast<int>(engine.slots), largest);
+  int most = std::max(static_cast<int>(slots(now, engine)), largest);
   if (engine.protecting && engine.protected_for != held.job.id) {
-    slots -= types_[jobs_.at(engine.protected_for).job.type.value].type.threads;
+    most -= types_[jobs_.at(engine.protected_for).job.type.value].type.threads;
   }
-  return slots - engine.live_threads;
+  return most - engine.live_threads;
 }
 
 // The grant that the job would get there, or nothing where the ledger has no room.
@@ -463,12 +467,12 @@
   if (!pressed(now, engine, threads)) return need > 0 ? need : std::min(whole / 8, cap);
   // Exception: a job of the highest priority, short and soon gone, may overrun the slots by half, within the bytes of
   // the whole engine, so that long jobs that fill the ledgers do not shut out what pays most for its engine time.
-  if (need > 0 && priority(held) == 3 && engine.live_threads + threads <= 1.5 * engine.slots + 1) {
+  if (need > 0 && priority(held) == 3 && engine.live_threads + threads <= 1.5 * slots(now, engine) + 1) {
     const double left = kinds_[engine.listed.kind.value].memory_mb - engine.live_bytes - engine.others_bytes.value_or(0);
     if (need <= left) return need;
   }
-  const int open = open_threads(engine, held) - threads;
-  const double floor = whole / std::max(8.0, engine.slots);
+  const int open = open_threads(now, engine, held) - threads;
+  const double floor = whole / std::max(8.0, slots(now, engine));
   const double kept = engine.protecting && engine.protected_for != held.job.id ? engine.protected_bytes : 0;
   const double most = std::min(whole - engine.live_bytes - kept - floor * std::max(open, 0), cap);
   if (open < 0 || most < floor) return std::nullopt;
@@ -717,8 +721,17 @@
 }
 
 // Others' part of the engine's memory, where it tells: the one thing that separate ledgers cannot add up.
-void WorkloadManager::heed(Engine& engine, const LoadReport& load) {
-  if (!load.memory_share || engine.listed.kind.value < 0) return;
+void WorkloadManager::heed(Span now, Engine& engine, const LoadReport& load) {
+  if (engine.listed.kind.value < 0) return;
+  // Exception: where engines tell how many jobs they hold, this manager may also use its share of the threads that are
+  // free there, up to one and a half a core (the least that engines do before they get less done).
+  if (load.outstanding && engine.dispatches >= 0) {
+    const double threads = engine.dispatches > 0 ? double(engine.live_threads) / engine.dispatches : 1.5;
+    const double taken = std::max(*load.outstanding, 0.0 + engine.dispatches) * threads;
+    engine.told_slots = engine.live_threads + share_ * (1.5 * kinds_[engine.listed.kind.value].cores - taken);
+    engine.told_at = now;
+  }
+  if (!load.memory_share) return;
   const double memory = kinds_[engine.listed.kind.value].memory_mb;
   const double others = std::clamp(*load.memory_share * memory - engine.live_bytes, 0.0, memory);
   engine.others_bytes = engine.others_bytes ? *engine.others_bytes + (others - *engine.others_bytes) / 2 : others;
--- a/src/control.h
+++ b/src/control.h
@@ -67,7 +67,8 @@
   bool place(Span now, HeldJob& held);
   void send(Span now, HeldJob& held, Engine& engine, double grant);
   double capacity(const Engine& engine) const;
-  int open_threads(const Engine& engine, const HeldJob& held) const;
+  double slots(Span now, const Engine& engine) const;
+  int open_threads(Span now, const Engine& engine, const HeldJob& held) const;
   bool pressed(Span now, const Engine& engine, int threads) const;
   std::optional<double> grant_on(Span now, const Engine& engine, const HeldJob& held) const;
   double ideal_ms(const HeldJob& held) const;
@@ -78,7 +79,7 @@
   void sign_of_trouble(Span now, Engine& engine, bool sure);
   void learn(Span now, Engine& engine, const HeldJob& held, const Dispatch& dispatch, Span elapsed);
   void look_after(Span now, Engine& engine);
-  void heed(Engine& engine, const LoadReport& load);
+  void heed(Span now, Engine& engine, const LoadReport& load);
   double weight(const HeldJob& held) const;
   double usual_ideal(const HeldJob& held) const;
   double middle_stretch() const;
--- a/src/state.h
+++ b/src/state.h
@@ -51,6 +51,8 @@
   int dispatches = 0;
   double slots = 0;
   double least_slots = 0;
+  double told_slots = 0;        // what its load report leaves open
+  Span told_at{-1'000'000'000};
   double stretch = 1;           // time taken against the type's best, smoothed
   double error_rate = 0;
   int strikes = 0;              // signs of trouble in a row
@@ -64,7 +66,6 @@
   double protected_bytes = 0;
   std::deque<std::pair<Span, double>> cold_sends;
   std::optional<double> others_bytes;
-  double others_jobs = 0;
   std::map<DataSetId, int> loads;  // own loads that hold a data set there
   std::set<std::pair<Span, std::pair<JobId, int>>> out;  // own dispatches, oldest first
 };
