--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,8 +1,8 @@
 // The decisions of a workload manager, all of them. Callers reach it through WorkloadManager (control.h): one
-// method for each thing that can happen, which acts by calling the Host. From the top: what is kept for a dispatch,
-// a job, an engine and the instance; then the events; then the steps of a choice, in the order in which it is made:
-// may the job go (rules), which engine and grant (ledger), what else is held, and when to give up. docs/design.md
-// says where the mechanism comes from and when each exception to it acts.
+// method for each thing that can happen, which acts by calling the Host. From the top: what is kept for a
+// dispatch, a job, an engine and the instance; then the events; then the steps of a choice, in the order in
+// which it is made: may the job go (rules), which engine and grant (ledger), what else is held, and when to
+// give up. docs/design.md says where the mechanism comes from and when each exception to it acts.
 #include "control.h"
 
 #include <algorithm>
@@ -25,6 +25,11 @@
 double in_ms(Span span) { return static_cast<double>(span.count()) / 1000; }
 Span from_ms(double ms) { return Span(static_cast<Span::rep>(std::clamp(ms, 0.0, 4e6) * 1000)); }
 
+void take_in(double sample, Mean& mean) {
+  mean.count += 1;
+  mean.value += (sample - mean.value) / mean.count;
+}
+
 bool proves_not_run(Outcome outcome) {
   return outcome == Outcome::full || outcome == Outcome::unreachable || outcome == Outcome::never_sent;
 }
@@ -40,8 +45,9 @@
 }  // namespace
 
 WorkloadManager::WorkloadManager(const ServiceDefinition& service, std::uint64_t seed, Host& host)
-    : host_(host), chance_(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32))), rules_(service), subscribe_wait_(milliseconds(500)), cut_(infinite) {
-  for (const ReservationType& type : service.types) types_.push_back({.type = type});
+    : host_(host), chance_(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32))), rules_(service) {
+  subscribe_wait_ = milliseconds(500), cut_ = infinite;
+  for (const ReservationType& type : service.types) types_.emplace_back().type = type;
   // Managers carry unequal parts of the traffic, so a customer's even part is taken half again as large.
   for (const Customer& customer : service.customers) {
     customer_quota_.push_back(customer.jobs_per_second * std::min(1.0, 1.5 / service.managers));
@@ -69,8 +75,7 @@
     engine.known_up = listed.state == EngineState::up;
     engine.listed = listed;
     if (first) {
-      const int cores = listed.kind.value >= 0 ? kinds_[listed.kind.value].cores : 1;
-      engine.slots = 2.0 * cores * share_;
+      engine.slots = 2.0 * kind_of(engine).cores * share_;
       engine.least_slots = engine.slots / 4;
     }
     if (first || restarted || (engine.known_up && !was_up)) {
@@ -90,7 +95,7 @@
 
 void WorkloadManager::list_refused(Span) {
   if (!rules_.list_on_request) return;
-  // Guards against asking a discovery that is already overrun: twice as long after each refusal, and unevenly.
+  // Guards against asking an overrun discovery: twice as long after each refusal, and unevenly.
   const double part = 0.75 + 0.5 * std::generate_canonical<double, 32>(chance_);
   host_.wake_in(from_ms(in_ms(subscribe_wait_) * part), subscribe_mark);
   const Span longest = std::max<Span>(seconds(1), rules_.ask_within / 4);
@@ -103,13 +108,10 @@
   held.job = job;
   held.turn = next_turn_++;
   turns_[held.turn] = job.id;
-  if (job.work_ms && *job.work_ms > 0) {
-    type.jobs += 1;
-    type.usual_work_ms += (*job.work_ms - type.usual_work_ms) / type.jobs;
-  }
-  held.work_ms = job.work_ms && *job.work_ms > 0 ? *job.work_ms : type.usual_work_ms;
-  works_ += 1;
-  mean_work_ms_ += (held.work_ms - mean_work_ms_) / works_;
+  if (job.work_ms) take_in(*job.work_ms, type.usual_work_ms);
+  if (job.memory_mb) take_in(*job.memory_mb, type.usual_memory_mb);
+  held.work_ms = job.work_ms.value_or(type.usual_work_ms.value);
+  take_in(held.work_ms, mean_work_ms_);
   held.taken = now;
   held.end = now + std::max<Span>(job.time_left - spare_end_, Span(0));
   const Span sla = type.type.sla_time + from_ms(type.type.sla_stretch * ideal_ms(held));
@@ -125,7 +127,7 @@
   work_taken_ += held.work_ms;
   value_taken_ += held.work_ms / cost;
   mean_cost_ = work_taken_ / std::max(value_taken_, 1e-9);
-  // One bounded queue. The bound keeps a scan of it well under a round's processor time.
+  // The queue's bound keeps a scan of it well under a round's processor time.
   constexpr std::size_t longest_queue = 600;
   // Guards against overload of any cause: what asks most engine time for its billed value is not taken on.
   const bool costly = cost > cut_;
@@ -148,15 +150,13 @@
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   over(it->second);
-  forget_if_done(now, id);
+  forget_if_done(id);
   release(now);
 }
 
 void WorkloadManager::heard(Span now, JobId id, int number) {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end() || number >= static_cast<int>(it->second.dispatches.size())) return;
-  Dispatch& dispatch = it->second.dispatches[number];
-  engines_[dispatch.engine].last_word = dispatch.last_note = now;
+  Dispatch* dispatch = find(id, number);
+  if (dispatch) engines_[dispatch->engine].last_word = dispatch->last_note = now;
 }
 
 void WorkloadManager::stream_started(Span now, JobId id, int number) {
@@ -166,19 +166,17 @@
 
 void WorkloadManager::progress_told(Span now, JobId id, int number, double share_done) {
   heard(now, id, number);
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end() || it->second.over || number >= static_cast<int>(it->second.dispatches.size())) return;
-  HeldJob& held = it->second;
-  Dispatch& dispatch = held.dispatches[number];
+  if (!find(id, number) || !rules_.may_stop) return;
+  const HeldJob& held = jobs_.at(id);
+  Dispatch& dispatch = *find(id, number);
   const TypeFigures& type = types_[held.job.type.value];
-  if (!dispatch.out || dispatch.stopping || !rules_.may_stop || type.type.effect != Effect::restartable) return;
+  if (held.over || !dispatch.out || dispatch.stopping || type.type.effect != Effect::restartable) return;
   const double elapsed_ms = in_ms(now - dispatch.sent);
   const double whole_ms = elapsed_ms / std::max(share_done, 0.002);
   const double usual_ms = ideal_ms(held) * type.best_pace * std::max(1.0, engines_[dispatch.engine].stretch);
-  // Guards against a dispatch with a bad plan, or stuck by whatever is drawn anew for each dispatch: where one takes
-  // six times the usual (beyond any estimate's scatter) and a new one would come sooner, start it again.
-  const bool can_repeat = static_cast<int>(held.dispatches.size()) < rules_.most_dispatches;
-  if (whole_ms > 6 * usual_ms && whole_ms - elapsed_ms > 2 * usual_ms && can_repeat) {
+  // Guards against a bad plan, or whatever is drawn anew for each dispatch: where one takes six times the
+  // usual (beyond any estimate's scatter) and a new one would come sooner, start it again.
+  if (whole_ms > 6 * usual_ms && whole_ms - elapsed_ms > 2 * usual_ms && !used_up(held)) {
     dispatch.stopping = true;
     host_.stop_dispatch(id, number);
   }
@@ -186,25 +184,22 @@
 
 void WorkloadManager::spill_told(Span now, JobId id, int number, double missing_mb) {
   heard(now, id, number);
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end() || number >= static_cast<int>(it->second.dispatches.size())) return;
-  const double estimate = it->second.job.memory_mb.value_or(0);
-  const double grant = it->second.dispatches[number].grant;
+  if (!find(id, number)) return;
+  const Job& job = jobs_.at(id).job;
+  const double estimate = job.memory_mb.value_or(0), grant = find(id, number)->grant;
   if (estimate <= 0 || grant < estimate) return;  // not the estimate's fault
-  TypeFigures& type = types_[it->second.job.type.value];
+  TypeFigures& type = types_[job.type.value];
   // Guards against estimates that lie low by type: an eighth of the way, so that one odd job moves little.
   type.memory_bias += ((grant + missing_mb) / estimate - type.memory_bias) / 8;
   type.memory_bias = std::clamp(type.memory_bias, 0.5, 2.0);
 }
 
 void WorkloadManager::dispatch_ended(Span now, JobId id, int number, Outcome outcome, Span elapsed,
-                                           bool finished, std::optional<double> work_ms,
-                                           std::optional<double> memory_mb, const LoadReport& load) {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end() || number >= static_cast<int>(it->second.dispatches.size())) return;
-  HeldJob& held = it->second;
+                                     bool finished, std::optional<double> work_ms,
+                                     std::optional<double> memory_mb, const LoadReport& load) {
+  if (!find(id, number) || !find(id, number)->out) return;
+  HeldJob& held = jobs_.at(id);
   Dispatch& dispatch = held.dispatches[number];
-  if (!dispatch.out) return;
   dispatch.out = false;
   held.out -= 1;
   Engine& engine = engines_[dispatch.engine];
@@ -226,21 +221,13 @@
     engine.strikes = 0;
     engine.on_trial = engine.error_rate > 0.2;
     engine.error_rate *= 0.9;  // a memory of about ten dispatches
-    if (work_ms && *work_ms > 0 && held.job.work_ms && *held.job.work_ms > 0) {
-      type.work_bias += (std::clamp(*work_ms / *held.job.work_ms, 0.2, 5.0) - type.work_bias) / 50;
-    } else if (!held.job.work_ms) {
-      type.jobs += 1;
-      const double took = work_ms.value_or(in_ms(elapsed) * type.type.threads);
-      type.usual_work_ms += (took - type.usual_work_ms) / type.jobs;
-    }
-    if (memory_mb && *memory_mb > 0) {
-      type.memories += 1;
-      type.usual_memory_mb += (*memory_mb - type.usual_memory_mb) / type.memories;
-      if (held.job.memory_mb && *held.job.memory_mb > 0) {
-        type.memory_bias += (std::clamp(*memory_mb / *held.job.memory_mb, 0.5, 2.0) - type.memory_bias) / 50;
-      }
-    }
-    learn(now, engine, held, dispatch, elapsed);
+    // What jobs needed corrects the estimates of their type, over some fifty of them, or stands in for them.
+    const Job& job = held.job;
+    if (!job.work_ms) take_in(work_ms.value_or(in_ms(elapsed) * type.type.threads), type.usual_work_ms);
+    else if (work_ms) type.work_bias += (std::clamp(*work_ms / *job.work_ms, 0.2, 5.0) - type.work_bias) / 50;
+    if (memory_mb && !job.memory_mb) take_in(*memory_mb, type.usual_memory_mb);
+    else if (memory_mb) type.memory_bias += (*memory_mb / *job.memory_mb - type.memory_bias) / 50;
+    learn(engine, held, dispatch, elapsed);
   } else if (outcome == Outcome::error) {
     engine.last_word = now;
     engine.error_rate = 0.9 * engine.error_rate + 0.1;
@@ -260,7 +247,8 @@
     held.doubt_zone = engine.listed.zone;
     held.doubt_cell = engine.listed.cell;
   }
-  const bool unsure = outcome == Outcome::timed_out || outcome == Outcome::reset || outcome == Outcome::stopped;
+  const bool unsure =
+      outcome == Outcome::timed_out || outcome == Outcome::reset || outcome == Outcome::stopped;
   if (held.job.key && type.type.in_order && unsure) {
     OrderLine& line = lines_[*held.job.key];
     line.rests_until = std::max(line.rests_until, now + rules_.order_rest);
@@ -276,15 +264,13 @@
       held_[held.turn] = id;
     }
   }
-  forget_if_done(now, id);
+  forget_if_done(id);
   release(now);
 }
 
 void WorkloadManager::wait_told(Span now, JobId id, int number, Wait wait) {
   heard(now, id, number);
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end() || number >= static_cast<int>(it->second.dispatches.size())) return;
-  if (wait == Wait::load) it->second.dispatches[number].behind_load = true;
+  if (Dispatch* dispatch = find(id, number); dispatch && wait == Wait::load) dispatch->behind_load = true;
 }
 
 void WorkloadManager::probe_ended(Span now, EngineId id, Outcome outcome, Span, const LoadReport& load) {
@@ -300,19 +286,19 @@
     host_.subscribe_list();
   } else if (const auto turn = turns_.find(mark); turn != turns_.end()) {
     HeldJob& held = jobs_.at(turn->second);
-    if (!held.over && !held.streaming && now >= held.end) {
-      const JobId id = held.job.id;
-      give_up(now, held);
-      forget_if_done(now, id);
-    }
+    if (!held.over && !held.streaming && now >= held.end) give_up(now, held);
   }
   release(now);
 }
 
+bool WorkloadManager::used_up(const HeldJob& held) const {
+  return static_cast<int>(held.dispatches.size()) >= rules_.most_dispatches;
+}
+
 // ---- Rules ----
 
 bool WorkloadManager::may_throttle(Span now, const HeldJob& held) const {
-  const ReservationType& type = types_[held.job.type.value].type;
+  const ReservationType& type = type_of(held);
   if (type.effect == Effect::restartable) return true;
   if (held.out == 0 && !held.first_doubt) return true;
   if (type.effect == Effect::run_once || type.reach != Reach::all) return false;
@@ -322,9 +308,9 @@
 
 // Dispatches past the first: two at once only for a restartable job, and within the ration.
 bool WorkloadManager::may_go(Span now, const HeldJob& held) {
-  const ReservationType& type = types_[held.job.type.value].type;
+  const ReservationType& type = type_of(held);
   if (held.over || held.streaming || now >= held.end) return false;
-  if (static_cast<int>(held.dispatches.size()) >= rules_.most_dispatches) return false;
+  if (used_up(held)) return false;
   if (held.out > 0 && (!rules_.second_copies || type.effect != Effect::restartable)) return false;
   if (type.effect == Effect::run_once && held.first_doubt) return false;
   if (type.effect == Effect::keyed && held.first_doubt) {
@@ -342,58 +328,60 @@
 bool WorkloadManager::within_ration(Span now) {
   if (!rules_.ration_window) return true;
   // A job taken just at the window's edge is not counted, a dispatch there is.
-  while (!taken_.empty() && taken_.front() <= now - *rules_.ration_window + rules_.round) taken_.pop_front();
-  while (!resent_.empty() && resent_.front() < now - *rules_.ration_window - rules_.round) resent_.pop_front();
+  const Span from = now - *rules_.ration_window;
+  while (!taken_.empty() && taken_.front() <= from + rules_.round) taken_.pop_front();
+  while (!resent_.empty() && resent_.front() < from - rules_.round) resent_.pop_front();
   const double earned = rules_.ration_few + rules_.ration_share * static_cast<double>(taken_.size());
   return static_cast<double>(resent_.size()) + 1 <= earned;
 }
 
 bool WorkloadManager::may_go_to(Span now, const HeldJob& held, const Engine& engine) const {
-  const ReservationType& type = types_[held.job.type.value].type;
+  const ReservationType& type = type_of(held);
   if (!engine.known_up) return false;
-  const auto named = [](const auto& allowed, auto id) { return !allowed || std::ranges::count(*allowed, id); };
+  const auto named = [](const auto& allowed, auto id) {
+    return !allowed || std::ranges::count(*allowed, id);
+  };
   if (!named(type.zones, engine.listed.zone) || !named(type.kinds, engine.listed.kind)) return false;
   if (held.first_doubt && type.effect == Effect::keyed) {
     if (type.reach == Reach::zone && engine.listed.zone != held.doubt_zone) return false;
     if (type.reach == Reach::cell && engine.listed.cell != held.doubt_cell) return false;
   }
-  // A trial is one short job, whose answer comes soon; a long one would keep the engine waiting for its verdict.
+  // A trial is one short job: a long one would keep the engine waiting for its verdict.
   if (now < engine.closed_until) return false;
   if (engine.on_trial && (engine.trying || priority(held) < 2)) return false;
   // No copy to where the job is still out.
-  const auto there = [&](const Dispatch& earlier) { return earlier.engine == engine.listed.id && earlier.out; };
-  return std::ranges::none_of(held.dispatches, there);
+  const EngineId id = engine.listed.id;
+  return std::ranges::none_of(held.dispatches, [&](const Dispatch& d) { return d.out && d.engine == id; });
 }
 
 // What may still be sent to an engine that is cold, as work of the usual size. Infinite for a warm one.
 double WorkloadManager::cold_room(Span now, Engine& engine) const {
   if (rules_.tip_multiple <= 0 || rules_.tip_window <= Span(0)) return infinite;
-  // Cold counts from the latest of what is known: the listed start, or when the list first told of it.
+  // Cold counts from the listed start, or from when the list told of it if that came late.
   if (!engine.listed.online_since) return infinite;
-  const Span since = std::max(*engine.listed.online_since, std::min(engine.told, *engine.listed.online_since + seconds(5)));
-  if (now >= since + rules_.cold_lasts) return infinite;
-  while (!engine.cold_sends.empty() && engine.cold_sends.front().first < now - rules_.tip_window - rules_.round) {
-    engine.cold_sends.pop_front();
+  const Span start = *engine.listed.online_since;
+  if (now >= std::max(start, std::min(engine.told, start + seconds(5))) + rules_.cold_lasts) {
+    engine.cold_sends.clear();
+    return infinite;
   }
+  auto& sends = engine.cold_sends;
+  while (!sends.empty() && sends.front().first < now - rules_.tip_window - rules_.round) sends.pop_front();
   double sent = 0;
-  for (const auto& [when, work] : engine.cold_sends) sent += work;
-  const int cores = engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value].cores : 1;
-  // Half of the budget of this manager's even part: speeds, learned means and the others' restarts are uncertain.
-  double budget = 0.5 * rules_.tip_multiple * rules_.cold_from * cores * in_ms(rules_.tip_window) / rules_.managers;
+  for (const auto& [when, work] : sends) sent += work;
+  // Half of this manager's even part of the stated budget, at 0.85 of a core since capacity is counted so:
+  // speeds, learned means and the others' restarts are uncertain.
+  const double window = in_ms(rules_.tip_window) / rules_.managers;
+  double budget = 0.5 * rules_.tip_multiple * rules_.cold_from * 0.85 * kind_of(engine).cores * window;
   // Guards against a restarted manager spending again what its last life has spent.
   if (now < rules_.tip_window) budget /= 2;
   return budget - sent;
 }
 
 void WorkloadManager::over(HeldJob& held) {
-  held.over = true;
-  held.held = false;
+  held.over = true, held.held = false;
   held_.erase(held.turn);
   for (auto& [id, engine] : engines_) {
-    if (engine.protecting && engine.protected_for == held.job.id) {
-      engine.protecting = false;
-      engine.protected_bytes = 0;
-    }
+    if (engine.protecting && engine.protected_for == held.job.id) engine.protecting = false;
   }
   if (!rules_.may_stop) return;
   for (std::size_t i = 0; i < held.dispatches.size(); ++i) {
@@ -404,13 +392,11 @@
   }
 }
 
-void WorkloadManager::forget_if_done(Span, JobId id) {
+void WorkloadManager::forget_if_done(JobId id) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end() || !it->second.over || it->second.out > 0) return;
   const HeldJob& held = it->second;
-  if (held.job.key && types_[held.job.type.value].type.in_order) {
-    std::erase(lines_[*held.job.key].jobs, id);
-  }
+  if (held.job.key && type_of(held).in_order) std::erase(lines_[*held.job.key].jobs, id);
   turns_.erase(held.turn);
   jobs_.erase(it);
 }
@@ -418,10 +404,10 @@
 // ---- The ordinary path: ledger, slots, floor, headroom ----
 
 double WorkloadManager::capacity(const Engine& engine) const {
-  if (engine.listed.kind.value < 0) return 0;
-  const double memory = kinds_[engine.listed.kind.value].memory_mb;
+  const double memory = kind_of(engine).memory_mb;
   double usual = 0;
-  for (const TypeFigures& type : types_) usual = std::max(usual, type.usual_memory_mb);
+  for (const TypeFigures& type : types_)
+    usual = std::max(usual, type.usual_memory_mb.value * type.memory_bias);
   double most = std::max(memory * share_, std::min(memory, 2 * usual));
   // Exception: where load reports show what the others hold, the ledger is bounded by what they leave.
   if (engine.others_bytes) most = std::min(most, std::max(memory - *engine.others_bytes, 0.1 * memory));
@@ -437,7 +423,7 @@
   const TypeFigures& type = types_[held.job.type.value];
   const double estimate = held.job.memory_mb.value_or(0);
   // An eighth over the estimate: half of what engines choose by themselves, since the bias is learned.
-  return estimate > 0 ? 1.125 * type.memory_bias * estimate : type.usual_memory_mb;
+  return estimate > 0 ? 1.125 * type.memory_bias * estimate : type.usual_memory_mb.value;
 }
 
 double WorkloadManager::slots(Span now, const Engine& engine) const {
@@ -446,11 +432,13 @@
 
 bool WorkloadManager::pressed(Span now, const Engine& engine, int threads) const {
   // Twice the best is where SLA times begin to be at risk; a full engine counts for two seconds.
-  return engine.stretch > 2 || now < engine.last_full + seconds(2) || engine.live_threads + threads >= slots(now, engine);
+  return engine.stretch > 2 || now < engine.last_full + seconds(2) ||
+         engine.live_threads + threads >= slots(now, engine);
 }
 
 int WorkloadManager::open_threads(Span now, const Engine& engine, const HeldJob& held) const {
-  const int largest = std::ranges::max(types_, {}, [](const TypeFigures& t) { return t.type.threads; }).type.threads;
+  const int largest =
+      std::ranges::max(types_, {}, [](const TypeFigures& t) { return t.type.threads; }).type.threads;
   int most = std::max(static_cast<int>(slots(now, engine)), largest);
   if (engine.protecting && engine.protected_for != held.job.id) {
     most -= types_[jobs_.at(engine.protected_for).job.type.value].type.threads;
@@ -460,15 +448,15 @@
 
 // The grant that the job would get there, or nothing where the ledger has no room.
 std::optional<double> WorkloadManager::grant_on(Span now, const Engine& engine, const HeldJob& held) const {
-  const int threads = types_[held.job.type.value].type.threads;
+  const int threads = type_of(held).threads;
   const double whole = capacity(engine);
-  const double cap = rules_.grant_cap * (engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value].memory_mb : 0);
+  const double cap = rules_.grant_cap * kind_of(engine).memory_mb;
   const double need = std::min(need_mb(held), cap);
   if (!pressed(now, engine, threads)) return need > 0 ? need : std::min(whole / 8, cap);
-  // Exception: a job of the highest priority, short and soon gone, may overrun the slots by half, within the bytes of
-  // the whole engine, so that long jobs that fill the ledgers do not shut out what pays most for its engine time.
+  // Exception: a job of the highest priority, soon gone, may overrun the slots by half, within the bytes of
+  // the engine, so that long jobs that fill the ledgers don't shut out what pays most for its engine time.
   if (need > 0 && priority(held) == 3 && engine.live_threads + threads <= 1.5 * slots(now, engine) + 1) {
-    const double left = kinds_[engine.listed.kind.value].memory_mb - engine.live_bytes - engine.others_bytes.value_or(0);
+    const double left = kind_of(engine).memory_mb - engine.live_bytes - engine.others_bytes.value_or(0);
     if (need <= left) return need;
   }
   const int open = open_threads(now, engine, held) - threads;
@@ -477,8 +465,8 @@
   const double most = std::min(whole - engine.live_bytes - kept - floor * std::max(open, 0), cap);
   if (open < 0 || most < floor) return std::nullopt;
   if (need <= 0) return most;
-  // Exception: headroom yields to an estimate, since a spill costs the engine more than a slot left without bytes; and
-  // where even that is too little, the job waits, but for one that would not fit an empty ledger either.
+  // Exception: headroom yields to an estimate, since a spill costs more than a slot without bytes; where even
+  // that is too little, the job waits, but for one that would not fit an empty ledger either.
   const double bare = std::min(whole - engine.live_bytes - kept, cap);
   if (need > std::max(most, bare) && engine.live_bytes > 0) return std::nullopt;
   return std::clamp(need, floor, std::max(most, bare));
@@ -488,16 +476,17 @@
   const TypeFigures& type = types_[held.job.type.value];
   double value = std::max(type.type.billed_value, 1e-9);
   if (const int customer = held.job.customer.value; customer >= 0 && customer_quota_[customer] > 0) {
-    const double beyond = std::max(0.0, 1 - customer_quota_[customer] / std::max(customer_rate_[customer], 1e-9));
+    const double part = customer_quota_[customer] / std::max(customer_rate_[customer], 1e-9);
+    const double beyond = std::max(0.0, 1 - part);
     value *= 1 - beyond * (1 - rules_.over_share_value);
   }
   return value / std::max(held.work_ms * type.work_bias, 1e-3);
 }
 
-// Short work first on scarce cores and disks: more of it is answered in time for the same engine time. Steps of four
-// follow the scale of the ranks and keep the longest from being starved.
+// Short work first on scarce cores and disks: more of it is answered in time for the same engine time. Steps
+// of four follow the scale of the ranks and keep the longest from being starved.
 int WorkloadManager::priority(const HeldJob& held) const {
-  const double size = held.work_ms / std::max(mean_work_ms_, 1e-6);
+  const double size = held.work_ms / std::max(mean_work_ms_.value, 1e-6);
   return size < 0.5 ? 3 : size < 2 ? 2 : size < 6 ? 1 : 0;
 }
 
@@ -509,7 +498,7 @@
     HeldJob& held = jobs_.at(it->second);
     ++it;
     if (!may_go(now, held)) continue;
-    // What asks no less than a like job just blocked is blocked too; it keeps long queues within the processor time.
+    // What asks no less than a like job just blocked is blocked too: long queues stay cheap to scan.
     const auto like = blocked.find({held.job.type, priority(held)});
     const bool sure = like != blocked.end() && held.dispatches.empty() && need_mb(held) >= like->second;
     if (sure || !place(now, held)) {
@@ -527,9 +516,10 @@
       if (engine.protecting && engine.protected_for == waiter->job.id) {
         // Retargeted when the engine closes.
         if (may_go_to(now, *waiter, engine)) has_one = true;
-        else engine.protecting = false, engine.protected_bytes = 0;
+        else engine.protecting = false;
       } else if (!engine.protecting && may_go_to(now, *waiter, engine)) {
-        if (!chosen || capacity(engine) - engine.live_bytes > capacity(*chosen) - chosen->live_bytes) chosen = &engine;
+        if (!chosen || capacity(engine) - engine.live_bytes > capacity(*chosen) - chosen->live_bytes)
+          chosen = &engine;
       }
     }
     if (has_one || !chosen) continue;
@@ -554,28 +544,31 @@
   std::tuple<double, int, double, std::uint64_t> best_rank{};
   std::uint64_t place_in_list = 0;
   for (auto& [id, engine] : engines_) {
-    // Exception: ties go round from this manager's own place in the list, lest fresh ledgers all pick the lowest id.
+    // Exception: ties go round from this manager's place in the list, lest fresh ledgers all pick the lowest
+    // id.
     const std::uint64_t count = engines_.size();
-    const std::uint64_t offset = count * static_cast<std::uint64_t>(rules_.own_number) / std::max(1, rules_.managers);
+    const std::uint64_t offset =
+        count * static_cast<std::uint64_t>(rules_.own_number) / std::max(1, rules_.managers);
     const std::uint64_t turn = (place_in_list++ + count - offset % count) % count;
     if (!may_go_to(now, held, engine)) continue;
     const double room = cold_room(now, engine);
-    if (room < std::max(type.usual_work_ms, 1e-3) * 1.0) continue;
+    if (room < usual_work(held)) continue;
     const std::optional<double> grant = grant_on(now, engine, held);
     if (!grant) continue;
-    // Spare bytes after the grant, of an engine that does its full work. Exceptions: one that takes longer than the
-    // middle of the fleet counts in proportion; the homes of the job's data count up to a quarter of the capacity more,
-    // for the reading saved; another zone less by what crossing costs beside the job's work; an engine where a load
-    // holds the data comes last.
+    // Spare bytes after the grant. Exceptions: an engine slower than the middle one counts in proportion; the
+    // data's homes up to a quarter more, for the reading saved; another zone less, by what crossing costs
+    // beside the job's work; one where a load holds the data comes last.
     const double whole = capacity(engine);
     double health = std::clamp(middle_ / engine.stretch, 0.2, 1.0);
     if (room < infinite) health *= rules_.cold_from;
     double spare = whole * health - engine.live_bytes - *grant;
     const std::uint64_t hash = shared_hash(held.job.data_set, id);
-    const double size = held.work_ms / std::max(mean_work_ms_, 1e-6);
+    const double size = held.work_ms / std::max(mean_work_ms_.value, 1e-6);
     if (hash == first_home || hash == second_home) spare += 0.25 * std::min(1.0, size) * whole;
-    if (engine.listed.zone != rules_.zone) spare -= std::min(0.25, rules_.crossing_price / std::max(size, 1e-3)) * whole;
-    if ((type.type.waits_for_load || type.type.holds_data) && engine.loads.contains(held.job.data_set)) spare -= whole;
+    if (engine.listed.zone != rules_.zone)
+      spare -= std::min(0.25, rules_.crossing_price / std::max(size, 1e-3)) * whole;
+    if ((type.type.waits_for_load || type.type.holds_data) && engine.loads.contains(held.job.data_set))
+      spare -= whole;
     for (const Dispatch& earlier : held.dispatches) {
       if (earlier.engine == id) spare -= whole;  // one that has just failed the job comes last
     }
@@ -595,10 +588,10 @@
   held_.erase(held.turn);
   held.held = false;
   held.overtaken = 0;
-  if (engine.protecting && engine.protected_for == held.job.id) engine.protecting = false, engine.protected_bytes = 0;
+  if (engine.protecting && engine.protected_for == held.job.id) engine.protecting = false;
   if (!held.dispatches.empty() && rules_.ration_window) resent_.push_back(now);
   const int number = static_cast<int>(held.dispatches.size());
-  Dispatch dispatch{.engine = engine.listed.id, .sent = now, .last_note = now, .grant = grant, .threads = type.type.threads};
+  Dispatch dispatch{engine.listed.id, now, now, grant, type.type.threads};
   engine.live_bytes += grant;
   engine.live_threads += dispatch.threads;
   engine.dispatches += 1;
@@ -606,7 +599,7 @@
   if (type.type.holds_data) engine.loads[held.job.data_set] += 1;
   if (engine.on_trial) engine.trying = dispatch.trial = true;
   if (rules_.tip_multiple > 0 && engine.listed.online_since) {
-    engine.cold_sends.push_back({now, std::max(type.usual_work_ms * type.work_bias, 1e-3)});
+    engine.cold_sends.push_back({now, usual_work(held)});
   }
   held.out += 1;
   held.dispatches.push_back(dispatch);
@@ -631,40 +624,45 @@
 
 // A long dispatch tells more of an engine than a short one, which its priority hides from the crowd.
 double WorkloadManager::weight(const HeldJob& held) const {
-  return 0.01 + 0.19 * std::min(1.0, held.work_ms / std::max(2 * mean_work_ms_, 1e-6));
+  return 0.01 + 0.19 * std::min(1.0, held.work_ms / std::max(2 * mean_work_ms_.value, 1e-6));
 }
 
-double WorkloadManager::usual_ideal(const HeldJob& held) const {
+// What the job's type usually needs; until anything is known of it, its whole SLA time on all its threads.
+double WorkloadManager::usual_work(const HeldJob& held) const {
   const TypeFigures& type = types_[held.job.type.value];
-  return type.usual_work_ms * type.work_bias / type.type.threads;
+  const double learned = type.usual_work_ms.value * type.work_bias;
+  return learned > 0 ? learned : in_ms(type.type.sla_time) * type.type.threads;
 }
 
-void WorkloadManager::learn(Span, Engine& engine, const HeldJob& held, const Dispatch& dispatch, Span elapsed) {
+// Under a quarter of its type's usual work, most of a job's time is not work.
+bool WorkloadManager::tiny(const HeldJob& held) const {
+  return ideal_ms(held) <= 0 || ideal_ms(held) * type_of(held).threads < usual_work(held) / 4;
+}
+
+void WorkloadManager::learn(Engine& engine, const HeldJob& held, const Dispatch& dispatch, Span elapsed) {
   TypeFigures& type = types_[held.job.type.value];
-  // Guards against slowness that is not the engine's: a job behind a load says nothing of it, nor does one that is very
-  // short for its type, since most of its time is not work.
+  // Guards against slowness that is not the engine's: a job behind a load says nothing of it, nor does one
+  // that is very short for its type, since most of its time is not work.
   const double ideal = ideal_ms(held);
-  if (dispatch.behind_load || ideal <= 0 || ideal < usual_ideal(held) / 4) return;
+  if (dispatch.behind_load || tiny(held)) return;
   const double pace = in_ms(elapsed) / ideal;
   // Quantiles by steps: each settles where the steps down and up balance, at 10% and 95%.
   type.best_pace *= pace < type.best_pace ? 0.955 : 1.005;
   type.slow_pace *= pace > type.slow_pace ? 1.0475 : 0.9975;
   const double sample = std::clamp(pace / type.best_pace, 0.5, 20.0);
   engine.stretch += weight(held) * (sample - engine.stretch);
-  // The slot limit follows: up while it is used and answers come near their best, down when they come far above it.
-  // Two is the target since SLA times of long jobs allow little more; a quarter of the start is the least, where
-  // the even parts of all managers add up to one thread a core.
-  const int cores = engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value].cores : 1;
-  const double start = 2.0 * cores * share_;
+  // The slot limit follows: up while it is used and answers come near their best, down from one and a half
+  // times that, where engines begin to get less done. The least is where all even parts make one thread a
+  // core.
   if (engine.stretch > 1.5) engine.slots *= 1 - 0.15 * weight(held);
   else if (engine.live_threads > 0.7 * engine.slots) engine.slots *= 1 + 0.15 * weight(held);
-  engine.slots = std::clamp(engine.slots, start / 4, start * 1.5);
+  engine.slots = std::clamp(engine.slots, engine.least_slots, 6 * engine.least_slots);
 }
 
 void WorkloadManager::sign_of_trouble(Span now, Engine& engine, bool sure) {
   if (now < engine.closed_until) return;
-  // Never closes more than a third of the fleet on suspicion alone: the rest would be overrun, and what all share
-  // is no single engine's fault.
+  // Never closes more than a third of the fleet on suspicion alone: the rest would be overrun, and what all
+  // share is no single engine's fault.
   int up = 0, closed = 0;
   for (const auto& [id, other] : engines_) {
     if (!other.known_up) continue;
@@ -685,10 +683,11 @@
   for (const auto& [sent, which] : engine.out) {
     const HeldJob& held = jobs_.at(which.first);
     const Dispatch& dispatch = held.dispatches[which.second];
-    // Twice what all but one in twenty take. Where notes tell of progress, more than one has to be missing, too.
+    // Twice what all but one in twenty take. Where notes tell of progress, they have to be missing, too.
     const Span usual = from_ms(std::max(2 * ideal_ms(held) * types_[held.job.type.value].slow_pace, 150.0));
     const Span quiet = now - dispatch.last_note, notes = rules_.tells_every;
-    const bool late = now - sent > usual && (notes <= Span(0) || quiet > std::min(3 * notes / 2, now - sent - Span(1)));
+    const bool late =
+        now - sent > usual && (notes <= Span(0) || quiet > std::min(3 * notes / 2, now - sent - Span(1)));
     if (!late && (notes <= Span(0) || quiet < 5 * notes / 2)) continue;
     lost.push_back(which);
     if (engine.last_word <= sent + milliseconds(20)) silent = true;
@@ -698,13 +697,13 @@
     lost.clear();
     for (const auto& [sent, which] : engine.out) lost.push_back(which);
   }
-  // Guards against engines that answer nothing, and against answers that get lost while the engine looks well.
+  // Guards against engines that answer nothing, and answers that get lost while the engine looks well.
   for (const auto& [id, number] : lost) {
     HeldJob& held = jobs_.at(id);
     Dispatch& dispatch = held.dispatches[number];
-    const Effect effect = types_[held.job.type.value].type.effect;
+    const Effect effect = type_of(held).effect;
     if (held.over || held.held || held.streaming || dispatch.stopping || dispatch.overdue) continue;
-    if (static_cast<int>(held.dispatches.size()) >= rules_.most_dispatches || effect == Effect::run_once) continue;
+    if (effect == Effect::run_once || used_up(held)) continue;
     // No storm: rescues from engines that answer others are earned, one by ten jobs taken.
     if (now >= engine.closed_until && rescues_due_ < 1) continue;
     if (rules_.second_copies && effect == Effect::restartable) {
@@ -723,18 +722,19 @@
 // Others' part of the engine's memory, where it tells: the one thing that separate ledgers cannot add up.
 void WorkloadManager::heed(Span now, Engine& engine, const LoadReport& load) {
   if (engine.listed.kind.value < 0) return;
-  // Exception: where engines tell how many jobs they hold, this manager may also use its share of the threads that are
-  // free there, up to one and a half a core (the least that engines do before they get less done).
+  // Exception: where engines tell how many jobs they hold, this manager may also use its share of the threads
+  // that are free there, up to one and a half a core (the least that engines do before they get less done).
   if (load.outstanding && engine.dispatches >= 0) {
     const double threads = engine.dispatches > 0 ? double(engine.live_threads) / engine.dispatches : 1.5;
     const double taken = std::max(*load.outstanding, 0.0 + engine.dispatches) * threads;
-    engine.told_slots = engine.live_threads + share_ * (1.5 * kinds_[engine.listed.kind.value].cores - taken);
+    engine.told_slots = engine.live_threads + share_ * (1.5 * kind_of(engine).cores - taken);
     engine.told_at = now;
   }
   if (!load.memory_share) return;
-  const double memory = kinds_[engine.listed.kind.value].memory_mb;
+  const double memory = kind_of(engine).memory_mb;
   const double others = std::clamp(*load.memory_share * memory - engine.live_bytes, 0.0, memory);
-  engine.others_bytes = engine.others_bytes ? *engine.others_bytes + (others - *engine.others_bytes) / 2 : others;
+  engine.others_bytes =
+      engine.others_bytes ? *engine.others_bytes + (others - *engine.others_bytes) / 2 : others;
 }
 
 void WorkloadManager::beat(Span now) {
@@ -748,17 +748,18 @@
     // Guards against learning too late: what is out and already far behind counts before its answer comes.
     for (const auto& [sent, which] : engine.out) {
       const HeldJob& held = jobs_.at(which.first);
-      if (held.dispatches[which.second].behind_load || ideal_ms(held) < usual_ideal(held) / 4) continue;
+      if (held.dispatches[which.second].behind_load || tiny(held)) continue;
       const double best = ideal_ms(held) * types_[held.job.type.value].best_pace;
       const double sample = std::min(in_ms(now - sent) / std::max(best, 1.0), 10.0);
-      if (sample > std::max(2.0, engine.stretch)) engine.stretch += 0.025 * weight(held) * (sample - engine.stretch);
+      if (sample > std::max(2.0, engine.stretch))
+        engine.stretch += 0.025 * weight(held) * (sample - engine.stretch);
     }
-    // Guards against a judgement that outlives its cause: hardly used, an engine is believed better in five seconds.
+    // Guards against a judgement that outlives its cause: hardly used, an engine is soon believed better.
     if (engine.live_threads < 0.25 * engine.slots) engine.stretch += 0.02 * (1 - engine.stretch);
     if (engine.stretch > 1.5) engine.slots = std::max(engine.slots * 0.99, engine.least_slots);
   }
-  // Probes where only they tell the load: in turn, as many a job as cost half a point in a hundred by their price,
-  // and none to an engine sooner than every half second, which is about how often reports change.
+  // Probes where only they tell the load: in turn, as many a job as cost half a point in a hundred by their
+  // price, and none to an engine sooner than every half second, which is about how often reports change.
   if (rules_.may_probe && rules_.reports_in_probes && !engines_.empty()) {
     const double most = 0.2 * static_cast<double>(engines_.size());
     const double earned = 0.005 / std::max(rules_.probe_price, 1e-4) * job_rate_ / 10;
@@ -771,8 +772,8 @@
       if (next->second.known_up) host_.probe(next->first);
     }
   }
-  // The cut: down a tenth each beat while a job that may go has waited for room past a tenth of a second, up again
-  // slower when not; never under the mean, where it would cut what pays best and leave engines idle.
+  // The cut: down a tenth each beat while a job that may go has waited for room past a tenth of a second, up
+  // again slower when not; never under the mean, where it would cut what pays best and leave engines idle.
   largest_ = std::max(largest_ * 0.998, mean_cost_);
   bool crowded = false;
   for (const auto& [turn, id] : held_) {
@@ -791,10 +792,7 @@
     const HeldJob& held = jobs_.at(id);
     if (held.out == 0 && now + from_ms(ideal_ms(held)) > held.sla_end) late.push_back(id);
   }
-  for (const JobId id : late) {
-    give_up(now, jobs_.at(id));
-    forget_if_done(now, id);
-  }
+  for (const JobId id : late) give_up(now, jobs_.at(id));
 }
 
 // ---- Giving up ----
@@ -811,7 +809,7 @@
   } else {
     host_.cancel_for_good(id);
   }
-  forget_if_done(now, id);
+  forget_if_done(id);
 }
 
 }  // namespace pearchute
--- a/src/control.h
+++ b/src/control.h
@@ -54,6 +54,17 @@
   enum : std::uint64_t { beat_mark = 1, subscribe_mark = 2, job_marks = 16 };
 
   void heard(Span now, JobId id, int number);
+  Dispatch* find(JobId id, int number) {
+    const auto it = jobs_.find(id);
+    const bool known = it != jobs_.end() && number < static_cast<int>(it->second.dispatches.size());
+    return known ? &it->second.dispatches[number] : nullptr;
+  }
+  const ReservationType& type_of(const HeldJob& held) const { return types_[held.job.type.value].type; }
+  MachineKind kind_of(const Engine& engine) const {
+    return engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value] : MachineKind{};
+  }
+  bool tiny(const HeldJob& held) const;
+  bool used_up(const HeldJob& held) const;
   // Rules
   bool may_throttle(Span now, const HeldJob& held) const;
   bool may_go(Span now, const HeldJob& held);
@@ -61,7 +72,7 @@
   bool within_ration(Span now);
   double cold_room(Span now, Engine& engine) const;
   void over(HeldJob& held);
-  void forget_if_done(Span now, JobId id);
+  void forget_if_done(JobId id);
   // The ordinary path
   void release(Span now);
   bool place(Span now, HeldJob& held);
@@ -77,11 +88,11 @@
   double density(const HeldJob& held) const;
   // Health
   void sign_of_trouble(Span now, Engine& engine, bool sure);
-  void learn(Span now, Engine& engine, const HeldJob& held, const Dispatch& dispatch, Span elapsed);
+  void learn(Engine& engine, const HeldJob& held, const Dispatch& dispatch, Span elapsed);
   void look_after(Span now, Engine& engine);
   void heed(Span now, Engine& engine, const LoadReport& load);
   double weight(const HeldJob& held) const;
-  double usual_ideal(const HeldJob& held) const;
+  double usual_work(const HeldJob& held) const;
   double middle_stretch() const;
   void beat(Span now);
   // Giving up
@@ -90,7 +101,7 @@
   Host& host_;
   std::knuth_b chance_;
   std::vector<TypeFigures> types_;
-  ServiceDefinition rules_;  // figures only: its lists are emptied once read
+  ServiceDefinition rules_;                             // figures only: its lists are emptied once read
   std::vector<double> customer_quota_, customer_rate_;  // jobs a second, a smoothed count
   std::vector<MachineKind> kinds_;
   double share_ = 1;
@@ -103,12 +114,11 @@
   std::deque<Span> taken_, resent_;
   std::uint64_t next_turn_ = job_marks;
   Span subscribe_wait_;
-  double cut_;     // most work for a unit of billed value that is taken on
-  double largest_ = 0;         // recent largest of the same
-  double mean_cost_ = 0;       // work for a unit of billed value, over all jobs taken
+  double cut_;            // most work for a unit of billed value that is taken on
+  double largest_ = 0;    // recent largest of the same
+  double mean_cost_ = 0;  // work for a unit of billed value, over all jobs taken
   double work_taken_ = 0, value_taken_ = 0;
-  double mean_work_ms_ = 0;
-  double works_ = 0;
+  Mean mean_work_ms_;
   double middle_ = 1;    // the middle of the engines' stretches
   double job_rate_ = 0;  // jobs a second, smoothed
   double probes_due_ = 0;
--- a/src/drill/session.cpp
+++ b/src/drill/session.cpp
@@ -52,7 +52,8 @@
   if (!usage || usage->empty()) return report;
   for (const std::string_view part : split(*usage, ',')) {
     const std::size_t colon = part.find(':');
-    if (colon == std::string_view::npos) throw Malformed("'usage' has '" + std::string(part) + "', not name:value");
+    if (colon == std::string_view::npos)
+      throw Malformed("'usage' has '" + std::string(part) + "', not name:value");
     const std::string_view name = part.substr(0, colon);
     const double value = number_in(name, part.substr(colon + 1));
     if (name == "outstanding") report.outstanding = value;
@@ -93,7 +94,11 @@
     end();
   }
   void set_terms(JobId job, double grant_mb, int priority) override {
-    begin("ASSIGN_TERMS").add("handle", job.value).add("memoryGrant", grant_mb).add("weightClass", priority).end();
+    begin("ASSIGN_TERMS")
+        .add("handle", job.value)
+        .add("memoryGrant", grant_mb)
+        .add("weightClass", priority)
+        .end();
   }
   void stop_dispatch(JobId job, int number) override {
     begin("STOP_ATTEMPT").add("handle", job.value).add("copy", number).end();
@@ -158,8 +163,9 @@
     const auto at = [&](const char* name) { return "classes." + std::to_string(i) + "." + name; };
     types_.emplace_back(fields.required_text(at("name")));
     ReservationType type;
-    type.effect = one_of<Effect>(at("repeat"), fields.text(at("repeat")).value_or("pure"),
-                                 {{"pure", Effect::restartable}, {"token", Effect::keyed}, {"side_effect", Effect::run_once}});
+    type.effect = one_of<Effect>(
+        at("repeat"), fields.text(at("repeat")).value_or("pure"),
+        {{"pure", Effect::restartable}, {"token", Effect::keyed}, {"side_effect", Effect::run_once}});
     type.reach = one_of<Reach>(at("keyScope"), fields.text(at("keyScope")).value_or("all"),
                                {{"all", Reach::all}, {"zone", Reach::zone}, {"cell", Reach::cell}});
     type.repeat_window = span_of(fields, at("window"));
@@ -196,7 +202,8 @@
     if (const auto cores = per_type("familyInfo.coresByKind", i)) {
       machine.cores = std::max(1, static_cast<int>(number_in("familyInfo.coresByKind", *cores)));
     }
-    if (const auto size = per_type("familyInfo.sizeMb", i)) machine.memory_mb = number_in("familyInfo.sizeMb", *size);
+    if (const auto size = per_type("familyInfo.sizeMb", i))
+      machine.memory_mb = number_in("familyInfo.sizeMb", *size);
     service.kinds.push_back(machine);
   }
   service.list_on_request = fields.text("discovery") == "on_request";
@@ -223,9 +230,11 @@
   service.takes_grants = fields.flag("familyInfo.takesGrants");
   service.takes_priority = fields.flag("familyInfo.takesPriority");
   service.grant_cap = fields.number("familyInfo.grantCap").value_or(1);
-  service.out_of_memory = one_of<OutOfMemory>(
-      "familyInfo.outOfMemory", fields.text("familyInfo.outOfMemory").value_or("line_up"),
-      {{"line_up", OutOfMemory::line_up}, {"cut", OutOfMemory::cut}, {"overcommit", OutOfMemory::overcommit}});
+  service.out_of_memory =
+      one_of<OutOfMemory>("familyInfo.outOfMemory", fields.text("familyInfo.outOfMemory").value_or("line_up"),
+                          {{"line_up", OutOfMemory::line_up},
+                           {"cut", OutOfMemory::cut},
+                           {"overcommit", OutOfMemory::overcommit}});
   service.tells_every = span_of(fields, "familyInfo.tellsEvery");
   service.over_share_value = fields.number("overShareWorth").value_or(1);
   service.crossing_price = fields.number("prices.crossZone").value_or(0);
@@ -311,7 +320,8 @@
   for (std::int64_t i = 0; i < rows; ++i) {
     if (!next_line()) throw Malformed("the input ended within a POOL");
     fields_.read(line_);
-    if (fields_.message() != "ENTRY") throw Malformed("ENTRY wanted, not '" + std::string(fields_.message()) + "'");
+    if (fields_.message() != "ENTRY")
+      throw Malformed("ENTRY wanted, not '" + std::string(fields_.message()) + "'");
     PoolEntry& entry = entries.emplace_back();
     entry.engine.id = EngineId{static_cast<std::uint32_t>(fields_.required_whole("engine"))};
     entry.engine.state = one_of<EngineState>(
@@ -344,7 +354,8 @@
     if (const auto key = fields_.whole("target")) taken.key = OrderKey{static_cast<std::uint64_t>(*key)};
     taken.time_left = Span(fields_.required_whole("expiresIn"));
     const std::int64_t flags = fields_.whole("flags").value_or(0);
-    if (const auto work = fields_.number("guess"); work && (flags & 1)) taken.work_ms = *work / 1000;
+    if (const auto work = fields_.number("guess"); work && *work > 0 && (flags & 1))
+      taken.work_ms = *work / 1000;
     if (const auto need = fields_.number("needMb"); need && *need > 0) taken.memory_mb = *need;
     taken.data_set = DataSetId{static_cast<std::int64_t>(fields_.number("sourceSet").value_or(0))};
     manager.job_taken(now, taken);
@@ -379,7 +390,8 @@
       ListedEngine& engine = engines.emplace_back(entry.engine);
       engine.zone = instance.zone(entry.zone);
       engine.kind = instance.kind(entry.kind);
-      if (entry.online_since && *entry.online_since > 0) engine.online_since = Span(*entry.online_since) - instance.start();
+      if (entry.online_since && *entry.online_since > 0)
+        engine.online_since = Span(*entry.online_since) - instance.start();
     }
     manager.list_came(now, news, engines);
   } else if (message == "PING_RESULT") {
--- a/src/drill/session.h
+++ b/src/drill/session.h
@@ -1,5 +1,5 @@
-// The simulator's side of the workload managers: reads batches of events, calls the instance that each is for, and
-// writes what the instance does as the batch's reply. It decides nothing.
+// The simulator's side of the workload managers: reads batches of events, calls the instance that each is
+// for, and writes what the instance does as the batch's reply. It decides nothing.
 #pragma once
 
 #include <iosfwd>
@@ -41,7 +41,7 @@
   Fields fields_;
   Span clock_{};
   std::string reply_;
-  std::optional<std::int64_t> reply_for_;   // whose actions the reply's last lines are
+  std::optional<std::int64_t> reply_for_;  // whose actions the reply's last lines are
   std::optional<std::int64_t> addressed_;
   std::map<std::int64_t, std::vector<PoolEntry>> pools_;
   std::map<std::int64_t, std::unique_ptr<Instance>> instances_;
--- a/src/state.h
+++ b/src/state.h
@@ -1,5 +1,6 @@
-// What a workload manager keeps, by how long it lives: for a dispatch, a job, an engine, and a reservation type
-// (which lives as long as the instance). Records only; what they mean for a choice stands in control.cpp.
+// What a workload manager keeps, by how long it lives: for a dispatch, a job, an engine, and a reservation
+// type (which lives as long as the instance). Records only; what they mean for a choice stands in
+// control.cpp.
 #pragma once
 
 #include <deque>
@@ -45,20 +46,20 @@
 struct Engine {
   ListedEngine listed;
   bool known_up = false;
-  Span told{};                  // when it was first listed, or listed with a new start
+  Span told{};  // when it was first listed, or listed with a new start
   double live_bytes = 0;
   int live_threads = 0;
   int dispatches = 0;
   double slots = 0;
   double least_slots = 0;
-  double told_slots = 0;        // what its load report leaves open
+  double told_slots = 0;  // what its load report leaves open
   Span told_at{-1'000'000'000};
-  double stretch = 1;           // time taken against the type's best, smoothed
+  double stretch = 1;  // time taken against the type's best, smoothed
   double error_rate = 0;
-  int strikes = 0;              // signs of trouble in a row
+  int strikes = 0;  // signs of trouble in a row
   Span closed_until{};
   bool on_trial = false;
-  bool trying = false;          // a trial is out
+  bool trying = false;  // a trial is out
   Span last_word{};
   Span last_full{-1'000'000'000};
   JobId protected_for{};
@@ -66,20 +67,23 @@
   double protected_bytes = 0;
   std::deque<std::pair<Span, double>> cold_sends;
   std::optional<double> others_bytes;
-  std::map<DataSetId, int> loads;  // own loads that hold a data set there
+  std::map<DataSetId, int> loads;                        // own loads that hold a data set there
   std::set<std::pair<Span, std::pair<JobId, int>>> out;  // own dispatches, oldest first
 };
 
+struct Mean {
+  double value = 0;
+  double count = 0;
+};
+
 struct TypeFigures {
   ReservationType type;
-  double usual_work_ms = 0;  // running mean of the estimates, or of what is learned
-  double jobs = 0;
-  double usual_memory_mb = 0;
-  double memories = 0;
+  Mean usual_work_ms;    // of the estimates, or of what is learned
+  Mean usual_memory_mb;  // the same
   double work_bias = 1;
   double memory_bias = 1;
-  double best_pace = 1;   // low quantile of time taken over ideal time
-  double slow_pace = 3;   // high quantile of the same
+  double best_pace = 1;  // low quantile of time taken over ideal time
+  double slow_pace = 3;  // high quantile of the same
 };
 
 // The jobs of one order key, in turn.
--- a/src/types.h
+++ b/src/types.h
@@ -51,15 +51,15 @@
 struct ReservationType {
   Effect effect = Effect::restartable;
   Reach reach = Reach::all;
-  Span repeat_window{};      // how long a keyed job's repeats are known
-  Span sla_time{};           // answered within this, it earns the whole billed value
-  double sla_stretch = 0;    // the SLA time grows by this multiple of the job's work over its threads
-  Span job_timeout{};        // the client's whole patience
+  Span repeat_window{};    // how long a keyed job's repeats are known
+  Span sla_time{};         // answered within this, it earns the whole billed value
+  double sla_stretch = 0;  // the SLA time grows by this multiple of the job's work over its threads
+  Span job_timeout{};      // the client's whole patience
   double billed_value = 1;
-  double late_share = 0;     // what an answer after the SLA time still earns
+  double late_share = 0;  // what an answer after the SLA time still earns
   int threads = 1;
-  bool in_order = false;     // jobs with one key run one at a time, as taken
-  bool holds_data = false;   // a load, which holds its data set while it runs
+  bool in_order = false;    // jobs with one key run one at a time, as taken
+  bool holds_data = false;  // a load, which holds its data set while it runs
   bool waits_for_load = false;
   std::optional<std::vector<ZoneId>> zones = std::nullopt;  // where bound: nowhere else
   std::optional<std::vector<KindId>> kinds = std::nullopt;
@@ -83,7 +83,7 @@
   int managers = 1;
   bool list_on_request = false;
   Span ask_within{};
-  Span round{};          // least time between two deliveries of events
+  Span round{};  // least time between two deliveries of events
   Span drain_grace{};
   Span cold_lasts{};
   double cold_from = 1;
@@ -104,7 +104,7 @@
   Span longest_retry_advice{};
   double grant_cap = 1;  // most of an engine's memory that one job gets
   OutOfMemory out_of_memory = OutOfMemory::line_up;
-  Span tells_every{};    // 0: nothing tells how far a dispatch is
+  Span tells_every{};  // 0: nothing tells how far a dispatch is
   double over_share_value = 1;
   double crossing_price = 0;
   double probe_price = 0;
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -69,20 +69,32 @@
   WorkloadManager manager;
   std::map<std::uint64_t, int> numbers;
 
-  explicit Bench(const ServiceDefinition& service = small_service(), int engines = 3) : manager(service, 7, host) {
+  explicit Bench(const ServiceDefinition& service = small_service(), int engines = 3)
+      : manager(service, 7, host) {
     std::vector<ListedEngine> listed;
     for (int i = 1; i <= engines; ++i) listed.push_back(engine(i));
     list(ListNews::complete, listed);
   }
   static ListedEngine engine(int id, EngineState state = EngineState::up, int zone = 0, int kind = 0) {
-    return {.id = EngineId{static_cast<std::uint32_t>(id)}, .state = state, .zone = ZoneId{zone}, .kind = KindId{kind},
-            .cell = CellId{zone}, .online_since = std::nullopt};
+    return {.id = EngineId{static_cast<std::uint32_t>(id)},
+            .state = state,
+            .zone = ZoneId{zone},
+            .kind = KindId{kind},
+            .cell = CellId{zone},
+            .online_since = std::nullopt};
+  }
+  void list(ListNews news, const std::vector<ListedEngine>& engines) {
+    manager.list_came(now, news, engines);
   }
-  void list(ListNews news, const std::vector<ListedEngine>& engines) { manager.list_came(now, news, engines); }
   void take(int id, int type, double work_ms, std::optional<int> key = std::nullopt, double need = 500) {
-    Job job{.id = JobId{static_cast<std::uint64_t>(id)}, .type = TypeId{type}, .customer = CustomerId{-1},
-            .key = std::nullopt, .time_left = type == 0 ? ms(2000) : ms(20000), .work_ms = work_ms,
-            .memory_mb = need, .data_set = DataSetId{id % 5}};
+    Job job{.id = JobId{static_cast<std::uint64_t>(id)},
+            .type = TypeId{type},
+            .customer = CustomerId{-1},
+            .key = std::nullopt,
+            .time_left = type == 0 ? ms(2000) : ms(20000),
+            .work_ms = work_ms,
+            .memory_mb = need,
+            .data_set = DataSetId{id % 5}};
     if (key) job.key = OrderKey{static_cast<std::uint64_t>(*key)};
     manager.job_taken(now, job);
   }
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -9,8 +9,8 @@
     Outcome outcome;
     bool avoided;
   };
-  const Case cases[] = {{Outcome::done, false}, {Outcome::error, true}, {Outcome::reset, true},
-                        {Outcome::unreachable, true}};
+  const Case cases[] = {
+      {Outcome::done, false}, {Outcome::error, true}, {Outcome::reset, true}, {Outcome::unreachable, true}};
   for (const Case& c : cases) {
     Bench bench;
     int id = 0;
@@ -19,12 +19,14 @@
       const bool first = bench.engine_of(id) == 1;
       seen += first;
       bench.end(id, first ? c.outcome : Outcome::done, ms(60));
-      if (first && c.outcome != Outcome::done && bench.dispatches(id) > 1) bench.end(id, Outcome::done, ms(60));
+      if (first && c.outcome != Outcome::done && bench.dispatches(id) > 1)
+        bench.end(id, Outcome::done, ms(60));
     }
     const std::size_t before = bench.host.sent.size();
     for (int i = 0; i < 40; ++i) bench.take(++id, 0, 80);
     int first = 0;
-    for (std::size_t k = before; k < bench.host.sent.size(); ++k) first += bench.host.sent[k].engine.value == 1;
+    for (std::size_t k = before; k < bench.host.sent.size(); ++k)
+      first += bench.host.sent[k].engine.value == 1;
     assert(c.avoided ? first <= 1 : first >= 6);
   }
 }
@@ -36,7 +38,8 @@
     std::map<int, int> ended;
     for (int id = 1; id <= 200; ++id) {
       bench.take(id, 0, 80);
-      while (bench.answers(id) == 0 && bench.dispatches(id) > ended[id]) bench.end(id, Outcome::error, ms(30), ended[id]++);
+      while (bench.answers(id) == 0 && bench.dispatches(id) > ended[id])
+        bench.end(id, Outcome::error, ms(30), ended[id]++);
     }
     std::map<std::uint32_t, int> used;
     const std::size_t before = bench.host.sent.size();
@@ -46,17 +49,18 @@
   }
 }
 
-// An engine that takes work and answers nothing: what may run again goes elsewhere, in the way the service allows.
+// An engine that takes work and answers nothing: what may run again goes elsewhere, in the way the service
+// allows.
 void silence() {
   struct Case {
     bool second_copies, may_stop;
     Effect effect;
     bool copied, stopped;
   };
-  const Case cases[] = {{true, false, Effect::restartable, true, false}, {false, true, Effect::restartable, false, true},
-                        {true, false, Effect::run_once, false, false},   {false, true, Effect::keyed, false, true},
-                        {false, true, Effect::run_once, false, false},
-                        {false, false, Effect::restartable, false, false}};
+  const Case cases[] = {
+      {true, false, Effect::restartable, true, false}, {false, true, Effect::restartable, false, true},
+      {true, false, Effect::run_once, false, false},   {false, true, Effect::keyed, false, true},
+      {false, true, Effect::run_once, false, false},   {false, false, Effect::restartable, false, false}};
   for (const Case& c : cases) {
     ServiceDefinition service = small_service();
     service.second_copies = c.second_copies;
@@ -78,8 +82,10 @@
     Effect effect;
     bool stopped;
   };
-  const Case cases[] = {{0.02, Effect::restartable, true}, {0.5, Effect::restartable, false},
-                        {0.02, Effect::keyed, false}, {0.02, Effect::run_once, false}};
+  const Case cases[] = {{0.02, Effect::restartable, true},
+                        {0.5, Effect::restartable, false},
+                        {0.02, Effect::keyed, false},
+                        {0.02, Effect::run_once, false}};
   for (const Case& c : cases) {
     ServiceDefinition service = small_service();
     service.may_stop = true;
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -1,26 +1,26 @@
 // The ordinary path: grants, slots, order of release, ranking, homes; and what is not taken on.
-#include "bench.h"
-
 #include <cmath>
 
+#include "bench.h"
+
 using namespace pearchute;
 
 // One manager of two on one engine of 8 cores and 16000 MB: 16 slots, a floor of 1000 MB.
 void grants() {
   struct Case {
-    int running;      // long jobs of two threads and 1000 MB out before
+    int running;  // long jobs of two threads and 1000 MB out before
     double need;
     bool goes;
     double least, most;
   };
   const Case cases[] = {
-      {0, 500, true, 560, 565},        // no pressure: the estimate and an eighth
-      {0, 20000, true, 7999, 8001},    // never more than the cap of half an engine
-      {7, 500, true, 999, 1001},       // the last slots: at least the floor
-      {7, 2500, true, 2800, 2820},     // headroom yields to the estimate
-      {7, 9000, true, 7999, 8001},     // the cap bounds the estimate
-      {7, -6000, false, 0, 0},         // would spill beside others that hold more: waits
-      {8, 500, false, 0, 0},           // slots full
+      {0, 500, true, 560, 565},      // no pressure: the estimate and an eighth
+      {0, 20000, true, 7999, 8001},  // never more than the cap of half an engine
+      {7, 500, true, 999, 1001},     // the last slots: at least the floor
+      {7, 2500, true, 2800, 2820},   // headroom yields to the estimate
+      {7, 9000, true, 7999, 8001},   // the cap bounds the estimate
+      {7, -6000, false, 0, 0},       // would spill beside others that hold more: waits
+      {8, 500, false, 0, 0},         // slots full
   };
   for (const Case& c : cases) {
     Bench bench(small_service(), 1);
@@ -83,11 +83,13 @@
       for (int i = from; i < from + 60; ++i) {
         bench.take(i, 1, 1000);
         if (i % 6 != 0) continue;
-        for (int j = i - 5; j <= i; ++j) bench.end(j, Outcome::done, bench.engine_of(j) == 1 ? c.first_took : ms(500));
+        for (int j = i - 5; j <= i; ++j)
+          bench.end(j, Outcome::done, bench.engine_of(j) == 1 ? c.first_took : ms(500));
       }
       if (round == 0) continue;
       int first = 0;
-      for (std::size_t k = before; k < bench.host.sent.size(); ++k) first += bench.host.sent[k].engine.value == 1;
+      for (std::size_t k = before; k < bench.host.sent.size(); ++k)
+        first += bench.host.sent[k].engine.value == 1;
       assert(first >= c.least && first <= c.most);
     }
   }
--- a/tests/test_rules.cpp
+++ b/tests/test_rules.cpp
@@ -47,7 +47,8 @@
   }
 }
 
-// Rule 2: a keyed job that may have run stays with those that drop its repeats, and only as long as they know it.
+// Rule 2: a keyed job that may have run stays with those that drop its repeats, and only as long as they know
+// it.
 void keyed_stays() {
   struct Case {
     Reach reach;
@@ -56,9 +57,9 @@
     bool goes;
   };
   const Case cases[] = {
-      {Reach::all, 1, seconds(10), ms(50), true},   {Reach::zone, 1, seconds(10), ms(50), false},
-      {Reach::zone, 0, seconds(10), ms(50), true},  {Reach::cell, 1, seconds(10), ms(50), false},
-      {Reach::all, 0, ms(1000), ms(991), false},    {Reach::all, 0, ms(1000), ms(985), true},
+      {Reach::all, 1, seconds(10), ms(50), true},  {Reach::zone, 1, seconds(10), ms(50), false},
+      {Reach::zone, 0, seconds(10), ms(50), true}, {Reach::cell, 1, seconds(10), ms(50), false},
+      {Reach::all, 0, ms(1000), ms(991), false},   {Reach::all, 0, ms(1000), ms(985), true},
   };
   for (const Case& c : cases) {
     ServiceDefinition service = small_service();
@@ -127,7 +128,9 @@
     Span launched_before;  // how long the manager had run
     bool limited;
   };
-  const Case cases[] = {{ms(0), seconds(20), true}, {seconds(5), seconds(20), true}, {ms(0), ms(0), true},
+  const Case cases[] = {{ms(0), seconds(20), true},
+                        {seconds(5), seconds(20), true},
+                        {ms(0), ms(0), true},
                         {seconds(30), seconds(40), false}};
   for (const Case& c : cases) {
     ServiceDefinition service = small_service();
