--- a/src/control.cpp
+++ b/src/control.cpp
@@ -368,10 +368,10 @@
   while (!sends.empty() && sends.front().first < now - rules_.tip_window - rules_.round) sends.pop_front();
   double sent = 0;
   for (const auto& [when, work] : sends) sent += work;
-  // Half of this manager's even part of the stated budget, at 0.85 of a core since capacity is counted so:
-  // speeds, learned means and the others' restarts are uncertain.
+  // Four fifths of this manager's even part of the stated budget: speeds and learned means are uncertain, but
+  // not all managers send at once, and an engine soon does more than it starts with.
   const double window = in_ms(rules_.tip_window) / rules_.managers;
-  double budget = 0.5 * rules_.tip_multiple * rules_.cold_from * 0.85 * kind_of(engine).cores * window;
+  double budget = 0.8 * rules_.tip_multiple * rules_.cold_from * kind_of(engine).cores * window;
   // Guards against a restarted manager spending again what its last life has spent.
   if (now < rules_.tip_window) budget /= 2;
   return budget - sent;
