--- a/src/control.cpp
+++ b/src/control.cpp
@@ -409,8 +409,12 @@
   for (const TypeFigures& type : types_)
     usual = std::max(usual, type.usual_memory_mb.value * type.memory_bias);
   double most = std::max(memory * share_, std::min(memory, 2 * usual));
-  // Exception: where load reports show what the others hold, the ledger is bounded by what they leave.
-  if (engine.others_bytes) most = std::min(most, std::max(memory - *engine.others_bytes, 0.1 * memory));
+  // Exception: where engines tell the share of memory granted, the ledger goes by what the others leave. Half
+  // of what is free beyond its own part is this manager's, since others read the same report.
+  if (engine.others_bytes) {
+    const double left = std::max(memory - *engine.others_bytes, 0.1 * memory);
+    most = std::min(left, std::max(most, engine.live_bytes + (left - engine.live_bytes) / 2));
+  }
   return most;
 }
 
@@ -722,12 +726,13 @@
 // Others' part of the engine's memory, where it tells: the one thing that separate ledgers cannot add up.
 void WorkloadManager::heed(Span now, Engine& engine, const LoadReport& load) {
   if (engine.listed.kind.value < 0) return;
-  // Exception: where engines tell how many jobs they hold, this manager may also use its share of the threads
+  // Exception: where engines tell how many jobs they hold, this manager may also use half of the threads
   // that are free there, up to one and a half a core (the least that engines do before they get less done).
   if (load.outstanding && engine.dispatches >= 0) {
     const double threads = engine.dispatches > 0 ? double(engine.live_threads) / engine.dispatches : 1.5;
     const double taken = std::max(*load.outstanding, 0.0 + engine.dispatches) * threads;
-    engine.told_slots = engine.live_threads + share_ * (1.5 * kind_of(engine).cores - taken);
+    const double most = 1.5 * kind_of(engine).cores;
+    engine.told_slots = engine.live_threads + std::max(share_, 0.5) * (most - taken);
     engine.told_at = now;
   }
   if (!load.memory_share) return;
