Spills teach as slowly as answers, to half over at most

Cause: where engines are short all jobs spill, the bias went to its bound of two, and doubled grants made them shorter.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -188,10 +188,10 @@
   const Job& job = jobs_.at(id).job;
   const double estimate = job.memory_mb.value_or(0), grant = find(id, number)->grant;
   if (estimate <= 0 || grant < estimate) return;  // not the estimate's fault
-  TypeFigures& type = types_[job.type.value];
-  // Guards against estimates that lie low by type: an eighth of the way, so that one odd job moves little.
-  type.memory_bias += ((grant + missing_mb) / estimate - type.memory_bias) / 8;
-  type.memory_bias = std::clamp(type.memory_bias, 0.5, 2.0);
+  double& bias = types_[job.type.value].memory_bias;
+  // Guards against estimates that lie low by type: a fiftieth of the way, as answers teach, to half over at
+  // most, since an engine that is short makes jobs spill too.
+  bias = std::min(bias + ((grant + missing_mb) / estimate - bias) / 50, 1.5);
 }
 
 void WorkloadManager::dispatch_ended(Span now, JobId id, int number, Outcome outcome, Span elapsed,
