--- a/src/control.cpp
+++ b/src/control.cpp
@@ -659,7 +659,7 @@
   // times that, where engines begin to get less done. The least is where all even parts make one thread a
   // core.
   if (engine.stretch > 1.5) engine.slots *= 1 - 0.15 * weight(held);
-  else if (engine.live_threads > 0.7 * engine.slots) engine.slots *= 1 + 0.15 * weight(held);
+  else if (engine.live_threads > 0.7 * engine.slots) engine.slots += weight(held) * std::max(0.15 * engine.slots, 1.0);
   engine.slots = std::clamp(engine.slots, engine.least_slots, 6 * engine.least_slots);
 }
 
