--- a/src/control.cpp
+++ b/src/control.cpp
@@ -48,10 +48,9 @@
     : host_(host), chance_(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32))), rules_(service) {
   subscribe_wait_ = milliseconds(500), cut_ = infinite;
   for (const ReservationType& type : service.types) types_.emplace_back().type = type;
-  // Managers carry unequal parts of the traffic, so a customer's even part is taken half again as large.
-  for (const Customer& customer : service.customers) {
-    customer_quota_.push_back(customer.jobs_per_second * std::min(1.0, 1.5 / service.managers));
-  }
+  double sum = 1e-9;
+  for (const Customer& customer : service.customers) sum += customer.jobs_per_second;
+  for (const Customer& one : service.customers) customer_portion_.push_back(one.jobs_per_second / sum);
   customer_rate_.assign(service.customers.size(), 0);
   kinds_ = service.kinds;
   rules_.types.clear(), rules_.customers.clear(), rules_.kinds.clear();
@@ -117,7 +116,7 @@
   const Span sla = type.type.sla_time + from_ms(type.type.sla_stretch * ideal_ms(held));
   held.sla_end = std::min(now + sla, held.end);
   if (rules_.ration_window) taken_.push_back(now);
-  if (job.customer.value >= 0) customer_rate_[job.customer.value] += 1;
+  if (job.customer.value >= 0) customer_rate_[job.customer.value] += 1.0 / 5;
   if (job.key && type.type.in_order) lines_[*job.key].jobs.push_back(job.id);
   host_.wake_in(held.end - now, held.turn);
   job_rate_ += 1.0 / 5;
@@ -217,8 +216,7 @@
   heed(now, engine, load);
 
   if (outcome == Outcome::done) {
-    engine.last_word = now;
-    engine.strikes = 0;
+    engine.last_word = now, engine.strikes = 0;
     engine.on_trial = engine.error_rate > 0.2;
     engine.error_rate *= 0.9;  // a memory of about ten dispatches
     // What jobs needed corrects the estimates of their type, over some fifty of them, or stands in for them.
@@ -233,8 +231,7 @@
     engine.error_rate = 0.9 * engine.error_rate + 0.1;
     if (engine.error_rate > 0.3 || engine.on_trial) sign_of_trouble(now, engine, false);
   } else if (outcome == Outcome::full) {
-    engine.last_word = now;
-    engine.last_full = now;
+    engine.last_word = engine.last_full = now;
     engine.slots = std::max(engine.slots * 0.8, 2.0);
   } else if (outcome == Outcome::unreachable || outcome == Outcome::reset) {
     sign_of_trouble(now, engine, true);
@@ -247,9 +244,8 @@
     held.doubt_zone = engine.listed.zone;
     held.doubt_cell = engine.listed.cell;
   }
-  const bool unsure =
-      outcome == Outcome::timed_out || outcome == Outcome::reset || outcome == Outcome::stopped;
-  if (held.job.key && type.type.in_order && unsure) {
+  const bool sure = proves_not_run(outcome) || outcome == Outcome::done || outcome == Outcome::error;
+  if (held.job.key && type.type.in_order && !sure) {
     OrderLine& line = lines_[*held.job.key];
     line.rests_until = std::max(line.rests_until, now + rules_.order_rest);
     host_.wake_in(rules_.order_rest + rules_.round, beat_mark + 2);
@@ -479,9 +475,11 @@
 double WorkloadManager::density(const HeldJob& held) const {
   const TypeFigures& type = types_[held.job.type.value];
   double value = std::max(type.type.billed_value, 1e-9);
-  if (const int customer = held.job.customer.value; customer >= 0 && customer_quota_[customer] > 0) {
-    const double part = customer_quota_[customer] / std::max(customer_rate_[customer], 1e-9);
-    const double beyond = std::max(0.0, 1 - part);
+  // No manager knows the whole of a customer's traffic, so its part of this manager's own is held against its
+  // share.
+  if (const int customer = held.job.customer.value; customer >= 0) {
+    const double fair = customer_portion_[customer] * job_rate_;
+    const double beyond = std::max(0.0, 1 - fair / std::max(customer_rate_[customer], 1e-9));
     value *= 1 - beyond * (1 - rules_.over_share_value);
   }
   return value / std::max(held.work_ms * type.work_bias, 1e-3);
@@ -659,7 +657,8 @@
   // times that, where engines begin to get less done. The least is where all even parts make one thread a
   // core.
   if (engine.stretch > 1.5) engine.slots *= 1 - 0.15 * weight(held);
-  else if (engine.live_threads > 0.7 * engine.slots) engine.slots += weight(held) * std::max(0.15 * engine.slots, 1.0);
+  else if (engine.live_threads > 0.7 * engine.slots)
+    engine.slots += weight(held) * std::max(0.15 * engine.slots, 1.0);
   engine.slots = std::clamp(engine.slots, engine.least_slots, 6 * engine.least_slots);
 }
 
--- a/src/control.h
+++ b/src/control.h
@@ -102,7 +102,7 @@
   std::knuth_b chance_;
   std::vector<TypeFigures> types_;
   ServiceDefinition rules_;                             // figures only: its lists are emptied once read
-  std::vector<double> customer_quota_, customer_rate_;  // jobs a second, a smoothed count
+  std::vector<double> customer_portion_, customer_rate_;  // jobs a second, a smoothed count
   std::vector<MachineKind> kinds_;
   double share_ = 1;
   Span spare_end_{};  // how long before the client's end a final answer is sent
