--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -114,7 +114,37 @@
   }
 }
 
+// An answer that is lost while its engine answers others: found by itself, and no storm of such rescues.
+void lost_answers() {
+  ServiceDefinition service = small_service();
+  service.may_stop = true;
+  Bench lossy(service, 1);
+  lossy.take(1, 1, 500);
+  for (int id = 2; id <= 80; ++id) {
+    lossy.take(id, 0, 80);
+    lossy.pass(ms(100));
+    if (lossy.dispatches(id)) lossy.end(id, Outcome::done, ms(80));
+  }
+  assert(lossy.host.stopped.size() == 1 && lossy.host.stopped[0].first.value == 1);
+}
+
+// A judgement of slowness ends with its cause: after a while of rest a long job is taken on again.
+void judgement_fades() {
+  for (const bool rested : {false, true}) {
+    Bench bench(small_service(), 1);
+    for (int id = 1; id <= 30; ++id) {
+      bench.take(id, 1, 1000);
+      if (bench.dispatches(id)) bench.end(id, Outcome::done, id < 15 ? ms(500) : ms(6000));
+    }
+    bench.pass(rested ? seconds(30) : ms(200));
+    bench.take(100, 1, 14000);
+    assert((bench.dispatches(100) == 1) == rested);
+  }
+}
+
 int main() {
+  lost_answers();
+  judgement_fades();
   engines_in_trouble();
   never_all_closed();
   silence();
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -111,7 +111,31 @@
   }
 }
 
+// What an engine tells of its load opens slots beyond the learned ones, and old news does not.
+void told_room() {
+  struct Case {
+    std::optional<double> outstanding;
+    Span age;
+    bool goes;
+  };
+  const Case cases[] = {
+      {std::nullopt, ms(0), false}, {2, ms(0), true}, {40, ms(0), false}, {2, ms(2500), false}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.managers = 8;  // a quarter of 16 threads: two long jobs
+    Bench bench(service, 1);
+    for (int id = 1; id <= 2; ++id) bench.take(id, 1, 2000);
+    LoadReport load;
+    load.outstanding = c.outstanding;
+    bench.manager.probe_ended(bench.now, EngineId{1}, Outcome::done, ms(1), load);
+    bench.now += c.age;
+    bench.take(3, 1, 2000);
+    assert((bench.dispatches(3) == 1) == c.goes);
+  }
+}
+
 int main() {
+  told_room();
   grants();
   release();
   overtaking();
