--- a/src/drill/fields.h
+++ b/src/drill/fields.h
@@ -1,40 +1,37 @@
-// The parts of one line of the simulator's wire: a message name and name=value pairs.
+// One line of the simulator's wire: a message name and name=value pairs, set apart by tabs. It refers to the
+// line that it was read from.
 #pragma once
 
-#include <cstdint>
-#include <optional>
-#include <stdexcept>
-#include <string>
 #include <string_view>
-#include <utility>
-#include <vector>
 
-namespace pearchute::drill {
-
-// Says what is wrong with a line, in plain words; the session adds which line it is.
-struct Malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+#include "service/named_values.h"
 
-std::vector<std::string_view> split(std::string_view text, char by);
+namespace pearchute::drill {
 
 class Fields {
  public:
-  void read(std::string_view line);
+  void read(std::string_view line) {
+    values_.clear();
+    std::size_t tab = line.find('\t');
+    message_ = line.substr(0, tab);
+    while (tab != std::string_view::npos) {
+      line.remove_prefix(tab + 1);
+      tab = line.find('\t');
+      if (const std::string_view part = line.substr(0, tab); !part.empty()) values_.add_pair(part);
+    }
+  }
   std::string_view message() const { return message_; }
-  std::optional<std::string_view> text(std::string_view name) const;
-  std::string_view required_text(std::string_view name) const;
-  std::optional<std::int64_t> whole(std::string_view name) const;
-  std::int64_t required_whole(std::string_view name) const;
-  std::optional<double> number(std::string_view name) const;
-  bool flag(std::string_view name) const;  // false where absent
+  const service::NamedValues& values() const { return values_; }
+  std::optional<std::string_view> text(std::string_view name) const { return values_.text(name); }
+  std::string_view required_text(std::string_view name) const { return values_.required_text(name); }
+  std::optional<std::int64_t> whole(std::string_view name) const { return values_.whole(name); }
+  std::int64_t required_whole(std::string_view name) const { return values_.required_whole(name); }
+  std::optional<double> number(std::string_view name) const { return values_.number(name); }
+  bool flag(std::string_view name) const { return values_.flag(name); }
 
  private:
   std::string_view message_;
-  std::vector<std::pair<std::string_view, std::string_view>> pairs_;
+  service::NamedValues values_;
 };
 
-std::int64_t whole_in(std::string_view name, std::string_view value);
-double number_in(std::string_view name, std::string_view value);
-
 }  // namespace pearchute::drill
--- a/src/drill/session.cpp
+++ b/src/drill/session.cpp
@@ -5,34 +5,16 @@
 #include <ostream>
 
 #include "control.h"
+#include "service/deployment.h"
 
 namespace pearchute::drill {
 
 namespace {
 
-int position(const std::vector<std::string>& names, std::string_view name) {
-  const auto it = std::ranges::find(names, name);
-  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
-}
-
-std::vector<std::string> list(const Fields& fields, std::string_view name) {
-  std::vector<std::string> items;
-  const auto value = fields.text(name);
-  if (!value || value->empty()) return items;
-  for (const std::string_view item : split(*value, ',')) items.emplace_back(item);
-  return items;
-}
-
-Span span_of(const Fields& fields, std::string_view name) { return Span(fields.whole(name).value_or(0)); }
-
-template <class Value>
-Value one_of(std::string_view name, std::string_view word,
-             std::initializer_list<std::pair<std::string_view, Value>> words) {
-  for (const auto& [known, value] : words) {
-    if (known == word) return value;
-  }
-  throw Malformed("'" + std::string(name) + "' is '" + std::string(word) + "', which is not known");
-}
+using service::Malformed;
+using service::number_in;
+using service::one_of;
+using service::split;
 
 Outcome outcome_of(std::string_view word) {
   return one_of<Outcome>("stateCode", word,
@@ -70,23 +52,24 @@
 class Instance final : public Host {
  public:
   Instance(Session& session, std::int64_t number, const Fields& fields)
-      : session_(session), number_(number), start_(session.clock_) {
-    const ServiceDefinition service = service_of(fields);
+      : session_(session),
+        number_(number),
+        start_(session.clock_),
+        deployment_(service::decode(fields.values())) {
     manager_ = std::make_unique<WorkloadManager>(
-        service, static_cast<std::uint64_t>(fields.required_whole("nonce64")), *this);
+        deployment_.service, static_cast<std::uint64_t>(fields.required_whole("nonce64")), *this);
   }
 
   WorkloadManager& manager() { return *manager_; }
   Span now() const { return session_.clock_ - start_; }
   Span start() const { return start_; }
+  const service::Deployment& deployment() const { return deployment_; }
   TypeId type(std::string_view name) const {
-    const int at = position(types_, name);
-    if (at < 0) throw Malformed("'type' is '" + std::string(name) + "', which the settings do not name");
-    return TypeId{at};
+    const TypeId type = deployment_.type(name);
+    if (type.value < 0)
+      throw Malformed("'type' is '" + std::string(name) + "', which the settings do not name");
+    return type;
   }
-  CustomerId customer(std::string_view name) const { return CustomerId{position(customers_, name)}; }
-  ZoneId zone(std::string_view name) const { return ZoneId{position(zones_, name)}; }
-  KindId kind(std::string_view name) const { return KindId{position(kinds_, name)}; }
 
   void dispatch(JobId job, EngineId engine, Span time_limit) override {
     begin("TRANSMIT").add("handle", job.value).add("engine", engine.value);
@@ -117,8 +100,6 @@
   void remark(std::string_view text) override { begin("REMARK").add("noteText", text).end(); }
 
  private:
-  ServiceDefinition service_of(const Fields& fields);
-
   Instance& begin(std::string_view action) {
     std::string& reply = session_.reply_;
     if (session_.reply_for_ != number_) {
@@ -141,107 +122,10 @@
   Session& session_;
   std::int64_t number_;
   Span start_;
-  std::vector<std::string> types_, customers_, zones_, kinds_;
+  service::Deployment deployment_;
   std::unique_ptr<WorkloadManager> manager_;
 };
 
-ServiceDefinition Instance::service_of(const Fields& fields) {
-  ServiceDefinition service;
-  zones_ = list(fields, "failureDomains");
-  kinds_ = list(fields, "hostTypes");
-  service.zone = zone(fields.text("zone").value_or(""));
-  service.own_number = static_cast<int>(fields.whole("me").value_or(0));
-  service.managers = static_cast<int>(fields.whole("nInstances").value_or(1));
-
-  const auto per_type = [&](std::string_view name, std::size_t i) -> std::optional<std::string> {
-    const std::vector<std::string> items = list(fields, name);
-    return i < items.size() ? std::optional(items[i]) : std::nullopt;
-  };
-  const std::int64_t types = fields.required_whole("classes.count");
-  if (types < 1 || types > 1000) throw Malformed("'classes.count' is out of range");
-  for (std::int64_t i = 0; i < types; ++i) {
-    const auto at = [&](const char* name) { return "classes." + std::to_string(i) + "." + name; };
-    types_.emplace_back(fields.required_text(at("name")));
-    ReservationType type;
-    type.effect = one_of<Effect>(
-        at("repeat"), fields.text(at("repeat")).value_or("pure"),
-        {{"pure", Effect::restartable}, {"token", Effect::keyed}, {"side_effect", Effect::run_once}});
-    type.reach = one_of<Reach>(at("keyScope"), fields.text(at("keyScope")).value_or("all"),
-                               {{"all", Reach::all}, {"zone", Reach::zone}, {"cell", Reach::cell}});
-    type.repeat_window = span_of(fields, at("window"));
-    type.sla_time = span_of(fields, at("slo"));
-    type.sla_stretch = fields.number(at("aimStretch")).value_or(0);
-    type.job_timeout = span_of(fields, at("giveUp"));
-    type.billed_value = fields.number(at("worth")).value_or(1);
-    type.late_share = fields.number(at("lateValue")).value_or(0);
-    type.in_order = fields.flag(at("byArrival"));
-    const std::size_t index = static_cast<std::size_t>(i);
-    if (const auto threads = per_type("familyInfo.parallelism", index)) {
-      type.threads = std::max(1, static_cast<int>(whole_in("familyInfo.parallelism", *threads)));
-    }
-    type.holds_data = per_type("familyInfo.classLoad", index) == "true";
-    type.waits_for_load = per_type("familyInfo.classWaits", index) == "true";
-    if (const auto names = list(fields, at("runsIn")); !names.empty()) {
-      type.zones.emplace();
-      for (const std::string& name : names) type.zones->push_back(zone(name));
-    }
-    if (const auto names = list(fields, at("boundTo")); !names.empty()) {
-      type.kinds.emplace();
-      for (const std::string& name : names) type.kinds->push_back(kind(name));
-    }
-    service.types.push_back(type);
-  }
-  const std::int64_t customers = fields.whole("orgs.count").value_or(0);
-  for (std::int64_t i = 0; i < customers; ++i) {
-    const std::string at = "orgs." + std::to_string(i) + ".";
-    customers_.emplace_back(fields.text(at + "name").value_or(""));
-    service.customers.push_back({.jobs_per_second = fields.number(at + "quotaPerS").value_or(0)});
-  }
-  for (std::size_t i = 0; i < kinds_.size(); ++i) {
-    MachineKind machine;
-    if (const auto cores = per_type("familyInfo.coresByKind", i)) {
-      machine.cores = std::max(1, static_cast<int>(number_in("familyInfo.coresByKind", *cores)));
-    }
-    if (const auto size = per_type("familyInfo.sizeMb", i))
-      machine.memory_mb = number_in("familyInfo.sizeMb", *size);
-    service.kinds.push_back(machine);
-  }
-  service.list_on_request = fields.text("discovery") == "on_request";
-  service.ask_within = span_of(fields, "obligations.askWithin");
-  service.round = span_of(fields, "round");
-  service.drain_grace = span_of(fields, "obligations.stopSendingWithin");
-  service.cold_lasts = span_of(fields, "obligations.cold");
-  service.cold_from = fields.number("obligations.coldFrom").value_or(1);
-  service.tip_multiple = fields.number("obligations.tipMultiple").value_or(0);
-  service.tip_window = span_of(fields, "obligations.fall");
-  service.order_rest = span_of(fields, "obligations.orderPause");
-  if (const auto span = fields.whole("obligations.ratioSpan")) {
-    service.ration_window = Span(*span);
-    service.ration_few = fields.number("obligations.freeResends").value_or(0);
-    service.ration_share = fields.number("obligations.extraShare").value_or(0);
-  }
-  service.most_dispatches = static_cast<int>(fields.whole("limits.attemptsCap").value_or(1));
-  service.second_copies = fields.flag("limits.secondCopies");
-  service.may_stop = fields.flag("limits.cancel");
-  service.may_probe = fields.flag("limits.mayProbe");
-  service.takes_retry_advice = fields.flag("limits.retryAfter");
-  service.longest_retry_advice = span_of(fields, "limits.maxRetryAfter");
-  service.reports_in_probes = fields.text("feedback.how") == "probe";
-  service.takes_grants = fields.flag("familyInfo.takesGrants");
-  service.takes_priority = fields.flag("familyInfo.takesPriority");
-  service.grant_cap = fields.number("familyInfo.grantCap").value_or(1);
-  service.out_of_memory =
-      one_of<OutOfMemory>("familyInfo.outOfMemory", fields.text("familyInfo.outOfMemory").value_or("line_up"),
-                          {{"line_up", OutOfMemory::line_up},
-                           {"cut", OutOfMemory::cut},
-                           {"overcommit", OutOfMemory::overcommit}});
-  service.tells_every = span_of(fields, "familyInfo.tellsEvery");
-  service.over_share_value = fields.number("overShareWorth").value_or(1);
-  service.crossing_price = fields.number("prices.crossZone").value_or(0);
-  service.probe_price = fields.number("prices.probe").value_or(0);
-  return service;
-}
-
 Session::Session(std::istream& in, std::ostream& out) : in_(in), out_(out) {}
 Session::~Session() = default;
 
@@ -350,7 +234,7 @@
     Job taken;
     taken.id = job();
     taken.type = instance.type(fields_.required_text("type"));
-    taken.customer = instance.customer(fields_.text("party").value_or(""));
+    taken.customer = instance.deployment().customer(fields_.text("party").value_or(""));
     if (const auto key = fields_.whole("target")) taken.key = OrderKey{static_cast<std::uint64_t>(*key)};
     taken.time_left = Span(fields_.required_whole("expiresIn"));
     const std::int64_t flags = fields_.whole("flags").value_or(0);
@@ -388,8 +272,8 @@
     std::vector<ListedEngine> engines;
     for (const PoolEntry& entry : pool->second) {
       ListedEngine& engine = engines.emplace_back(entry.engine);
-      engine.zone = instance.zone(entry.zone);
-      engine.kind = instance.kind(entry.kind);
+      engine.zone = instance.deployment().zone(entry.zone);
+      engine.kind = instance.deployment().kind(entry.kind);
       if (entry.online_since && *entry.online_since > 0)
         engine.online_since = Span(*entry.online_since) - instance.start();
     }
--- /dev/null
+++ b/src/net/driver.cpp
@@ -0,0 +1,333 @@
+#include "driver.h"
+
+#include <Poco/Exception.h>
+#include <Poco/NObserver.h>
+#include <Poco/Net/NetException.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+namespace pearchute::net {
+
+using Poco::NObserver;
+using Poco::Net::ErrorNotification;
+using Poco::Net::ReadableNotification;
+using Poco::Net::WritableNotification;
+
+// ---- Buffers ----
+
+std::unique_ptr<BufferPool::Buffer> BufferPool::take() {
+  ++out_;
+  if (idle_.empty()) return std::unique_ptr<Buffer>(new Buffer);  // not cleared: 16 kB for each would cost
+  std::unique_ptr<Buffer> buffer = std::move(idle_.back());
+  idle_.pop_back();
+  buffer->begin = buffer->end = 0;
+  return buffer;
+}
+
+void BufferPool::give_back(std::unique_ptr<Buffer> buffer) {
+  constexpr std::size_t most_idle = 256;  // 4 MB; what a burst needed beyond goes back to the system
+  --out_;
+  if (idle_.size() < most_idle) idle_.push_back(std::move(buffer));
+}
+
+// ---- Loop ----
+
+Loop::Loop() { setTimeout(Poco::Timespan(0, 100'000)); }
+Loop::~Loop() { settle(); }
+
+Span Loop::now() const {
+  return std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - start_);
+}
+
+void Loop::at(Span when, std::function<void()> what) {
+  timers_.push_back({when, next_order_++, std::move(what)});
+  std::push_heap(timers_.begin(), timers_.end());
+  set_wait();
+}
+
+void Loop::set_wait() {
+  // To the next timer, a tenth of a second at most. Rounded up to whole milliseconds, which is what the poll
+  // counts in: rounded down, it would spin through the last one.
+  Span wait = std::chrono::milliseconds(100);
+  if (!timers_.empty()) wait = std::clamp(timers_.front().when - now(), Span(0), wait);
+  const auto ms = std::chrono::ceil<std::chrono::milliseconds>(wait);
+  setTimeout(Poco::Timespan(0, static_cast<long>(Span(ms).count())));
+}
+
+void Loop::soon(std::function<void()> what) { soon_.push_back(std::move(what)); }
+
+void Loop::retire(std::unique_ptr<Wire> wire) {
+  if (!wire) return;
+  wire->close();
+  retired_.push_back(std::move(wire));
+}
+
+void Loop::finish(std::unique_ptr<Wire> wire) {
+  if (!wire) return;
+  wire->close_when_written();
+  finishing_.push_back(std::move(wire));
+  // A peer that reads nothing for so long is not waited for.
+  at(now() + std::chrono::seconds(2), [this, late = finishing_.back().get()] {
+    for (auto& one : finishing_) {
+      if (one.get() == late) late->close();
+    }
+  });
+}
+
+void Loop::settle() {
+  if (settling_) return;
+  settling_ = true;
+  while (!soon_.empty()) {
+    const std::function<void()> what = std::move(soon_.front());
+    soon_.pop_front();
+    what();
+  }
+  retired_.clear();
+  std::erase_if(finishing_, [](const auto& wire) { return wire->closed(); });
+  settling_ = false;
+}
+
+void Loop::tick() {
+  while (!timers_.empty() && timers_.front().when <= now()) {
+    std::pop_heap(timers_.begin(), timers_.end());
+    const std::function<void()> what = std::move(timers_.back().what);
+    timers_.pop_back();
+    what();
+    settle();
+  }
+  settle();
+  set_wait();
+}
+
+// ---- Wire ----
+
+Wire::Wire(Loop& loop, const Poco::Net::StreamSocket& accepted, User& user)
+    : loop_(loop), socket_(accepted), user_(&user), opened_(true) {
+  start();
+}
+
+Wire::Wire(Loop& loop, const Poco::Net::SocketAddress& to, User& user) : loop_(loop), user_(&user) {
+  bool refused = false;
+  try {
+    socket_.connectNB(to);
+  } catch (const Poco::Exception&) {
+    refused = true;
+  }
+  if (!refused) {
+    start();
+    return;
+  }
+  // Told after the event at hand, as any other ending is.
+  ++loop_.descriptors_;
+  loop_.soon([this] { ended(); });
+}
+
+void Wire::start() {
+  ++loop_.descriptors_;
+  socket_.setBlocking(false);
+  if (opened_) socket_.setNoDelay(true);
+  registered_ = true;
+  loop_.addEventHandler(socket_, NObserver<Wire, ReadableNotification>(*this, &Wire::on_readable));
+  loop_.addEventHandler(socket_, NObserver<Wire, ErrorNotification>(*this, &Wire::on_error));
+  if (!opened_) want_writable(true);
+}
+
+Wire::~Wire() { close(); }
+
+void Wire::close() {
+  if (closed_) return;
+  closed_ = true;
+  user_ = nullptr;
+  if (registered_) {
+    want_writable(false);
+    loop_.removeEventHandler(socket_, NObserver<Wire, ReadableNotification>(*this, &Wire::on_readable));
+    loop_.removeEventHandler(socket_, NObserver<Wire, ErrorNotification>(*this, &Wire::on_error));
+  }
+  --loop_.descriptors_;
+  try {
+    socket_.close();
+  } catch (const Poco::Exception&) {
+    // Nothing is left to close.
+  }
+  for (auto& buffer : out_) loop_.buffers_.give_back(std::move(buffer));
+  out_.clear();
+  waiting_ = 0;
+}
+
+void Wire::close_when_written() {
+  user_ = nullptr;
+  closing_ = true;
+  if (waiting_ == 0) close();
+}
+
+void Wire::want_writable(bool wanted) {
+  if (wanted == writable_wanted_) return;
+  writable_wanted_ = wanted;
+  const NObserver<Wire, WritableNotification> observer(*this, &Wire::on_writable);
+  if (wanted) loop_.addEventHandler(socket_, observer);
+  else loop_.removeEventHandler(socket_, observer);
+}
+
+void Wire::send(std::string_view bytes) {
+  if (closed_ || closing_) return;
+  waiting_ += bytes.size();
+  while (!bytes.empty()) {
+    if (out_.empty() || out_.back()->end == BufferPool::buffer_size) out_.push_back(loop_.buffers_.take());
+    BufferPool::Buffer& buffer = *out_.back();
+    const std::size_t part = std::min(bytes.size(), BufferPool::buffer_size - buffer.end);
+    std::memcpy(buffer.bytes.data() + buffer.end, bytes.data(), part);
+    buffer.end += part;
+    bytes.remove_prefix(part);
+  }
+  if (!opened_ || flush_due_ || writable_wanted_) return;
+  flush_due_ = true;  // what one event makes for a peer goes out together
+  loop_.soon([this] {
+    flush_due_ = false;
+    flush();
+  });
+}
+
+void Wire::flush() {
+  while (!closed_ && !out_.empty()) {
+    BufferPool::Buffer& buffer = *out_.front();
+    int sent = 0;
+    try {
+      sent = socket_.sendBytes(buffer.bytes.data() + buffer.begin, static_cast<int>(buffer.end - buffer.begin));
+    } catch (const Poco::Exception&) {
+      return ended();
+    }
+    if (sent <= 0) return want_writable(true);
+    buffer.begin += static_cast<std::size_t>(sent);
+    written_ += static_cast<std::uint64_t>(sent);
+    waiting_ -= static_cast<std::size_t>(sent);
+    if (buffer.begin == buffer.end) {
+      loop_.buffers_.give_back(std::move(out_.front()));
+      out_.pop_front();
+    }
+  }
+  if (closed_) return;
+  want_writable(false);
+  if (closing_) close();
+}
+
+void Wire::ended() {
+  if (closed_) return;
+  User* user = user_;
+  close();
+  if (user) user->wire_ended();
+}
+
+void Wire::check_opened() {
+  int error = 0;
+  try {
+    error = socket_.impl()->socketError();
+  } catch (const Poco::Exception&) {
+    error = ECONNREFUSED;
+  }
+  if (error != 0) return ended();
+  opened_ = true;
+  try {
+    socket_.setNoDelay(true);
+  } catch (const Poco::Exception&) {
+    return ended();
+  }
+  if (user_) user_->wire_opened();
+}
+
+void Wire::on_writable(const Poco::AutoPtr<WritableNotification>&) {
+  if (!closed_ && !opened_) check_opened();
+  if (!closed_) flush();
+  loop_.settle();
+}
+
+void Wire::on_error(const Poco::AutoPtr<ErrorNotification>&) {
+  ended();
+  loop_.settle();
+}
+
+void Wire::on_readable(const Poco::AutoPtr<ReadableNotification>&) {
+  if (closed_) return;
+  if (!opened_) check_opened();
+  auto buffer = loop_.buffers_.take();
+  // A few rounds at most: others wait for their turn, and what is left is told again.
+  for (int round = 0; round < 4 && !closed_; ++round) {
+    int got = 0;
+    bool broken = false;
+    try {
+      got = socket_.receiveBytes(buffer->bytes.data(), static_cast<int>(BufferPool::buffer_size));
+    } catch (const Poco::Exception&) {
+      broken = true;
+    }
+    if (broken || got == 0) {
+      ended();
+      break;
+    }
+    if (got < 0) break;
+    if (user_) user_->wire_brought({buffer->bytes.data(), static_cast<std::size_t>(got)});
+    if (got < static_cast<int>(BufferPool::buffer_size)) break;
+  }
+  loop_.buffers_.give_back(std::move(buffer));
+  loop_.settle();
+}
+
+// ---- Door ----
+
+Door::Door(Loop& loop, const Poco::Net::SocketAddress& at, std::function<bool()> has_room,
+           std::function<void(const Poco::Net::StreamSocket&)> came)
+    : loop_(loop), has_room_(std::move(has_room)), came_(std::move(came)) {
+  // As many as may come in a moment; the system cuts it to its own limit.
+  constexpr int backlog = 512;
+  socket_.bind(at, true, false);
+  socket_.listen(backlog);
+  socket_.setBlocking(false);
+  ++loop_.descriptors_;
+  listen(true);
+}
+
+Door::~Door() { shut(); }
+
+void Door::shut() {
+  if (shut_) return;
+  shut_ = true;
+  *alive_ = false;
+  listen(false);
+  socket_.close();
+  --loop_.descriptors_;
+}
+
+void Door::listen(bool wanted) {
+  if (wanted == listening_) return;
+  listening_ = wanted;
+  const NObserver<Door, ReadableNotification> observer(*this, &Door::on_readable);
+  if (wanted) loop_.addEventHandler(socket_, observer);
+  else loop_.removeEventHandler(socket_, observer);
+}
+
+// Guards against spinning on a connection that can't be accepted: those that wait stay in the backlog.
+void Door::rest() {
+  listen(false);
+  loop_.at(loop_.now() + std::chrono::milliseconds(20), [this, alive = alive_] {
+    if (*alive) listen(true);
+  });
+}
+
+void Door::on_readable(const Poco::AutoPtr<ReadableNotification>&) {
+  for (int count = 0; count < 64 && !shut_; ++count) {
+    if (!has_room_()) {
+      rest();
+      break;
+    }
+    try {
+      if (!socket_.poll(Poco::Timespan(0, 0), Poco::Net::Socket::SELECT_READ)) break;
+      came_(socket_.acceptConnection());
+    } catch (const Poco::Exception&) {
+      rest();  // out of descriptors, or the peer was gone again
+      break;
+    }
+  }
+  loop_.settle();
+}
+
+}  // namespace pearchute::net
--- /dev/null
+++ b/src/net/engines.h
@@ -0,0 +1,56 @@
+// The connections to engines: opened as dispatches need them, shared by as many as the settings allow, closed
+// before an engine would call them idle. It tells how each dispatch ends, once, whatever its connection does.
+// It never picks an engine, retries, or judges one.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "driver.h"
+#include "log.h"
+#include "resp.h"
+#include "service/deployment.h"
+
+namespace pearchute::net {
+
+class Engines {
+ public:
+  class Listener : public EngineTalk::Listener {
+   public:
+    void talk_pong() override {}
+  };
+  Engines(Loop& loop, const service::LinkLimits& limits, std::size_t most_connections, Listener& listener,
+          Counters& counters);
+  ~Engines();
+  void place(EngineId engine, const std::string& address);
+  void want(EngineId engine, DispatchKey key, const Want& want);
+  void never_mind(DispatchKey key);
+  void hurry(DispatchKey key, int priority);
+  std::size_t connections() const { return connections_; }
+
+ private:
+  class Link;
+  friend class Link;
+  struct Place {
+    std::string address;
+    std::vector<std::unique_ptr<Link>> links;
+  };
+  Link* link_for(EngineId engine, std::string_view id);
+  bool make_room();
+  void drop(Link& link);
+  void sweep();
+
+  Loop& loop_;
+  service::LinkLimits limits_;
+  std::size_t most_connections_;
+  Listener& listener_;
+  Counters& counters_;
+  std::map<EngineId, Place> places_;
+  std::map<DispatchKey, Link*> on_;
+  std::vector<std::unique_ptr<Link>> dropped_;
+  std::size_t connections_ = 0;
+};
+
+}  // namespace pearchute::net
--- /dev/null
+++ b/src/net/front.cpp
@@ -0,0 +1,481 @@
+#include "front.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "service/flatten.h"
+#include "statement.h"
+
+namespace pearchute::net {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::string_view work_path = "/do/", job_path = "/job/";
+
+std::optional<double> number_in(std::string_view text) {
+  double number = 0;
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc{} || stop != text.data() + text.size() || !std::isfinite(number)) return std::nullopt;
+  return number;
+}
+
+std::optional<std::uint64_t> hex_in(std::string_view text) {
+  std::uint64_t number = 0;
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number, 16);
+  if (text.size() != 16 || error != std::errc{} || stop != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
+// A token goes on among comma-separated fields, so it may hold nothing that would read as another.
+bool token_fits(std::string_view token) {
+  return token.size() <= 128 && std::ranges::all_of(token, [](unsigned char c) {
+           return std::isalnum(c) || c == '-' || c == '_' || c == '.';
+         });
+}
+
+std::string fault(std::string_view what) {
+  std::string body = "{\"error\":";
+  append_json_string(body, what);
+  return body + "}";
+}
+
+// The rows of all pages as an answer's body, or nothing where a page is not whole rows of three columns.
+std::optional<std::string> rows_as_json(const std::vector<std::string>& pages) {
+  std::string body = "{\"values\":[";
+  bool first = true;
+  for (const std::string& page : pages) {
+    std::string_view rest = page;
+    while (!rest.empty()) {
+      const std::size_t end = rest.find('\n');
+      if (end == std::string_view::npos) return std::nullopt;
+      std::string_view row = rest.substr(0, end);
+      rest.remove_prefix(end + 1);
+      if (std::ranges::count(row, '\t') != 2) return std::nullopt;
+      body.append(first ? "[" : ",[");
+      first = false;
+      for (int column = 0; column < 3; ++column) {
+        const std::size_t tab = row.find('\t');
+        if (column > 0) body.push_back(',');
+        append_json_string(body, row.substr(0, tab));
+        if (tab != std::string_view::npos) row.remove_prefix(tab + 1);
+      }
+      body.push_back(']');
+    }
+  }
+  return body + "]}";
+}
+
+}  // namespace
+
+// One client connection.
+class Front::Client final : public Wire::User, public HttpServerSide::Listener {
+ public:
+  Client(Front& front, ClientId id, const Poco::Net::StreamSocket& socket)
+      : front_(front), id_(id), http_(*this), since_(front.loop_.now()) {
+    wire_ = std::make_unique<Wire>(front.loop_, socket, *this);
+  }
+  ClientId id() const { return id_; }
+  HttpServerSide& http() { return http_; }
+  Wire& wire() { return *wire_; }
+  std::unique_ptr<Wire> give_wire() { return std::move(wire_); }
+  void wire_brought(std::string_view bytes) override {
+    since_ = front_.loop_.now();
+    http_.feed(bytes);
+  }
+  void wire_ended() override { front_.client_left(*this); }
+  void called(const std::string& method, const std::string& path, Message& message) override {
+    ++front_.counters_.calls;
+    front_.called(*this, method, path, message);
+  }
+  void refused_call(int status) override {
+    ++front_.counters_.bad_calls;
+    PEARCHUTE_LOG(spdlog::level::warn, "a call that can't be read: {}", status);
+    std::string out;
+    append_response(out, status, "", fault("the call can't be read"), false);
+    wire_->send(out);
+    front_.drop(*this);
+  }
+  // Nothing is open on it and nothing has come for so long.
+  bool quiet_for(Span now, Span span) const { return !http_.call_open() && now - since_ > span; }
+  void answered() { since_ = front_.loop_.now(); }
+
+  std::optional<JobId> waits_for;
+
+ private:
+  Front& front_;
+  ClientId id_;
+  HttpServerSide http_;
+  std::unique_ptr<Wire> wire_;
+  Span since_;
+};
+
+Front::Front(Loop& loop, const service::Deployment& deployment, std::uint64_t seed, std::size_t descriptors,
+             Counters& counters)
+    : loop_(loop),
+      deployment_(deployment),
+      counters_(counters),
+      // Clients hold a third at most; half leaves room for those that the system has not yet seen closing. Of
+      // the rest, a few are for the log, the list and the like.
+      most_clients_(std::max<std::size_t>(descriptors / 2, 1)),
+      engines_(loop, deployment.links, descriptors > 40 ? descriptors - descriptors / 2 - 20 : 1, *this, counters),
+      manager_(deployment_.service, seed, *this) {
+  sweep();
+}
+
+Front::~Front() = default;
+
+// ---- Clients ----
+
+void Front::client_came(const Poco::Net::StreamSocket& socket) {
+  ++counters_.connections;
+  const ClientId id{next_client_++};
+  clients_[id] = std::make_unique<Client>(*this, id, socket);
+}
+
+void Front::drop(Client& client) {
+  const auto it = clients_.find(client.id());
+  if (it == clients_.end()) return;
+  gone_.push_back(std::move(it->second));
+  clients_.erase(it);
+  loop_.soon([this] {
+    for (auto& one : gone_) {
+      if (one->wire().closed()) loop_.retire(one->give_wire());
+      else loop_.finish(one->give_wire());
+    }
+    gone_.clear();
+  });
+}
+
+void Front::client_left(Client& client) {
+  const std::optional<JobId> id = client.waits_for;
+  client.waits_for.reset();
+  drop(client);
+  if (!id) return;
+  const auto it = jobs_.find(*id);
+  if (it == jobs_.end()) return;
+  it->second.caller.reset();
+  if (it->second.has_path || it->second.answered) return;  // it may call the path again
+  it->second.answered = true;
+  ++counters_.withdrawn;
+  manager_.job_withdrawn(loop_.now(), *id);
+  forget_if_done(*id);
+}
+
+void Front::respond(ClientId id, int status, std::string_view headers, std::string_view body) {
+  const auto it = clients_.find(id);
+  if (it == clients_.end()) return;
+  Client& client = *it->second;
+  client.waits_for.reset();
+  client.answered();
+  std::string out;
+  const bool keep = client.http().keeps_alive();
+  append_response(out, status, headers, body, keep);
+  client.wire().send(out);
+  if (!keep) return drop(client);
+  // Later, since a further call may wait there, and the module may be at work on this one.
+  loop_.soon([this, id] {
+    if (const auto at = clients_.find(id); at != clients_.end()) at->second->http().answered();
+  });
+}
+
+std::optional<JobId> Front::job_of_path(std::string_view path) const {
+  if (!path.starts_with(job_path)) return std::nullopt;
+  const auto number = hex_in(path.substr(job_path.size()));
+  if (!number || !jobs_.contains(JobId{*number})) return std::nullopt;
+  return JobId{*number};
+}
+
+void Front::called(Client& client, const std::string& method, const std::string& path, Message& message) {
+  const std::string_view whole(path);
+  if (whole == "/check") {
+    return respond(client.id(), ready_ ? 200 : 503, "", ready_ ? R"({"up":true})" : R"({"up":false})");
+  }
+  if (whole == "/counters" && method == "GET") return respond(client.id(), 200, "", counters_.as_json());
+  if (whole.starts_with(work_path)) {
+    if (method == "POST") return take_job(client, whole.substr(whole.rfind('/') + 1), message);
+    ++counters_.bad_calls;
+    return respond(client.id(), 405, "", fault("work is posted"));
+  }
+  const std::optional<JobId> id = job_of_path(whole);
+  if (!id || (method != "GET" && method != "DELETE")) {
+    ++counters_.bad_calls;
+    return respond(client.id(), id ? 405 : 404, "", fault("nothing is here"));
+  }
+  OpenJob& job = jobs_.at(*id);
+  if (method == "DELETE") {
+    if (job.caller) respond(*job.caller, 404, "", fault("withdrawn"));
+    job.caller.reset();
+    const bool open = !job.answered;
+    job.answered = true, job.status = 0;
+    respond(client.id(), 200, "", "{}");
+    if (open) {
+      ++counters_.withdrawn;
+      manager_.job_withdrawn(loop_.now(), *id);
+    }
+    return forget_if_done(*id);
+  }
+  ++counters_.fetched_again;
+  if (job.caller) {  // the connection that the client left has not been seen to end yet
+    const auto old = clients_.find(*job.caller);
+    if (old != clients_.end()) old->second->waits_for.reset(), drop(*old->second);
+  }
+  job.caller = client.id();
+  client.waits_for = *id;
+  if (job.answered && job.status != 0) {
+    respond(client.id(), job.status, job.headers, job.body);
+    job.caller.reset(), job.status = 0;
+    forget_if_done(*id);
+  }
+}
+
+// ---- Jobs ----
+
+void Front::take_job(Client& client, std::string_view kind, Message& message) {
+  const Span now = loop_.now();
+  const TypeId type = deployment_.type(service::plain_name(std::string(kind)));
+  const auto bad = [&](int status, std::string_view what) {
+    ++counters_.bad_calls;
+    PEARCHUTE_LOG(spdlog::level::warn, "a job is not taken: {}", what);
+    respond(client.id(), status, "", fault(what));
+  };
+  if (type.value < 0) return bad(404, "no such reservation type");
+  const auto id = hex_in(message.header("x-request-id"));
+  if (!id) return bad(400, "X-Request-Id is not 16 hex digits");
+  const auto patience = number_in(message.header("x-timeout-ms"));
+  if (!patience || *patience <= 0 || *patience > 1e9) return bad(400, "X-Timeout-Ms is not usable");
+  Job job;
+  job.id = JobId{*id};
+  job.type = type;
+  job.time_left = Span(static_cast<Span::rep>(*patience * 1000));
+  const auto estimate = [&](const char* name, std::optional<double>& value) {
+    const std::string_view text = message.header(name);
+    if (text.empty()) return true;
+    const auto number = number_in(text);
+    if (!number || *number < 0 || *number > 1e12) return false;
+    if (*number > 0) value = *number;
+    return true;
+  };
+  if (!estimate("x-cost-ms", job.work_ms)) return bad(400, "X-Cost-Ms is not usable");
+  if (!estimate("x-est-mb", job.memory_mb)) return bad(400, "X-Est-Mb is not usable");
+  if (const std::string_view key = message.header("x-object"); !key.empty()) {
+    const auto number = hex_in(key);
+    if (!number) return bad(400, "X-Object is not 16 hex digits");
+    job.key = OrderKey{*number};
+  }
+  const std::string_view token = message.header("idempotency-key");
+  const ReservationType& traits = deployment_.service.types[static_cast<std::size_t>(type.value)];
+  if (!token_fits(token) || (traits.effect == Effect::keyed && token.empty()))
+    return bad(400, "Idempotency-Key is not usable");
+  if (message.body.empty()) return bad(400, "no statement");
+  if (jobs_.contains(job.id)) return bad(409, "this request is being served");
+  const std::int64_t most = deployment_.links.most_open;
+  if (closing_ || (most > 0 && jobs_.size() >= static_cast<std::size_t>(most))) {
+    ++counters_.throttled;
+    return respond(client.id(), 503, "", R"({"abort":"TryLater"})");
+  }
+  job.data_set = DataSetId{table_group(message.body).value_or(0)};
+  ++counters_.jobs;
+  OpenJob& open = jobs_[job.id];
+  open.id = message.header("x-request-id");
+  open.kind = kind;
+  open.token = token;
+  open.statement = std::move(message.body);
+  open.end = now + job.time_left;
+  open.caller = client.id();
+  client.waits_for = job.id;
+  manager_.job_taken(now, job);
+  // Guards long jobs against the loss of their connection: with a path, the client can call again.
+  constexpr milliseconds long_hold(2000);  // most jobs are over by then, without a call more
+  if (job.time_left > long_hold) loop_.at(now + long_hold, [this, id = job.id] { give_path(id); });
+}
+
+void Front::give_path(JobId id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.answered || it->second.has_path || !it->second.caller) return;
+  OpenJob& job = it->second;
+  job.has_path = true;
+  const ClientId caller = *job.caller;
+  job.caller.reset();
+  respond(caller, 200, "", "{\"link\":\"" + std::string(job_path) + job.id + "\"}");
+  loop_.at(job.end + seconds(1), [this, id] {  // nobody came for it
+    const auto at = jobs_.find(id);
+    if (at == jobs_.end() || !at->second.answered) return;
+    at->second.status = 0;
+    forget_if_done(id);
+  });
+}
+
+void Front::answer(JobId id, OpenJob& job, int status, std::string headers, std::string body) {
+  if (job.answered) return;
+  job.answered = true;
+  if (job.caller) {
+    respond(*job.caller, status, headers, body);
+    job.caller.reset();
+  } else {
+    job.status = status, job.headers = std::move(headers), job.body = std::move(body);
+  }
+  // The module may still be at work on it.
+  loop_.soon([this, id] { forget_if_done(id); });
+}
+
+void Front::forget_if_done(JobId id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  const OpenJob& job = it->second;
+  if (job.answered && job.status == 0 && job.out.empty()) jobs_.erase(it);
+}
+
+void Front::answer_all() {
+  closing_ = true;
+  std::vector<JobId> open;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.answered) open.push_back(id);
+  }
+  std::ranges::sort(open);
+  for (const JobId id : open) {
+    const auto it = jobs_.find(id);
+    if (it != jobs_.end() && !it->second.answered) cancel_for_good(id);
+    manager_.job_withdrawn(loop_.now(), id);
+  }
+}
+
+// ---- What the module does ----
+
+void Front::set_terms(JobId id, double grant_mb, int priority) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  OpenJob& job = it->second;
+  job.grant_mb = grant_mb;
+  if (priority == job.priority) return;
+  job.priority = priority;
+  for (const Sent& sent : job.out) engines_.hurry({id, sent.number}, priority);
+}
+
+void Front::dispatch(JobId id, EngineId engine, Span time_limit) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  OpenJob& job = it->second;
+  const DispatchKey key{id, job.dispatches++};
+  const Span now = loop_.now();
+  const Span end = time_limit > Span(0) ? std::min(job.end, now + time_limit) : job.end;
+  job.out.push_back({key.number, now});
+  if (job.answered || end <= now || key.number >= deployment_.service.most_dispatches) {
+    loop_.soon([this, key] { talk_ended(key, Outcome::never_sent, {}); });
+    return;
+  }
+  Want want;
+  want.id = job.id, want.kind = job.kind, want.token = job.token, want.statement = job.statement;
+  want.wait_ms = std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(end - now).count());
+  want.grant_mb = static_cast<std::int64_t>(std::ceil(job.grant_mb));
+  want.priority = job.priority;
+  engines_.want(engine, key, want);
+  loop_.at(end, [this, key] {
+    const auto at = jobs_.find(key.job);
+    if (at == jobs_.end()) return;
+    if (std::ranges::none_of(at->second.out, [&](const Sent& s) { return s.number == key.number; })) return;
+    engines_.never_mind(key);
+    talk_ended(key, Outcome::timed_out, {});
+  });
+}
+
+void Front::stop_dispatch(JobId id, int number) {
+  const DispatchKey key{id, number};
+  engines_.never_mind(key);
+  loop_.soon([this, key] { talk_ended(key, Outcome::stopped, {}); });
+}
+
+void Front::throttle(JobId id, Span come_back_in) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.answered) return;
+  ++counters_.throttled;
+  std::string headers;
+  if (come_back_in > Span(0)) {
+    const auto ms = std::chrono::ceil<milliseconds>(come_back_in).count();
+    headers = "Retry-After-Ms: " + std::to_string(ms) + "\r\n";
+  }
+  answer(id, it->second, 503, std::move(headers), R"({"abort":"TryLater"})");
+}
+
+void Front::cancel_for_good(JobId id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.answered) return;
+  ++counters_.cancelled;
+  answer(id, it->second, 500, "", R"({"abort":"Aborted"})");
+}
+
+void Front::wake_in(Span span, std::uint64_t mark) {
+  loop_.at(loop_.now() + span, [this, mark] { manager_.woken(loop_.now(), mark); });
+}
+
+// Engines of this protocol tell nothing of their load; settings that ask for probes are not for this front.
+void Front::probe(EngineId engine) {
+  loop_.soon([this, engine] { manager_.probe_ended(loop_.now(), engine, Outcome::never_sent, Span(0), {}); });
+}
+
+void Front::remark(std::string_view text) { PEARCHUTE_LOG(spdlog::level::info, "{}", text); }
+
+// ---- What engines and the list tell ----
+
+void Front::talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string> pages) {
+  const auto it = jobs_.find(key.job);
+  if (it == jobs_.end()) return;
+  OpenJob& job = it->second;
+  const auto sent = std::ranges::find(job.out, key.number, &Sent::number);
+  if (sent == job.out.end()) return;
+  const Span now = loop_.now(), elapsed = now - sent->at;
+  job.out.erase(sent);
+  if (outcome == Outcome::done && !job.answered) {
+    if (auto body = rows_as_json(pages)) {
+      ++counters_.done;
+      answer(key.job, job, 200, "", std::move(*body));
+    } else {
+      PEARCHUTE_LOG(spdlog::level::warn, "a result of job {} is not whole rows", job.id);
+      outcome = Outcome::error;
+    }
+  }
+  ++counters_.ends[static_cast<int>(outcome)];
+  manager_.dispatch_ended(now, key.job, key.number, outcome, elapsed, outcome == Outcome::done, std::nullopt,
+                          std::nullopt, {});
+  forget_if_done(key.job);
+}
+
+void Front::talk_progress(DispatchKey key, double share_done) {
+  ++counters_.notes;
+  manager_.progress_told(loop_.now(), key.job, key.number, share_done);
+}
+
+void Front::talk_spill(DispatchKey key, double missing_mb) {
+  ++counters_.notes;
+  manager_.spill_told(loop_.now(), key.job, key.number, missing_mb);
+}
+
+void Front::talk_wait(DispatchKey key, Wait wait) {
+  ++counters_.notes;
+  manager_.wait_told(loop_.now(), key.job, key.number, wait);
+}
+
+void Front::list_changed(ListNews news, const std::vector<Member>& members) {
+  std::vector<ListedEngine> engines;
+  for (const Member& member : members) {
+    if (!member.address.empty()) engines_.place(member.engine.id, member.address);
+    engines.push_back(member.engine);
+  }
+  manager_.list_came(loop_.now(), news, engines);
+}
+
+// Clients close their idle connections long before; this is for what they forget, or never finish sending.
+void Front::sweep() {
+  const Span now = loop_.now();
+  std::vector<Client*> quiet;
+  for (const auto& [id, client] : clients_) {
+    if (client->quiet_for(now, seconds(30))) quiet.push_back(client.get());
+  }
+  for (Client* client : quiet) drop(*client);
+  loop_.at(now + seconds(1), [this] { sweep(); });
+}
+
+}  // namespace pearchute::net
--- /dev/null
+++ b/src/net/front.h
@@ -0,0 +1,102 @@
+// The front: takes clients' calls as jobs, and is the Host through which the module acts. It owns the clients'
+// connections, the table of open jobs, and the way from a job to its dispatches and back. It decides nothing:
+// whether, where and when a job goes, and how it ends without a result, is the module's.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "control.h"
+#include "driver.h"
+#include "engines.h"
+#include "http.h"
+#include "list.h"
+#include "log.h"
+#include "service/deployment.h"
+
+namespace pearchute::net {
+
+class Front final : public Host, public Engines::Listener, public ListFeed::Listener {
+ public:
+  Front(Loop& loop, const service::Deployment& deployment, std::uint64_t seed, std::size_t descriptors,
+        Counters& counters);
+  ~Front() override;
+  void client_came(const Poco::Net::StreamSocket& socket);
+  bool has_room() const { return clients_.size() < most_clients_; }
+  void set_ready(bool ready) { ready_ = ready; }
+  bool idle() const { return jobs_.empty(); }
+  // Every job that is still open gets its final answer now; what comes later is turned away.
+  void answer_all();
+
+  // What the module does
+  void dispatch(JobId job, EngineId engine, Span time_limit) override;
+  void set_terms(JobId job, double grant_mb, int priority) override;
+  void stop_dispatch(JobId job, int number) override;
+  void throttle(JobId job, Span come_back_in) override;
+  void cancel_for_good(JobId job) override;
+  void wake_in(Span span, std::uint64_t mark) override;
+  void probe(EngineId engine) override;
+  void subscribe_list() override {}  // this platform's list comes unasked
+  void remark(std::string_view text) override;
+
+  // What engines and the list tell
+  void talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string> pages) override;
+  void talk_progress(DispatchKey key, double share_done) override;
+  void talk_spill(DispatchKey key, double missing_mb) override;
+  void talk_wait(DispatchKey key, Wait wait) override;
+  void list_changed(ListNews news, const std::vector<Member>& members) override;
+
+ private:
+  class Client;
+  friend class Client;
+  using ClientId = Id<struct ClientTag, std::uint64_t>;
+
+  // For one dispatch.
+  struct Sent {
+    int number = 0;
+    Span at{};
+  };
+  // For one job.
+  struct OpenJob {
+    std::string id, kind, token, statement;
+    Span end{};  // the client's patience
+    std::optional<ClientId> caller;
+    bool has_path = false;
+    bool answered = false;
+    int status = 0;  // of an answer that nobody has fetched yet
+    std::string headers, body;
+    double grant_mb = 0;
+    int priority = 1;
+    int dispatches = 0;
+    std::vector<Sent> out;
+  };
+
+  void called(Client& client, const std::string& method, const std::string& path, Message& message);
+  void take_job(Client& client, std::string_view kind, Message& message);
+  void client_left(Client& client);
+  void respond(ClientId client, int status, std::string_view headers, std::string_view body);
+  void answer(JobId id, OpenJob& job, int status, std::string headers, std::string body);
+  void give_path(JobId id);
+  void forget_if_done(JobId id);
+  void drop(Client& client);
+  void sweep();
+  std::optional<JobId> job_of_path(std::string_view path) const;
+
+  Loop& loop_;
+  service::Deployment deployment_;
+  Counters& counters_;
+  std::size_t most_clients_;
+  bool ready_ = false, closing_ = false;
+  std::unordered_map<JobId, OpenJob> jobs_;
+  std::map<ClientId, std::unique_ptr<Client>> clients_;
+  std::vector<std::unique_ptr<Client>> gone_;
+  std::uint64_t next_client_ = 1;
+  Engines engines_;
+  WorkloadManager manager_;
+};
+
+}  // namespace pearchute::net
--- /dev/null
+++ b/src/net/list.cpp
@@ -0,0 +1,176 @@
+#include "list.h"
+
+#include <Poco/Exception.h>
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "service/flatten.h"
+
+namespace pearchute::net {
+
+using nlohmann::json;
+
+// A name's number is the same at every manager, whatever else each has heard; a collision, which only very
+// large fleets could meet, takes the next number.
+EngineId EngineList::id_of(const std::string& name) {
+  const auto known = ids_.find(name);
+  if (known != ids_.end()) return known->second;
+  std::uint32_t hash = 2166136261u;  // FNV-1a
+  for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 16777619u;
+  EngineId id{hash};
+  while (!taken_ids_.insert(id).second) id.value += 1;
+  return ids_[name] = id;
+}
+
+EngineList::Change EngineList::read(const json& event) {
+  Change change;
+  try {
+    const json& nodes = event.at("nodes");
+    change.news = nodes.value("complete", false) ? ListNews::complete : ListNews::changes;
+    for (const json& one : nodes.at("members")) {
+      Member& member = change.members.emplace_back();
+      member.engine.id = id_of(one.at("id").get<std::string>());
+      member.address = one.value("host_port", "");
+      member.engine.state = service::one_of<EngineState>(
+          "phase", one.at("phase").get<std::string>(),
+          {{"active", EngineState::up}, {"leaving", EngineState::draining}, {"left", EngineState::gone}});
+      member.engine.zone = deployment_.zone(service::plain_name(one.value("locality", "")));
+      member.engine.kind = deployment_.kind(service::plain_name(one.value("flavor", "")));
+      member.engine.cell = CellId{one.value("cell", std::int64_t{0})};
+      const std::int64_t since = one.value("up_since_ms", std::int64_t{0});
+      if (since > 0) member.engine.online_since = std::chrono::milliseconds(since) - unix_start_;
+    }
+    change.taken = Taken::applied;
+  } catch (const std::exception& error) {
+    change.taken = Taken::broken, change.fault = error.what();
+  }
+  return change;
+}
+
+EngineList::Change EngineList::known(const json& known) {
+  std::map<EngineId, Member> members;
+  Change whole;
+  for (const json& event : known.value("cmds", json::array())) {
+    Change change = read(event);
+    if (change.taken != Taken::applied) return change;
+    if (change.news == ListNews::complete) members.clear();
+    for (Member& member : change.members) members[member.engine.id] = std::move(member);
+    has_list_ = true;
+    cursor_ = std::max(cursor_, event.value("cursor", std::int64_t{0}));
+  }
+  cursor_ = std::max(cursor_, known.value("cursor", std::int64_t{0}));
+  whole.taken = Taken::applied, whole.news = ListNews::remembered;
+  for (auto& [id, member] : members) {
+    if (member.engine.state != EngineState::gone) whole.members.push_back(std::move(member));
+  }
+  return whole;
+}
+
+EngineList::Change EngineList::event(std::string_view id, std::string_view data, bool gap_allowed) {
+  Change change;
+  json event = json::parse(data, nullptr, false);
+  if (event.is_discarded() || !event.is_object()) {
+    change.fault = "not JSON";
+    return change;
+  }
+  std::int64_t number = 0;
+  const auto [stop, error] = std::from_chars(id.data(), id.data() + id.size(), number);
+  if (error != std::errc{} || stop != id.data() + id.size()) {
+    if (!event.contains("cursor") || !event["cursor"].is_number_integer()) {
+      change.fault = "no number";
+      return change;
+    }
+    number = event["cursor"].get<std::int64_t>();
+  }
+  if (number <= cursor_) {
+    change.taken = Taken::old;
+    return change;
+  }
+  change = read(event);
+  if (change.taken != Taken::applied) return change;
+  // What was missed may have been of an engine that is gone: the stream is asked for it once more. A whole
+  // list makes up for whatever was missed.
+  if (number != cursor_ + 1 && change.news != ListNews::complete && !gap_allowed) {
+    change.taken = Taken::gap;
+    return change;
+  }
+  cursor_ = number, has_list_ = true;
+  return change;
+}
+
+ListFeed::ListFeed(Loop& loop, std::string address, EngineList& list, Listener& listener, Counters& counters)
+    : loop_(loop), address_(std::move(address)), list_(list), listener_(listener), counters_(counters) {}
+
+ListFeed::~ListFeed() = default;
+
+void ListFeed::open() {
+  last_sign_ = loop_.now();
+  broken_ = false;
+  ++counters_.list_connections;
+  feed_ = std::make_unique<EventFeed>(*this);
+  try {
+    wire_ = std::make_unique<Wire>(loop_, Poco::Net::SocketAddress(address_), *this);
+  } catch (const Poco::Exception&) {
+    again("its address can't be used");
+    return;
+  }
+  const std::string request = "GET /cmd/next HTTP/1.1\r\nHost: " + address_ +
+                              "\r\nAccept: text/event-stream\r\nLast-Event-ID: " +
+                              std::to_string(list_.cursor()) + "\r\n\r\n";
+  wire_->send(request);
+  watch();
+}
+
+void ListFeed::wire_opened() { last_sign_ = loop_.now(); }
+
+// A comment comes each second: after three missed, the connection is no good, whatever it looks like.
+void ListFeed::watch() {
+  loop_.at(loop_.now() + std::chrono::milliseconds(250), [this, watched = wire_.get()] {
+    if (!wire_ || wire_.get() != watched) return;
+    if (loop_.now() - last_sign_ > std::chrono::milliseconds(3200)) again("the stream is silent");
+    else watch();
+  });
+}
+
+void ListFeed::wire_brought(std::string_view bytes) {
+  last_sign_ = loop_.now();
+  pause_ = Span(0);
+  const Wire* here = wire_.get();
+  const bool sound = feed_->feed(bytes);
+  if (wire_.get() != here || !wire_) return;  // a gap has closed it already
+  if (!sound || broken_) again("what came is no stream of events");
+}
+
+void ListFeed::event_came(std::string_view id, std::string_view data) {
+  if (broken_) return;  // what comes behind a broken event or a gap comes again
+  ++counters_.list_events;
+  const EngineList::Change change = list_.event(id, data, gap_seen_);
+  switch (change.taken) {
+    case EngineList::Taken::applied:
+      gap_seen_ = false;
+      listener_.list_changed(change.news, change.members);
+      break;
+    case EngineList::Taken::old: break;
+    case EngineList::Taken::gap:
+      PEARCHUTE_LOG(spdlog::level::warn, "list of engines: event {} came after {}", id, list_.cursor());
+      gap_seen_ = broken_ = true;
+      break;
+    case EngineList::Taken::broken:
+      ++counters_.broken_events;
+      PEARCHUTE_LOG(spdlog::level::warn, "list of engines: event {} can't be read: {}", id, change.fault);
+      broken_ = true;
+      break;
+  }
+}
+
+void ListFeed::again(const char* why) {
+  PEARCHUTE_LOG(spdlog::level::warn, "list of engines: {}; opened anew", why);
+  loop_.retire(std::move(wire_));
+  wire_.reset();
+  // At once the first time, then at growing distance, well within what the list may come late.
+  loop_.at(loop_.now() + pause_, [this] { open(); });
+  pause_ = std::clamp<Span>(2 * pause_, std::chrono::milliseconds(50), std::chrono::seconds(1));
+}
+
+}  // namespace pearchute::net
--- /dev/null
+++ b/src/net/list.h
@@ -0,0 +1,87 @@
+// The list of engines as the command channel tells it: what was known at start, then the stream of events,
+// applied once and in order, opened anew where it breaks or falls silent. It owns the engines' names and
+// addresses. It never takes an engine from the list on its own, and tells nothing twice.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "driver.h"
+#include "feed.h"
+#include "log.h"
+#include "service/deployment.h"
+
+namespace pearchute::net {
+
+struct Member {
+  ListedEngine engine;
+  std::string address;
+};
+
+// Decodes events and keeps the count of them; knows no socket.
+class EngineList {
+ public:
+  // `unix_start` is the Unix time at the instance's start, which places the engines' starts.
+  EngineList(const service::Deployment& deployment, std::chrono::milliseconds unix_start)
+      : deployment_(deployment), unix_start_(unix_start) {}
+
+  enum class Taken { applied, old, gap, broken };
+  struct Change {
+    Taken taken = Taken::broken;
+    ListNews news = ListNews::changes;
+    std::vector<Member> members;
+    std::string fault;
+  };
+  Change known(const nlohmann::json& known);  // all that it says, as one remembered list
+  Change event(std::string_view id, std::string_view data, bool gap_allowed);
+  std::int64_t cursor() const { return cursor_; }
+  bool has_list() const { return has_list_; }
+
+ private:
+  Change read(const nlohmann::json& event);
+  EngineId id_of(const std::string& name);
+
+  const service::Deployment& deployment_;
+  std::chrono::milliseconds unix_start_;
+  std::int64_t cursor_ = 0;
+  bool has_list_ = false;
+  std::map<std::string, EngineId> ids_;
+  std::set<EngineId> taken_ids_;
+};
+
+// The connection to the command channel.
+class ListFeed final : public Wire::User, public EventFeed::Listener {
+ public:
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    virtual void list_changed(ListNews news, const std::vector<Member>& members) = 0;
+  };
+  ListFeed(Loop& loop, std::string address, EngineList& list, Listener& listener, Counters& counters);
+  ~ListFeed() override;
+  void open();
+
+ private:
+  void wire_opened() override;
+  void wire_brought(std::string_view bytes) override;
+  void wire_ended() override { again("the stream ended"); }
+  void event_came(std::string_view id, std::string_view data) override;
+  void again(const char* why);
+  void watch();
+
+  Loop& loop_;
+  std::string address_;
+  EngineList& list_;
+  Listener& listener_;
+  Counters& counters_;
+  std::unique_ptr<Wire> wire_;
+  std::unique_ptr<EventFeed> feed_;
+  Span last_sign_{}, pause_{};
+  bool gap_seen_ = false, broken_ = false;
+};
+
+}  // namespace pearchute::net
--- /dev/null
+++ b/src/net/log.cpp
@@ -0,0 +1,67 @@
+#include "log.h"
+
+#include <poll.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+
+namespace pearchute::net {
+
+namespace {
+
+// Writes only what standard error takes at once.
+class PatientSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    // A pipe that is ready takes this much whole (PIPE_BUF), so the write can't block.
+    const std::size_t length = std::min<std::size_t>(line.size(), 4096);
+    pollfd ready{STDERR_FILENO, POLLOUT, 0};
+    if (::poll(&ready, 1, 0) != 1 || !(ready.revents & POLLOUT)) return;
+    [[maybe_unused]] const auto written = ::write(STDERR_FILENO, line.data(), length);
+  }
+  void flush_() override {}
+};
+
+}  // namespace
+
+void start_log(const std::string& name) {
+  auto logger = std::make_shared<spdlog::logger>(name, std::make_shared<PatientSink>());
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %n %^%l%$ %v");
+  spdlog::set_default_logger(std::move(logger));
+}
+
+bool LineRation::allows() {
+  const std::int64_t now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                               std::chrono::steady_clock::now().time_since_epoch())
+                               .count();
+  left_ = std::min(5.0, left_ + static_cast<double>(now - last_ms_) / 1000);
+  last_ms_ = now;
+  if (left_ < 1) return ++kept_back_, false;
+  left_ -= 1;
+  if (kept_back_ > 0) spdlog::log(spdlog::level::info, "{} lines like the next were kept back", kept_back_);
+  kept_back_ = 0;
+  return true;
+}
+
+std::string Counters::as_json() const {
+  const char* names[] = {"done", "error", "full", "timed_out", "unreachable", "reset", "stopped", "never_sent"};
+  std::string text = fmt::format(
+      R"({{"taken_in":{{"connections":{},"calls":{},"bad_calls":{},"jobs":{},"fetched_again":{}}},)"
+      R"("answered":{{"done":{},"throttled":{},"cancelled":{},"withdrawn":{}}},)"
+      R"("sent":{{"dispatches":{},"never_minds":{},"hurries":{},"connections":{}}},"ended":{{)",
+      connections, calls, bad_calls, jobs, fetched_again, done, throttled, cancelled, withdrawn, dispatches,
+      never_minds, hurries, engine_connections);
+  for (int i = 0; i < 8; ++i) text += fmt::format(R"({}"{}":{})", i ? "," : "", names[i], ends[i]);
+  text += fmt::format(
+      R"(}},"notes":{},"broken_answers":{},"list":{{"events":{},"connections":{},"broken":{}}}}})", notes,
+      broken_answers, list_events, list_connections, broken_events);
+  return text;
+}
+
+}  // namespace pearchute::net
--- /dev/null
+++ b/src/net/log.h
@@ -0,0 +1,44 @@
+// Log lines and counters. Lines go to standard error through spdlog and never hold up the program: what the
+// reader does not take is dropped and counted, and each kind of line has a ration. It never ends the program.
+#pragma once
+
+#include <spdlog/spdlog.h>
+
+#include <cstdint>
+#include <string>
+
+namespace pearchute::net {
+
+void start_log(const std::string& name);
+
+// How often a kind of line may come: a few at once, then one by one.
+class LineRation {
+ public:
+  bool allows();
+
+ private:
+  double left_ = 5;
+  std::int64_t last_ms_ = 0;
+  std::uint64_t kept_back_ = 0;
+  friend std::uint64_t kept_back(LineRation& ration);
+};
+
+// Each place that logs has a ration of its own, lest a trouble floods the log.
+#define PEARCHUTE_LOG(level, ...)                                    \
+  do {                                                               \
+    static ::pearchute::net::LineRation ration;                      \
+    if (ration.allows()) ::spdlog::log(level, __VA_ARGS__);          \
+  } while (false)
+
+// What the program takes in, sends and answers.
+struct Counters {
+  std::uint64_t connections = 0, calls = 0, bad_calls = 0, jobs = 0;
+  std::uint64_t done = 0, throttled = 0, cancelled = 0, withdrawn = 0, fetched_again = 0;
+  std::uint64_t dispatches = 0, never_minds = 0, hurries = 0, engine_connections = 0;
+  std::uint64_t ends[8] = {};  // by outcome
+  std::uint64_t notes = 0, broken_answers = 0;
+  std::uint64_t list_events = 0, list_connections = 0, broken_events = 0;
+  std::string as_json() const;
+};
+
+}  // namespace pearchute::net
--- /dev/null
+++ b/src/net/program.cpp
@@ -0,0 +1,144 @@
+#include "program.h"
+
+#include <Poco/Exception.h>
+#include <sys/resource.h>
+
+#include <charconv>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "service/flatten.h"
+
+namespace pearchute::net {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+volatile std::sig_atomic_t asked_to_end = 0;
+volatile std::sig_atomic_t asked_for_counters = 0;
+
+const char* name_of(Program::Phase phase) {
+  const char* names[] = {"starting", "listing", "serving", "leaving", "finishing", "ended"};
+  return names[static_cast<int>(phase)];
+}
+
+std::string told(const char* name) {
+  const char* value = std::getenv(name);
+  return value ? value : "";
+}
+
+json read_configuration(const std::string& path) {
+  if (path.empty()) throw std::runtime_error("PROXY_CONFIG names no configuration");
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error("the configuration '" + path + "' can't be read");
+  json configuration = json::parse(file, nullptr, false);
+  if (configuration.is_discarded() || !configuration.is_object())
+    throw std::runtime_error("the configuration '" + path + "' is not JSON");
+  return configuration;
+}
+
+std::uint64_t seed_in(const json& configuration) {
+  const std::string text = configuration.value("seed", "0");
+  std::uint64_t seed = 0;
+  std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  return seed;
+}
+
+}  // namespace
+
+Program::Program() {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, [](int) { asked_to_end = 1; });
+  std::signal(SIGINT, [](int) { asked_to_end = 1; });
+  std::signal(SIGUSR1, [](int) { asked_for_counters = 1; });
+  const json configuration = read_configuration(told("PROXY_CONFIG"));
+  name_ = configuration.value("name", told("PROXY_NAME"));
+  start_log(name_.empty() ? "pearchuted" : name_);
+  const std::string address = configuration.value("listen", told("PROXY_LISTEN"));
+  if (address.empty()) throw std::runtime_error("no address to listen at is told");
+  const service::FlatValues settings(configuration.at("settings"));
+  deployment_ = service::decode(settings.values());
+  for (const ReservationType& type : deployment_.service.types)
+    give_up_after_ = std::max(give_up_after_, type.job_timeout);
+  // The platform ends the program no sooner than the longest job timeout, or three seconds, and 0.7 s more
+  // after it asked: what is open a fifth of a second before that gets its answer.
+  give_up_after_ = std::min<Span>(give_up_after_, seconds(3)) + milliseconds(500);
+
+  std::size_t descriptors = 256;  // the least that systems give
+  if (const auto limits = configuration.find("limits"); limits != configuration.end())
+    descriptors = limits->value("sockets", descriptors);
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, descriptors);
+    setrlimit(RLIMIT_NOFILE, &limit);
+    descriptors = std::min<std::size_t>(descriptors, limit.rlim_cur);
+  }
+  const Span unix_now = std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
+  list_ = std::make_unique<EngineList>(deployment_,
+                                       std::chrono::duration_cast<milliseconds>(unix_now - loop_.now()));
+  front_ = std::make_unique<Front>(loop_, deployment_, seed_in(configuration), descriptors, counters_);
+  if (const auto known = configuration.find("known"); known != configuration.end()) {
+    const EngineList::Change change = list_->known(*known);
+    if (change.taken == EngineList::Taken::applied) front_->list_changed(change.news, change.members);
+    else spdlog::warn("what is known of the engines can't be read: {}", change.fault);
+  }
+  door_ = std::make_unique<Door>(
+      loop_, Poco::Net::SocketAddress(address), [this] { return front_->has_room(); },
+      [this](const Poco::Net::StreamSocket& socket) { front_->client_came(socket); });
+  if (const std::string channel = configuration.value("channel", ""); !channel.empty()) {
+    feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, *front_, counters_);
+    feed_->open();
+  }
+  enter(list_->has_list() ? Phase::serving : Phase::listing);
+  watch();
+}
+
+Program::~Program() = default;
+
+void Program::enter(Phase phase) {
+  spdlog::info("{} -> {}", name_of(phase_), name_of(phase));
+  phase_ = phase;
+  front_->set_ready(phase == Phase::serving || phase == Phase::leaving);
+}
+
+// Looks, at short intervals, whether the next phase has come.
+void Program::watch() {
+  const Span now = loop_.now();
+  if (asked_for_counters) {
+    asked_for_counters = 0;
+    spdlog::info("counters {}", counters_.as_json());
+  }
+  if (phase_ == Phase::listing && list_->has_list()) enter(Phase::serving);
+  if (asked_to_end && phase_ < Phase::leaving) {
+    asked_at_ = now;
+    enter(Phase::leaving);
+  }
+  if (phase_ == Phase::leaving) {
+    // New connections come for 0.4 s more and calls on open ones 0.2 s longer; a tenth is for the way.
+    const bool all_came = now - asked_at_ > milliseconds(750);
+    if (now - asked_at_ > give_up_after_) front_->answer_all();
+    if (all_came && front_->idle()) {
+      door_->shut();
+      enter(Phase::finishing);
+    }
+  } else if (phase_ == Phase::finishing) {
+    enter(Phase::ended);
+    return loop_.stop();
+  }
+  loop_.at(now + milliseconds(20), [this] { watch(); });
+}
+
+int Program::run() {
+  loop_.settle();
+  loop_.run();
+  spdlog::info("counters {}", counters_.as_json());
+  return 0;
+}
+
+}  // namespace pearchute::net
--- /dev/null
+++ b/src/net/resp.cpp
@@ -0,0 +1,197 @@
+#include "resp.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "service/named_values.h"
+
+namespace pearchute::net {
+
+namespace {
+
+constexpr std::size_t most_words = 16;         // answers have four; more is not this protocol
+constexpr std::size_t longest_word = 1 << 17;  // a page has 6,000 bytes at most
+constexpr std::size_t most_pages = 64;         // a result holds 48,000 bytes at most
+constexpr std::size_t largest_result = 1 << 17;
+constexpr std::size_t most_given_up = 256;  // ids remembered on a connection; answers cross within moments
+
+template <class Number>
+bool read_number(std::string_view text, Number& number) {
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  return error == std::errc{} && stop == text.data() + text.size();
+}
+
+}  // namespace
+
+bool RespReader::read_length(std::string_view& bytes, char mark, std::size_t most, std::size_t& length) {
+  const std::size_t end = bytes.find('\n');
+  line_.append(bytes.substr(0, end));
+  bytes.remove_prefix(end == std::string_view::npos ? bytes.size() : end + 1);
+  if (line_.size() > 24 || (!line_.empty() && line_.front() != mark)) return broken_ = true, false;
+  if (end == std::string_view::npos) return false;
+  if (line_.size() < 3 || line_.back() != '\r') return broken_ = true, false;
+  if (!read_number(std::string_view(line_).substr(1, line_.size() - 2), length) || length > most)
+    return broken_ = true, false;
+  line_.clear();
+  return true;
+}
+
+bool RespReader::step(std::string_view& bytes) {
+  switch (state_) {
+    case State::array:
+      if (!read_length(bytes, '*', most_words, wanted_)) return false;
+      words_.clear();
+      if (wanted_ == 0) return broken_ = true, false;
+      state_ = State::bulk;
+      return false;
+    case State::bulk:
+      if (!read_length(bytes, '$', longest_word, length_)) return false;
+      words_.emplace_back();
+      state_ = State::text;
+      return false;
+    case State::text: {
+      const std::size_t part = std::min(length_ - words_.back().size(), bytes.size());
+      words_.back().append(bytes.substr(0, part));
+      bytes.remove_prefix(part);
+      if (words_.back().size() == length_) state_ = State::text_end;
+      return false;
+    }
+    case State::text_end:
+      line_.push_back(bytes.front());
+      bytes.remove_prefix(1);
+      if (line_ == "\r") return false;
+      if (line_ != "\r\n") return broken_ = true, false;
+      line_.clear();
+      state_ = words_.size() == wanted_ ? State::array : State::bulk;
+      return state_ == State::array;
+  }
+  return false;
+}
+
+void append_command(std::string& out, std::initializer_list<std::string_view> words) {
+  out.append("*").append(std::to_string(words.size())).append("\r\n");
+  for (const std::string_view word : words) {
+    out.append("$").append(std::to_string(word.size())).append("\r\n").append(word).append("\r\n");
+  }
+}
+
+void EngineTalk::put(std::string& out, std::initializer_list<std::string_view> words) {
+  const std::size_t before = out.size();
+  append_command(out, words);
+  put_ += out.size() - before;
+}
+
+void EngineTalk::want(DispatchKey key, const Want& want, std::string& out) {
+  std::string fields = "kind=" + std::string(want.kind) + ",ms=" + std::to_string(want.wait_ms);
+  if (!want.token.empty()) fields.append(",token=").append(want.token);
+  if (want.grant_mb > 0) fields.append(",workmem=").append(std::to_string(want.grant_mb));
+  fields.append(",weight=").append(std::to_string(want.priority));
+  Open& open = open_[std::string(want.id)];
+  open = {};
+  open.key = key;
+  open.starts_at = put_;
+  ids_[key] = want.id;
+  put(out, {"want", want.id, fields, want.statement});
+}
+
+void EngineTalk::never_mind(DispatchKey key, std::string& out) {
+  const auto id = ids_.find(key);
+  if (id == ids_.end()) return;
+  put(out, {"never_mind", id->second});
+  given_up_.push_back(id->second);
+  if (given_up_.size() > most_given_up) given_up_.pop_front();
+  open_.erase(id->second);
+  ids_.erase(id);
+}
+
+void EngineTalk::hurry(DispatchKey key, int priority, std::string& out) {
+  const auto id = ids_.find(key);
+  if (id != ids_.end()) put(out, {"hurry", id->second, std::to_string(priority)});
+}
+
+void EngineTalk::ask_there(std::string& out) { put(out, {"there", "t"}); }
+
+bool EngineTalk::knows(std::string_view id) const {
+  return open_.contains(id) || std::ranges::count(given_up_, id) > 0;
+}
+
+bool EngineTalk::feed(std::string_view bytes, std::string& out) {
+  bool sound = true;
+  const bool read = reader_.feed(bytes, [&](std::vector<std::string>& words) {
+    sound = sound && answer(words, out);
+  });
+  return read && sound;
+}
+
+bool EngineTalk::answer(std::vector<std::string>& words, std::string& out) {
+  if (words.size() < 2) return false;
+  if (words[1] == "PONG") return listener_.talk_pong(), true;
+  if (words.size() != 4) return false;
+  const auto it = open_.find(words[0]);
+  if (it == open_.end()) return true;  // late, of a dispatch that has ended
+  Open& open = it->second;
+  service::NamedValues fields;
+  try {
+    if (words[2] != "-" && !words[2].empty()) {
+      for (const std::string_view part : service::split(words[2], ',')) fields.add_pair(part);
+    }
+    if (words[1] == "HIT" && open.pages.empty()) {
+      const std::int64_t pages = fields.whole("fetches").value_or(1);
+      if (pages < 1 || pages > static_cast<std::int64_t>(most_pages)) return false;
+      open.pages.resize(static_cast<std::size_t>(pages));
+      open.here.resize(open.pages.size());
+      open.pages[0] = std::move(words[3]);
+      open.here[0] = true, open.pages_here = 1, open.bytes = open.pages[0].size();
+      for (std::int64_t page = 1; page < pages; ++page) put(out, {"turn", it->first, std::to_string(page)});
+    } else if (words[1] == "PART") {
+      const std::int64_t page = fields.required_whole("fetch_no");
+      if (page < 1 || page >= static_cast<std::int64_t>(open.pages.size())) return false;
+      const auto at = static_cast<std::size_t>(page);
+      if (open.here[at]) return true;
+      open.here[at] = true, open.pages_here += 1, open.bytes += words[3].size();
+      open.pages[at] = std::move(words[3]);
+      if (open.bytes > largest_result) return false;
+    } else if (words[1] == "INFO") {
+      const std::string_view note = fields.text("res").value_or("");
+      const double figure = fields.number("figure").value_or(0);
+      const DispatchKey key = open.key;
+      if (note == "progress") listener_.talk_progress(key, figure);
+      else if (note == "spill_mb") listener_.talk_spill(key, figure);
+      else if (note == "blocked") listener_.talk_wait(key, figure == 2 ? Wait::load : Wait::memory);
+      return true;
+    } else if (words[1] == "SHED") {
+      return end(it, Outcome::full), true;
+    } else if (words[1] == "FAULT") {
+      return end(it, Outcome::error), true;
+    } else if (words[1] == "LATE") {
+      return end(it, Outcome::never_sent), true;
+    } else {
+      return false;
+    }
+  } catch (const service::Malformed&) {
+    return false;
+  }
+  if (open.pages_here == open.pages.size()) {
+    if (open.pages.size() > 1) put(out, {"shut", it->first});
+    end(it, Outcome::done);
+  }
+  return true;
+}
+
+void EngineTalk::end(std::map<std::string, Open, std::less<>>::iterator it, Outcome outcome) {
+  const DispatchKey key = it->second.key;
+  std::vector<std::string> pages;
+  if (outcome == Outcome::done) pages = std::move(it->second.pages);
+  ids_.erase(key);
+  open_.erase(it);
+  listener_.talk_ended(key, outcome, std::move(pages));
+}
+
+void EngineTalk::broke(std::uint64_t bytes_left) {
+  while (!open_.empty()) {
+    const bool unsent = open_.begin()->second.starts_at >= bytes_left;
+    end(open_.begin(), unsent ? Outcome::unreachable : Outcome::reset);
+  }
+}
+
+}  // namespace pearchute::net
--- /dev/null
+++ b/src/net/resp.h
@@ -0,0 +1,103 @@
+// The engine side of the protocol: RESP arrays of bulk strings, and the talk on one connection, which carries
+// many dispatches. It is fed bytes and gives bytes to send; it knows no socket, clock or engine, gathers all
+// pages of a result before it says done, and ends each dispatch once. It never decides what is sent where.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "types.h"
+
+namespace pearchute::net {
+
+// Reads arrays of bulk strings from bytes that come in any cut.
+class RespReader {
+ public:
+  // Calls `taken(std::vector<std::string>&)` for each whole array; false once the bytes are not that.
+  template <class Taken>
+  bool feed(std::string_view bytes, Taken taken) {
+    while (!broken_ && !bytes.empty()) {
+      if (step(bytes)) taken(words_);
+    }
+    return !broken_;
+  }
+
+ private:
+  bool step(std::string_view& bytes);  // true when an array is whole
+  bool read_length(std::string_view& bytes, char mark, std::size_t most, std::size_t& length);
+
+  enum class State { array, bulk, text, text_end } state_ = State::array;
+  std::string line_;
+  std::vector<std::string> words_;
+  std::size_t wanted_ = 0, length_ = 0;
+  bool broken_ = false;
+};
+
+void append_command(std::string& out, std::initializer_list<std::string_view> words);
+
+// One dispatch, as the caller knows it.
+struct DispatchKey {
+  JobId job;
+  int number = 0;
+  auto operator<=>(const DispatchKey&) const = default;
+};
+
+struct Want {
+  std::string_view id, kind, token, statement;
+  std::int64_t wait_ms = 0;
+  std::int64_t grant_mb = 0;  // 0: the engine chooses
+  int priority = 1;
+};
+
+class EngineTalk {
+ public:
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    virtual void talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string> pages) = 0;
+    virtual void talk_progress(DispatchKey key, double share_done) = 0;
+    virtual void talk_spill(DispatchKey key, double missing_mb) = 0;
+    virtual void talk_wait(DispatchKey key, Wait wait) = 0;
+    virtual void talk_pong() = 0;
+  };
+  explicit EngineTalk(Listener& listener) : listener_(listener) {}
+
+  void want(DispatchKey key, const Want& want, std::string& out);
+  void never_mind(DispatchKey key, std::string& out);
+  void hurry(DispatchKey key, int priority, std::string& out);
+  void ask_there(std::string& out);
+  // False where the bytes are no answers; the caller closes and calls `broke`.
+  bool feed(std::string_view bytes, std::string& out);
+  // The connection is gone: what is open ends as reset, or as `unsent` where nothing of it had left.
+  void broke(std::uint64_t bytes_left);
+  std::size_t open() const { return open_.size(); }
+  bool carries(DispatchKey key) const { return ids_.contains(key); }
+  // Whether an answer under this id may still come: one given up is as good as open.
+  bool knows(std::string_view id) const;
+
+ private:
+  struct Open {
+    DispatchKey key;
+    std::uint64_t starts_at = 0;  // bytes put out before it
+    std::size_t pages_wanted = 0, pages_here = 0;
+    std::vector<std::string> pages;  // empty where one is missing yet
+    std::vector<bool> here;
+    std::size_t bytes = 0;
+  };
+  bool answer(std::vector<std::string>& words, std::string& out);
+  void end(std::map<std::string, Open, std::less<>>::iterator it, Outcome outcome);
+  void put(std::string& out, std::initializer_list<std::string_view> words);
+
+  Listener& listener_;
+  RespReader reader_;
+  std::map<std::string, Open, std::less<>> open_;
+  std::map<DispatchKey, std::string> ids_;
+  std::deque<std::string> given_up_;
+  std::uint64_t put_ = 0;
+};
+
+}  // namespace pearchute::net
--- /dev/null
+++ b/src/service/deployment.h
@@ -0,0 +1,49 @@
+// The one decoder of a deployment's settings, for the simulator's adapter and for the daemon: dotted names in,
+// the service as the module is given it, the names behind its positions, and the limits of the links out. It
+// decides nothing and fills in nothing that was not told, beyond what absent means.
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "named_values.h"
+#include "types.h"
+
+namespace pearchute::service {
+
+int position(const std::vector<std::string>& names, std::string_view name);  // -1 where it is not there
+
+template <class Value>
+Value one_of(std::string_view name, std::string_view word,
+             std::initializer_list<std::pair<std::string_view, Value>> words) {
+  for (const auto& [known, value] : words) {
+    if (known == word) return value;
+  }
+  throw Malformed("'" + std::string(name) + "' is '" + std::string(word) + "', which is not known");
+}
+
+// What holds for connections to engines and for a manager's whole intake.
+struct LinkLimits {
+  Span connect_within{};
+  Span idle_close{};         // engines close what was idle for so long; 0: never
+  int dispatches_each = 1;   // on one connection at once
+  std::int64_t most_open = 0;  // jobs; 0: no limit told
+};
+
+struct Deployment {
+  ServiceDefinition service;
+  LinkLimits links;
+  std::vector<std::string> types, customers, zones, kinds;
+
+  TypeId type(std::string_view name) const { return TypeId{position(types, name)}; }
+  CustomerId customer(std::string_view name) const { return CustomerId{position(customers, name)}; }
+  ZoneId zone(std::string_view name) const { return ZoneId{position(zones, name)}; }
+  KindId kind(std::string_view name) const { return KindId{position(kinds, name)}; }
+};
+
+Deployment decode(const NamedValues& values);
+
+}  // namespace pearchute::service
--- /dev/null
+++ b/src/service/flatten.cpp
@@ -0,0 +1,50 @@
+#include "flatten.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace pearchute::service {
+
+using nlohmann::json;
+
+namespace {
+
+std::string plain(const json& value) {
+  if (value.is_string()) return plain_name(value.get<std::string>());
+  if (value.is_null()) return "";
+  return value.dump();
+}
+
+}  // namespace
+
+std::string plain_name(std::string text) {
+  for (char& c : text) {
+    if (c == ' ' || c == ',' || c == '\t' || c == '\n') c = '_';
+  }
+  return text;
+}
+
+FlatValues::FlatValues(const json& settings) { flatten("", settings); }
+
+void FlatValues::add(const std::string& name, std::string value) {
+  const std::string& kept_name = texts_.emplace_back(name);
+  values_.add(kept_name, texts_.emplace_back(std::move(value)));
+}
+
+void FlatValues::flatten(const std::string& name, const json& value) {
+  const auto under = [&](const std::string& part) { return name.empty() ? part : name + "." + part; };
+  if (value.is_object()) {
+    for (const auto& [key, item] : value.items()) flatten(under(key), item);
+  } else if (value.is_array() && std::ranges::any_of(value, [](const json& item) { return item.is_object(); })) {
+    add(under("count"), std::to_string(value.size()));
+    for (std::size_t i = 0; i < value.size(); ++i) flatten(under(std::to_string(i)), value[i]);
+  } else if (value.is_array()) {
+    std::string items;
+    for (const json& item : value) items += (items.empty() ? "" : ",") + plain(item);
+    add(name, items);
+  } else if (!value.is_null()) {
+    add(name, plain(value));
+  }
+}
+
+}  // namespace pearchute::service
--- a/src/drill/fields.cpp
+++ b/src/service/named_values.cpp
@@ -1,9 +1,9 @@
-#include "fields.h"
+#include "named_values.h"
 
 #include <charconv>
 #include <cmath>
 
-namespace pearchute::drill {
+namespace pearchute::service {
 
 namespace {
 
@@ -41,57 +41,56 @@
   return result;
 }
 
-void Fields::read(std::string_view line) {
-  pairs_.clear();
-  std::size_t start = line.find('\t');
-  message_ = line.substr(0, start);
-  while (start != std::string_view::npos) {
-    line.remove_prefix(start + 1);
-    start = line.find('\t');
-    const std::string_view part = line.substr(0, start);
-    if (part.empty()) continue;
-    const std::size_t equals = part.find('=');
-    if (equals == std::string_view::npos || equals == 0) {
-      throw Malformed("'" + std::string(part) + "' is not name=value");
-    }
-    pairs_.emplace_back(part.substr(0, equals), part.substr(equals + 1));
+void NamedValues::add_pair(std::string_view part) {
+  const std::size_t equals = part.find('=');
+  if (equals == std::string_view::npos || equals == 0) {
+    throw Malformed("'" + std::string(part) + "' is not name=value");
   }
+  add(part.substr(0, equals), part.substr(equals + 1));
 }
 
-std::optional<std::string_view> Fields::text(std::string_view name) const {
+std::optional<std::string_view> NamedValues::text(std::string_view name) const {
   for (const auto& [pair_name, value] : pairs_) {
     if (pair_name == name) return value;
   }
   return std::nullopt;
 }
 
-std::string_view Fields::required_text(std::string_view name) const {
+std::string_view NamedValues::required_text(std::string_view name) const {
   const auto value = text(name);
   if (!value) throw Malformed("'" + std::string(name) + "' is missing");
   return *value;
 }
 
-std::optional<std::int64_t> Fields::whole(std::string_view name) const {
+std::optional<std::int64_t> NamedValues::whole(std::string_view name) const {
   const auto value = text(name);
   if (!value || value->empty()) return std::nullopt;
   return whole_in(name, *value);
 }
 
-std::int64_t Fields::required_whole(std::string_view name) const {
+std::int64_t NamedValues::required_whole(std::string_view name) const {
   return whole_in(name, required_text(name));
 }
 
-std::optional<double> Fields::number(std::string_view name) const {
+std::optional<double> NamedValues::number(std::string_view name) const {
   const auto value = text(name);
   if (!value || value->empty()) return std::nullopt;
   return number_in(name, *value);
 }
 
-bool Fields::flag(std::string_view name) const {
+bool NamedValues::flag(std::string_view name) const {
   const auto value = text(name);
   if (!value || *value == "0" || *value == "false" || value->empty()) return false;
   if (*value == "1" || *value == "true") return true;
   reject(name, *value, "1 or 0");
 }
 
-}  // namespace pearchute::drill
+std::vector<std::string> NamedValues::list(std::string_view name) const {
+  std::vector<std::string> items;
+  const auto value = text(name);
+  if (!value || value->empty()) return items;
+  for (const std::string_view item : split(*value, ',')) items.emplace_back(item);
+  return items;
+}
+
+}  // namespace pearchute::service
--- a/tests/test_drill.cpp
+++ b/tests/test_drill.cpp
@@ -5,7 +5,7 @@
 
 #include "drill/session.h"
 
-using pearchute::drill::Malformed;
+using pearchute::service::Malformed;
 using pearchute::drill::Session;
 
 const std::string launch =
