--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -128,9 +128,7 @@
   ++loop_.descriptors_;
   socket_.setBlocking(false);
   if (opened_) socket_.setNoDelay(true);
-  registered_ = true;
-  loop_.addEventHandler(socket_, NObserver<Wire, ReadableNotification>(*this, &Wire::on_readable));
-  loop_.addEventHandler(socket_, NObserver<Wire, ErrorNotification>(*this, &Wire::on_error));
+  watch_incoming(true);
   if (!opened_) want_writable(true);
 }
 
@@ -142,8 +140,7 @@
   user_ = nullptr;
   if (registered_) {
     want_writable(false);
-    loop_.removeEventHandler(socket_, NObserver<Wire, ReadableNotification>(*this, &Wire::on_readable));
-    loop_.removeEventHandler(socket_, NObserver<Wire, ErrorNotification>(*this, &Wire::on_error));
+    watch_incoming(false);
   }
   --loop_.descriptors_;
   try {
@@ -166,8 +163,26 @@
   if (wanted == writable_wanted_) return;
   writable_wanted_ = wanted;
   const NObserver<Wire, WritableNotification> observer(*this, &Wire::on_writable);
-  if (wanted) loop_.addEventHandler(socket_, observer);
-  else loop_.removeEventHandler(socket_, observer);
+  if (wanted) return loop_.addEventHandler(socket_, observer);
+  loop_.removeEventHandler(socket_, observer);
+  // Guards against a spin: this reactor goes on polling for what was once asked of a socket, until nothing is
+  // asked of it any more.
+  watch_incoming(false);
+  watch_incoming(true);
+}
+
+void Wire::watch_incoming(bool wanted) {
+  if (wanted == registered_) return;
+  registered_ = wanted;
+  const NObserver<Wire, ReadableNotification> readable(*this, &Wire::on_readable);
+  const NObserver<Wire, ErrorNotification> error(*this, &Wire::on_error);
+  if (wanted) {
+    loop_.addEventHandler(socket_, readable);
+    loop_.addEventHandler(socket_, error);
+  } else {
+    loop_.removeEventHandler(socket_, readable);
+    loop_.removeEventHandler(socket_, error);
+  }
 }
 
 void Wire::send(std::string_view bytes) {
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -116,6 +116,7 @@
   void flush();
   void ended();
   void want_writable(bool wanted);
+  void watch_incoming(bool wanted);
 
   Loop& loop_;
   Poco::Net::StreamSocket socket_;
