A dispatch called off ends when its engine has heard of it

At fault: Front::stop_dispatch, which ended the dispatch at once. Now never_mind is followed by 'there', and the dispatch ends as stopped at its echo, or as what crossed on the way, or after 50 ms without one.

--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -33,14 +33,15 @@
     wire_->send(out);
   }
 
-  void never_mind(DispatchKey key) {
-    owner_.on_.erase(key);
-    if (std::erase_if(before_open_, [&](const Kept& kept) { return kept.key == key; }) > 0) return;
+  // True where it has left, so that the engine has to hear of it.
+  bool never_mind(DispatchKey key) {
+    if (std::erase_if(before_open_, [&](const Kept& kept) { return kept.key == key; }) > 0) return false;
     std::string out;
     talk_.never_mind(key, out);
     wire_->send(out);
-    if (busy() == 0) idle_since_ = owner_.loop_.now();
+    return true;
   }
+  void lose_patience(DispatchKey key) { talk_.lose_patience(key); }
 
   void hurry(DispatchKey key, int priority) {
     for (Kept& kept : before_open_) {
@@ -72,7 +73,6 @@
       return lost();
     }
     wire_->send(out);
-    if (busy() == 0) idle_since_ = owner_.loop_.now();
   }
 
   void wire_ended() override { lost(); }
@@ -90,12 +90,12 @@
 
   void talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string> pages) override {
     owner_.on_.erase(key);
+    if (busy() == 0) idle_since_ = owner_.loop_.now();
     owner_.listener_.talk_ended(key, outcome, std::move(pages));
   }
   void talk_progress(DispatchKey key, double share) override { owner_.listener_.talk_progress(key, share); }
   void talk_spill(DispatchKey key, double missing) override { owner_.listener_.talk_spill(key, missing); }
   void talk_wait(DispatchKey key, Wait wait) override { owner_.listener_.talk_wait(key, wait); }
-  void talk_pong() override {}
 
  private:
   struct Kept {
@@ -181,7 +181,15 @@
   const auto it = on_.find(key);
   if (it == on_.end()) return;
   ++counters_.never_minds;
-  it->second->never_mind(key);
+  if (!it->second->never_mind(key)) {
+    on_.erase(it);
+    return loop_.soon([this, key] { listener_.talk_ended(key, Outcome::stopped, {}); });
+  }
+  // What the platform allows on top of its time limits; a connection that is so slow says nothing any more.
+  loop_.at(loop_.now() + std::chrono::milliseconds(50), [this, key] {
+    const auto at = on_.find(key);
+    if (at != on_.end()) at->second->lose_patience(key);
+  });
 }
 
 void Engines::hurry(DispatchKey key, int priority) {
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -17,16 +17,13 @@
 
 class Engines {
  public:
-  class Listener : public EngineTalk::Listener {
-   public:
-    void talk_pong() override {}
-  };
+  using Listener = EngineTalk::Listener;
   Engines(Loop& loop, const service::LinkLimits& limits, std::size_t most_connections, Listener& listener,
           Counters& counters);
   ~Engines();
   void place(EngineId engine, const std::string& address);
   void want(EngineId engine, DispatchKey key, const Want& want);
-  void never_mind(DispatchKey key);
+  void never_mind(DispatchKey key);  // it still ends once, as stopped if nothing else
   void hurry(DispatchKey key, int priority);
   std::size_t connections() const { return connections_; }
 
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -383,9 +383,7 @@
 }
 
 void Front::stop_dispatch(JobId id, int number) {
-  const DispatchKey key{id, number};
-  engines_.never_mind(key);
-  loop_.soon([this, key] { talk_ended(key, Outcome::stopped, {}); });
+  engines_.never_mind({id, number});
 }
 
 void Front::throttle(JobId id, Span come_back_in) {
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -94,14 +94,29 @@
   put(out, {"want", want.id, fields, want.statement});
 }
 
+// Guards against two dispatches of a job that overlap: one given up is over only when its engine has heard,
+// which the echo of a tag sent right behind shows, whatever the way to the next engine takes.
 void EngineTalk::never_mind(DispatchKey key, std::string& out) {
   const auto id = ids_.find(key);
   if (id == ids_.end()) return;
+  Open& open = open_.find(id->second)->second;
+  if (!open.farewell.empty()) return;
+  open.farewell = "t" + std::to_string(next_tag_++);
   put(out, {"never_mind", id->second});
+  put(out, {"there", open.farewell});
+}
+
+void EngineTalk::heard(std::string_view tag) {
+  const auto it = std::ranges::find_if(open_, [&](const auto& one) { return one.second.farewell == tag; });
+  if (it != open_.end() && !tag.empty()) end(it, Outcome::stopped);
+}
+
+void EngineTalk::lose_patience(DispatchKey key) {
+  const auto id = ids_.find(key);
+  if (id == ids_.end()) return;
   given_up_.push_back(id->second);
   if (given_up_.size() > most_given_up) given_up_.pop_front();
-  open_.erase(id->second);
-  ids_.erase(id);
+  end(open_.find(id->second), Outcome::stopped);
 }
 
 void EngineTalk::hurry(DispatchKey key, int priority, std::string& out) {
@@ -109,8 +124,6 @@
   if (id != ids_.end()) put(out, {"hurry", id->second, std::to_string(priority)});
 }
 
-void EngineTalk::ask_there(std::string& out) { put(out, {"there", "t"}); }
-
 bool EngineTalk::knows(std::string_view id) const {
   return open_.contains(id) || std::ranges::count(given_up_, id) > 0;
 }
@@ -125,7 +138,7 @@
 
 bool EngineTalk::answer(std::vector<std::string>& words, std::string& out) {
   if (words.size() < 2) return false;
-  if (words[1] == "PONG") return listener_.talk_pong(), true;
+  if (words[1] == "PONG") return heard(words[0]), true;
   if (words.size() != 4) return false;
   const auto it = open_.find(words[0]);
   if (it == open_.end()) return true;  // late, of a dispatch that has ended
@@ -142,6 +155,7 @@
       open.here.resize(open.pages.size());
       open.pages[0] = std::move(words[3]);
       open.here[0] = true, open.pages_here = 1, open.bytes = open.pages[0].size();
+      if (!open.farewell.empty() && pages > 1) return true;  // its further pages went with the request
       for (std::int64_t page = 1; page < pages; ++page) put(out, {"turn", it->first, std::to_string(page)});
     } else if (words[1] == "PART") {
       const std::int64_t page = fields.required_whole("fetch_no");
--- a/src/net/resp.h
+++ b/src/net/resp.h
@@ -62,14 +62,15 @@
     virtual void talk_progress(DispatchKey key, double share_done) = 0;
     virtual void talk_spill(DispatchKey key, double missing_mb) = 0;
     virtual void talk_wait(DispatchKey key, Wait wait) = 0;
-    virtual void talk_pong() = 0;
   };
   explicit EngineTalk(Listener& listener) : listener_(listener) {}
 
   void want(DispatchKey key, const Want& want, std::string& out);
+  // Gives it up. It ends as stopped once the engine is known to have heard, or as what had crossed on the way.
   void never_mind(DispatchKey key, std::string& out);
+  // The engine has not said in time that it heard: what was given up ends without its word.
+  void lose_patience(DispatchKey key);
   void hurry(DispatchKey key, int priority, std::string& out);
-  void ask_there(std::string& out);
   // False where the bytes are no answers; the caller closes and calls `broke`.
   bool feed(std::string_view bytes, std::string& out);
   // The connection is gone: what is open ends as reset, or as `unsent` where nothing of it had left.
@@ -87,7 +88,9 @@
     std::vector<std::string> pages;  // empty where one is missing yet
     std::vector<bool> here;
     std::size_t bytes = 0;
+    std::string farewell;  // the tag whose echo shows that the engine has heard; empty while wanted
   };
+  void heard(std::string_view tag);
   bool answer(std::vector<std::string>& words, std::string& out);
   void end(std::map<std::string, Open, std::less<>>::iterator it, Outcome outcome);
   void put(std::string& out, std::initializer_list<std::string_view> words);
@@ -97,7 +100,7 @@
   std::map<std::string, Open, std::less<>> open_;
   std::map<DispatchKey, std::string> ids_;
   std::deque<std::string> given_up_;
-  std::uint64_t put_ = 0;
+  std::uint64_t put_ = 0, next_tag_ = 0;
 };
 
 }  // namespace pearchute::net
