--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -128,6 +128,14 @@
 
 Front::~Front() = default;
 
+std::string Front::counters_now() {
+  counters_.open_jobs = jobs_.size(), counters_.open_clients = clients_.size();
+  counters_.open_engine_connections = engines_.connections();
+  counters_.open_dispatches = 0;
+  for (const auto& [id, job] : jobs_) counters_.open_dispatches += job.out.size();
+  return counters_.as_json();
+}
+
 // ---- Clients ----
 
 void Front::client_came(const Poco::Net::StreamSocket& socket) {
@@ -194,7 +202,7 @@
   if (whole == "/check") {
     return respond(client.id(), ready_ ? 200 : 503, "", ready_ ? R"({"up":true})" : R"({"up":false})");
   }
-  if (whole == "/counters" && method == "GET") return respond(client.id(), 200, "", counters_.as_json());
+  if (whole == "/counters" && method == "GET") return respond(client.id(), 200, "", counters_now());
   if (whole.starts_with(work_path)) {
     if (method == "POST") return take_job(client, whole.substr(whole.rfind('/') + 1), message);
     ++counters_.bad_calls;
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -29,6 +29,7 @@
   bool has_room() const { return clients_.size() < most_clients_; }
   void set_ready(bool ready) { ready_ = ready; }
   bool idle() const { return jobs_.empty(); }
+  std::string counters_now();
   // Every job that is still open gets its final answer now; what comes later is turned away.
   void answer_all();
 
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -59,8 +59,10 @@
       never_minds, hurries, engine_connections);
   for (int i = 0; i < 8; ++i) text += fmt::format(R"({}"{}":{})", i ? "," : "", names[i], ends[i]);
   text += fmt::format(
-      R"(}},"notes":{},"broken_answers":{},"list":{{"events":{},"connections":{},"broken":{}}}}})", notes,
-      broken_answers, list_events, list_connections, broken_events);
+      R"(}},"notes":{},"broken_answers":{},"list":{{"events":{},"connections":{},"broken":{}}},)"
+      R"("open":{{"jobs":{},"dispatches":{},"clients":{},"engine_connections":{}}}}})",
+      notes, broken_answers, list_events, list_connections, broken_events, open_jobs, open_dispatches,
+      open_clients, open_engine_connections);
   return text;
 }
 
--- a/src/net/program.cpp
+++ b/src/net/program.cpp
@@ -112,7 +112,7 @@
   const Span now = loop_.now();
   if (asked_for_counters) {
     asked_for_counters = 0;
-    spdlog::info("counters {}", counters_.as_json());
+    spdlog::info("counters {}", front_->counters_now());
   }
   if (phase_ == Phase::listing && list_->has_list()) enter(Phase::serving);
   if (asked_to_end && phase_ < Phase::leaving) {
@@ -137,7 +137,7 @@
 int Program::run() {
   loop_.settle();
   loop_.run();
-  spdlog::info("counters {}", counters_.as_json());
+  spdlog::info("counters {}", front_->counters_now());
   return 0;
 }
 
