A job told to be behind a load goes where its data set is not held

Ruled out: processor (15% used), engines (432 cores each, a fifth in use), the ledger (no job was held). At fault: WorkloadManager::wait_told, which only marked the dispatch. It now keeps, per engine and data set, that a load of whichever manager is there, and moves a restartable job on while it has a dispatch left and another engine may do. It also covers whatever else makes an engine tell that it waits for a load; it can do harm where the load is about to end and the other engine is far away, by one dispatch. Order lines that are empty are forgotten (they were kept forever).

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -42,8 +42,8 @@
 WorkloadManager::WorkloadManager(const ServiceDefinition& service, std::uint64_t seed, Host& host)
     : host_(host), chance_(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32))), rules_(service) {
   subscribe_wait_ = milliseconds(500), cut_ = infinite;
-  for (const ReservationType& type : service.types) types_.emplace_back().type = type;
-  for (TypeFigures& type : types_) type.best_pace = 1, type.slow_pace = 3;  // slow until answers come well
+  for (const ReservationType& type : service.types)  // slow until answers come well
+    types_.push_back({.type = type, .best_pace = 1, .slow_pace = 3});
   double sum = 1e-9;
   for (const Customer& customer : service.customers) sum += customer.jobs_per_second;
   for (const Customer& one : service.customers) customer_portion_.push_back(one.jobs_per_second / sum);
@@ -73,9 +73,7 @@
     const bool restarted = listed.online_since && listed.online_since != engine.listed.online_since;
     engine.known_up = listed.state == EngineState::up;
     engine.listed = listed;
-    if (first) {
-      engine.even_slots = 2.0 * kind_of(engine).cores * share_;
-    }
+    if (first) engine.even_slots = 2.0 * kind_of(engine).cores * share_;
     if (first || restarted || (engine.known_up && !was_up)) {
       engine.told = now;
       engine.strikes = 0, engine.error_rate = 0, engine.closed_until = now, engine.on_trial = false;
@@ -103,28 +101,22 @@
 void WorkloadManager::job_taken(Span now, const Job& job) {
   TypeFigures& type = types_[job.type.value];
   HeldJob& held = jobs_[job.id];
-  held.job = job;
-  held.turn = next_turn_++;
-  turns_[held.turn] = job.id;
+  held.job = job, held.turn = next_turn_++, turns_[held.turn] = job.id;
   if (job.work_ms) take_in(*job.work_ms, type.usual_work_ms);
   if (job.memory_mb) take_in(*job.memory_mb, type.usual_memory_mb);
   held.work_ms = job.work_ms.value_or(type.usual_work_ms.value);
   take_in(held.work_ms, mean_work_ms_);
-  held.taken = now;
-  held.end = now + std::max<Span>(job.time_left - spare_end_, Span(0));
+  held.taken = now, held.end = now + std::max<Span>(job.time_left - spare_end_, Span(0));
   const Span sla = type.type.sla_time + from_ms(type.type.sla_stretch * ideal_ms(held));
   held.sla_end = std::min(now + sla, held.end);
   if (rules_.ration_window) taken_.push_back(now);
   if (job.customer.value >= 0) customer_rate_[job.customer.value] += 1.0 / 5;
   if (job.key && type.type.in_order) lines_[*job.key].jobs.push_back(job.id);
   host_.wake_in(held.end - now, held.turn);
-  job_rate_ += 1.0 / 5;
-  data_sets_[job.data_set] += 1, data_sets_drawn_ += 1;
+  job_rate_ += 1.0 / 5, data_sets_[job.data_set] += 1, data_sets_drawn_ += 1;
   rescues_due_ = std::min(rescues_due_ + 0.1, 10.0);
   const double cost = 1 / density(held);
-  largest_ = std::max(largest_, cost);
-  work_taken_ += held.work_ms;
-  value_taken_ += held.work_ms / cost;
+  largest_ = std::max(largest_, cost), work_taken_ += held.work_ms, value_taken_ += held.work_ms / cost;
   mean_cost_ = work_taken_ / std::max(value_taken_, 1e-9);
   // The queue's bound keeps a scan of it well under a round's processor time.
   constexpr std::size_t longest_queue = 600;
@@ -198,12 +190,10 @@
   if (!find(id, number) || !find(id, number)->out) return;
   HeldJob& held = jobs_.at(id);
   Dispatch& dispatch = held.dispatches[number];
-  dispatch.out = false;
-  held.out -= 1;
+  dispatch.out = false, held.out -= 1;
   Engine& engine = engines_[dispatch.engine];
   TypeFigures& type = types_[held.job.type.value];
-  engine.live_bytes -= dispatch.grant;
-  engine.live_threads -= dispatch.threads, engine.dispatches -= 1;
+  engine.live_bytes -= dispatch.grant, engine.live_threads -= dispatch.threads, engine.dispatches -= 1;
   engine.out.erase({dispatch.sent, {id, number}});
   if (engine.protecting) {
     const double floor = capacity(engine) / std::max(8.0, slots(now, engine));
@@ -223,6 +213,7 @@
     else if (work_ms) type.work_bias += (std::clamp(*work_ms / *job.work_ms, 0.2, 5.0) - type.work_bias) / 50;
     if (memory_mb && !job.memory_mb) take_in(*memory_mb, type.usual_memory_mb);
     else if (memory_mb) type.memory_bias += (*memory_mb / *job.memory_mb - type.memory_bias) / 50;
+    if (type.type.waits_for_load) engine.told_held.erase(job.data_set);
     learn(engine, held, dispatch, elapsed);
   } else if (outcome == Outcome::error) {
     engine.last_word = now;
@@ -240,8 +231,7 @@
 
   if (!proves_not_run(outcome) && outcome != Outcome::done && !held.first_doubt) {
     held.first_doubt = dispatch.sent;
-    held.doubt_zone = engine.listed.zone;
-    held.doubt_cell = engine.listed.cell;
+    held.doubt_zone = engine.listed.zone, held.doubt_cell = engine.listed.cell;
   }
   const bool sure = proves_not_run(outcome) || outcome == Outcome::done || outcome == Outcome::error;
   if (held.job.key && type.type.in_order && !sure) {
@@ -261,7 +251,30 @@
 
 void WorkloadManager::wait_told(Span now, JobId id, int number, Wait wait) {
   heard(now, id, number);
-  if (Dispatch* dispatch = find(id, number); dispatch && wait == Wait::load) dispatch->behind_load = true;
+  Dispatch* dispatch = find(id, number);
+  if (!dispatch || wait != Wait::load) return;
+  HeldJob& held = jobs_.at(id);
+  dispatch->behind_load = true;
+  // Guards against other managers' loads, which only this tells of: for the usual time of a load, the engine
+  // comes last for jobs on that data set, and what has found it held goes elsewhere while it has a dispatch.
+  const DataSetId data_set = held.job.data_set;
+  double usual = 0;
+  for (const TypeFigures& type : types_)
+    if (type.type.holds_data) usual = std::max(usual, type.usual_work_ms.value / type.type.threads);
+  engines_[dispatch->engine].told_held[data_set] = now + from_ms(usual * std::max(1.0, fleet_.stretch));
+  const bool may_move = rules_.may_stop && !held.over && dispatch->out && !dispatch->stopping &&
+                        !used_up(held) && type_of(held).effect == Effect::restartable;
+  if (!may_move || std::ranges::none_of(engines_, [&](const auto& one) {
+        return !data_held(now, one.second, data_set) && may_go_to(now, held, one.second);
+      }))
+    return;
+  dispatch->stopping = true;
+  host_.stop_dispatch(id, number);
+}
+
+bool WorkloadManager::data_held(Span now, const Engine& engine, DataSetId data_set) const {
+  const auto told = engine.told_held.find(data_set);
+  return engine.loads.contains(data_set) || (told != engine.told_held.end() && now < told->second);
 }
 
 void WorkloadManager::probe_ended(Span now, EngineId id, Outcome outcome, Span, const LoadReport& load) {
@@ -294,8 +307,7 @@
 // Dispatches past the first: two at once only for a restartable job, and within the ration.
 bool WorkloadManager::may_go(Span now, const HeldJob& held) {
   const ReservationType& type = type_of(held);
-  if (held.over || held.streaming || now >= held.end) return false;
-  if (used_up(held)) return false;
+  if (held.over || held.streaming || now >= held.end || used_up(held)) return false;
   if (held.out > 0 && (!rules_.second_copies || type.effect != Effect::restartable)) return false;
   if (type.effect == Effect::run_once && held.first_doubt) return false;
   if (type.effect == Effect::keyed && held.first_doubt) {
@@ -370,8 +382,7 @@
 }
 
 void WorkloadManager::over(HeldJob& held) {
-  held.over = true, held.held = false;
-  held_.erase(held.turn);
+  held.over = true, held.held = false, held_.erase(held.turn);
   for (auto& [id, engine] : engines_) {
     if (engine.protecting && engine.protected_for == held.job.id) engine.protecting = false;
   }
@@ -389,8 +400,7 @@
   if (it == jobs_.end() || !it->second.over || it->second.out > 0) return;
   const HeldJob& held = it->second;
   if (held.job.key && type_of(held).in_order) std::erase(lines_[*held.job.key].jobs, id);
-  turns_.erase(held.turn);
-  jobs_.erase(it);
+  turns_.erase(held.turn), jobs_.erase(it);
 }
 
 // ---- The ordinary path: ledger, slots, floor, headroom ----
@@ -454,8 +464,7 @@
   // Exception: a job of the highest priority, soon gone, may overrun the slots by half, within the bytes of
   // the engine, so that long jobs that fill the ledgers don't shut out what pays most for its engine time.
   if (need > 0 && priority(held) == 3 && threads <= 1.5 * open + 1) {
-    const double left = kind_of(engine).memory_mb - engine.live_bytes - engine.others_bytes.value_or(0);
-    if (need <= left) return need;
+    if (need <= kind_of(engine).memory_mb - engine.live_bytes - engine.others_bytes.value_or(0)) return need;
   }
   const bool kept = engine.protecting && engine.protected_for != held.job.id;
   int left = std::max(static_cast<int>(open), largest_threads_) - threads;
@@ -524,8 +533,7 @@
       }
     }
     if (has_one || !chosen) continue;
-    chosen->protecting = true, chosen->protected_bytes = 0;
-    chosen->protected_for = waiter->job.id;
+    chosen->protecting = true, chosen->protected_bytes = 0, chosen->protected_for = waiter->job.id;
   }
 }
 
@@ -570,7 +578,7 @@
     if (!type.type.waits_for_load && (hash >= least_home || hash == near_home)) spare += 0.25 * whole;
     const double crossing = std::min(0.25, rules_.crossing_price / std::max(size, 1e-3));
     if (engine.listed.zone != rules_.zone) spare -= crossing * whole;
-    if ((type.type.waits_for_load || type.type.holds_data) && engine.loads.contains(held.job.data_set))
+    if ((type.type.waits_for_load || type.type.holds_data) && data_held(now, engine, held.job.data_set))
       spare -= whole;
     if (now < engine.last_full + seconds(2)) spare -= whole;  // others are tried first
     for (const Dispatch& earlier : held.dispatches) {
@@ -582,33 +590,26 @@
     if (part < 1 && pooled(engine) && std::generate_canonical<double, 32>(chance_) > part) spare -= whole;
     const std::tuple rank{-spare, engine.dispatches, engine.live_bytes, turn};
     if (best && rank >= best_rank) continue;
-    best = &engine;
-    best_grant = *grant;
-    best_rank = rank;
+    best = &engine, best_grant = *grant, best_rank = rank;
   }
-  if (!best) return false;
-  send(now, held, *best, best_grant);
-  return true;
+  if (best) send(now, held, *best, best_grant);
+  return best != nullptr;
 }
 
 void WorkloadManager::send(Span now, HeldJob& held, Engine& engine, double grant) {
   const TypeFigures& type = types_[held.job.type.value];
-  held_.erase(held.turn);
-  held.held = false;
-  held.overtaken = 0;
+  held_.erase(held.turn), held.held = false, held.overtaken = 0;
   if (engine.protecting && engine.protected_for == held.job.id) engine.protecting = false;
   if (!held.dispatches.empty() && rules_.ration_window) resent_.push_back(now);
   const int number = static_cast<int>(held.dispatches.size());
   Dispatch dispatch{engine.listed.id, now, now, grant, type.type.threads};
-  engine.live_bytes += grant;
-  engine.live_threads += dispatch.threads, engine.dispatches += 1;
+  engine.live_bytes += grant, engine.live_threads += dispatch.threads, engine.dispatches += 1;
   engine.out.insert({now, {held.job.id, number}});
   if (type.type.holds_data) engine.loads[held.job.data_set] += 1;
   if (engine.on_trial) engine.trying = dispatch.trial = true;
   if (cold(now, engine)) engine.cold_sends.push_back({now, usual_work(held)});
   else engine.cold_sends.clear();
-  held.out += 1;
-  held.dispatches.push_back(dispatch);
+  held.out += 1, held.dispatches.push_back(dispatch);
   if (rules_.takes_grants || rules_.takes_priority) {
     host_.set_terms(held.job.id, rules_.takes_grants ? grant : 0, priority(held));
   }
@@ -644,9 +645,8 @@
   TypeFigures& type = types_[held.job.type.value];
   // Guards against slowness that is not the engine's: a job behind a load says nothing of it, nor does one
   // that is very short for its type, since most of its time is not work.
-  const double ideal = ideal_ms(held);
   if (dispatch.behind_load || tiny(held)) return;
-  const double pace = in_ms(elapsed) / ideal;
+  const double pace = in_ms(elapsed) / ideal_ms(held);
   // Quantiles by steps: each settles where the steps down and up balance, at 10% and 95%.
   type.best_pace *= pace < type.best_pace ? 0.955 : 1.005;
   type.slow_pace *= pace > type.slow_pace ? 1.0475 : 0.9975;
@@ -702,8 +702,8 @@
   }
   if (silent > 1) sign_of_trouble(now, engine, false);
   if (now < engine.closed_until) lost.clear();
-  if (now < engine.closed_until)
-    for (const auto& [sent, which] : engine.out) lost.push_back(which);
+  for (const auto& [sent, which] : engine.out)
+    if (now < engine.closed_until) lost.push_back(which);
   // Guards against engines that answer nothing, and answers that get lost while the engine looks well.
   for (const auto& [id, number] : lost) {
     HeldJob& held = jobs_.at(id);
@@ -747,6 +747,7 @@
   job_rate_ *= 0.98, work_taken_ *= 0.998, value_taken_ *= 0.998, data_sets_drawn_ *= 0.99;
   for (double& rate : customer_rate_) rate *= 0.98;
   for (auto& [data_set, drawn] : data_sets_) drawn *= 0.99;
+  std::erase_if(lines_, [&](auto& l) { return l.second.jobs.empty() && now >= l.second.rests_until; });
   std::erase_if(data_sets_, [](const auto& one) { return one.second < 0.001; });
   fleet_live_ = 0, fleet_even_ = 1e-9;
   for (auto& [id, engine] : engines_) {
--- a/src/control.h
+++ b/src/control.h
@@ -64,6 +64,7 @@
     return engine.listed.kind.value >= 0 ? kinds_[engine.listed.kind.value] : MachineKind{};
   }
   bool tiny(const HeldJob& held) const;
+  bool data_held(Span now, const Engine& engine, DataSetId data_set) const;
   bool used_up(const HeldJob& held) const {
     return static_cast<int>(held.dispatches.size()) >= rules_.most_dispatches;
   }
--- a/src/state.h
+++ b/src/state.h
@@ -73,6 +73,7 @@
   std::deque<std::pair<Span, double>> cold_sends;
   std::optional<double> others_bytes;
   std::map<DataSetId, int> loads;                        // own loads that hold a data set there
+  std::map<DataSetId, Span> told_held;                   // until when others' are taken to, as notes told
   std::set<std::pair<Span, std::pair<JobId, int>>> out;  // own dispatches, oldest first
 };
 
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -176,7 +176,44 @@
   }
 }
 
+// A job told to stand behind another manager's load moves on at once, while it may, and its like stay away.
+void behind_a_load() {
+  struct Case {
+    bool may_stop;
+    Effect effect;
+    int dispatches;  // most of a job
+    int engines;
+    bool moves;
+  };
+  const Case cases[] = {{true, Effect::restartable, 3, 3, true},
+                        {true, Effect::restartable, 1, 3, false},
+                        {true, Effect::restartable, 3, 1, false},
+                        {true, Effect::keyed, 3, 3, false},
+                        {false, Effect::restartable, 3, 3, false}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.may_stop = c.may_stop, service.most_dispatches = c.dispatches;
+    service.types[0].waits_for_load = true, service.types[0].effect = c.effect;
+    service.types[1].holds_data = true;
+    Bench bench(service, c.engines);
+    bench.take(5, 1, 2000);  // tells how long loads usually are
+    bench.end(5, Outcome::done, ms(1000));
+    bench.take(10, 0, 80);
+    const int held_there = bench.engine_of(10);
+    bench.manager.wait_told(bench.now, JobId{10}, 0, Wait::load);
+    assert((bench.host.stopped.size() == 1) == c.moves);
+    if (!c.moves) continue;
+    bench.end(10, Outcome::stopped);
+    assert(bench.dispatches(10) == 2 && bench.engine_of(10) != held_there);
+    for (int id = 15; id <= 25; id += 5) {  // the same data set
+      bench.take(id, 0, 80);
+      assert(bench.engine_of(id) != held_there);
+    }
+  }
+}
+
 int main() {
+  behind_a_load();
   lost_answers(), cut_answers(), judgement_fades(), silence_needs_two();
   engines_in_trouble(), never_all_closed(), silence(), bad_plans(), list_refused();
 }
