Near the most open jobs, those behind loads or past their SLA time make room

At fault: the module knew no bound on open jobs. The service now tells one (limits.maxOpen, on sockets a third of the descriptors, which is what clients hold); near it wait_told and beat give up what holds a place for little. A dispatch behind a load is no longer taken for a bad plan: each note of no progress looks for another engine instead.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,8 +1,7 @@
 // The decisions of a workload manager, all of them. Callers reach it through WorkloadManager (control.h): one
-// method for each thing that can happen, which acts by calling the Host. From the top: what is kept for a
-// dispatch, a job, an engine and the instance; then the events; then the steps of a choice, in the order in
-// which it is made: may the job go (rules), which engine and grant (ledger), what else is held, and when to
-// give up. docs/design.md says where the mechanism comes from and when each exception to it acts.
+// method for each thing that can happen, which acts by calling the Host. First the events; then the steps of
+// a choice: may the job go (rules), which engine and grant (ledger), health, and when to give up.
+// docs/design.md says where the mechanism comes from and when each exception to it acts.
 #include "control.h"
 
 #include <algorithm>
@@ -82,9 +81,8 @@
     }
   }
   if (news != ListNews::changes) {
-    for (auto& [id, engine] : engines_) {
+    for (auto& [id, engine] : engines_)
       if (!named.contains(id)) engine.known_up = false;
-    }
   }
   release(now);
 }
@@ -127,21 +125,14 @@
   const double crowd = priority(held) == 3 ? 1 : fleet_.stretch * (rules_.may_stop ? 1.0 : 1.5);
   const double pace = std::max(1.0, type.best_pace * crowd);
   const bool hopeless = now + from_ms(ideal_ms(held) * pace) > held.sla_end;
-  if (costly || hopeless || held_.size() >= longest_queue || held.end <= now) {
-    give_up(now, held);
-    return;
-  }
-  held.held = true;
-  held_[held.turn] = job.id;
-  release(now);
+  if (costly || hopeless || held_.size() >= longest_queue || held.end <= now)
+    return give_up(now, held);
+  held.held = true, held_[held.turn] = job.id, release(now);
 }
 
 void WorkloadManager::job_withdrawn(Span now, JobId id) {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end()) return;
-  over(it->second);
-  forget_if_done(id);
-  release(now);
+  if (!jobs_.contains(id)) return;
+  over(jobs_.at(id)), forget_if_done(id), release(now);
 }
 
 void WorkloadManager::heard(Span now, JobId id, int number) {
@@ -161,6 +152,7 @@
   Dispatch& dispatch = *find(id, number);
   const TypeFigures& type = types_[held.job.type.value];
   if (held.over || !dispatch.out || dispatch.stopping || type.type.effect != Effect::restartable) return;
+  if (dispatch.behind_load) return share_done > 0 ? void() : wait_told(now, id, number, Wait::load);
   const double elapsed_ms = in_ms(now - dispatch.sent);
   const double whole_ms = elapsed_ms / std::max(share_done, 0.002);
   const double usual_ms = ideal_ms(held) * type.best_pace * std::max(1.0, fleet_.stretch);
@@ -204,8 +196,7 @@
   heed(now, engine, load);
 
   if (outcome == Outcome::done) {
-    engine.last_word = now, engine.strikes = 0;
-    engine.on_trial = engine.error_rate > 0.2;
+    engine.last_word = now, engine.strikes = 0, engine.on_trial = engine.error_rate > 0.2;
     engine.error_rate *= 0.9;  // a memory of about ten dispatches
     // What jobs needed corrects the estimates of their type, over some fifty of them, or stands in for them.
     const Job& job = held.job;
@@ -216,8 +207,7 @@
     if (type.type.waits_for_load) engine.told_held.erase(job.data_set);
     learn(engine, held, dispatch, elapsed);
   } else if (outcome == Outcome::error) {
-    engine.last_word = now;
-    engine.error_rate = 0.9 * engine.error_rate + 0.1;
+    engine.last_word = now, engine.error_rate = 0.9 * engine.error_rate + 0.1;
     if (engine.error_rate > 0.3 || engine.on_trial) sign_of_trouble(now, engine, false);
   } else if (outcome == Outcome::full) {
     engine.last_full = now;  // no word: one that hangs is full, too
@@ -245,8 +235,7 @@
     held.held = true, held_[held.turn] = id;
     if (now >= held.end || outcome == Outcome::never_sent) return give_up(now, held), release(now);
   }
-  forget_if_done(id);
-  release(now);
+  forget_if_done(id), release(now);
 }
 
 void WorkloadManager::wait_told(Span now, JobId id, int number, Wait wait) {
@@ -264,12 +253,14 @@
   engines_[dispatch->engine].told_held[data_set] = now + from_ms(usual * std::max(1.0, fleet_.stretch));
   const bool may_move = rules_.may_stop && !held.over && dispatch->out && !dispatch->stopping &&
                         !used_up(held) && type_of(held).effect == Effect::restartable;
-  if (!may_move || std::ranges::none_of(engines_, [&](const auto& one) {
+  if (may_move && std::ranges::any_of(engines_, [&](const auto& one) {
         return !data_held(now, one.second, data_set) && may_go_to(now, held, one.second);
-      }))
-    return;
-  dispatch->stopping = true;
-  host_.stop_dispatch(id, number);
+      })) {
+    dispatch->stopping = true;
+    host_.stop_dispatch(id, number);
+  } else if (crammed()) {
+    give_up(now, held);
+  }
 }
 
 bool WorkloadManager::data_held(Span now, const Engine& engine, DataSetId data_set) const {
@@ -310,10 +301,9 @@
   if (held.over || held.streaming || now >= held.end || used_up(held)) return false;
   if (held.out > 0 && (!rules_.second_copies || type.effect != Effect::restartable)) return false;
   if (type.effect == Effect::run_once && held.first_doubt) return false;
-  if (type.effect == Effect::keyed && held.first_doubt) {
-    // Two rounds short of the window: what is decided now leaves at once, but clocks are read a round apart.
+  // Two rounds short of the window: what is decided now leaves at once, but clocks are read a round apart.
+  if (type.effect == Effect::keyed && held.first_doubt)
     if (now + 2 * rules_.round >= *held.first_doubt + type.repeat_window) return false;
-  }
   if (held.job.key && type.in_order) {
     const OrderLine& line = lines_.at(*held.job.key);
     if (line.jobs.front() != held.job.id) return false;
@@ -348,7 +338,7 @@
   if (engine.on_trial && (engine.trying || priority(held) < 2)) return false;
   // No copy to where the job is still out.
   const EngineId id = engine.listed.id;
-  return std::ranges::none_of(held.dispatches, [&](const Dispatch& d) { return d.out && d.engine == id; });
+  return std::ranges::none_of(held.dispatches, [&](auto& d) { return d.out && d.engine == id; });
 }
 
 // Whether a cold engine may be sent this job: any warm one may.
@@ -383,9 +373,8 @@
 
 void WorkloadManager::over(HeldJob& held) {
   held.over = true, held.held = false, held_.erase(held.turn);
-  for (auto& [id, engine] : engines_) {
+  for (auto& [id, engine] : engines_)
     if (engine.protecting && engine.protected_for == held.job.id) engine.protecting = false;
-  }
   if (!rules_.may_stop) return;
   for (std::size_t i = 0; i < held.dispatches.size(); ++i) {
     Dispatch& dispatch = held.dispatches[i];
@@ -581,9 +570,8 @@
     if ((type.type.waits_for_load || type.type.holds_data) && data_held(now, engine, held.job.data_set))
       spare -= whole;
     if (now < engine.last_full + seconds(2)) spare -= whole;  // others are tried first
-    for (const Dispatch& earlier : held.dispatches) {
+    for (const Dispatch& earlier : held.dispatches)
       if (earlier.engine == id) spare -= whole;  // one that has just failed the job comes last
-    }
     // Exception: in a pool a job's need sets all ledgers alike, so a machine is passed over as often as it is
     // smaller than the largest.
     const double part = kind_of(engine).memory_mb / most_memory_;
@@ -801,10 +789,22 @@
     HeldJob& held = jobs_.at((it++)->second);
     if (held.out == 0 && now + from_ms(ideal_ms(held)) > held.sla_end) give_up(now, held);
   }
+  for (auto it = turns_.begin(); crammed() && it != turns_.end();) {
+    HeldJob& held = jobs_.at((it++)->second);
+    const bool restartable = type_of(held).effect == Effect::restartable;
+    if (now >= held.sla_end && restartable && !held.streaming) give_up(now, held);
+  }
 }
 
 // ---- Giving up ----
 
+// Exception: near the most jobs that may be open at once, others are turned away unseen. What holds a place
+// for little makes room: jobs behind a load with nowhere else to go, and restartable ones past their SLA
+// time. A tenth is kept free for what comes within a beat.
+bool WorkloadManager::crammed() const {
+  return rules_.most_open > 0 && 10.0 * static_cast<double>(jobs_.size()) > 9.0 * rules_.most_open;
+}
+
 void WorkloadManager::give_up(Span now, HeldJob& held) {
   if (held.over) return;
   const JobId id = held.job.id;
--- a/src/control.h
+++ b/src/control.h
@@ -100,6 +100,7 @@
   double usual_work(const HeldJob& held) const;
   void beat(Span now);
   // Giving up
+  bool crammed() const;
   void give_up(Span now, HeldJob& held);
 
   Host& host_;
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -8,6 +8,8 @@
 #include <cerrno>
 #include <cstring>
 
+#include "log.h"
+
 namespace pearchute::net {
 
 using Poco::NObserver;
@@ -90,6 +92,10 @@
 }
 
 void Loop::tick() {
+  if (!timers_.empty() && now() - timers_.front().when > std::chrono::milliseconds(40)) {
+    PEARCHUTE_LOG(spdlog::level::warn, "held up: a timer comes {} ms late",
+                  (now() - timers_.front().when).count() / 1000);
+  }
   while (!timers_.empty() && timers_.front().when <= now()) {
     std::pop_heap(timers_.begin(), timers_.end());
     const std::function<void()> what = std::move(timers_.back().what);
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -18,8 +18,13 @@
 // to 30 ms on its way through. The module keeps clear of each job's end by twice this.
 constexpr milliseconds wakes_late(15);
 
-service::Deployment on_sockets(service::Deployment deployment) {
-  deployment.service.round = std::max<Span>(deployment.service.round, wakes_late);
+// The service as it is on sockets: each open job holds a client's connection, and clients hold a third of the
+// descriptors at most.
+service::Deployment on_sockets(service::Deployment deployment, std::size_t descriptors) {
+  ServiceDefinition& service = deployment.service;
+  service.round = std::max<Span>(service.round, wakes_late);
+  const auto places = static_cast<std::int64_t>(descriptors / 3);
+  service.most_open = service.most_open > 0 ? std::min(service.most_open, places) : places;
   return deployment;
 }
 
@@ -125,7 +130,7 @@
 Front::Front(Loop& loop, const service::Deployment& deployment, std::uint64_t seed, std::size_t descriptors,
              Counters& counters)
     : loop_(loop),
-      deployment_(on_sockets(deployment)),
+      deployment_(on_sockets(deployment, descriptors)),
       counters_(counters),
       // Clients hold a third at most; half leaves room for those that the system has not yet seen closing. Of
       // the rest, a few are for the log, the list and the like.
@@ -289,8 +294,8 @@
     return bad(400, "Idempotency-Key is not usable");
   if (message.body.empty()) return bad(400, "no statement");
   if (jobs_.contains(job.id)) return bad(409, "this request is being served");
-  const std::int64_t most = deployment_.links.most_open;
-  if (closing_ || (most > 0 && jobs_.size() >= static_cast<std::size_t>(most))) {
+  // A connection's last job may not be forgotten yet when its next one comes: a few over the limit are taken.
+  if (closing_ || jobs_.size() >= 2 * static_cast<std::size_t>(deployment_.service.most_open)) {
     ++counters_.throttled;
     return respond(client.id(), 503, "", R"({"abort":"TryLater"})");
   }
@@ -329,6 +334,9 @@
 void Front::answer(JobId id, OpenJob& job, int status, std::string headers, std::string body) {
   if (job.answered) return;
   job.answered = true;
+  if (const Span late = loop_.now() - job.end; late > Span(0)) {
+    PEARCHUTE_LOG(spdlog::level::warn, "job {} is answered {} ms after its end", job.id, late.count() / 1000);
+  }
   if (job.caller) {
     respond(*job.caller, status, headers, body);
     job.caller.reset();
--- a/src/service/deployment.cpp
+++ b/src/service/deployment.cpp
@@ -93,6 +93,7 @@
     service.ration_share = values.number("obligations.extraShare").value_or(0);
   }
   service.most_dispatches = static_cast<int>(values.whole("limits.attemptsCap").value_or(1));
+  service.most_open = values.whole("limits.maxOpen").value_or(0);
   service.second_copies = values.flag("limits.secondCopies");
   service.may_stop = values.flag("limits.cancel");
   service.may_probe = values.flag("limits.mayProbe");
@@ -114,7 +115,6 @@
   deployment.links.connect_within = span_of(values, "limits.connectTimeout");
   deployment.links.idle_close = span_of(values, "limits.idleClose");
   deployment.links.dispatches_each = static_cast<int>(values.whole("limits.streamsPerConn").value_or(1));
-  deployment.links.most_open = values.whole("limits.maxOpen").value_or(0);
   return deployment;
 }
 
--- a/src/service/deployment.h
+++ b/src/service/deployment.h
@@ -25,12 +25,11 @@
   throw Malformed("'" + std::string(name) + "' is '" + std::string(word) + "', which is not known");
 }
 
-// What holds for connections to engines and for a manager's whole intake.
+// What holds for connections to engines.
 struct LinkLimits {
   Span connect_within{};
   Span idle_close{};         // engines close what was idle for so long; 0: never
   int dispatches_each = 1;   // on one connection at once
-  std::int64_t most_open = 0;  // jobs; 0: no limit told
 };
 
 struct Deployment {
--- a/src/types.h
+++ b/src/types.h
@@ -94,6 +94,7 @@
   double ration_few = 0;
   double ration_share = 0;
   int most_dispatches = 1;
+  std::int64_t most_open = 0;  // jobs at once; 0: no limit told
   bool second_copies = false;
   bool may_stop = false;
   bool may_probe = false;
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -212,8 +212,31 @@
   }
 }
 
+// Near the most jobs that may be open at once, what stands still or is late makes room, and only then.
+void places_run_short() {
+  struct Case {
+    std::int64_t most_open;
+    int others;
+    bool told_to_wait, gives_up;
+  };
+  const Case cases[] = {{10, 10, true, true},   {10, 3, true, false},  {0, 10, true, false},
+                        {10, 10, false, true},  {10, 3, false, false}, {0, 10, false, false}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.may_stop = true, service.most_open = c.most_open;
+    service.types[0].waits_for_load = true, service.types[1].holds_data = true;
+    Bench bench(service, 1);
+    bench.take(5, 0, 80);
+    for (int id = 101; id < 101 + c.others; ++id) bench.take(id, 1, 2000, std::nullopt, 50);
+    if (c.told_to_wait) bench.manager.wait_told(bench.now, JobId{5}, 0, Wait::load);
+    else bench.pass(ms(700));  // its SLA time is 460 ms, its patience two seconds
+    assert(bench.throttled(5) == c.gives_up);
+  }
+}
+
 int main() {
   behind_a_load();
+  places_run_short();
   lost_answers(), cut_answers(), judgement_fades(), silence_needs_two();
   engines_in_trouble(), never_all_closed(), silence(), bad_plans(), list_refused();
 }
