--- /dev/null
+++ b/tests/test_wire.cpp
@@ -0,0 +1,300 @@
+// The state machines of the network code, fed each case whole, byte by byte and cut at each place, and random
+// bytes. No socket is opened.
+#include <cassert>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+
+#include "net/feed.h"
+#include "net/http.h"
+#include "net/list.h"
+#include "net/resp.h"
+#include "net/statement.h"
+#include "service/flatten.h"
+
+using namespace pearchute;
+using namespace pearchute::net;
+
+// What `run` makes of the bytes has to be the same in every cut.
+void in_every_cut(const std::string& bytes,
+                  const std::function<std::string(const std::vector<std::string_view>&)>& run,
+                  const std::string& wanted) {
+  const std::string_view all(bytes);
+  const std::string whole = run({all});
+  assert(whole == wanted);
+  std::vector<std::string_view> single;
+  for (std::size_t i = 0; i < all.size(); ++i) single.push_back(all.substr(i, 1));
+  assert(run(single) == wanted);
+  for (std::size_t cut = 0; cut <= all.size(); ++cut) assert(run({all.substr(0, cut), all.substr(cut)}) == wanted);
+}
+
+struct CallNotes final : HttpServerSide::Listener {
+  HttpServerSide* side = nullptr;
+  std::string text;
+  void called(const std::string& method, const std::string& path, Message& message) override {
+    text += method + " " + path + " [" + std::string(message.header("x-a")) + "] " + message.body + ";";
+    side->answered();
+  }
+  void refused_call(int status) override { text += std::to_string(status) + ";"; }
+};
+
+std::string calls_in(const std::vector<std::string_view>& parts) {
+  CallNotes notes;
+  HttpServerSide side(notes);
+  notes.side = &side;
+  for (const std::string_view part : parts) side.feed(part);
+  return notes.text;
+}
+
+void http_calls() {
+  const std::pair<std::string, std::string> cases[] = {
+      {"GET /check HTTP/1.1\r\nHost: a\r\n\r\n", "GET /check [] ;"},
+      {"POST /do/x HTTP/1.1\r\nX-A:  b c \r\nContent-Length: 3\r\n\r\nabc", "POST /do/x [b c] abc;"},
+      {"POST /a HTTP/1.1\nx-a: 1\ncontent-length: 1\n\nzGET /b HTTP/1.1\r\n\r\n", "POST /a [1] z;GET /b [] ;"},
+      {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;e=1\r\nc\r\n0\r\n\r\n",
+       "POST /a [] abc;"},
+      {"GARBAGE\r\n\r\n", "400;"},
+      {"GET /a HTTP/3\r\n\r\n", "400;"},
+      {"GET /a HTTP/1.1\r\nno colon\r\n\r\n", "400;"},
+      {"GET /a HTTP/1.1\r\nbad name: 1\r\n\r\n", "400;"},
+      {"POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400;"},
+      {"POST /a HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "400;"},
+      {"POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "400;"},
+      {"POST /a HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n", "413;"},
+      {"POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nabc", ""},
+  };
+  for (const auto& [bytes, wanted] : cases) in_every_cut(bytes, calls_in, wanted);
+  assert(calls_in({"GET /" + std::string(20000, 'a')}) == "413;");
+  assert(calls_in({"GET / HTTP/1.1\r\nx-a: " + std::string(20000, 'a') + "\r\n\r\n"}) == "413;");
+  std::string out;
+  append_json_string(out, "a\"b\\c\n\t\x01\xc3\xa9");
+  assert(out == "\"a\\\"b\\\\c\\n\\t\\u0001\xc3\xa9\"");
+  assert(nlohmann::json::parse(out).get<std::string>() == "a\"b\\c\n\t\x01\xc3\xa9");
+}
+
+struct TalkNotes final : EngineTalk::Listener {
+  std::string text;
+  void talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string> pages) override {
+    text += std::to_string(key.job.value) + "." + std::to_string(key.number) + "=" +
+            std::to_string(static_cast<int>(outcome));
+    for (const std::string& page : pages) text += "|" + page;
+    text += ";";
+  }
+  void talk_progress(DispatchKey, double share) override { text += "p" + std::to_string(share).substr(0, 4) + ";"; }
+  void talk_spill(DispatchKey, double mb) override { text += "s" + std::to_string(mb).substr(0, 4) + ";"; }
+  void talk_wait(DispatchKey, Wait wait) override { text += wait == Wait::load ? "load;" : "memory;"; }
+};
+
+std::string answer(std::initializer_list<std::string_view> words) {
+  std::string out;
+  append_command(out, words);
+  return out;
+}
+
+void engine_answers() {
+  const std::string id = "000000000000000a";
+  const std::pair<std::string, std::string> cases[] = {
+      {answer({id, "HIT", "fetches=1", "a\tb\tc\n"}), "10.0=0|a\tb\tc\n;"},
+      {answer({id, "HIT", "-", ""}), "10.0=0|;"},
+      {answer({id, "HIT", "fetches=3", "a"}) + answer({id, "PART", "fetch_no=2", "c"}) +
+           answer({id, "PART", "fetch_no=1", "b"}),
+       "10.0=0|a|b|c;"},
+      {answer({id, "HIT", "fetches=2", "a"}) + answer({id, "FAULT", "-", "gone"}), "10.0=1;"},
+      {answer({id, "HIT", "fetches=2", "a"}), "10.0=5;"},  // lost with the connection
+      {answer({id, "SHED", "-", ""}) + answer({id, "HIT", "-", "late"}), "10.0=2;"},
+      {answer({id, "LATE", "-", ""}), "10.0=7;"},
+      {answer({id, "INFO", "res=progress,figure=0.25", ""}) + answer({id, "INFO", "res=blocked,figure=2", ""}) +
+           answer({id, "INFO", "res=blocked,figure=1", ""}) + answer({id, "INFO", "res=spill_mb,figure=12", ""}) +
+           answer({id, "INFO", "-", ""}) + answer({id, "FAULT", "-", ""}),
+       "p0.25;load;memory;s12.0;10.0=1;"},
+      {answer({"ffff", "HIT", "-", "x"}) + answer({id, "FAULT", "-", ""}), "10.0=1;"},
+      {answer({id, "WHAT", "-", ""}), "broken;10.0=5;"},
+      {answer({id, "HIT", "fetches=many", ""}), "broken;10.0=5;"},
+      {answer({id, "HIT", "fetches=100000000", ""}), "broken;10.0=5;"},
+      {answer({id, "HIT", "fetches=2", "a"}) + answer({id, "PART", "fetch_no=7", "b"}), "broken;10.0=5;"},
+      {"+OK\r\n", "broken;10.0=5;"},
+      {"*4\r\n$99999999\r\n", "broken;10.0=5;"},
+      {"*4\r\n$1\r\nabc", "broken;10.0=5;"},
+  };
+  const auto run = [&](const std::vector<std::string_view>& parts) {
+    TalkNotes notes;
+    EngineTalk talk(notes);
+    std::string out;
+    const Want want{.id = id, .kind = "x", .token = "", .statement = "s"};
+    talk.want({JobId{10}, 0}, want, out);
+    const std::size_t sent = out.size();
+    for (const std::string_view part : parts) {
+      if (talk.feed(part, out)) continue;
+      notes.text += "broken;";
+      break;
+    }
+    talk.broke(sent);
+    return notes.text;
+  };
+  for (const auto& [bytes, wanted] : cases) in_every_cut(bytes, run, wanted);
+}
+
+// A dispatch given up ends once: by the echo, by what had crossed, without a word, or with its connection.
+void given_up() {
+  const std::string id = "000000000000000a";
+  struct Case {
+    std::string bytes, wanted;
+    bool knows;  // a late answer may still come under this id
+  };
+  const Case cases[] = {{answer({"t0", "PONG", "-", ""}), "10.0=6;", false},
+                        {answer({id, "HIT", "-", "a"}) + answer({"t0", "PONG", "-", ""}), "10.0=0|a;", false},
+                        {answer({id, "HIT", "fetches=2", "a"}) + answer({"t0", "PONG", "-", ""}), "10.0=6;", false},
+                        {answer({"t9", "PONG", "-", ""}), "10.0=6;", true}};
+  for (const Case& c : cases) {
+    TalkNotes notes;
+    EngineTalk talk(notes);
+    std::string out;
+    const DispatchKey key{JobId{10}, 0};
+    talk.want(key, {.id = id, .kind = "x", .token = "", .statement = "s", .grant_mb = 7, .priority = 2}, out);
+    assert(out.find("kind=x,ms=0,workmem=7,weight=2") != std::string::npos);
+    talk.never_mind(key, out);
+    assert(notes.text.empty() && talk.knows(id));
+    assert(talk.feed(c.bytes, out));
+    if (c.knows) talk.lose_patience(key);
+    assert(notes.text == c.wanted && talk.knows(id) == c.knows && talk.open() == 0);
+    talk.lose_patience(key), talk.broke(0);
+    assert(notes.text == c.wanted);
+  }
+  TalkNotes notes;  // what never left can't have run
+  EngineTalk talk(notes);
+  std::string out;
+  talk.want({JobId{1}, 0}, {.id = "1", .kind = "x", .token = "", .statement = "s"}, out);
+  const std::size_t first = out.size();
+  talk.want({JobId{2}, 0}, {.id = "2", .kind = "x", .token = "", .statement = "s"}, out);
+  talk.broke(first);
+  assert(notes.text == "1.0=5;2.0=4;");
+}
+
+struct EventNotes final : EventFeed::Listener {
+  std::string text;
+  void event_came(std::string_view id, std::string_view data) override {
+    text += std::string(id) + "=" + std::string(data) + ";";
+  }
+};
+
+void events() {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+  const std::pair<std::string, std::string> cases[] = {
+      {head + "\r\nid: 1\ndata: {}\n\n: comment\n\nid:2\r\ndata:a\r\ndata: b\r\n\r\n", "1={};2=a\nb;"},
+      {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\nd\r\n\ndata: {}\n\n\r\n", "1={};"},
+      {head + "\r\nid: 3\ndata: cut off", ""},
+      {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "broken;"},
+      {"rubbish\r\n\r\n", "broken;"},
+  };
+  const auto run = [](const std::vector<std::string_view>& parts) {
+    EventNotes notes;
+    EventFeed feed(notes);
+    for (const std::string_view part : parts) {
+      if (feed.feed(part)) continue;
+      notes.text += "broken;";
+      break;
+    }
+    return notes.text;
+  };
+  for (const auto& [bytes, wanted] : cases) in_every_cut(bytes, run, wanted);
+}
+
+void list_of_engines() {
+  service::Deployment deployment;
+  deployment.zones = {"east"}, deployment.kinds = {"std"};
+  EngineList list(deployment, std::chrono::milliseconds(1000));
+  const auto event = [](int cursor, const char* complete, const char* members) {
+    return R"({"cursor":)" + std::to_string(cursor) + R"(,"nodes":{"complete":)" + complete + R"(,"members":[)" +
+           members + "]}}";
+  };
+  const char* one = R"({"id":"s-1","host_port":"127.0.0.1:1","locality":"east","flavor":"std","cell":2,)"
+                    R"("phase":"active","up_since_ms":3000})";
+  const char* left = R"({"id":"s-1","phase":"left"})";
+  const auto known = list.known(nlohmann::json::parse(R"({"cursor":2,"cmds":[)" + event(1, "true", one) + "]}"));
+  assert(known.news == ListNews::remembered && known.members.size() == 1 && list.cursor() == 2);
+  assert(known.members[0].engine.online_since == Span(2'000'000) && known.members[0].engine.zone.value == 0);
+  struct Case {
+    const char* id;
+    std::string data;
+    bool gap_allowed;
+    EngineList::Taken taken;
+  };
+  using Taken = EngineList::Taken;
+  const Case cases[] = {{"2", event(2, "false", left), false, Taken::old},
+                        {"4", event(4, "false", left), false, Taken::gap},
+                        {"3", "{", false, Taken::broken},
+                        {"3", R"({"cursor":3})", false, Taken::broken},
+                        {"3", event(3, "false", R"({"id":"s-1","phase":"odd"})"), false, Taken::broken},
+                        {"3", event(3, "false", R"({"id":7,"phase":"left"})"), false, Taken::broken},
+                        {"x", event(3, "false", left), false, Taken::applied},
+                        {"5", event(5, "false", one), true, Taken::applied},
+                        {"9", event(9, "true", one), false, Taken::applied}};
+  for (const Case& c : cases) assert(list.event(c.id, c.data, c.gap_allowed).taken == c.taken);
+  assert(list.cursor() == 9);
+}
+
+void table_groups() {
+  const std::pair<const char*, int> cases[] = {
+      {"SELECT day FROM sales_17.orders WHERE tag = 'a_3.b'", 17},
+      {"select * from \"sales_4\".\"orders\" o", 4},
+      {"SELECT * FROM `s_8`.t", 8},
+      {"-- from a_1.b\nSELECT /* x_2.y /* z_9.a */ */ 1 FROM b_5.t", 5},
+      {"INSERT INTO sales_6.orders SELECT * FROM staging.load_7", 6},
+      {"INSERT INTO staging.load_7 SELECT * FROM sales_6.orders", 6},
+      {"SELECT a_1.x, a_1.y FROM sales_3.orders a_1", 3},
+      {"SELECT 'it''s from x_1.y', 1.5 FROM big_name_22.t", 22},
+      {"UPDATE STAGING.x SET a = 'b\\' from q_9.r' WHERE b IN (SELECT c FROM d_2.e)", 2},
+      {"SELECT $$ from a_1.b $$ FROM c_3.d", 3},
+      {"SELECT x FROM a, b_9.c", 9},
+      {"SELECT 1", -1},
+      {"SELECT x FROM plain.t", -1},
+      {"SELECT 'unfinished from a_1.b", -1},
+      {"", -1},
+  };
+  for (const auto& [statement, group] : cases) assert(table_group(statement).value_or(-1) == group);
+}
+
+void flat_settings() {
+  const service::FlatValues flat(nlohmann::json::parse(
+      R"({"a":{"b":1.5,"c":[true,"x y"]},"l":[{"n":"p,q"},{"n":2}],"e":[],"z":null})"));
+  const auto& values = flat.values();
+  assert(values.number("a.b") == 1.5 && values.text("a.c") == "true,x_y" && values.whole("l.count") == 2);
+  assert(values.text("l.0.n") == "p_q" && values.whole("l.1.n") == 2 && values.list("e").empty());
+  assert(!values.text("z"));
+}
+
+// Nothing that comes may do more harm than an ended connection.
+void random_bytes() {
+  std::mt19937 chance(11);
+  const std::string pieces[] = {"*4\r\n", "$1\r\n", "a\r\n", "HIT", "\r\n", "GET / HTTP/1.1\r\n", "0", "9",
+                                "Content-Length: ", "data: ", "id: 1", "\n", "'", "/*", "\"", "from a_1.b ", "$"};
+  for (int round = 0; round < 3000; ++round) {
+    std::string bytes;
+    for (int i = 0; i < 30; ++i) {
+      if (chance() % 3) bytes += pieces[chance() % std::size(pieces)];
+      else bytes.push_back(static_cast<char>(chance()));
+    }
+    calls_in({bytes});
+    TalkNotes notes;
+    EngineTalk talk(notes);
+    std::string out;
+    talk.want({JobId{1}, 0}, {.id = "a", .kind = "x", .token = "", .statement = "s"}, out);
+    talk.feed(bytes, out), talk.broke(0);
+    EventNotes event_notes;
+    EventFeed feed(event_notes);
+    feed.feed("HTTP/1.1 200 OK\r\n\r\n" + bytes);
+    table_group(bytes);
+  }
+}
+
+int main() {
+  http_calls();
+  engine_answers();
+  given_up();
+  events();
+  list_of_engines();
+  table_groups();
+  flat_settings();
+  random_bytes();
+}
