Driver: a slow reader's full buffer is waited for, not taken for a broken connection

Seen by a probe of POCO 1.11: StreamSocket::sendBytes throws 'Operation would block' on a socket that doesn't block. Wire::flush took that for an end. It now sends by itself; a test sends 32 MB to a slow reader.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/NObserver.h>
 #include <Poco/Net/NetException.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -213,13 +214,11 @@
 void Wire::flush() {
   while (!closed_ && !out_.empty()) {
     BufferPool::Buffer& buffer = *out_.front();
-    int sent = 0;
-    try {
-      sent = socket_.sendBytes(buffer.bytes.data() + buffer.begin, static_cast<int>(buffer.end - buffer.begin));
-    } catch (const Poco::Exception&) {
-      return ended();
-    }
-    if (sent <= 0) return want_writable(true);
+    // Not by StreamSocket::sendBytes, which throws where a slow reader's buffer is full, as for a broken one.
+    const auto sent = ::send(socket_.impl()->sockfd(), buffer.bytes.data() + buffer.begin,
+                             buffer.end - buffer.begin, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent < 0 && (errno == EAGAIN || errno == EINTR)) return want_writable(true);
+    if (sent < 0) return ended();
     buffer.begin += static_cast<std::size_t>(sent);
     written_ += static_cast<std::uint64_t>(sent);
     waiting_ -= static_cast<std::size_t>(sent);
--- a/tests/test_daemon.cpp
+++ b/tests/test_daemon.cpp
@@ -17,6 +17,7 @@
 #include <string>
 #include <thread>
 
+#include "net/driver.h"
 #include "net/resp.h"
 
 using namespace pearchute::net;
@@ -140,7 +141,45 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+// A reader that takes its time gets all of it, whatever the system's buffers hold.
+void slow_reader() {
+  struct Nothing final : Wire::User {
+    void wire_brought(std::string_view) override {}
+    void wire_ended() override { assert(false); }
+  } nothing;
+  int port = 0;
+  const int fd = listen_on(port);
+  const std::string text(32 << 20, 'x');
+  std::size_t got = 0;
+  Loop loop;
+  std::thread reader([&] {
+    const int peer = accept(fd, nullptr, nullptr);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    std::string buffer(1 << 16, ' ');
+    while (got < text.size()) {
+      const auto part = recv(peer, buffer.data(), buffer.size(), 0);
+      if (part <= 0) break;
+      got += static_cast<std::size_t>(part);
+    }
+    close(peer);
+  });
+  auto wire = std::make_unique<Wire>(loop, Poco::Net::SocketAddress("127.0.0.1", static_cast<std::uint16_t>(port)), nothing);
+  wire->send(text);
+  const std::function<void()> look = [&] {
+    if (wire->waiting() == 0 || loop.now() > std::chrono::seconds(20)) return loop.stop();
+    loop.at(loop.now() + std::chrono::milliseconds(5), look);
+  };
+  loop.at(loop.now(), look);
+  loop.run();
+  loop.finish(std::move(wire));
+  loop.settle();
+  reader.join();
+  assert(got == text.size() && loop.buffers().out() == 0);
+  close(fd);
+}
+
 int main() {
+  slow_reader();
   StandInEngine engine;
   std::thread([&] { engine.serve(); }).detach();
   int channel_port = 0, port = 0;
