--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 
-// How late a wake or a call may come where others share the core: on a full machine, one in a hundred took 15
-// to 30 ms on its way through. The module keeps clear of each job's end by twice this.
-constexpr milliseconds wakes_late(15);
+// How late a wake or a call may come where others share the core: on a full machine, one step in a hundred took
+// 15 to 30 ms on its way through. The module keeps clear of each job's end by twice this and a little.
+constexpr milliseconds wakes_late(25);
 
 // The service as it is on sockets: each open job holds a client's connection, and clients hold a third of the
 // descriptors at most.
@@ -142,6 +142,10 @@
 
 Front::~Front() = default;
 
+bool Front::idle() const {
+  return std::ranges::all_of(jobs_, [](const auto& one) { return one.second.answered; });
+}
+
 std::string Front::counters_now() {
   counters_.open_jobs = jobs_.size(), counters_.open_clients = clients_.size();
   counters_.open_engine_connections = engines_.connections();
@@ -247,10 +251,10 @@
   }
   job.caller = client.id();
   client.waits_for = *id;
-  if (job.answered && job.status != 0) {
+  if (job.answered) {
+    job.caller.reset();
+    if (job.status == 0) return respond(client.id(), 404, "", fault("withdrawn"));
     respond(client.id(), job.status, job.headers, job.body);
-    job.caller.reset(), job.status = 0;
-    forget_if_done(*id);
   }
 }
 
@@ -323,7 +327,7 @@
   const ClientId caller = *job.caller;
   job.caller.reset();
   respond(caller, 200, "", "{\"link\":\"" + std::string(job_path) + job.id + "\"}");
-  loop_.at(job.end + seconds(1), [this, id] {  // nobody came for it
+  loop_.at(job.end + milliseconds(100), [this, id] {
     const auto at = jobs_.find(id);
     if (at == jobs_.end() || !at->second.answered) return;
     at->second.status = 0;
@@ -337,12 +341,10 @@
   if (const Span late = loop_.now() - job.end; late > Span(0)) {
     PEARCHUTE_LOG(spdlog::level::warn, "job {} is answered {} ms after its end", job.id, late.count() / 1000);
   }
-  if (job.caller) {
-    respond(*job.caller, status, headers, body);
-    job.caller.reset();
-  } else {
-    job.status = status, job.headers = std::move(headers), job.body = std::move(body);
-  }
+  if (job.caller) respond(*job.caller, status, headers, body);
+  job.caller.reset();
+  // Kept until its end where the client has a path: should its connection break, it calls that again.
+  if (job.has_path) job.status = status, job.headers = std::move(headers), job.body = std::move(body);
   // The module may still be at work on it.
   loop_.soon([this, id] { forget_if_done(id); });
 }
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -28,7 +28,7 @@
   void client_came(const Poco::Net::StreamSocket& socket);
   bool has_room() const { return clients_.size() < most_clients_; }
   void set_ready(bool ready) { ready_ = ready; }
-  bool idle() const { return jobs_.empty(); }
+  bool idle() const;  // no answer is owed
   std::string counters_now();
   // Every job that is still open gets its final answer now; what comes later is turned away.
   void answer_all();
@@ -68,7 +68,7 @@
     std::optional<ClientId> caller;
     bool has_path = false;
     bool answered = false;
-    int status = 0;  // of an answer that nobody has fetched yet
+    int status = 0;  // of an answer that may be fetched by its path
     std::string headers, body;
     double grant_mb = 0;
     int priority = 1;
