--- a/src/control.cpp
+++ b/src/control.cpp
@@ -41,8 +41,8 @@
 WorkloadManager::WorkloadManager(const ServiceDefinition& service, std::uint64_t seed, Host& host)
     : host_(host), chance_(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32))), rules_(service) {
   subscribe_wait_ = milliseconds(500), cut_ = infinite;
-  for (const ReservationType& type : service.types)  // slow until answers come well
-    types_.push_back({.type = type, .best_pace = 1, .slow_pace = 3});
+  // Best pace 1, slow pace 3: slow until answers come well.
+  for (const ReservationType& type : service.types) types_.push_back({type, {}, {}, 1, 1, 1, 3});
   double sum = 1e-9;
   for (const Customer& customer : service.customers) sum += customer.jobs_per_second;
   for (const Customer& one : service.customers) customer_portion_.push_back(one.jobs_per_second / sum);
@@ -50,10 +50,9 @@
   kinds_ = service.kinds;
   for (const MachineKind& kind : kinds_) most_memory_ = std::max(most_memory_, kind.memory_mb);
   if (!rules_.takes_retry_advice) rules_.longest_retry_advice = Span(0);
-  rules_.managers = std::max(1, rules_.managers);
   rules_.types.clear(), rules_.customers.clear(), rules_.kinds.clear();
   for (const TypeFigures& type : types_) largest_threads_ = std::max(largest_threads_, type.type.threads);
-  share_ = std::min(1.0, 2.0 / rules_.managers);
+  rules_.managers = std::max(1, rules_.managers), share_ = std::min(1.0, 2.0 / rules_.managers);
   spare_end_ = 2 * service.round + milliseconds(10);  // a wake comes up to one round late
   if (service.list_on_request) host_.subscribe_list();
   host_.wake_in(milliseconds(100), beat_mark);
@@ -110,8 +109,8 @@
   if (rules_.ration_window) taken_.push_back(now);
   if (job.customer.value >= 0) customer_rate_[job.customer.value] += 1.0 / 5;
   if (job.key && type.type.in_order) lines_[*job.key].jobs.push_back(job.id);
-  host_.wake_in(held.end - now, held.turn);
-  job_rate_ += 1.0 / 5, data_sets_[job.data_set] += 1, data_sets_drawn_ += 1;
+  host_.wake_in(held.end - now, held.turn), job_rate_ += 1.0 / 5;
+  data_sets_[job.data_set] += 1, data_sets_drawn_ += 1;
   rescues_due_ = std::min(rescues_due_ + 0.1, 10.0);
   const double cost = 1 / density(held);
   largest_ = std::max(largest_, cost), work_taken_ += held.work_ms, value_taken_ += held.work_ms / cost;
@@ -136,8 +135,7 @@
 }
 
 void WorkloadManager::heard(Span now, JobId id, int number) {
-  Dispatch* dispatch = find(id, number);
-  if (dispatch) engines_[dispatch->engine].last_word = dispatch->last_note = now;
+  if (Dispatch* dispatch = find(id, number)) engines_[dispatch->engine].last_word = dispatch->last_note = now;
 }
 
 void WorkloadManager::stream_started(Span now, JobId id, int number) {
@@ -269,8 +267,7 @@
 }
 
 void WorkloadManager::probe_ended(Span now, EngineId id, Outcome outcome, Span, const LoadReport& load) {
-  const auto it = engines_.find(id);
-  if (it != engines_.end() && outcome == Outcome::done) heed(now, it->second, load);
+  if (engines_.contains(id) && outcome == Outcome::done) heed(now, engines_.at(id), load);
   release(now);
 }
 
@@ -284,6 +281,11 @@
   release(now);
 }
 
+// The program ends before these jobs would: each gets its final answer now.
+void WorkloadManager::closing(Span now) {
+  for (auto it = turns_.begin(); it != turns_.end();) give_up(now, jobs_.at((it++)->second));
+}
+
 // ---- Rules ----
 
 bool WorkloadManager::may_throttle(Span now, const HeldJob& held) const {
--- a/src/control.h
+++ b/src/control.h
@@ -49,6 +49,7 @@
                       std::optional<double> work_ms, std::optional<double> memory_mb, const LoadReport& load);
   void probe_ended(Span now, EngineId engine, Outcome outcome, Span elapsed, const LoadReport& load);
   void woken(Span now, std::uint64_t mark);
+  void closing(Span now);
 
  private:
   enum : std::uint64_t { beat_mark = 1, subscribe_mark = 2, job_marks = 16 };
--- a/src/net/feed.cpp
+++ b/src/net/feed.cpp
@@ -44,8 +44,8 @@
 }
 
 void EventFeed::line_done() {
-  const std::string line = std::move(line_);
-  line_.clear();
+  std::string line;
+  line.swap(line_);
   if (line.empty()) {
     if (has_data_) listener_.event_came(id_, data_);
     data_.clear();
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -357,17 +357,9 @@
 }
 
 void Front::answer_all() {
+  if (closing_) return;
   closing_ = true;
-  std::vector<JobId> open;
-  for (const auto& [id, job] : jobs_) {
-    if (!job.answered) open.push_back(id);
-  }
-  std::ranges::sort(open);
-  for (const JobId id : open) {
-    const auto it = jobs_.find(id);
-    if (it != jobs_.end() && !it->second.answered) cancel_for_good(id);
-    manager_.job_withdrawn(loop_.now(), id);
-  }
+  manager_.closing(loop_.now());
 }
 
 // ---- What the module does ----
--- a/src/net/program.cpp
+++ b/src/net/program.cpp
@@ -125,9 +125,11 @@
     if (now - asked_at_ > give_up_after_) front_->answer_all();
     if (all_came && front_->idle()) {
       door_->shut();
+      finishing_since_ = now;
       enter(Phase::finishing);
     }
-  } else if (phase_ == Phase::finishing) {
+  } else if (phase_ == Phase::finishing && now - finishing_since_ > milliseconds(100)) {
+    // The last answers are out by then, or have been called for by their paths.
     enter(Phase::ended);
     return loop_.stop();
   }
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -101,7 +101,7 @@
   if (id == ids_.end()) return;
   Open& open = open_.find(id->second)->second;
   if (!open.farewell.empty()) return;
-  open.farewell = "t" + std::to_string(next_tag_++);
+  open.farewell = std::to_string(next_tag_++);
   put(out, {"never_mind", id->second});
   put(out, {"there", open.farewell});
 }
--- a/src/service/flatten.cpp
+++ b/src/service/flatten.cpp
@@ -40,7 +40,7 @@
     for (std::size_t i = 0; i < value.size(); ++i) flatten(under(std::to_string(i)), value[i]);
   } else if (value.is_array()) {
     std::string items;
-    for (const json& item : value) items += (items.empty() ? "" : ",") + plain(item);
+    for (const json& item : value) items.append(items.empty() ? "" : ",").append(plain(item));
     add(name, items);
   } else if (!value.is_null()) {
     add(name, plain(value));
--- a/tests/test_rules.cpp
+++ b/tests/test_rules.cpp
@@ -213,7 +213,25 @@
   }
 }
 
+// Asked to end, it answers every job once, and throttles only what is known to do no harm.
+void asked_to_end() {
+  ServiceDefinition service = small_service();
+  service.may_stop = true;
+  service.types[1].effect = Effect::run_once;
+  Bench bench(service);
+  for (int id = 1; id <= 60; ++id) bench.take(id, id % 2, 400);
+  bench.end(2, Outcome::done);
+  assert(bench.host.sent.size() < 60);  // some are out, some are held
+  bench.manager.closing(bench.now), bench.manager.closing(bench.now);
+  for (int id = 1; id <= 60; ++id) {
+    assert(bench.answers(id) == (id == 2 ? 0 : 1));
+    if (id % 2 == 1 && id != 2 && bench.dispatches(id) > 0) assert(bench.cancelled(id));
+    if (id % 2 == 0 && id != 2) assert(bench.throttled(id));
+  }
+}
+
 int main() {
+  asked_to_end();
   effects(), keyed_stays(), one_answer(), drains();
   cold_engines(), order(), placement(), ration();
 }
