--- a/src/control.cpp
+++ b/src/control.cpp
@@ -124,8 +124,7 @@
   const double crowd = priority(held) == 3 ? 1 : fleet_.stretch * (rules_.may_stop ? 1.0 : 1.5);
   const double pace = std::max(1.0, type.best_pace * crowd);
   const bool hopeless = now + from_ms(ideal_ms(held) * pace) > held.sla_end;
-  if (costly || hopeless || held_.size() >= longest_queue || held.end <= now)
-    return give_up(now, held);
+  if (costly || hopeless || held_.size() >= longest_queue || held.end <= now) return give_up(now, held);
   held.held = true, held_[held.turn] = job.id, release(now);
 }
 
--- a/src/control.h
+++ b/src/control.h
@@ -107,7 +107,7 @@
   Host& host_;
   std::knuth_b chance_;
   std::vector<TypeFigures> types_;
-  ServiceDefinition rules_;                             // figures only: its lists are emptied once read
+  ServiceDefinition rules_;                               // figures only: its lists are emptied once read
   std::vector<double> customer_portion_, customer_rate_;  // jobs a second, a smoothed count
   std::vector<MachineKind> kinds_;
   double share_ = 1;
@@ -115,7 +115,7 @@
   double most_memory_ = 1;
   Pace fleet_;
   double fleet_live_ = 0, fleet_even_ = 1e-9;  // threads, over all open engines
-  Span spare_end_{};  // how long before the client's end a final answer is sent
+  Span spare_end_{};                           // how long before the client's end a final answer is sent
   std::map<EngineId, Engine> engines_;
   std::unordered_map<JobId, HeldJob> jobs_;
   std::map<std::uint64_t, JobId> held_;   // by order of arrival
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -40,9 +40,7 @@
 Loop::Loop() { setTimeout(Poco::Timespan(0, 100'000)); }
 Loop::~Loop() { settle(); }
 
-Span Loop::now() const {
-  return std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - start_);
-}
+Span Loop::now() const { return std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - start_); }
 
 void Loop::at(Span when, std::function<void()> what) {
   timers_.push_back({when, next_order_++, std::move(what)});
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -47,7 +47,7 @@
   ~Loop() override;
   Span now() const;
   void at(Span when, std::function<void()> what);
-  void soon(std::function<void()> what);  // after the event at hand, before the next
+  void soon(std::function<void()> what);    // after the event at hand, before the next
   void retire(std::unique_ptr<Wire> wire);  // closes it; destroyed once no event can be within it
   void finish(std::unique_ptr<Wire> wire);  // the same once it has written what it was given
   void settle();                            // what was put off, until nothing is
@@ -99,7 +99,7 @@
   Wire(const Wire&) = delete;
   Wire& operator=(const Wire&) = delete;
   void send(std::string_view bytes);
-  void close();                // at once; the user hears no more
+  void close();  // at once; the user hears no more
   bool opened() const { return opened_; }
   std::uint64_t written() const { return written_; }  // bytes handed to the system
   std::size_t waiting() const { return waiting_; }
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -147,7 +147,8 @@
   }
   Link* link = nullptr;
   try {
-    link = place.links.emplace_back(std::make_unique<Link>(*this, engine, Poco::Net::SocketAddress(place.address)))
+    link = place.links
+               .emplace_back(std::make_unique<Link>(*this, engine, Poco::Net::SocketAddress(place.address)))
                .get();
   } catch (const Poco::Exception& error) {
     PEARCHUTE_LOG(spdlog::level::warn, "engine {}: {}", engine.value, error.displayText());
--- a/src/net/feed.cpp
+++ b/src/net/feed.cpp
@@ -13,7 +13,8 @@
     std::string_view rest = part;
     const MessageReader::Status status = reader_.feed(rest);
     bytes.remove_prefix(part.size() - rest.size());
-    if (status == MessageReader::Status::malformed || status == MessageReader::Status::too_large) return false;
+    if (status == MessageReader::Status::malformed || status == MessageReader::Status::too_large)
+      return false;
     if (reader_.head_read() && !checked_) {
       const std::string& line = reader_.message().first_line;
       if (!line.starts_with("HTTP/1.") || line.find(" 200") != 8) return false;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-// How late a wake or a call may come where others share the core: on a full machine, one step in a hundred took
-// 15 to 30 ms on its way through. The module keeps clear of each job's end by twice this and a little.
+// How late a wake or a call may come where others share the core: on a full machine, one step in a hundred
+// took 15 to 30 ms on its way through. The module keeps clear of each job's end by twice this and a little.
 constexpr milliseconds wakes_late(25);
 
 // The service as it is on sockets: each open job holds a client's connection, and clients hold a third of the
@@ -33,7 +33,8 @@
 std::optional<double> number_in(std::string_view text) {
   double number = 0;
   const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc{} || stop != text.data() + text.size() || !std::isfinite(number)) return std::nullopt;
+  if (error != std::errc{} || stop != text.data() + text.size() || !std::isfinite(number))
+    return std::nullopt;
   return number;
 }
 
@@ -135,7 +136,8 @@
       // Clients hold a third at most; half leaves room for those that the system has not yet seen closing. Of
       // the rest, a few are for the log, the list and the like.
       most_clients_(std::max<std::size_t>(descriptors / 2, 1)),
-      engines_(loop, deployment.links, descriptors > 40 ? descriptors - descriptors / 2 - 20 : 1, *this, counters),
+      engines_(loop, deployment.links, descriptors > 40 ? descriptors - descriptors / 2 - 20 : 1, *this,
+               counters),
       manager_(deployment_.service, seed, *this) {
   sweep();
 }
@@ -401,9 +403,7 @@
   });
 }
 
-void Front::stop_dispatch(JobId id, int number) {
-  engines_.never_mind({id, number});
-}
+void Front::stop_dispatch(JobId id, int number) { engines_.never_mind({id, number}); }
 
 void Front::throttle(JobId id, Span come_back_in) {
   const auto it = jobs_.find(id);
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -1,6 +1,6 @@
-// The front: takes clients' calls as jobs, and is the Host through which the module acts. It owns the clients'
-// connections, the table of open jobs, and the way from a job to its dispatches and back. It decides nothing:
-// whether, where and when a job goes, and how it ends without a result, is the module's.
+// The front: takes clients' calls as jobs, and is the Host through which the module acts. It owns the
+// clients' connections, the table of open jobs, and the way from a job to its dispatches and back. It decides
+// nothing: whether, where and when a job goes, and how it ends without a result, is the module's.
 #pragma once
 
 #include <map>
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -36,16 +36,26 @@
 
 const char* reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 409: return "Conflict";
-    case 413: return "Content Too Large";
-    case 429: return "Too Many Requests";
-    case 500: return "Internal Server Error";
-    case 503: return "Service Unavailable";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 500:
+      return "Internal Server Error";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
   }
 }
 
@@ -109,8 +119,7 @@
       case State::body:
       case State::chunk:
       case State::until_end: {
-        const std::size_t part =
-            state_ == State::until_end ? bytes.size() : std::min(left_, bytes.size());
+        const std::size_t part = state_ == State::until_end ? bytes.size() : std::min(left_, bytes.size());
         if (message_.body.size() + part > largest_body) return Status::too_large;
         message_.body.append(bytes.substr(0, part));
         bytes.remove_prefix(part);
@@ -118,7 +127,8 @@
           state_ = state_ == State::body ? State::whole : State::chunk_end;
         break;
       }
-      case State::whole: break;
+      case State::whole:
+        break;
     }
   }
   return state_ == State::whole ? Status::whole : Status::more;
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -115,9 +115,9 @@
     again("its address can't be used");
     return;
   }
-  const std::string request = "GET /cmd/next HTTP/1.1\r\nHost: " + address_ +
-                              "\r\nAccept: text/event-stream\r\nLast-Event-ID: " +
-                              std::to_string(list_.cursor()) + "\r\n\r\n";
+  const std::string request =
+      "GET /cmd/next HTTP/1.1\r\nHost: " + address_ +
+      "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + std::to_string(list_.cursor()) + "\r\n\r\n";
   wire_->send(request);
   watch();
 }
@@ -151,7 +151,8 @@
       gap_seen_ = false;
       listener_.list_changed(change.news, change.members);
       break;
-    case EngineList::Taken::old: break;
+    case EngineList::Taken::old:
+      break;
     case EngineList::Taken::gap:
       PEARCHUTE_LOG(spdlog::level::warn, "list of engines: event {} came after {}", id, list_.cursor());
       gap_seen_ = broken_ = true;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -24,10 +24,10 @@
 };
 
 // Each place that logs has a ration of its own, lest a trouble floods the log.
-#define PEARCHUTE_LOG(level, ...)                                    \
-  do {                                                               \
-    static ::pearchute::net::LineRation ration;                      \
-    if (ration.allows()) ::spdlog::log(level, __VA_ARGS__);          \
+#define PEARCHUTE_LOG(level, ...)                           \
+  do {                                                      \
+    static ::pearchute::net::LineRation ration;             \
+    if (ration.allows()) ::spdlog::log(level, __VA_ARGS__); \
   } while (false)
 
 // What the program takes in, sends and answers.
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -130,9 +130,8 @@
 
 bool EngineTalk::feed(std::string_view bytes, std::string& out) {
   bool sound = true;
-  const bool read = reader_.feed(bytes, [&](std::vector<std::string>& words) {
-    sound = sound && answer(words, out);
-  });
+  const bool read =
+      reader_.feed(bytes, [&](std::vector<std::string>& words) { sound = sound && answer(words, out); });
   return read && sound;
 }
 
--- a/src/net/statement.h
+++ b/src/net/statement.h
@@ -1,5 +1,5 @@
-// Finds the table group that a statement is about. A lexer, no parser: it knows strings, comments, quoted names
-// and dots, and nothing of what a statement does. It changes nothing in what goes on to engines.
+// Finds the table group that a statement is about. A lexer, no parser: it knows strings, comments, quoted
+// names and dots, and nothing of what a statement does. It changes nothing in what goes on to engines.
 #pragma once
 
 #include <cstdint>
--- a/src/service/deployment.cpp
+++ b/src/service/deployment.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-Span span_of(const NamedValues& values, std::string_view name) { return Span(values.whole(name).value_or(0)); }
+Span span_of(const NamedValues& values, std::string_view name) {
+  return Span(values.whole(name).value_or(0));
+}
 
 }  // namespace
 
--- a/src/service/deployment.h
+++ b/src/service/deployment.h
@@ -1,6 +1,6 @@
-// The one decoder of a deployment's settings, for the simulator's adapter and for the daemon: dotted names in,
-// the service as the module is given it, the names behind its positions, and the limits of the links out. It
-// decides nothing and fills in nothing that was not told, beyond what absent means.
+// The one decoder of a deployment's settings, for the simulator's adapter and for the daemon: dotted names
+// in, the service as the module is given it, the names behind its positions, and the limits of the links out.
+// It decides nothing and fills in nothing that was not told, beyond what absent means.
 #pragma once
 
 #include <initializer_list>
@@ -28,8 +28,8 @@
 // What holds for connections to engines.
 struct LinkLimits {
   Span connect_within{};
-  Span idle_close{};         // engines close what was idle for so long; 0: never
-  int dispatches_each = 1;   // on one connection at once
+  Span idle_close{};        // engines close what was idle for so long; 0: never
+  int dispatches_each = 1;  // on one connection at once
 };
 
 struct Deployment {
--- a/src/service/flatten.cpp
+++ b/src/service/flatten.cpp
@@ -35,7 +35,8 @@
   const auto under = [&](const std::string& part) { return name.empty() ? part : name + "." + part; };
   if (value.is_object()) {
     for (const auto& [key, item] : value.items()) flatten(under(key), item);
-  } else if (value.is_array() && std::ranges::any_of(value, [](const json& item) { return item.is_object(); })) {
+  } else if (value.is_array() &&
+             std::ranges::any_of(value, [](const json& item) { return item.is_object(); })) {
     add(under("count"), std::to_string(value.size()));
     for (std::size_t i = 0; i < value.size(); ++i) flatten(under(std::to_string(i)), value[i]);
   } else if (value.is_array()) {
--- a/src/service/named_values.h
+++ b/src/service/named_values.h
@@ -31,7 +31,7 @@
   std::optional<std::int64_t> whole(std::string_view name) const;
   std::int64_t required_whole(std::string_view name) const;
   std::optional<double> number(std::string_view name) const;
-  bool flag(std::string_view name) const;                        // false where absent
+  bool flag(std::string_view name) const;                      // false where absent
   std::vector<std::string> list(std::string_view name) const;  // items set apart by commas
 
  private:
--- a/tests/test_drill.cpp
+++ b/tests/test_drill.cpp
@@ -5,8 +5,8 @@
 
 #include "drill/session.h"
 
-using pearchute::service::Malformed;
 using pearchute::drill::Session;
+using pearchute::service::Malformed;
 
 const std::string launch =
     "LAUNCH\tnonce64=7\tclasses.count=1\tclasses.0.name=lookup\tclasses.0.slo=300000\tclasses.0.giveUp="
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -219,8 +219,8 @@
     int others;
     bool told_to_wait, gives_up;
   };
-  const Case cases[] = {{10, 10, true, true},   {10, 3, true, false},  {0, 10, true, false},
-                        {10, 10, false, true},  {10, 3, false, false}, {0, 10, false, false}};
+  const Case cases[] = {{10, 10, true, true},  {10, 3, true, false},  {0, 10, true, false},
+                        {10, 10, false, true}, {10, 3, false, false}, {0, 10, false, false}};
   for (const Case& c : cases) {
     ServiceDefinition service = small_service();
     service.may_stop = true, service.most_open = c.most_open;
