--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -38,7 +38,11 @@
 // ---- Loop ----
 
 Loop::Loop() { setTimeout(Poco::Timespan(0, 100'000)); }
-Loop::~Loop() { settle(); }
+// What was put off would reach into what is gone by now.
+Loop::~Loop() {
+  soon_.clear(), timers_.clear();
+  retired_.clear(), finishing_.clear();
+}
 
 Span Loop::now() const { return std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - start_); }
 
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -28,6 +28,9 @@
   return deployment;
 }
 
+// A client whose connection broke calls again at once; more would let answers pile up beside the open jobs.
+constexpr seconds long_enough_to_call_again(1);
+
 constexpr std::string_view work_path = "/do/", job_path = "/job/";
 
 std::optional<double> number_in(std::string_view text) {
@@ -144,8 +147,9 @@
 
 Front::~Front() = default;
 
-bool Front::idle() const {
-  return std::ranges::all_of(jobs_, [](const auto& one) { return one.second.answered; });
+void Front::settle_account(OpenJob& job) {
+  if (!job.answered) owed_ -= 1;
+  job.answered = true;
 }
 
 std::string Front::counters_now() {
@@ -187,7 +191,7 @@
   if (it == jobs_.end()) return;
   it->second.caller.reset();
   if (it->second.has_path || it->second.answered) return;  // it may call the path again
-  it->second.answered = true;
+  settle_account(it->second);
   ++counters_.withdrawn;
   manager_.job_withdrawn(loop_.now(), *id);
   forget_if_done(*id);
@@ -238,7 +242,7 @@
     if (job.caller) respond(*job.caller, 404, "", fault("withdrawn"));
     job.caller.reset();
     const bool open = !job.answered;
-    job.answered = true, job.status = 0;
+    settle_account(job), job.status = 0;
     respond(client.id(), 200, "", "{}");
     if (open) {
       ++counters_.withdrawn;
@@ -257,6 +261,7 @@
     job.caller.reset();
     if (job.status == 0) return respond(client.id(), 404, "", fault("withdrawn"));
     respond(client.id(), job.status, job.headers, job.body);
+    forget_answer_at(loop_.now() + long_enough_to_call_again, *id);
   }
 }
 
@@ -301,12 +306,12 @@
   if (message.body.empty()) return bad(400, "no statement");
   if (jobs_.contains(job.id)) return bad(409, "this request is being served");
   // A connection's last job may not be forgotten yet when its next one comes: a few over the limit are taken.
-  if (closing_ || jobs_.size() >= 2 * static_cast<std::size_t>(deployment_.service.most_open)) {
+  if (closing_ || owed_ >= 2 * static_cast<std::size_t>(deployment_.service.most_open)) {
     ++counters_.throttled;
     return respond(client.id(), 503, "", R"({"abort":"TryLater"})");
   }
   job.data_set = DataSetId{table_group(message.body).value_or(0)};
-  ++counters_.jobs;
+  ++counters_.jobs, ++owed_;
   OpenJob& open = jobs_[job.id];
   open.id = message.header("x-request-id");
   open.kind = kind;
@@ -329,7 +334,11 @@
   const ClientId caller = *job.caller;
   job.caller.reset();
   respond(caller, 200, "", "{\"link\":\"" + std::string(job_path) + job.id + "\"}");
-  loop_.at(job.end + milliseconds(100), [this, id] {
+  forget_answer_at(job.end + milliseconds(100), id);
+}
+
+void Front::forget_answer_at(Span when, JobId id) {
+  loop_.at(when, [this, id] {
     const auto at = jobs_.find(id);
     if (at == jobs_.end() || !at->second.answered) return;
     at->second.status = 0;
@@ -339,13 +348,16 @@
 
 void Front::answer(JobId id, OpenJob& job, int status, std::string headers, std::string body) {
   if (job.answered) return;
-  job.answered = true;
+  settle_account(job);
   if (const Span late = loop_.now() - job.end; late > Span(0)) {
     PEARCHUTE_LOG(spdlog::level::warn, "job {} is answered {} ms after its end", job.id, late.count() / 1000);
   }
-  if (job.caller) respond(*job.caller, status, headers, body);
+  if (job.caller) {
+    respond(*job.caller, status, headers, body);
+    if (job.has_path) forget_answer_at(loop_.now() + long_enough_to_call_again, id);
+  }
   job.caller.reset();
-  // Kept until its end where the client has a path: should its connection break, it calls that again.
+  // Kept a while where the client has a path: should its connection break, it calls that again.
   if (job.has_path) job.status = status, job.headers = std::move(headers), job.body = std::move(body);
   // The module may still be at work on it.
   loop_.soon([this, id] { forget_if_done(id); });
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -28,7 +28,7 @@
   void client_came(const Poco::Net::StreamSocket& socket);
   bool has_room() const { return clients_.size() < most_clients_; }
   void set_ready(bool ready) { ready_ = ready; }
-  bool idle() const;  // no answer is owed
+  bool idle() const { return owed_ == 0; }
   std::string counters_now();
   // Every job that is still open gets its final answer now; what comes later is turned away.
   void answer_all();
@@ -82,6 +82,8 @@
   void respond(ClientId client, int status, std::string_view headers, std::string_view body);
   void answer(JobId id, OpenJob& job, int status, std::string headers, std::string body);
   void give_path(JobId id);
+  void settle_account(OpenJob& job);
+  void forget_answer_at(Span when, JobId id);
   void forget_if_done(JobId id);
   void drop(Client& client);
   void sweep();
@@ -93,6 +95,7 @@
   std::size_t most_clients_;
   bool ready_ = false, closing_ = false;
   std::unordered_map<JobId, OpenJob> jobs_;
+  std::size_t owed_ = 0;  // jobs without their answer
   std::map<ClientId, std::unique_ptr<Client>> clients_;
   std::vector<std::unique_ptr<Client>> gone_;
   std::uint64_t next_client_ = 1;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -27,7 +27,6 @@
   explicit MessageReader(Side side) : side_(side) {}
   // Takes what it can use from the front of `bytes`.
   Status feed(std::string_view& bytes);
-  bool begun() const { return state_ != State::first_line || !line_.empty(); }
   bool head_read() const { return state_ != State::first_line && state_ != State::headers; }
   Message& message() { return message_; }  // whole; with `passing`, the body is what came since the last look
   void next();
@@ -59,7 +58,6 @@
   // The open call has its answer; the next one may follow at once.
   void answered();
   bool call_open() const { return open_; }
-  bool between_calls() const { return !open_ && !reader_.begun() && kept_.empty(); }
   bool keeps_alive() const { return keeps_alive_; }
 
  private:
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -20,7 +20,6 @@
   double left_ = 5;
   std::int64_t last_ms_ = 0;
   std::uint64_t kept_back_ = 0;
-  friend std::uint64_t kept_back(LineRation& ration);
 };
 
 // Each place that logs has a ration of its own, lest a trouble floods the log.
--- a/src/net/program.cpp
+++ b/src/net/program.cpp
@@ -62,6 +62,7 @@
   start_log(name_.empty() ? "pearchuted" : name_);
   const std::string address = configuration.value("listen", told("PROXY_LISTEN"));
   if (address.empty()) throw std::runtime_error("no address to listen at is told");
+  if (!configuration.contains("settings")) throw std::runtime_error("the configuration holds no settings");
   const service::FlatValues settings(configuration.at("settings"));
   deployment_ = service::decode(settings.values());
   for (const ReservationType& type : deployment_.service.types)
