--- a/src/control.cpp
+++ b/src/control.cpp
@@ -81,7 +81,7 @@
   }
   if (news != ListNews::changes) {
     for (auto& [id, engine] : engines_)
-      if (!named.contains(id)) engine.known_up = false;
+      if (!named.contains(id)) engine.known_up = false, engine.listed.state = EngineState::gone;
   }
   release(now);
 }
@@ -176,7 +176,7 @@
 void WorkloadManager::dispatch_ended(Span now, JobId id, int number, Outcome outcome, Span elapsed,
                                      bool finished, std::optional<double> work_ms,
                                      std::optional<double> memory_mb, const LoadReport& load) {
-  if (!find(id, number) || !find(id, number)->out) return;
+  if (!find(id, number)) return;
   HeldJob& held = jobs_.at(id);
   Dispatch& dispatch = held.dispatches[number];
   dispatch.out = false, held.out -= 1;
@@ -738,6 +738,8 @@
   for (auto& [data_set, drawn] : data_sets_) drawn *= 0.99;
   std::erase_if(lines_, [&](auto& l) { return l.second.jobs.empty() && now >= l.second.rests_until; });
   std::erase_if(data_sets_, [](const auto& one) { return one.second < 0.001; });
+  std::erase_if(engines_,
+                [](auto& e) { return e.second.listed.state == EngineState::gone && e.second.out.empty(); });
   fleet_live_ = 0, fleet_even_ = 1e-9;
   for (auto& [id, engine] : engines_) {
     look_after(now, engine);
--- a/src/control.h
+++ b/src/control.h
@@ -55,10 +55,10 @@
   enum : std::uint64_t { beat_mark = 1, subscribe_mark = 2, job_marks = 16 };
 
   void heard(Span now, JobId id, int number);
-  Dispatch* find(JobId id, int number) {
+  Dispatch* find(JobId id, int number) {  // only while it is out: nothing else may be told of
     const auto it = jobs_.find(id);
     const bool known = it != jobs_.end() && number < static_cast<int>(it->second.dispatches.size());
-    return known ? &it->second.dispatches[number] : nullptr;
+    return known && it->second.dispatches[number].out ? &it->second.dispatches[number] : nullptr;
   }
   const ReservationType& type_of(const HeldJob& held) const { return types_[held.job.type.value].type; }
   MachineKind kind_of(const Engine& engine) const {
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -72,13 +72,14 @@
 void Loop::finish(std::unique_ptr<Wire> wire) {
   if (!wire) return;
   wire->close_when_written();
-  finishing_.push_back(std::move(wire));
-  // A peer that reads nothing for so long is not waited for.
-  at(now() + std::chrono::seconds(2), [this, late = finishing_.back().get()] {
-    for (auto& one : finishing_) {
-      if (one.get() == late) late->close();
-    }
-  });
+  // A peer that neither reads nor ends for so long is not waited for.
+  finishing_.emplace_back(now() + std::chrono::seconds(1), std::move(wire));
+}
+
+void Loop::cut_finishing() {
+  if (finishing_.empty()) return;
+  retire(std::move(finishing_.front().second));
+  finishing_.pop_front();
 }
 
 void Loop::settle() {
@@ -90,7 +91,11 @@
     what();
   }
   retired_.clear();
-  std::erase_if(finishing_, [](const auto& wire) { return wire->closed(); });
+  while (!finishing_.empty() && finishing_.front().first <= now()) {
+    finishing_.front().second->close();
+    finishing_.pop_front();
+  }
+  std::erase_if(finishing_, [](const auto& one) { return one.second->closed(); });
   settling_ = false;
 }
 
@@ -165,7 +170,16 @@
 void Wire::close_when_written() {
   user_ = nullptr;
   closing_ = true;
-  if (waiting_ == 0) close();
+  pause(false);
+  if (waiting_ == 0) say_the_end();
+}
+
+// Guards against a last answer that is lost because its reader is still sending: closed at once, the system
+// would answer what comes with a reset. So the end is said, and what comes is thrown away, within bounds.
+void Wire::say_the_end() {
+  if (closed_ || told_end_) return;
+  told_end_ = true;
+  if (::shutdown(socket_.impl()->sockfd(), SHUT_WR) != 0) close();
 }
 
 void Wire::want_writable(bool wanted) {
@@ -183,15 +197,26 @@
 void Wire::watch_incoming(bool wanted) {
   if (wanted == registered_) return;
   registered_ = wanted;
-  const NObserver<Wire, ReadableNotification> readable(*this, &Wire::on_readable);
   const NObserver<Wire, ErrorNotification> error(*this, &Wire::on_error);
-  if (wanted) {
-    loop_.addEventHandler(socket_, readable);
-    loop_.addEventHandler(socket_, error);
-  } else {
-    loop_.removeEventHandler(socket_, readable);
-    loop_.removeEventHandler(socket_, error);
-  }
+  if (!paused_) watch_readable(wanted);
+  if (wanted) loop_.addEventHandler(socket_, error);
+  else loop_.removeEventHandler(socket_, error);
+}
+
+void Wire::watch_readable(bool wanted) {
+  const NObserver<Wire, ReadableNotification> readable(*this, &Wire::on_readable);
+  if (wanted) loop_.addEventHandler(socket_, readable);
+  else loop_.removeEventHandler(socket_, readable);
+}
+
+void Wire::pause(bool paused) {
+  if (closed_ || paused == paused_) return;
+  const bool writable = writable_wanted_;
+  if (writable) want_writable(false);
+  watch_incoming(false);
+  paused_ = paused;
+  watch_incoming(true);
+  if (writable) want_writable(true);
 }
 
 void Wire::send(std::string_view bytes) {
@@ -231,7 +256,7 @@
   }
   if (closed_) return;
   want_writable(false);
-  if (closing_) close();
+  if (closing_) say_the_end();
 }
 
 void Wire::ended() {
@@ -274,7 +299,7 @@
   if (!opened_) check_opened();
   auto buffer = loop_.buffers_.take();
   // A few rounds at most: others wait for their turn, and what is left is told again.
-  for (int round = 0; round < 4 && !closed_; ++round) {
+  for (int round = 0; round < 4 && !closed_ && !paused_; ++round) {
     int got = 0;
     bool broken = false;
     try {
@@ -287,6 +312,8 @@
       break;
     }
     if (got < 0) break;
+    constexpr std::size_t most_discarded = 1 << 20;  // more is a flood that no reader of the answer sends
+    if (closing_ && (discarded_ += static_cast<std::size_t>(got)) > most_discarded) close();
     if (user_) user_->wire_brought({buffer->bytes.data(), static_cast<std::size_t>(got)});
     if (got < static_cast<int>(BufferPool::buffer_size)) break;
   }
@@ -296,9 +323,9 @@
 
 // ---- Door ----
 
-Door::Door(Loop& loop, const Poco::Net::SocketAddress& at, std::function<bool()> has_room,
+Door::Door(Loop& loop, const Poco::Net::SocketAddress& at,
            std::function<void(const Poco::Net::StreamSocket&)> came)
-    : loop_(loop), has_room_(std::move(has_room)), came_(std::move(came)) {
+    : loop_(loop), came_(std::move(came)) {
   // As many as may come in a moment; the system cuts it to its own limit.
   constexpr int backlog = 512;
   socket_.bind(at, true, false);
@@ -337,10 +364,6 @@
 
 void Door::on_readable(const Poco::AutoPtr<ReadableNotification>&) {
   for (int count = 0; count < 64 && !shut_; ++count) {
-    if (!has_room_()) {
-      rest();
-      break;
-    }
     try {
       if (!socket_.poll(Poco::Timespan(0, 0), Poco::Net::Socket::SELECT_READ)) break;
       came_(socket_.acceptConnection());
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -49,8 +49,11 @@
   void at(Span when, std::function<void()> what);
   void soon(std::function<void()> what);    // after the event at hand, before the next
   void retire(std::unique_ptr<Wire> wire);  // closes it; destroyed once no event can be within it
-  void finish(std::unique_ptr<Wire> wire);  // the same once it has written what it was given
-  void settle();                            // what was put off, until nothing is
+  void finish(
+      std::unique_ptr<Wire> wire);  // the same once it has written what it was given and the peer has heard
+  std::size_t finishing() const { return finishing_.size(); }
+  void cut_finishing();  // the one that has been at it for longest
+  void settle();         // what was put off, until nothing is
   BufferPool& buffers() { return buffers_; }
   std::size_t descriptors() const { return descriptors_; }
 
@@ -77,7 +80,8 @@
   std::vector<Timer> timers_;
   std::uint64_t next_order_ = 0;
   std::deque<std::function<void()>> soon_;
-  std::vector<std::unique_ptr<Wire>> retired_, finishing_;
+  std::vector<std::unique_ptr<Wire>> retired_;
+  std::deque<std::pair<Span, std::unique_ptr<Wire>>> finishing_;  // until when, oldest first
   BufferPool buffers_;
   std::size_t descriptors_ = 0;
   bool settling_ = false;
@@ -104,6 +108,9 @@
   std::uint64_t written() const { return written_; }  // bytes handed to the system
   std::size_t waiting() const { return waiting_; }
   bool closed() const { return closed_; }
+  // While paused nothing is read, so what the peer sends stays with the system, and its end goes unseen.
+  void pause(bool paused);
+  bool paused() const { return paused_; }
 
  private:
   friend class Loop;
@@ -117,6 +124,8 @@
   void ended();
   void want_writable(bool wanted);
   void watch_incoming(bool wanted);
+  void watch_readable(bool wanted);
+  void say_the_end();
 
   Loop& loop_;
   Poco::Net::StreamSocket socket_;
@@ -125,13 +134,14 @@
   std::size_t waiting_ = 0;
   std::uint64_t written_ = 0;
   bool opened_ = false, closed_ = false, closing_ = false, writable_wanted_ = false, flush_due_ = false;
-  bool registered_ = false;
+  bool registered_ = false, paused_ = false, told_end_ = false;
+  std::size_t discarded_ = 0;
 };
 
 // The listening socket.
 class Door {
  public:
-  Door(Loop& loop, const Poco::Net::SocketAddress& at, std::function<bool()> has_room,
+  Door(Loop& loop, const Poco::Net::SocketAddress& at,
        std::function<void(const Poco::Net::StreamSocket&)> came);
   ~Door();
   void shut();
@@ -143,7 +153,6 @@
 
   Loop& loop_;
   Poco::Net::ServerSocket socket_;
-  std::function<bool()> has_room_;
   std::function<void(const Poco::Net::StreamSocket&)> came_;
   bool listening_ = false, shut_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -3,14 +3,17 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace pearchute::net {
 
+using std::chrono::milliseconds;
+
 // One connection and the talk on it.
 class Engines::Link final : public Wire::User, public EngineTalk::Listener {
  public:
   Link(Engines& owner, EngineId engine, const Poco::Net::SocketAddress& to)
-      : owner_(owner), engine_(engine), talk_(*this), idle_since_(owner.loop_.now()) {
+      : owner_(owner), engine_(engine), talk_(*this), opened_at_(owner.loop_.now()), idle_since_(opened_at_) {
     wire_ = std::make_unique<Wire>(owner.loop_, to, *this);
   }
 
@@ -19,10 +22,47 @@
   std::size_t busy() const { return talk_.open() + before_open_.size(); }
   bool opened() const { return wire_->opened(); }
   bool knows(std::string_view id) const { return talk_.knows(id); }
-  bool idle_for(Span now, Span span) const { return busy() == 0 && now - idle_since_ >= span; }
+  Span idle_since() const { return idle_since_; }
+  bool in_doubt() const { return in_doubt_; }
+  // It carries nothing new, and what it still has no longer than it takes to end.
+  void doubt() {
+    in_doubt_ = true;
+    if (busy() == 0) owner_.drop(*this);
+  }
+
+  // What no longer works without having ended.
+  void look(Span now) {
+    if (!opened()) {
+      const Span limit = owner_.limits_.connect_within;
+      return limit > Span(0) && now - opened_at_ >= limit ? lost() : void();
+    }
+    // Guards against answers that stop short or trickle in, whatever else the connection still says. Far over
+    // what a page takes on its way; harm is done where an engine is held up for longer amid an answer.
+    constexpr milliseconds rest_within(500);
+    if (talk_.owes_the_rest() && now - whole_since_ > rest_within) return broken("an answer stops short");
+    if (busy() == 0) return;
+    // Guards against a connection that stays open and says nothing: an engine whose machine has gone, answers
+    // that never come. Its dispatches need not wait for their job timeouts. A sound engine answers the
+    // question at once, however slow its jobs are, so only one that does not get to read is harmed.
+    constexpr milliseconds quiet(400), sign_within(300);
+    if (asked_at_) {
+      if (now - *asked_at_ > sign_within) {
+        ++owner_.counters_.silent_connections;
+        PEARCHUTE_LOG(spdlog::level::warn, "engine {}: a connection with {} dispatches is silent; closed",
+                      engine_.value, busy());
+        lost();
+      }
+    } else if (now - std::max(heard_, idle_until_) > quiet) {
+      asked_at_ = now;
+      std::string out;
+      talk_.ask_for_a_sign(out);
+      wire_->send(out);
+    }
+  }
 
   void want(DispatchKey key, const Want& want) {
     owner_.on_[key] = this;
+    if (busy() == 0) idle_until_ = owner_.loop_.now();
     if (!opened()) {  // kept back, so that one given up before the connection is up never leaves
       before_open_.push_back({key, want, std::string(want.id), std::string(want.kind),
                               std::string(want.token), std::string(want.statement)});
@@ -41,7 +81,10 @@
     wire_->send(out);
     return true;
   }
-  void lose_patience(DispatchKey key) { talk_.lose_patience(key); }
+  void lose_patience(DispatchKey key) {
+    in_doubt_ = true;
+    talk_.lose_patience(key);
+  }
 
   void hurry(DispatchKey key, int priority) {
     for (Kept& kept : before_open_) {
@@ -53,6 +96,7 @@
   }
 
   void wire_opened() override {
+    heard_ = owner_.loop_.now();
     std::string out;
     for (Kept& kept : before_open_) {
       kept.want.id = kept.id, kept.want.kind = kept.kind;
@@ -64,17 +108,22 @@
   }
 
   void wire_brought(std::string_view bytes) override {
+    heard_ = owner_.loop_.now();
+    asked_at_.reset();
+    const std::uint64_t whole = talk_.whole_answers();
+    const bool owed = talk_.owes_the_rest();
     std::string out;
-    const bool sound = talk_.feed(bytes, out);
-    if (!sound) {
-      ++owner_.counters_.broken_answers;
-      PEARCHUTE_LOG(spdlog::level::warn, "engine {}: bytes that are no answer; connection closed",
-                    engine_.value);
-      return lost();
-    }
+    if (!talk_.feed(bytes, out)) return broken("bytes that are no answer");
+    if (!owed || talk_.whole_answers() != whole) whole_since_ = heard_;
     wire_->send(out);
   }
 
+  void broken(const char* why) {
+    ++owner_.counters_.broken_answers;
+    PEARCHUTE_LOG(spdlog::level::warn, "engine {}: {}; connection closed", engine_.value, why);
+    lost();
+  }
+
   void wire_ended() override { lost(); }
 
   // The connection is gone, or never came up.
@@ -90,7 +139,11 @@
 
   void talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string> pages) override {
     owner_.on_.erase(key);
-    if (busy() == 0) idle_since_ = owner_.loop_.now();
+    if (busy() == 0) {
+      idle_since_ = owner_.loop_.now();
+      asked_at_.reset();
+      if (in_doubt_) owner_.drop(*this);
+    }
     owner_.listener_.talk_ended(key, outcome, std::move(pages));
   }
   void talk_progress(DispatchKey key, double share) override { owner_.listener_.talk_progress(key, share); }
@@ -108,7 +161,9 @@
   EngineTalk talk_;
   std::unique_ptr<Wire> wire_;
   std::vector<Kept> before_open_;
-  Span idle_since_;
+  Span opened_at_, idle_since_, idle_until_{}, heard_{}, whole_since_{};
+  std::optional<Span> asked_at_;  // for a sign that it works
+  bool in_doubt_ = false;
 };
 
 Engines::Engines(Loop& loop, const service::LinkLimits& limits, std::size_t most_connections,
@@ -123,7 +178,35 @@
 
 Engines::~Engines() = default;
 
-void Engines::place(EngineId engine, const std::string& address) { places_[engine].address = address; }
+void Engines::place(EngineId engine, const std::string& address) {
+  Place& place = places_[engine];
+  if (place.address != address || place.gone) drop_unused(place);
+  place.address = address, place.gone = false;
+  // Another engine may have the address of one that has gone: nothing more goes there for that one.
+  for (auto& [id, other] : places_) {
+    if (id != engine && other.address == address) other.gone = true, drop_unused(other);
+  }
+}
+
+void Engines::forget(EngineId engine) {
+  const auto at = places_.find(engine);
+  if (at == places_.end()) return;
+  at->second.gone = true;
+  drop_unused(at->second);
+}
+
+void Engines::forget_others(const std::set<EngineId>& named) {
+  for (auto& [id, place] : places_) {
+    if (!named.contains(id)) place.gone = true, drop_unused(place);
+  }
+}
+
+// What is at work there goes on to its end, and no further.
+void Engines::drop_unused(Place& place) {
+  std::vector<Link*> links;
+  for (const auto& link : place.links) links.push_back(link.get());
+  for (Link* link : links) link->opened() ? link->doubt() : link->lost();
+}
 
 void Engines::want(EngineId engine, DispatchKey key, const Want& want) {
   ++counters_.dispatches;
@@ -132,37 +215,39 @@
   loop_.soon([this, key] { listener_.talk_ended(key, Outcome::unreachable, {}); });
 }
 
+// One dispatch to a connection while there is room: what breaks or falls silent takes no others along.
 Engines::Link* Engines::link_for(EngineId engine, std::string_view id) {
   const auto at = places_.find(engine);
-  if (at == places_.end()) return nullptr;
+  if (at == places_.end() || at->second.gone) return nullptr;
   Place& place = at->second;
+  Link* best = nullptr;
   for (const auto& link : place.links) {
-    // Not where the same id was given up: a late answer could be taken for that of this dispatch.
-    if (link->busy() < static_cast<std::size_t>(limits_.dispatches_each) && !link->knows(id))
-      return link.get();
+    // Not where the same id was before: a late or second answer could be taken for that of this dispatch.
+    if (link->in_doubt() || link->busy() >= static_cast<std::size_t>(limits_.dispatches_each) ||
+        link->knows(id))
+      continue;
+    // The least busy, then the one last used, so that what is not needed grows old.
+    if (!best || link->busy() < best->busy() ||
+        (link->busy() == best->busy() && link->idle_since() > best->idle_since()))
+      best = link.get();
   }
-  if (connections_ >= most_connections_ && !make_room()) {
+  // A quarter of the connections is kept for engines that have none.
+  const std::size_t most = best ? most_connections_ * 3 / 4 : most_connections_;
+  if (best && (best->busy() == 0 || connections_ >= most)) return best;
+  if (connections_ >= most && !make_room()) {
     PEARCHUTE_LOG(spdlog::level::warn, "no descriptor left for a connection to engine {}", engine.value);
     return nullptr;
   }
-  Link* link = nullptr;
   try {
-    link = place.links
+    best = place.links
                .emplace_back(std::make_unique<Link>(*this, engine, Poco::Net::SocketAddress(place.address)))
                .get();
   } catch (const Poco::Exception& error) {
     PEARCHUTE_LOG(spdlog::level::warn, "engine {}: {}", engine.value, error.displayText());
-    return nullptr;
+    return best;
   }
   ++connections_, ++counters_.engine_connections;
-  if (limits_.connect_within > Span(0)) {
-    loop_.at(loop_.now() + limits_.connect_within, [this, engine, link] {
-      for (const auto& one : places_[engine].links) {
-        if (one.get() == link && !link->opened()) return link->lost();
-      }
-    });
-  }
-  return link;
+  return best;
 }
 
 // Closes the connection that has been idle for longest, whichever engine it leads to.
@@ -170,7 +255,8 @@
   Link* oldest = nullptr;
   for (auto& [engine, place] : places_) {
     for (const auto& link : place.links) {
-      if (link->busy() == 0 && link->opened()) oldest = link.get();
+      if (link->busy() > 0 || !link->opened()) continue;
+      if (!oldest || link->idle_since() < oldest->idle_since()) oldest = link.get();
     }
   }
   if (!oldest) return false;
@@ -187,7 +273,7 @@
     return loop_.soon([this, key] { listener_.talk_ended(key, Outcome::stopped, {}); });
   }
   // What the platform allows on top of its time limits; a connection that is so slow says nothing any more.
-  loop_.at(loop_.now() + std::chrono::milliseconds(50), [this, key] {
+  loop_.at(loop_.now() + milliseconds(50), [this, key] {
     const auto at = on_.find(key);
     if (at != on_.end()) at->second->lose_patience(key);
   });
@@ -201,7 +287,9 @@
 }
 
 void Engines::drop(Link& link) {
-  auto& links = places_[link.engine()].links;
+  const auto at = places_.find(link.engine());
+  if (at == places_.end()) return;
+  auto& links = at->second.links;
   const auto it = std::ranges::find(links, &link, [](const auto& one) { return one.get(); });
   if (it == links.end()) return;
   --connections_;
@@ -213,20 +301,23 @@
   });
 }
 
-// Guards against a dispatch that crosses an engine's own close of an idle connection, which would leave it
-// unknown whether it ran: connections go at three quarters of the time that engines allow.
 void Engines::sweep() {
   const Span now = loop_.now();
-  if (limits_.idle_close > Span(0)) {
-    std::vector<Link*> idle;
-    for (const auto& [engine, place] : places_) {
-      for (const auto& link : place.links) {
-        if (link->idle_for(now, limits_.idle_close * 3 / 4)) idle.push_back(link.get());
-      }
-    }
-    for (Link* link : idle) drop(*link);
+  std::vector<Link*> links;
+  for (const auto& [engine, place] : places_) {
+    for (const auto& link : place.links) links.push_back(link.get());
+  }
+  for (Link* link : links) {
+    // Guards against a dispatch that crosses an engine's own close of an idle connection, which would leave
+    // it unknown whether it ran: connections go at three quarters of the time that engines allow.
+    const bool unused = link->opened() && link->busy() == 0 && limits_.idle_close > Span(0) &&
+                        now - link->idle_since() >= limits_.idle_close * 3 / 4;
+    if (unused) drop(*link);
+    else link->look(now);
   }
-  loop_.at(now + std::chrono::milliseconds(500), [this] { sweep(); });
+  std::erase_if(places_, [](const auto& one) { return one.second.gone && one.second.links.empty(); });
+  // Twenty times a second: connects are given up a fifth late at most.
+  loop_.at(now + milliseconds(50), [this] { sweep(); });
 }
 
 }  // namespace pearchute::net
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -1,10 +1,12 @@
-// The connections to engines: opened as dispatches need them, shared by as many as the settings allow, closed
-// before an engine would call them idle. It tells how each dispatch ends, once, whatever its connection does.
-// It never picks an engine, retries, or judges one.
+// The connections to engines: opened as dispatches need them, one for each as far as descriptors go, shared
+// beyond that, closed before an engine would call them idle, and given up once they are in doubt. It tells
+// how each dispatch ends, once, whatever its connection does. It never picks an engine, retries, or judges
+// one.
 #pragma once
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,21 +24,26 @@
           Counters& counters);
   ~Engines();
   void place(EngineId engine, const std::string& address);
+  void forget(EngineId engine);  // it has gone; what is still open there ends in its own way
+  void forget_others(const std::set<EngineId>& named);
   void want(EngineId engine, DispatchKey key, const Want& want);
   void never_mind(DispatchKey key);  // it still ends once, as stopped if nothing else
   void hurry(DispatchKey key, int priority);
   std::size_t connections() const { return connections_; }
+  std::size_t places() const { return places_.size(); }
 
  private:
   class Link;
   friend class Link;
   struct Place {
     std::string address;
+    bool gone = false;
     std::vector<std::unique_ptr<Link>> links;
   };
   Link* link_for(EngineId engine, std::string_view id);
   bool make_room();
   void drop(Link& link);
+  void drop_unused(Place& place);
   void sweep();
 
   Loop& loop_;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <set>
 
 #include "service/flatten.h"
 #include "statement.h"
@@ -43,11 +44,19 @@
 
 std::optional<std::uint64_t> hex_in(std::string_view text) {
   std::uint64_t number = 0;
+  if (std::ranges::any_of(text, [](unsigned char c) { return std::isupper(c); })) return std::nullopt;
   const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number, 16);
   if (text.size() != 16 || error != std::errc{} || stop != text.data() + text.size()) return std::nullopt;
   return number;
 }
 
+// What engines can't read ends their connection, with all that is open there, so it never goes on to them.
+bool is_statement(std::string_view text) {
+  return !text.empty() && is_utf8(text) && std::ranges::none_of(text, [](unsigned char c) {
+    return (c < 0x20 && c != '\t' && c != '\n' && c != '\r') || c == 0x7f;
+  });
+}
+
 // A token goes on among comma-separated fields, so it may hold nothing that would read as another.
 bool token_fits(std::string_view token) {
   return token.size() <= 128 && std::ranges::all_of(token, [](unsigned char c) {
@@ -55,6 +64,11 @@
          });
 }
 
+std::string come_back_in(Span span) {
+  if (span <= Span(0)) return "";
+  return "Retry-After-Ms: " + std::to_string(std::chrono::ceil<milliseconds>(span).count()) + "\r\n";
+}
+
 std::string fault(std::string_view what) {
   std::string body = "{\"error\":";
   append_json_string(body, what);
@@ -101,25 +115,68 @@
   Wire& wire() { return *wire_; }
   std::unique_ptr<Wire> give_wire() { return std::move(wire_); }
   void wire_brought(std::string_view bytes) override {
-    since_ = front_.loop_.now();
+    const bool idle = !http_.call_open() && !http_.within_call();
+    // The time to a whole call runs from the connection's start or the call's first byte, whatever comes
+    // next.
+    if (idle && calls_ > 0) since_ = front_.loop_.now();
     http_.feed(bytes);
+    heed_bounds();
+    if (http_.held() >= BufferPool::buffer_size) front_.shed_unread();
   }
   void wire_ended() override { front_.client_left(*this); }
   void called(const std::string& method, const std::string& path, Message& message) override {
-    ++front_.counters_.calls;
+    ++front_.counters_.calls, ++calls_;
     front_.called(*this, method, path, message);
   }
   void refused_call(int status) override {
     ++front_.counters_.bad_calls;
     PEARCHUTE_LOG(spdlog::level::warn, "a call that can't be read: {}", status);
+    end_with(status, "the call can't be read");
+  }
+  void end_with(int status, std::string_view what) {
     std::string out;
-    append_response(out, status, "", fault("the call can't be read"), false);
+    append_response(out, status, "", fault(what), false);
     wire_->send(out);
     front_.drop(*this);
   }
-  // Nothing is open on it and nothing has come for so long.
-  bool quiet_for(Span now, Span span) const { return !http_.call_open() && now - since_ > span; }
-  void answered() { since_ = front_.loop_.now(); }
+  // A call's answer has been put out.
+  void answered() {
+    since_ = front_.loop_.now();
+    http_.answered();
+    heed_bounds();
+  }
+  // Guards against clients that send on without reading, or many calls at once: what is not read stays with
+  // them. Their calls get their answers in turn.
+  void heed_bounds() {
+    if (!wire_) return;                             // dropped
+    constexpr std::size_t most_unread = 64 * 1024;  // more than the largest answer's usual size
+    wire_->pause(http_.has_enough() || wire_->waiting() > most_unread);
+  }
+
+  // Since when it holds its connection for nothing: no call is open, none has come whole.
+  bool useless() const { return !http_.call_open() && !waits_for; }
+  bool stranger() const { return calls_ == 0; }
+  Span since() const { return since_; }
+  std::size_t held() const { return http_.held(); }
+
+  // Whether its time is up, and with what status; 0: without a word.
+  std::optional<int> overdue(Span now) {
+    if (wire_->waiting() > 0) {
+      if (wire_->written() != written_) written_ = wire_->written(), stuck_since_ = now;
+      // An answer that is read by nobody; a usual client reads at once.
+      if (now - stuck_since_ > seconds(3)) return 0;
+    } else {
+      stuck_since_ = now;
+      if (wire_->paused()) heed_bounds();
+    }
+    if (!useless()) return std::nullopt;
+    // Usual clients send their call as soon as they are connected, in one piece. Clients that keep their
+    // connection for longer than usual ones do, four seconds, don't need it to ask again.
+    constexpr milliseconds whole_call_within(2000), idle_at_most(5500);
+    const bool within = http_.within_call();
+    if (now - since_ < (stranger() || within ? whole_call_within : idle_at_most)) return std::nullopt;
+    return within ? 408 : 0;
+  }
 
   std::optional<JobId> waits_for;
 
@@ -128,17 +185,19 @@
   ClientId id_;
   HttpServerSide http_;
   std::unique_ptr<Wire> wire_;
-  Span since_;
+  Span since_, stuck_since_{};
+  std::uint64_t calls_ = 0, written_ = 0;
 };
 
 Front::Front(Loop& loop, const service::Deployment& deployment, std::uint64_t seed, std::size_t descriptors,
-             Counters& counters)
+             std::size_t memory, Counters& counters)
     : loop_(loop),
       deployment_(on_sockets(deployment, descriptors)),
       counters_(counters),
-      // Clients hold a third at most; half leaves room for those that the system has not yet seen closing. Of
-      // the rest, a few are for the log, the list and the like.
+      // Clients hold a third at most; half leaves room for strangers, and for what is on its way out. Of the
+      // rest, a few are for the log, the list and the like.
       most_clients_(std::max<std::size_t>(descriptors / 2, 1)),
+      most_unread_(memory / 8),
       engines_(loop, deployment.links, descriptors > 40 ? descriptors - descriptors / 2 - 20 : 1, *this,
                counters),
       manager_(deployment_.service, seed, *this) {
@@ -150,6 +209,8 @@
 void Front::settle_account(OpenJob& job) {
   if (!job.answered) owed_ -= 1;
   job.answered = true;
+  statement_bytes_ -= job.statement.size();
+  job.statement = {};
 }
 
 std::string Front::counters_now() {
@@ -162,12 +223,41 @@
 
 // ---- Clients ----
 
+// Guards against connections that are held for nothing, of whatever kind: what waits outside a full table
+// would be taken late and out of turn. The least useful one goes: one that never made a call before one that
+// has made some, the longest at it first; where all have a call open, the newcomer itself.
 void Front::client_came(const Poco::Net::StreamSocket& socket) {
   ++counters_.connections;
+  while (loop_.finishing() > 0 && clients_.size() + loop_.finishing() >= most_clients_) loop_.cut_finishing();
+  if (clients_.size() >= most_clients_) {
+    ++counters_.shed;
+    Client* least = nullptr;
+    for (const auto& [id, client] : clients_) {
+      if (!client->useless()) continue;
+      if (!least ||
+          std::pair(!client->stranger(), client->since()) < std::pair(!least->stranger(), least->since()))
+        least = client.get();
+    }
+    if (!least) return Poco::Net::StreamSocket(socket).close();
+    drop(*least);
+  }
   const ClientId id{next_client_++};
   clients_[id] = std::make_unique<Client>(*this, id, socket);
 }
 
+// Guards against calls that are never whole, many at once: the largest goes where all together hold too much.
+void Front::shed_unread() {
+  std::size_t held = statement_bytes_;
+  Client* largest = nullptr;
+  for (const auto& [id, client] : clients_) {
+    held += client->held();
+    if (client->useless() && (!largest || client->held() > largest->held())) largest = client.get();
+  }
+  if (held <= most_unread_ || !largest || largest->held() == 0) return;
+  ++counters_.shed;
+  largest->end_with(503, "too much is unread");
+}
+
 void Front::drop(Client& client) {
   const auto it = clients_.find(client.id());
   if (it == clients_.end()) return;
@@ -202,15 +292,14 @@
   if (it == clients_.end()) return;
   Client& client = *it->second;
   client.waits_for.reset();
-  client.answered();
   std::string out;
-  const bool keep = client.http().keeps_alive();
+  const bool keep = client.http().keeps_alive() && !sending_home_;
   append_response(out, status, headers, body, keep);
   client.wire().send(out);
   if (!keep) return drop(client);
   // Later, since a further call may wait there, and the module may be at work on this one.
   loop_.soon([this, id] {
-    if (const auto at = clients_.find(id); at != clients_.end()) at->second->http().answered();
+    if (const auto at = clients_.find(id); at != clients_.end()) at->second->answered();
   });
 }
 
@@ -269,7 +358,7 @@
 
 void Front::take_job(Client& client, std::string_view kind, Message& message) {
   const Span now = loop_.now();
-  const TypeId type = deployment_.type(service::plain_name(std::string(kind)));
+  const TypeId type = deployment_.type(kind);
   const auto bad = [&](int status, std::string_view what) {
     ++counters_.bad_calls;
     PEARCHUTE_LOG(spdlog::level::warn, "a job is not taken: {}", what);
@@ -278,37 +367,49 @@
   if (type.value < 0) return bad(404, "no such reservation type");
   const auto id = hex_in(message.header("x-request-id"));
   if (!id) return bad(400, "X-Request-Id is not 16 hex digits");
+  // Figures that no client can mean: patience of over twice the type's, more work than the largest machine
+  // does in that time, or several times its memory. One of them would spoil the means of all other jobs.
+  const ReservationType& traits = deployment_.service.types[static_cast<std::size_t>(type.value)];
+  const double longest = 2e-3 * static_cast<double>(traits.job_timeout.count());
   const auto patience = number_in(message.header("x-timeout-ms"));
-  if (!patience || *patience <= 0 || *patience > 1e9) return bad(400, "X-Timeout-Ms is not usable");
+  if (!patience || *patience <= 0 || *patience > longest) return bad(400, "X-Timeout-Ms is not usable");
   Job job;
   job.id = JobId{*id};
   job.type = type;
   job.time_left = Span(static_cast<Span::rep>(*patience * 1000));
-  const auto estimate = [&](const char* name, std::optional<double>& value) {
+  const auto estimate = [&](const char* name, std::optional<double>& value, double most) {
     const std::string_view text = message.header(name);
     if (text.empty()) return true;
     const auto number = number_in(text);
-    if (!number || *number < 0 || *number > 1e12) return false;
+    if (!number || *number < 0 || *number > most) return false;
     if (*number > 0) value = *number;
     return true;
   };
-  if (!estimate("x-cost-ms", job.work_ms)) return bad(400, "X-Cost-Ms is not usable");
-  if (!estimate("x-est-mb", job.memory_mb)) return bad(400, "X-Est-Mb is not usable");
+  MachineKind largest;
+  for (const MachineKind& one : deployment_.service.kinds) {
+    largest.cores = std::max(largest.cores, one.cores);
+    largest.memory_mb = std::max(largest.memory_mb, one.memory_mb);
+  }
+  if (!estimate("x-cost-ms", job.work_ms, longest * largest.cores))
+    return bad(400, "X-Cost-Ms is not usable");
+  if (!estimate("x-est-mb", job.memory_mb, 4 * largest.memory_mb)) return bad(400, "X-Est-Mb is not usable");
   if (const std::string_view key = message.header("x-object"); !key.empty()) {
     const auto number = hex_in(key);
     if (!number) return bad(400, "X-Object is not 16 hex digits");
     job.key = OrderKey{*number};
   }
   const std::string_view token = message.header("idempotency-key");
-  const ReservationType& traits = deployment_.service.types[static_cast<std::size_t>(type.value)];
   if (!token_fits(token) || (traits.effect == Effect::keyed && token.empty()))
     return bad(400, "Idempotency-Key is not usable");
-  if (message.body.empty()) return bad(400, "no statement");
+  if (!is_statement(message.body)) return bad(400, "the body is no statement");
   if (jobs_.contains(job.id)) return bad(409, "this request is being served");
   // A connection's last job may not be forgotten yet when its next one comes: a few over the limit are taken.
-  if (closing_ || owed_ >= 2 * static_cast<std::size_t>(deployment_.service.most_open)) {
+  if (closing_ || owed_ >= 2 * static_cast<std::size_t>(deployment_.service.most_open) ||
+      statement_bytes_ + message.body.size() > most_unread_) {
     ++counters_.throttled;
-    return respond(client.id(), 503, "", R"({"abort":"TryLater"})");
+    const Span advice =
+        deployment_.service.takes_retry_advice ? deployment_.service.longest_retry_advice : Span(0);
+    return respond(client.id(), 503, come_back_in(advice), R"({"abort":"TryLater"})");
   }
   job.data_set = DataSetId{table_group(message.body).value_or(0)};
   ++counters_.jobs, ++owed_;
@@ -317,6 +418,7 @@
   open.kind = kind;
   open.token = token;
   open.statement = std::move(message.body);
+  statement_bytes_ += open.statement.size();
   open.end = now + job.time_left;
   open.caller = client.id();
   client.waits_for = job.id;
@@ -370,6 +472,16 @@
   if (job.answered && job.status == 0 && job.out.empty()) jobs_.erase(it);
 }
 
+void Front::send_home() {
+  if (sending_home_) return;
+  sending_home_ = true;
+  std::vector<Client*> idle;
+  for (const auto& [id, client] : clients_) {
+    if (client->useless() && !client->http().within_call()) idle.push_back(client.get());
+  }
+  for (Client* client : idle) drop(*client);
+}
+
 void Front::answer_all() {
   if (closing_) return;
   closing_ = true;
@@ -417,16 +529,11 @@
 
 void Front::stop_dispatch(JobId id, int number) { engines_.never_mind({id, number}); }
 
-void Front::throttle(JobId id, Span come_back_in) {
+void Front::throttle(JobId id, Span span) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end() || it->second.answered) return;
   ++counters_.throttled;
-  std::string headers;
-  if (come_back_in > Span(0)) {
-    const auto ms = std::chrono::ceil<milliseconds>(come_back_in).count();
-    headers = "Retry-After-Ms: " + std::to_string(ms) + "\r\n";
-  }
-  answer(id, it->second, 503, std::move(headers), R"({"abort":"TryLater"})");
+  answer(id, it->second, 503, come_back_in(span), R"({"abort":"TryLater"})");
 }
 
 void Front::cancel_for_good(JobId id) {
@@ -489,22 +596,33 @@
 
 void Front::list_changed(ListNews news, const std::vector<Member>& members) {
   std::vector<ListedEngine> engines;
+  std::set<EngineId> listed;
   for (const Member& member : members) {
-    if (!member.address.empty()) engines_.place(member.engine.id, member.address);
     engines.push_back(member.engine);
+    if (member.engine.state == EngineState::gone) continue;
+    listed.insert(member.engine.id);
+    if (!member.address.empty()) engines_.place(member.engine.id, member.address);
   }
   manager_.list_came(loop_.now(), news, engines);
+  // Only now, so that what ends by it is not sent there again.
+  if (news != ListNews::changes) engines_.forget_others(listed);
+  for (const ListedEngine& engine : engines) {
+    if (engine.state == EngineState::gone) engines_.forget(engine.id);
+  }
 }
 
-// Clients close their idle connections long before; this is for what they forget, or never finish sending.
 void Front::sweep() {
   const Span now = loop_.now();
-  std::vector<Client*> quiet;
+  std::vector<std::pair<Client*, int>> overdue;
   for (const auto& [id, client] : clients_) {
-    if (client->quiet_for(now, seconds(30))) quiet.push_back(client.get());
+    if (const auto status = client->overdue(now)) overdue.emplace_back(client.get(), *status);
+  }
+  for (const auto& [client, status] : overdue) {
+    if (status > 0) client->end_with(status, "the call is not whole in time");
+    else if (client->useless()) drop(*client);
+    else client->wire().close(), client_left(*client);
   }
-  for (Client* client : quiet) drop(*client);
-  loop_.at(now + seconds(1), [this] { sweep(); });
+  loop_.at(now + milliseconds(200), [this] { sweep(); });
 }
 
 }  // namespace pearchute::net
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -23,15 +23,17 @@
 class Front final : public Host, public Engines::Listener, public ListFeed::Listener {
  public:
   Front(Loop& loop, const service::Deployment& deployment, std::uint64_t seed, std::size_t descriptors,
-        Counters& counters);
+        std::size_t memory, Counters& counters);
   ~Front() override;
   void client_came(const Poco::Net::StreamSocket& socket);
-  bool has_room() const { return clients_.size() < most_clients_; }
   void set_ready(bool ready) { ready_ = ready; }
   bool idle() const { return owed_ == 0; }
   std::string counters_now();
   // Every job that is still open gets its final answer now; what comes later is turned away.
   void answer_all();
+  // Connections with nothing open are closed, and others with their next answer: a client that comes again
+  // goes elsewhere.
+  void send_home();
 
   // What the module does
   void dispatch(JobId job, EngineId engine, Span time_limit) override;
@@ -86,14 +88,16 @@
   void forget_answer_at(Span when, JobId id);
   void forget_if_done(JobId id);
   void drop(Client& client);
+  void shed_unread();
   void sweep();
   std::optional<JobId> job_of_path(std::string_view path) const;
 
   Loop& loop_;
   service::Deployment deployment_;
   Counters& counters_;
-  std::size_t most_clients_;
-  bool ready_ = false, closing_ = false;
+  std::size_t most_clients_, most_unread_;
+  std::size_t statement_bytes_ = 0;  // of the jobs in the table
+  bool ready_ = false, closing_ = false, sending_home_ = false;
   std::unordered_map<JobId, OpenJob> jobs_;
   std::size_t owed_ = 0;  // jobs without their answer
   std::map<ClientId, std::unique_ptr<Client>> clients_;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -11,6 +11,7 @@
 // Far over what the protocol needs, far under what memory allows for every descriptor.
 constexpr std::size_t largest_head = 16 * 1024;
 constexpr std::size_t largest_body = 64 * 1024;
+constexpr std::size_t most_headers = 100;  // each costs more than its bytes
 
 bool token_char(char c) {
   return std::isalnum(static_cast<unsigned char>(c)) ||
@@ -42,6 +43,8 @@
       return "Bad Request";
     case 404:
       return "Not Found";
+    case 408:
+      return "Request Timeout";
     case 405:
       return "Method Not Allowed";
     case 409:
@@ -138,13 +141,21 @@
   const std::size_t colon = line_.find(':');
   if (colon == std::string::npos || colon == 0) return Status::malformed;
   const std::string_view name = std::string_view(line_).substr(0, colon);
-  if (!std::ranges::all_of(name, token_char)) return Status::malformed;
+  if (!std::ranges::all_of(name, token_char) || message_.headers.size() >= most_headers)
+    return Status::malformed;
+  head_total_ += line_.size();
   message_.headers.emplace_back(lower(name), trimmed(std::string_view(line_).substr(colon + 1)));
   return Status::more;
 }
 
 MessageReader::Status MessageReader::head_done() {
   head_bytes_ = 0;
+  // Guards against two readers that see two different calls: what is said twice has to be the same.
+  for (auto one = message_.headers.begin(); one != message_.headers.end(); ++one) {
+    for (auto other = message_.headers.begin(); other != one; ++other) {
+      if (other->first == one->first && other->second != one->second) return Status::malformed;
+    }
+  }
   bool sized = false, chunked = false;
   std::size_t size = 0;
   for (const auto& [name, value] : message_.headers) {
@@ -170,16 +181,11 @@
   state_ = State::first_line;
   message_ = {};
   line_.clear();
-  head_bytes_ = left_ = 0;
+  head_bytes_ = head_total_ = left_ = 0;
 }
 
 void HttpServerSide::feed(std::string_view bytes) {
   if (dead_) return;
-  // No more than one further call may wait: clients make one at a time.
-  if (kept_.size() + bytes.size() > largest_head + largest_body + (1 << 16)) {
-    dead_ = true;
-    return listener_.refused_call(400);
-  }
   kept_.append(bytes);
   take();
 }
@@ -194,6 +200,7 @@
     if (status == MessageReader::Status::more) break;
     if (status != MessageReader::Status::whole) {
       dead_ = true;
+      kept_ = {};
       listener_.refused_call(status == MessageReader::Status::too_large ? 413 : 400);
       break;
     }
@@ -215,6 +222,7 @@
     listener_.called(line.substr(0, first), line.substr(first + 1, second - first - 1), message);
   }
   taking_ = false;
+  if (kept_.empty() && kept_.capacity() > 1024) kept_ = {};
 }
 
 void HttpServerSide::answered() {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -27,6 +27,8 @@
   explicit MessageReader(Side side) : side_(side) {}
   // Takes what it can use from the front of `bytes`.
   Status feed(std::string_view& bytes);
+  std::size_t held() const { return line_.size() + head_total_ + message_.body.size(); }
+  bool begun() const { return state_ != State::first_line || !line_.empty(); }
   bool head_read() const { return state_ != State::first_line && state_ != State::headers; }
   Message& message() { return message_; }  // whole; with `passing`, the body is what came since the last look
   void next();
@@ -41,7 +43,7 @@
   State state_ = State::first_line;
   Message message_;
   std::string line_;
-  std::size_t head_bytes_ = 0, left_ = 0;
+  std::size_t head_bytes_ = 0, head_total_ = 0, left_ = 0;
 };
 
 // The server's side: one call at a time; what comes after it waits for `answered`.
@@ -59,8 +61,14 @@
   void answered();
   bool call_open() const { return open_; }
   bool keeps_alive() const { return keeps_alive_; }
+  std::size_t held() const { return kept_.size() + reader_.held(); }
+  // Nothing more should be read until the open call has its answer.
+  bool has_enough() const { return open_ && kept_.size() >= most_kept; }
+  bool within_call() const { return !open_ && reader_.begun(); }
 
  private:
+  static constexpr std::size_t most_kept = 16 * 1024;  // clients make one call at a time
+
   void take();
 
   Listener& listener_;
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -96,9 +96,24 @@
     return change;
   }
   cursor_ = number, has_list_ = true;
+  forget_gone(change);
   return change;
 }
 
+// Names live as long as their engines are listed: engines are replaced all day.
+void EngineList::forget_gone(const Change& change) {
+  const bool whole = change.news == ListNews::complete;
+  std::map<EngineId, bool> gone;
+  for (const Member& member : change.members)
+    gone[member.engine.id] = member.engine.state == EngineState::gone;
+  std::erase_if(ids_, [&](const auto& one) {
+    const auto named = gone.find(one.second);
+    const bool over = named == gone.end() ? whole : named->second;
+    if (over) taken_ids_.erase(one.second);
+    return over;
+  });
+}
+
 ListFeed::ListFeed(Loop& loop, std::string address, EngineList& list, Listener& listener, Counters& counters)
     : loop_(loop), address_(std::move(address)), list_(list), listener_(listener), counters_(counters) {}
 
@@ -107,6 +122,7 @@
 void ListFeed::open() {
   last_sign_ = loop_.now();
   broken_ = false;
+  const std::uint64_t which = ++opened_;
   ++counters_.list_connections;
   feed_ = std::make_unique<EventFeed>(*this);
   try {
@@ -119,17 +135,26 @@
       "GET /cmd/next HTTP/1.1\r\nHost: " + address_ +
       "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + std::to_string(list_.cursor()) + "\r\n\r\n";
   wire_->send(request);
-  watch();
+  watch(which);
+}
+
+void ListFeed::move_to(std::string address) {
+  if (address == address_) return;
+  address_ = std::move(address);
+  pause_ = Span(0);
+  again("the channel has moved");
 }
 
 void ListFeed::wire_opened() { last_sign_ = loop_.now(); }
 
-// A comment comes each second: after three missed, the connection is no good, whatever it looks like.
-void ListFeed::watch() {
-  loop_.at(loop_.now() + std::chrono::milliseconds(250), [this, watched = wire_.get()] {
-    if (!wire_ || wire_.get() != watched) return;
-    if (loop_.now() - last_sign_ > std::chrono::milliseconds(3200)) again("the stream is silent");
-    else watch();
+// A comment comes each second: after two missed, the connection is no good, whatever it looks like. The first
+// sign comes as soon as it is up.
+void ListFeed::watch(std::uint64_t which) {
+  loop_.at(loop_.now() + std::chrono::milliseconds(100), [this, which] {
+    if (which != opened_ || !wire_) return;
+    const std::chrono::milliseconds longest(wire_->opened() ? 2300 : 500);
+    if (loop_.now() - last_sign_ > longest) again("the stream is silent");
+    else watch(which);
   });
 }
 
@@ -170,8 +195,10 @@
   loop_.retire(std::move(wire_));
   wire_.reset();
   // At once the first time, then at growing distance, well within what the list may come late.
-  loop_.at(loop_.now() + pause_, [this] { open(); });
-  pause_ = std::clamp<Span>(2 * pause_, std::chrono::milliseconds(50), std::chrono::seconds(1));
+  loop_.at(loop_.now() + pause_, [this, which = opened_] {
+    if (which == opened_) open();
+  });
+  pause_ = std::clamp<Span>(2 * pause_, std::chrono::milliseconds(50), std::chrono::milliseconds(400));
 }
 
 }  // namespace pearchute::net
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -40,10 +40,12 @@
   Change event(std::string_view id, std::string_view data, bool gap_allowed);
   std::int64_t cursor() const { return cursor_; }
   bool has_list() const { return has_list_; }
+  std::size_t names() const { return ids_.size(); }
 
  private:
   Change read(const nlohmann::json& event);
   EngineId id_of(const std::string& name);
+  void forget_gone(const Change& change);
 
   const service::Deployment& deployment_;
   std::chrono::milliseconds unix_start_;
@@ -64,6 +66,8 @@
   ListFeed(Loop& loop, std::string address, EngineList& list, Listener& listener, Counters& counters);
   ~ListFeed() override;
   void open();
+  // The channel has another address from now on; the numbers carry on.
+  void move_to(std::string address);
 
  private:
   void wire_opened() override;
@@ -71,7 +75,7 @@
   void wire_ended() override { again("the stream ended"); }
   void event_came(std::string_view id, std::string_view data) override;
   void again(const char* why);
-  void watch();
+  void watch(std::uint64_t which);
 
   Loop& loop_;
   std::string address_;
@@ -80,6 +84,7 @@
   Counters& counters_;
   std::unique_ptr<Wire> wire_;
   std::unique_ptr<EventFeed> feed_;
+  std::uint64_t opened_ = 0;  // streams so far, which tells a timer's own from a later one
   Span last_sign_{}, pause_{};
   bool gap_seen_ = false, broken_ = false;
 };
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -53,17 +53,17 @@
   const char* names[] = {"done",        "error", "full",    "timed_out",
                          "unreachable", "reset", "stopped", "never_sent"};
   std::string text = fmt::format(
-      R"({{"taken_in":{{"connections":{},"calls":{},"bad_calls":{},"jobs":{},"fetched_again":{}}},)"
+      R"({{"taken_in":{{"connections":{},"calls":{},"bad_calls":{},"jobs":{},"fetched_again":{},"shed":{}}},)"
       R"("answered":{{"done":{},"throttled":{},"cancelled":{},"withdrawn":{}}},)"
       R"("sent":{{"dispatches":{},"never_minds":{},"hurries":{},"connections":{}}},"ended":{{)",
-      connections, calls, bad_calls, jobs, fetched_again, done, throttled, cancelled, withdrawn, dispatches,
-      never_minds, hurries, engine_connections);
+      connections, calls, bad_calls, jobs, fetched_again, shed, done, throttled, cancelled, withdrawn,
+      dispatches, never_minds, hurries, engine_connections);
   for (int i = 0; i < 8; ++i) text += fmt::format(R"({}"{}":{})", i ? "," : "", names[i], ends[i]);
-  text +=
-      fmt::format(R"(}},"notes":{},"broken_answers":{},"list":{{"events":{},"connections":{},"broken":{}}},)"
-                  R"("open":{{"jobs":{},"dispatches":{},"clients":{},"engine_connections":{}}}}})",
-                  notes, broken_answers, list_events, list_connections, broken_events, open_jobs,
-                  open_dispatches, open_clients, open_engine_connections);
+  text += fmt::format(
+      R"(}},"notes":{},"broken_answers":{},"silent_connections":{},"list":{{"events":{},"connections":{},"broken":{}}},)"
+      R"("open":{{"jobs":{},"dispatches":{},"clients":{},"engine_connections":{}}}}})",
+      notes, broken_answers, silent_connections, list_events, list_connections, broken_events, open_jobs,
+      open_dispatches, open_clients, open_engine_connections);
   return text;
 }
 
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -32,10 +32,10 @@
 // What the program takes in, sends and answers.
 struct Counters {
   std::uint64_t connections = 0, calls = 0, bad_calls = 0, jobs = 0;
-  std::uint64_t done = 0, throttled = 0, cancelled = 0, withdrawn = 0, fetched_again = 0;
+  std::uint64_t done = 0, throttled = 0, cancelled = 0, withdrawn = 0, fetched_again = 0, shed = 0;
   std::uint64_t dispatches = 0, never_minds = 0, hurries = 0, engine_connections = 0;
   std::uint64_t ends[8] = {};  // by outcome
-  std::uint64_t notes = 0, broken_answers = 0;
+  std::uint64_t notes = 0, broken_answers = 0, silent_connections = 0;
   // Now, not since the start.
   std::uint64_t open_jobs = 0, open_dispatches = 0, open_clients = 0, open_engine_connections = 0;
   std::uint64_t list_events = 0, list_connections = 0, broken_events = 0;
--- a/src/net/program.cpp
+++ b/src/net/program.cpp
@@ -22,6 +22,7 @@
 
 volatile std::sig_atomic_t asked_to_end = 0;
 volatile std::sig_atomic_t asked_for_counters = 0;
+volatile std::sig_atomic_t asked_to_read_again = 0;
 
 const char* name_of(Program::Phase phase) {
   const char* names[] = {"starting", "listing", "serving", "leaving", "finishing", "ended"};
@@ -43,6 +44,12 @@
   return configuration;
 }
 
+// What holds until the next start.
+std::string fixed_part(json configuration) {
+  for (const char* name : {"channel", "known", "seed"}) configuration.erase(name);
+  return configuration.dump();
+}
+
 std::uint64_t seed_in(const json& configuration) {
   const std::string text = configuration.value("seed", "0");
   std::uint64_t seed = 0;
@@ -56,6 +63,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, [](int) { asked_to_end = 1; });
   std::signal(SIGINT, [](int) { asked_to_end = 1; });
+  std::signal(SIGHUP, [](int) { asked_to_read_again = 1; });
   std::signal(SIGUSR1, [](int) { asked_for_counters = 1; });
   const json configuration = read_configuration(told("PROXY_CONFIG"));
   name_ = configuration.value("name", told("PROXY_NAME"));
@@ -71,9 +79,11 @@
   // after it asked: what is open a fifth of a second before that gets its answer.
   give_up_after_ = std::min<Span>(give_up_after_, seconds(3)) + milliseconds(500);
 
-  std::size_t descriptors = 256;  // the least that systems give
-  if (const auto limits = configuration.find("limits"); limits != configuration.end())
+  std::size_t descriptors = 256, memory_mb = 32;  // the least that managers get
+  if (const auto limits = configuration.find("limits"); limits != configuration.end()) {
     descriptors = limits->value("sockets", descriptors);
+    memory_mb = std::max<std::size_t>(limits->value("memory_mb", memory_mb), 1);
+  }
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
     limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, descriptors);
@@ -83,19 +93,21 @@
   const Span unix_now = std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch());
   list_ = std::make_unique<EngineList>(deployment_,
                                        std::chrono::duration_cast<milliseconds>(unix_now - loop_.now()));
-  front_ = std::make_unique<Front>(loop_, deployment_, seed_in(configuration), descriptors, counters_);
+  front_ = std::make_unique<Front>(loop_, deployment_, seed_in(configuration), descriptors, memory_mb << 20,
+                                   counters_);
   if (const auto known = configuration.find("known"); known != configuration.end()) {
     const EngineList::Change change = list_->known(*known);
     if (change.taken == EngineList::Taken::applied) front_->list_changed(change.news, change.members);
     else spdlog::warn("what is known of the engines can't be read: {}", change.fault);
   }
-  door_ = std::make_unique<Door>(
-      loop_, Poco::Net::SocketAddress(address), [this] { return front_->has_room(); },
-      [this](const Poco::Net::StreamSocket& socket) { front_->client_came(socket); });
+  door_ =
+      std::make_unique<Door>(loop_, Poco::Net::SocketAddress(address),
+                             [this](const Poco::Net::StreamSocket& socket) { front_->client_came(socket); });
   if (const std::string channel = configuration.value("channel", ""); !channel.empty()) {
     feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, *front_, counters_);
     feed_->open();
   }
+  before_ = fixed_part(configuration);
   enter(list_->has_list() ? Phase::serving : Phase::listing);
   watch();
 }
@@ -108,6 +120,27 @@
   front_->set_ready(phase == Phase::serving || phase == Phase::leaving);
 }
 
+// The channel may move while the program runs; of the rest it is said where it takes a restart. A file that
+// can't be used leaves all as it was.
+void Program::read_again() {
+  try {
+    const json configuration = read_configuration(told("PROXY_CONFIG"));
+    const std::string channel = configuration.value("channel", "");
+    if (channel.empty()) throw std::runtime_error("the configuration names no channel");
+    const Poco::Net::SocketAddress usable(channel);
+    spdlog::info("the configuration is read again; the channel is at {}", usable.toString());
+    if (fixed_part(configuration) != before_)
+      spdlog::warn("what else has changed in the configuration takes effect at the next start only");
+    if (feed_) return feed_->move_to(channel);
+    feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, *front_, counters_);
+    feed_->open();
+  } catch (const Poco::Exception& error) {
+    spdlog::warn("the configuration stays as it was: {}", error.displayText());
+  } catch (const std::exception& error) {
+    spdlog::warn("the configuration stays as it was: {}", error.what());
+  }
+}
+
 // Looks, at short intervals, whether the next phase has come.
 void Program::watch() {
   const Span now = loop_.now();
@@ -115,6 +148,10 @@
     asked_for_counters = 0;
     spdlog::info("counters {}", front_->counters_now());
   }
+  if (asked_to_read_again && phase_ < Phase::finishing) {
+    asked_to_read_again = 0;
+    read_again();
+  }
   if (phase_ == Phase::listing && list_->has_list()) enter(Phase::serving);
   if (asked_to_end && phase_ < Phase::leaving) {
     asked_at_ = now;
@@ -124,6 +161,7 @@
     // New connections come for 0.4 s more and calls on open ones 0.2 s longer; a tenth is for the way.
     const bool all_came = now - asked_at_ > milliseconds(750);
     if (now - asked_at_ > give_up_after_) front_->answer_all();
+    if (all_came) front_->send_home();
     if (all_came && front_->idle()) {
       door_->shut();
       finishing_since_ = now;
--- a/src/net/program.h
+++ b/src/net/program.h
@@ -31,11 +31,12 @@
  private:
   void enter(Phase phase);
   void watch();
+  void read_again();
 
   Phase phase_ = Phase::starting;
   Counters counters_;
   Loop loop_;
-  std::string name_;
+  std::string name_, before_;  // its configuration, less what may change
   service::Deployment deployment_;
   std::unique_ptr<EngineList> list_;
   std::unique_ptr<Front> front_;
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -9,11 +9,13 @@
 
 namespace {
 
-constexpr std::size_t most_words = 16;         // answers have four; more is not this protocol
-constexpr std::size_t longest_word = 1 << 17;  // a page has 6,000 bytes at most
-constexpr std::size_t most_pages = 64;         // a result holds 48,000 bytes at most
-constexpr std::size_t largest_result = 1 << 17;
-constexpr std::size_t most_given_up = 256;  // ids remembered on a connection; answers cross within moments
+// The protocol's own bounds: whoever goes beyond them does not speak it.
+constexpr std::size_t most_words = 4;
+constexpr std::size_t longest_word = 6000;  // a page
+constexpr std::size_t largest_result = 48000;
+constexpr std::size_t most_pages = 64;  // whole rows may leave pages far from full
+constexpr double most_figure = 1e9;     // of a note; its largest are megabytes
+constexpr std::size_t most_past = 64;   // ids remembered on a connection; late and second answers come soon
 
 template <class Number>
 bool read_number(std::string_view text, Number& number) {
@@ -21,8 +23,40 @@
   return error == std::errc{} && stop == text.data() + text.size();
 }
 
+// Guards against answers that are well framed and spoilt within: a page is whole rows of three columns of
+// text.
+bool is_page(std::string_view text) {
+  int tabs = 0;
+  for (const char c : text) {
+    if (c == '\t' ? ++tabs > 2 : c == '\n' ? tabs != 2 : static_cast<unsigned char>(c) < 0x20) return false;
+    if (c == '\n') tabs = 0;
+  }
+  return (text.empty() || text.back() == '\n') && is_utf8(text);
+}
+
 }  // namespace
 
+// Neither cut nor overlong, no surrogates, nothing beyond the last plane.
+bool is_utf8(std::string_view text) {
+  for (std::size_t i = 0; i < text.size();) {
+    const auto byte = [&](std::size_t at) { return static_cast<unsigned char>(text[at]); };
+    const unsigned first = byte(i);
+    const std::size_t more = first < 0x80 ? 0 : first < 0xc2 ? 9 : first < 0xe0 ? 1 : first < 0xf0 ? 2 : 3;
+    if (first > 0xf4 || more > 3 || text.size() - i <= more) return false;
+    for (std::size_t k = 1; k <= more; ++k) {
+      if ((byte(i + k) & 0xc0) != 0x80) return false;
+    }
+    if (more > 1) {
+      const unsigned second = byte(i + 1);
+      if ((first == 0xe0 && second < 0xa0) || (first == 0xed && second > 0x9f) ||
+          (first == 0xf0 && second < 0x90) || (first == 0xf4 && second > 0x8f))
+        return false;
+    }
+    i += more + 1;
+  }
+  return true;
+}
+
 bool RespReader::read_length(std::string_view& bytes, char mark, std::size_t most, std::size_t& length) {
   const std::size_t end = bytes.find('\n');
   line_.append(bytes.substr(0, end));
@@ -114,8 +148,6 @@
 void EngineTalk::lose_patience(DispatchKey key) {
   const auto id = ids_.find(key);
   if (id == ids_.end()) return;
-  given_up_.push_back(id->second);
-  if (given_up_.size() > most_given_up) given_up_.pop_front();
   end(open_.find(id->second), Outcome::stopped);
 }
 
@@ -125,9 +157,18 @@
 }
 
 bool EngineTalk::knows(std::string_view id) const {
-  return open_.contains(id) || std::ranges::count(given_up_, id) > 0;
+  return open_.contains(id) || std::ranges::count(past_, id) > 0;
 }
 
+bool EngineTalk::owes_the_rest() const {
+  return reader_.within_answer() || std::ranges::any_of(open_, [](const auto& one) {
+           return !one.second.pages.empty() && one.second.farewell.empty();
+         });
+}
+
+// Any answer to it shows that the connection works.
+void EngineTalk::ask_for_a_sign(std::string& out) { put(out, {"there", std::to_string(next_tag_++)}); }
+
 bool EngineTalk::feed(std::string_view bytes, std::string& out) {
   bool sound = true;
   const bool read =
@@ -136,39 +177,37 @@
 }
 
 bool EngineTalk::answer(std::vector<std::string>& words, std::string& out) {
+  ++whole_answers_;
   if (words.size() < 2) return false;
   if (words[1] == "PONG") return heard(words[0]), true;
   if (words.size() != 4) return false;
   const auto it = open_.find(words[0]);
-  if (it == open_.end()) return true;  // late, of a dispatch that has ended
+  if (it == open_.end()) return true;  // late, of a dispatch that has ended, or of none
   Open& open = it->second;
   service::NamedValues fields;
   try {
     if (words[2] != "-" && !words[2].empty()) {
       for (const std::string_view part : service::split(words[2], ',')) fields.add_pair(part);
     }
-    if (words[1] == "HIT" && open.pages.empty()) {
-      const std::int64_t pages = fields.whole("fetches").value_or(1);
+    std::int64_t at = 0;
+    if (words[1] == "HIT") {
+      if (!open.pages.empty()) return true;  // a second copy
+      const std::int64_t pages = fields.required_whole("fetches");
       if (pages < 1 || pages > static_cast<std::int64_t>(most_pages)) return false;
       open.pages.resize(static_cast<std::size_t>(pages));
       open.here.resize(open.pages.size());
-      open.pages[0] = std::move(words[3]);
-      open.here[0] = true, open.pages_here = 1, open.bytes = open.pages[0].size();
-      if (!open.farewell.empty() && pages > 1) return true;  // its further pages went with the request
-      for (std::int64_t page = 1; page < pages; ++page) put(out, {"turn", it->first, std::to_string(page)});
+      // Its further pages went with the request where that is given up.
+      for (std::int64_t page = 1; page < pages && open.farewell.empty(); ++page)
+        put(out, {"turn", it->first, std::to_string(page)});
     } else if (words[1] == "PART") {
-      const std::int64_t page = fields.required_whole("fetch_no");
-      if (page < 1 || page >= static_cast<std::int64_t>(open.pages.size())) return false;
-      const auto at = static_cast<std::size_t>(page);
-      if (open.here[at]) return true;
-      open.here[at] = true, open.pages_here += 1, open.bytes += words[3].size();
-      open.pages[at] = std::move(words[3]);
-      if (open.bytes > largest_result) return false;
+      at = fields.required_whole("fetch_no");
+      if (at < 1 || at >= static_cast<std::int64_t>(open.pages.size())) return false;
     } else if (words[1] == "INFO") {
       const std::string_view note = fields.text("res").value_or("");
       const double figure = fields.number("figure").value_or(0);
+      if (!(figure >= 0 && figure <= most_figure)) return false;
       const DispatchKey key = open.key;
-      if (note == "progress") listener_.talk_progress(key, figure);
+      if (note == "progress") listener_.talk_progress(key, std::min(figure, 1.0));
       else if (note == "spill_mb") listener_.talk_spill(key, figure);
       else if (note == "blocked") listener_.talk_wait(key, figure == 2 ? Wait::load : Wait::memory);
       return true;
@@ -181,6 +220,12 @@
     } else {
       return false;
     }
+    const auto page = static_cast<std::size_t>(at);
+    if (open.here[page]) return true;  // a second copy
+    if (!is_page(words[3]) || (words[3].empty() && open.pages.size() > 1)) return false;
+    open.here[page] = true, open.pages_here += 1, open.bytes += words[3].size();
+    open.pages[page] = std::move(words[3]);
+    if (open.bytes > largest_result) return false;
   } catch (const service::Malformed&) {
     return false;
   }
@@ -196,6 +241,8 @@
   std::vector<std::string> pages;
   if (outcome == Outcome::done) pages = std::move(it->second.pages);
   ids_.erase(key);
+  past_.push_back(it->first);
+  if (past_.size() > most_past) past_.pop_front();
   open_.erase(it);
   listener_.talk_ended(key, outcome, std::move(pages));
 }
--- a/src/net/resp.h
+++ b/src/net/resp.h
@@ -25,6 +25,7 @@
     }
     return !broken_;
   }
+  bool within_answer() const { return state_ != State::array || !line_.empty(); }
 
  private:
   bool step(std::string_view& bytes);  // true when an array is whole
@@ -37,6 +38,7 @@
   bool broken_ = false;
 };
 
+bool is_utf8(std::string_view text);
 void append_command(std::string& out, std::initializer_list<std::string_view> words);
 
 // One dispatch, as the caller knows it.
@@ -72,20 +74,23 @@
   // The engine has not said in time that it heard: what was given up ends without its word.
   void lose_patience(DispatchKey key);
   void hurry(DispatchKey key, int priority, std::string& out);
+  void ask_for_a_sign(std::string& out);
   // False where the bytes are no answers; the caller closes and calls `broke`.
   bool feed(std::string_view bytes, std::string& out);
   // The connection is gone: what is open ends as reset, or as `unsent` where nothing of it had left.
   void broke(std::uint64_t bytes_left);
   std::size_t open() const { return open_.size(); }
-  bool carries(DispatchKey key) const { return ids_.contains(key); }
-  // Whether an answer under this id may still come: one given up is as good as open.
+  // Whether an answer under this id may still come: one that was given up, or a second copy of one that came.
   bool knows(std::string_view id) const;
+  // Whether an answer has begun that is not whole: half of its bytes, or a result without all of its pages.
+  bool owes_the_rest() const;
+  std::uint64_t whole_answers() const { return whole_answers_; }  // with those that belong to no dispatch
 
  private:
   struct Open {
     DispatchKey key;
     std::uint64_t starts_at = 0;  // bytes put out before it
-    std::size_t pages_wanted = 0, pages_here = 0;
+    std::size_t pages_here = 0;
     std::vector<std::string> pages;  // empty where one is missing yet
     std::vector<bool> here;
     std::size_t bytes = 0;
@@ -100,8 +105,8 @@
   RespReader reader_;
   std::map<std::string, Open, std::less<>> open_;
   std::map<DispatchKey, std::string> ids_;
-  std::deque<std::string> given_up_;
-  std::uint64_t put_ = 0, next_tag_ = 0;
+  std::deque<std::string> past_;
+  std::uint64_t put_ = 0, next_tag_ = 0, whole_answers_ = 0;
 };
 
 }  // namespace pearchute::net
