An error or a reset counts against an engine once the same job is done elsewhere

Checked: with a remark for each engine left out and counters in the log, one manager had 138 errors, three for each of 46 throttled jobs, and nearly none of usual jobs; no silent connection, four resets. Ruled out: the client table (shedding works, usual clients kept their connections), the processor (0.08 of a core). At fault: dispatch_ended, which counted each error against its engine, so bursts of bad jobs took sound engines out; and a reset on a connection without a word since was a sure sign, which single broken connections give too.

Changed: an error or reset is blamed on its engine when the same job is done elsewhere; on trial at once. It also covers resets of new and idle connections. Harm: an engine that errs is found a job's length later; with all engines erring none is left out, where nothing was gained by it. Engines that die refuse the next connection, still a sure sign.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -193,6 +193,10 @@
   heed(now, engine, load);
 
   if (outcome == Outcome::done) {
+    // Guards against jobs that err wherever they go, as what engines can't use does, and against single
+    // broken connections: an error or a reset counts against an engine once the same job is done elsewhere.
+    for (const Dispatch& one : held.dispatches)
+      if (one.erred && engines_.contains(one.engine)) blame(now, engines_.at(one.engine));
     engine.last_word = now, engine.strikes = 0, engine.on_trial = engine.error_rate > 0.2;
     engine.error_rate *= 0.9;  // a memory of about ten dispatches
     // What jobs needed corrects the estimates of their type, over some fifty of them, or stands in for them.
@@ -203,14 +207,14 @@
     else if (memory_mb) type.memory_bias += (*memory_mb / *job.memory_mb - type.memory_bias) / 50;
     if (type.type.waits_for_load) engine.told_held.erase(job.data_set);
     learn(engine, held, dispatch, elapsed);
-  } else if (outcome == Outcome::error) {
-    engine.last_word = now, engine.error_rate = 0.9 * engine.error_rate + 0.1;
-    if (engine.error_rate > 0.3 || engine.on_trial) sign_of_trouble(now, engine, false);
+  } else if (outcome == Outcome::error || outcome == Outcome::reset) {
+    if (outcome == Outcome::error) engine.last_word = now;
+    dispatch.erred = true;
+    if (engine.on_trial) blame(now, engine);
   } else if (outcome == Outcome::full) {
     engine.last_full = now;  // no word: one that hangs is full, too
     engine.pace.open = std::max(engine.pace.open * 0.8, 0.25);
-  } else if (outcome == Outcome::unreachable ||
-             (outcome == Outcome::reset && engine.last_word <= dispatch.sent)) {
+  } else if (outcome == Outcome::unreachable) {
     sign_of_trouble(now, engine, true);
   } else if (outcome == Outcome::timed_out && engine.last_word < dispatch.sent) {
     sign_of_trouble(now, engine, false);
@@ -447,8 +451,7 @@
   const double cap = rules_.grant_cap * kind_of(engine).memory_mb;
   const double need = std::min(need_mb(held), cap);
   const int threads = engine.live_threads + type_of(held).threads;
-  // The ledger binds from twice the best, where SLA times are at risk, just after an engine was full, and at
-  // the last slots.
+  // The ledger binds from twice the best, where SLA times are at risk, after full, and at the last slots.
   if (engine.pace.stretch <= 2 && now >= engine.last_full + seconds(2) && threads < open)
     return need > 0 ? need : std::min(whole / 8, cap);
   // Exception: a job of the highest priority, soon gone, may overrun the slots by half, within the bytes of
@@ -473,8 +476,7 @@
 double WorkloadManager::density(const HeldJob& held) const {
   const TypeFigures& type = types_[held.job.type.value];
   double value = std::max(type.type.billed_value, 1e-9);
-  // No manager knows the whole of a customer's traffic, so its part of this manager's own is held against its
-  // share.
+  // No manager knows all of a customer's traffic: its part of this manager's is held against its share.
   if (const int customer = held.job.customer.value; customer >= 0) {
     const double fair = customer_portion_[customer] * job_rate_;
     const double beyond = std::max(0.0, 1 - fair / std::max(customer_rate_[customer], 1e-9));
@@ -483,8 +485,7 @@
   return value / std::max(held.work_ms * type.work_bias, 1e-3);
 }
 
-// Short work first on scarce cores and disks: more of it is answered in time for the same engine time. Steps
-// of four follow the scale of the ranks and keep the longest from being starved.
+// Short work first on scarce cores and disks: more is answered in time. Steps follow the ranks' scale.
 int WorkloadManager::priority(const HeldJob& held) const {
   const double size = held.work_ms / std::max(mean_work_ms_.value, 1e-6);
   return size < 0.5 ? 3 : size < 2 ? 2 : size < 6 ? 1 : 0;
@@ -555,9 +556,8 @@
     if (!cold_allows(now, engine, held)) continue;
     const std::optional<double> grant = grant_on(now, engine, held);
     if (!grant) continue;
-    // Spare bytes after the grant. Exceptions: an engine slower than the middle one counts in proportion; the
-    // data's homes up to a quarter more, for the reading saved; another zone less, by what crossing costs
-    // beside the job's work; one where a load holds the data comes last.
+    // Spare bytes after the grant. Exceptions: a slow engine counts in proportion; the data's homes up to a
+    // quarter more; another zone less, by what crossing costs its work; where a load holds the data, last.
     const double whole = capacity(engine);
     double health = std::clamp(fleet_.stretch / engine.pace.stretch, 0.2, 1.1);
     const double warmed = cold(now, engine) ? (now - engine.told) / (1.0 * rules_.cold_lasts) : 1;
@@ -573,8 +573,7 @@
     if (now < engine.last_full + seconds(2)) spare -= whole;  // others are tried first
     for (const Dispatch& earlier : held.dispatches)
       if (earlier.engine == id) spare -= whole;  // one that has just failed the job comes last
-    // Exception: in a pool a job's need sets all ledgers alike, so a machine is passed over as often as it is
-    // smaller than the largest.
+    // Exception: in a pool a job's need sets all ledgers alike: machines are passed over as they are smaller.
     const double part = kind_of(engine).memory_mb / most_memory_;
     if (part < 1 && pooled(engine) && std::generate_canonical<double, 32>(chance_) > part) spare -= whole;
     const std::tuple rank{-spare, engine.dispatches, engine.live_bytes, turn};
@@ -641,9 +640,8 @@
   type.slow_pace *= pace > type.slow_pace ? 1.0475 : 0.9975;
   const double sample = std::clamp(pace / type.best_pace, 0.5, 20.0);
   engine.pace.stretch += weight(held) * (sample - engine.pace.stretch);
-  // The slot limit follows: up while it is used and answers come near their best, down from one and a half
-  // times that, where engines begin to get less done. The least is where all even parts make one thread a
-  // core; two in a pool, which loses much to whole threads and to uneven traffic.
+  // The slot limit follows: up while used and answers come near their best, down from one and a half times
+  // that. The least is where all even parts make one thread a core; two in a pool, which is used unevenly.
   const auto follow = [&](Pace& of, double even, int live) {
     if (of.stretch > 1.5 && slow()) of.open *= 1 - 0.15 * weight(held);
     else if (live > 0.7 * even * of.open)
@@ -656,10 +654,14 @@
   follow(fleet_, fleet_even_, fleet_live_);
 }
 
+void WorkloadManager::blame(Span now, Engine& engine) {
+  engine.error_rate = 0.9 * engine.error_rate + 0.1;
+  if (engine.error_rate > 0.3 || engine.on_trial) sign_of_trouble(now, engine, false);
+}
+
 void WorkloadManager::sign_of_trouble(Span now, Engine& engine, bool sure) {
   if (now < engine.closed_until) return;
-  // Never closes more than a third of the fleet on suspicion alone: the rest would be overrun, and what all
-  // share is no single engine's fault.
+  // Never more than a third of the fleet on suspicion alone: the rest would be overrun by what all share.
   int up = 0, closed = 0;
   for (const auto& [id, other] : engines_) {
     up += other.known_up;
@@ -668,8 +670,8 @@
   if (!sure && !engine.on_trial && (up < 2 || closed + 1 > std::max(1, up / 3))) return;
   engine.strikes = std::min(engine.strikes + 1, 5);
   // Half a second, doubled with each failed trial up to eight: soon back from a blip, cheap on a dead engine.
-  engine.closed_until = now + milliseconds(250) * (1 << engine.strikes);
-  engine.on_trial = true;
+  engine.closed_until = now + milliseconds(250) * (1 << engine.strikes), engine.on_trial = true;
+  host_.remark("engine " + std::to_string(engine.listed.id.value) + " is left out");
 }
 
 // Looks for dispatches that are overdue, on an engine that says nothing or by themselves.
@@ -738,8 +740,7 @@
   for (auto& [data_set, drawn] : data_sets_) drawn *= 0.99;
   std::erase_if(lines_, [&](auto& l) { return l.second.jobs.empty() && now >= l.second.rests_until; });
   std::erase_if(data_sets_, [](const auto& one) { return one.second < 0.001; });
-  std::erase_if(engines_,
-                [](auto& e) { return e.second.listed.state == EngineState::gone && e.second.out.empty(); });
+  std::erase_if(engines_, [](const auto& one) { return one.second.has_gone(); });
   fleet_live_ = 0, fleet_even_ = 1e-9;
   for (auto& [id, engine] : engines_) {
     look_after(now, engine);
@@ -801,9 +802,8 @@
 
 // ---- Giving up ----
 
-// Exception: near the most jobs that may be open at once, others are turned away unseen. What holds a place
-// for little makes room: jobs behind a load with nowhere else to go, and restartable ones past their SLA
-// time. A tenth is kept free for what comes within a beat.
+// Exception: near the most jobs that may be open, what holds a place for little makes room: jobs behind a
+// load with nowhere else to go, restartable ones past their SLA time. A tenth is kept for what comes next.
 bool WorkloadManager::crammed() const {
   return rules_.most_open > 0 && 10.0 * static_cast<double>(jobs_.size()) > 9.0 * rules_.most_open;
 }
--- a/src/net/program.cpp
+++ b/src/net/program.cpp
@@ -144,8 +144,9 @@
 // Looks, at short intervals, whether the next phase has come.
 void Program::watch() {
   const Span now = loop_.now();
-  if (asked_for_counters) {
-    asked_for_counters = 0;
+  constexpr seconds counters_every(10);  // what has changed when is seen without asking
+  if (asked_for_counters || now - counters_at_ >= counters_every) {
+    asked_for_counters = 0, counters_at_ = now;
     spdlog::info("counters {}", front_->counters_now());
   }
   if (asked_to_read_again && phase_ < Phase::finishing) {
--- a/src/net/program.h
+++ b/src/net/program.h
@@ -42,7 +42,7 @@
   std::unique_ptr<Front> front_;
   std::unique_ptr<ListFeed> feed_;
   std::unique_ptr<Door> door_;
-  Span asked_at_{}, give_up_after_{}, finishing_since_{};
+  Span counters_at_{}, asked_at_{}, give_up_after_{}, finishing_since_{};
 };
 
 }  // namespace pearchute::net
--- a/src/state.h
+++ b/src/state.h
@@ -23,6 +23,7 @@
   bool overdue = false;
   bool behind_load = false;
   bool trial = false;
+  bool erred = false;  // or broke; whose fault it was shows when the job is done elsewhere
 };
 
 struct HeldJob {
@@ -75,6 +76,7 @@
   std::map<DataSetId, int> loads;                        // own loads that hold a data set there
   std::map<DataSetId, Span> told_held;                   // until when others' are taken to, as notes told
   std::set<std::pair<Span, std::pair<JobId, int>>> out;  // own dispatches, oldest first
+  bool has_gone() const { return listed.state == EngineState::gone && out.empty(); }
 };
 
 struct Mean {
