A reset counts half; new connections reset with nothing sent try once more; no late sends

At fault: dispatch_ended/blame, where each reset counted as an error and any reset on trial closed the engine again, past the bound of a third; and Link::lost, which told a new connection's reset as unreachable, a sure sign. Ruled out: silent connections (none), the table of clients (it filled as a consequence).

Changed: a reset weighs half an error, so one in four leaves an engine in use and all of them do not; it is no sign on trial. A connection reset before anything was sent is opened once more for the same dispatch. For reload: nothing is sent within a round of a job's end, nor in the tenth of a second before all is answered at SIGTERM; what still comes while the last answers go out is turned away; a client given a path keeps its connection. What was sent after its answer is not proven: it came 0.3 s after a manager had closed its idle connections.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -193,10 +193,10 @@
   heed(now, engine, load);
 
   if (outcome == Outcome::done) {
-    // Guards against jobs that err wherever they go, as what engines can't use does, and against single
-    // broken connections: an error or a reset counts against an engine once the same job is done elsewhere.
+    // Guards against jobs that err wherever they go, as what engines can't use does: an error counts against
+    // an engine once the same job is done elsewhere. A reset counts half, being as often the network's fault.
     for (const Dispatch& one : held.dispatches)
-      if (one.erred && engines_.contains(one.engine)) blame(now, engines_.at(one.engine));
+      if (one.fault > 0 && engines_.contains(one.engine)) blame(now, engines_.at(one.engine), one.fault);
     engine.last_word = now, engine.strikes = 0, engine.on_trial = engine.error_rate > 0.2;
     engine.error_rate *= 0.9;  // a memory of about ten dispatches
     // What jobs needed corrects the estimates of their type, over some fifty of them, or stands in for them.
@@ -209,8 +209,8 @@
     learn(engine, held, dispatch, elapsed);
   } else if (outcome == Outcome::error || outcome == Outcome::reset) {
     if (outcome == Outcome::error) engine.last_word = now;
-    dispatch.erred = true;
-    if (engine.on_trial) blame(now, engine);
+    dispatch.fault = outcome == Outcome::error ? 0.1 : 0.05;
+    if (outcome == Outcome::error && engine.on_trial) sign_of_trouble(now, engine, false);
   } else if (outcome == Outcome::full) {
     engine.last_full = now;  // no word: one that hangs is full, too
     engine.pace.open = std::max(engine.pace.open * 0.8, 0.25);
@@ -303,10 +303,11 @@
 // Dispatches past the first: two at once only for a restartable job, and within the ration.
 bool WorkloadManager::may_go(Span now, const HeldJob& held) {
   const ReservationType& type = type_of(held);
-  if (held.over || held.streaming || now >= held.end || used_up(held)) return false;
+  // Not within a round of its end: what is on its way then could come to its engine after the final answer.
+  if (held.over || held.streaming || now + rules_.round >= held.end || used_up(held)) return false;
   if (held.out > 0 && (!rules_.second_copies || type.effect != Effect::restartable)) return false;
   if (type.effect == Effect::run_once && held.first_doubt) return false;
-  // Two rounds short of the window: what is decided now leaves at once, but clocks are read a round apart.
+  // Two rounds short of the window: clocks are read a round apart.
   if (type.effect == Effect::keyed && held.first_doubt)
     if (now + 2 * rules_.round >= *held.first_doubt + type.repeat_window) return false;
   if (held.job.key && type.in_order) {
@@ -515,9 +516,8 @@
     bool has_one = false;
     for (auto& [id, engine] : engines_) {
       if (engine.protecting && engine.protected_for == waiter->job.id) {
-        // Retargeted when the engine closes.
         if (may_go_to(now, *waiter, engine)) has_one = true;
-        else engine.protecting = false;
+        else engine.protecting = false;  // retargeted when the engine closes
       } else if (!engine.protecting && may_go_to(now, *waiter, engine) &&
                  (!chosen || capacity(engine) - engine.live_bytes > capacity(*chosen) - chosen->live_bytes)) {
         chosen = &engine;
@@ -654,9 +654,9 @@
   follow(fleet_, fleet_even_, fleet_live_);
 }
 
-void WorkloadManager::blame(Span now, Engine& engine) {
-  engine.error_rate = 0.9 * engine.error_rate + 0.1;
-  if (engine.error_rate > 0.3 || engine.on_trial) sign_of_trouble(now, engine, false);
+void WorkloadManager::blame(Span now, Engine& engine, double fault) {
+  engine.error_rate += fault * (1 - engine.error_rate);
+  if (engine.error_rate > 0.3) sign_of_trouble(now, engine, false);
 }
 
 void WorkloadManager::sign_of_trouble(Span now, Engine& engine, bool sure) {
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -261,19 +261,23 @@
 
 void Wire::ended() {
   if (closed_) return;
+  if (!opened_ && error_ == 0) read_error();
   User* user = user_;
   close();
   if (user) user->wire_ended();
 }
 
-void Wire::check_opened() {
-  int error = 0;
+void Wire::read_error() {
   try {
-    error = socket_.impl()->socketError();
+    error_ = socket_.impl()->socketError();
   } catch (const Poco::Exception&) {
-    error = ECONNREFUSED;
+    error_ = ECONNREFUSED;
   }
-  if (error != 0) return ended();
+}
+
+void Wire::check_opened() {
+  read_error();
+  if (error_ != 0) return ended();
   opened_ = true;
   try {
     socket_.setNoDelay(true);
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -108,6 +108,7 @@
   std::uint64_t written() const { return written_; }  // bytes handed to the system
   std::size_t waiting() const { return waiting_; }
   bool closed() const { return closed_; }
+  int error() const { return error_; }  // the system's, where it ended before it was opened
   // While paused nothing is read, so what the peer sends stays with the system, and its end goes unseen.
   void pause(bool paused);
   bool paused() const { return paused_; }
@@ -120,6 +121,7 @@
   void on_writable(const Poco::AutoPtr<Poco::Net::WritableNotification>&);
   void on_error(const Poco::AutoPtr<Poco::Net::ErrorNotification>&);
   void check_opened();
+  void read_error();
   void flush();
   void ended();
   void want_writable(bool wanted);
@@ -136,6 +138,7 @@
   bool opened_ = false, closed_ = false, closing_ = false, writable_wanted_ = false, flush_due_ = false;
   bool registered_ = false, paused_ = false, told_end_ = false;
   std::size_t discarded_ = 0;
+  int error_ = 0;
 };
 
 // The listening socket.
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <optional>
 
 namespace pearchute::net {
@@ -60,12 +61,12 @@
     }
   }
 
-  void want(DispatchKey key, const Want& want) {
+  void want(DispatchKey key, const Want& want, bool again = false) {
     owner_.on_[key] = this;
     if (busy() == 0) idle_until_ = owner_.loop_.now();
     if (!opened()) {  // kept back, so that one given up before the connection is up never leaves
       before_open_.push_back({key, want, std::string(want.id), std::string(want.kind),
-                              std::string(want.token), std::string(want.statement)});
+                              std::string(want.token), std::string(want.statement), again});
       return;
     }
     std::string out;
@@ -99,9 +100,7 @@
     heard_ = owner_.loop_.now();
     std::string out;
     for (Kept& kept : before_open_) {
-      kept.want.id = kept.id, kept.want.kind = kept.kind;
-      kept.want.token = kept.token, kept.want.statement = kept.statement;
-      talk_.want(kept.key, kept.want, out);
+      talk_.want(kept.key, kept.want_again(), out);
     }
     before_open_.clear();
     wire_->send(out);
@@ -133,7 +132,13 @@
     const std::vector<Kept> kept = std::move(before_open_);
     before_open_.clear();
     owner_.drop(*this);
-    for (const Kept& one : kept) talk_ended(one.key, Outcome::unreachable, {});
+    for (const Kept& one : kept) {
+      // Guards against resets of new connections, where nothing has left yet: the machine is there, so the
+      // same dispatch tries once more. What refuses or does not come up in time is unreachable.
+      Link* other = wire_->error() == ECONNRESET && !one.again ? owner_.link_for(engine_, one.id) : nullptr;
+      if (other) other->want(one.key, one.want_again(), true);
+      else talk_ended(one.key, Outcome::unreachable, {});
+    }
     talk_.broke(left);
   }
 
@@ -155,6 +160,12 @@
     DispatchKey key;
     Want want;
     std::string id, kind, token, statement;
+    bool again = false;
+    Want want_again() const {
+      Want same = want;
+      same.id = id, same.kind = kind, same.token = token, same.statement = statement;
+      return same;
+    }
   };
   Engines& owner_;
   EngineId engine_;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -293,7 +293,8 @@
   Client& client = *it->second;
   client.waits_for.reset();
   std::string out;
-  const bool keep = client.http().keeps_alive() && !sending_home_;
+  // A client that is given a path calls it on the same connection.
+  const bool keep = client.http().keeps_alive() && (!sending_home_ || body.starts_with("{\"link\""));
   append_response(out, status, headers, body, keep);
   client.wire().send(out);
   if (!keep) return drop(client);
@@ -508,7 +509,7 @@
   const Span now = loop_.now();
   const Span end = time_limit > Span(0) ? std::min(job.end, now + time_limit) : job.end;
   job.out.push_back({key.number, now});
-  if (job.answered || end <= now || key.number >= deployment_.service.most_dispatches) {
+  if (job.answered || sending_nothing_ || end <= now || key.number >= deployment_.service.most_dispatches) {
     loop_.soon([this, key] { talk_ended(key, Outcome::never_sent, {}); });
     return;
   }
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -31,6 +31,8 @@
   std::string counters_now();
   // Every job that is still open gets its final answer now; what comes later is turned away.
   void answer_all();
+  // Nothing more goes to engines: what waits is given up by the module, what is out may still end.
+  void send_nothing() { sending_nothing_ = true; }
   // Connections with nothing open are closed, and others with their next answer: a client that comes again
   // goes elsewhere.
   void send_home();
@@ -97,7 +99,7 @@
   Counters& counters_;
   std::size_t most_clients_, most_unread_;
   std::size_t statement_bytes_ = 0;  // of the jobs in the table
-  bool ready_ = false, closing_ = false, sending_home_ = false;
+  bool ready_ = false, closing_ = false, sending_home_ = false, sending_nothing_ = false;
   std::unordered_map<JobId, OpenJob> jobs_;
   std::size_t owed_ = 0;  // jobs without their answer
   std::map<ClientId, std::unique_ptr<Client>> clients_;
--- a/src/net/program.cpp
+++ b/src/net/program.cpp
@@ -161,11 +161,14 @@
   if (phase_ == Phase::leaving) {
     // New connections come for 0.4 s more and calls on open ones 0.2 s longer; a tenth is for the way.
     const bool all_came = now - asked_at_ > milliseconds(750);
+    // Nothing leaves shortly before, lest it come to its engine after the final answer.
+    if (now - asked_at_ > give_up_after_ - milliseconds(100)) front_->send_nothing();
     if (now - asked_at_ > give_up_after_) front_->answer_all();
     if (all_came) front_->send_home();
     if (all_came && front_->idle()) {
       door_->shut();
       finishing_since_ = now;
+      front_->answer_all();  // what still comes on an open connection is turned away, not taken and lost
       enter(Phase::finishing);
     }
   } else if (phase_ == Phase::finishing && now - finishing_since_ > milliseconds(100)) {
--- a/src/state.h
+++ b/src/state.h
@@ -23,7 +23,7 @@
   bool overdue = false;
   bool behind_load = false;
   bool trial = false;
-  bool erred = false;  // or broke; whose fault it was shows when the job is done elsewhere
+  double fault = 0;  // that it erred or broke counts so much once the job is done elsewhere
 };
 
 struct HeldJob {
--- a/tests/test_daemon.cpp
+++ b/tests/test_daemon.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -139,6 +140,7 @@
 pid_t start(const std::string& configuration) {
   const pid_t child = fork();
   if (child != 0) return child;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);  // a failed test leaves nothing running
   setenv("PROXY_CONFIG", configuration.c_str(), 1);
   execl(PEARCHUTED, PEARCHUTED, nullptr);
   _exit(127);
