--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -156,7 +156,12 @@
   // Since when it holds its connection for nothing: no call is open, none has come whole.
   bool useless() const { return !http_.call_open() && !waits_for; }
   bool stranger() const { return calls_ == 0; }
-  Span since() const { return since_; }
+  // The lower, the sooner it goes where places run short, and then the longest at it: one that has said
+  // nothing since it came, one that is idle between calls, and last one that may just be about to call.
+  std::pair<int, Span> usefulness(Span now) const {
+    constexpr milliseconds calls_within(250);  // a usual client's first call comes a round trip after it does
+    return {calls_ > 0 ? 1 : now - since_ < calls_within ? 2 : 0, since_};
+  }
   std::size_t held() const { return http_.held(); }
 
   // Whether its time is up, and with what status; 0: without a word.
@@ -224,18 +229,17 @@
 // ---- Clients ----
 
 // Guards against connections that are held for nothing, of whatever kind: what waits outside a full table
-// would be taken late and out of turn. The least useful one goes: one that never made a call before one that
-// has made some, the longest at it first; where all have a call open, the newcomer itself.
+// would be taken late and out of turn. The least useful one goes, see usefulness; where all have a call open,
+// the newcomer itself.
 void Front::client_came(const Poco::Net::StreamSocket& socket) {
   ++counters_.connections;
   while (loop_.finishing() > 0 && clients_.size() + loop_.finishing() >= most_clients_) loop_.cut_finishing();
   if (clients_.size() >= most_clients_) {
     ++counters_.shed;
+    const Span now = loop_.now();
     Client* least = nullptr;
     for (const auto& [id, client] : clients_) {
-      if (!client->useless()) continue;
-      if (!least ||
-          std::pair(!client->stranger(), client->since()) < std::pair(!least->stranger(), least->since()))
+      if (client->useless() && (!least || client->usefulness(now) < least->usefulness(now)))
         least = client.get();
     }
     if (!least) return Poco::Net::StreamSocket(socket).close();
