An engine is to blame for errors where its rate is over twice the others' mean

Tried: blame at once, but only where the rate is over twice the others' mean. Now only an engine on trial stays on trial for its rate.

Covers whatever errs or breaks everywhere alike; harm: with most engines erring none is left out. Test: whose_fault.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -193,11 +193,7 @@
   heed(now, engine, load);
 
   if (outcome == Outcome::done) {
-    // Guards against jobs that err wherever they go, as what engines can't use does: an error counts against
-    // an engine once the same job is done elsewhere. A reset counts half, being as often the network's fault.
-    for (const Dispatch& one : held.dispatches)
-      if (one.fault > 0 && engines_.contains(one.engine)) blame(now, engines_.at(one.engine), one.fault);
-    engine.last_word = now, engine.strikes = 0, engine.on_trial = engine.error_rate > 0.2;
+    engine.last_word = now, engine.strikes = 0, engine.on_trial &= engine.error_rate > 0.2;
     engine.error_rate *= 0.9;  // a memory of about ten dispatches
     // What jobs needed corrects the estimates of their type, over some fifty of them, or stands in for them.
     const Job& job = held.job;
@@ -209,8 +205,15 @@
     learn(engine, held, dispatch, elapsed);
   } else if (outcome == Outcome::error || outcome == Outcome::reset) {
     if (outcome == Outcome::error) engine.last_word = now;
-    dispatch.fault = outcome == Outcome::error ? 0.1 : 0.05;
-    if (outcome == Outcome::error && engine.on_trial) sign_of_trouble(now, engine, false);
+    // A reset counts half, being as often the network's fault.
+    engine.error_rate += (outcome == Outcome::error ? 0.1 : 0.05) * (1 - engine.error_rate);
+    // Guards against what errs or breaks everywhere alike, such as jobs that no engine can use: an engine is
+    // to blame where its rate is over twice the others' mean.
+    double others = -engine.error_rate;
+    for (const auto& [at, other] : engines_) others += other.error_rate;
+    const bool alike = engine.error_rate * static_cast<double>(engines_.size() - 1) < 2 * others;
+    const bool failed_trial = engine.on_trial && outcome == Outcome::error;
+    if (!alike && (engine.error_rate > 0.3 || failed_trial)) sign_of_trouble(now, engine, false);
   } else if (outcome == Outcome::full) {
     engine.last_full = now;  // no word: one that hangs is full, too
     engine.pace.open = std::max(engine.pace.open * 0.8, 0.25);
@@ -654,11 +657,6 @@
   follow(fleet_, fleet_even_, fleet_live_);
 }
 
-void WorkloadManager::blame(Span now, Engine& engine, double fault) {
-  engine.error_rate += fault * (1 - engine.error_rate);
-  if (engine.error_rate > 0.3) sign_of_trouble(now, engine, false);
-}
-
 void WorkloadManager::sign_of_trouble(Span now, Engine& engine, bool sure) {
   if (now < engine.closed_until) return;
   // Never more than a third of the fleet on suspicion alone: the rest would be overrun by what all share.
--- a/src/control.h
+++ b/src/control.h
@@ -94,7 +94,6 @@
   double density(const HeldJob& held) const;
   // Health
   bool slow() const;
-  void blame(Span now, Engine& engine, double fault);
   void sign_of_trouble(Span now, Engine& engine, bool sure);
   void learn(Engine& engine, const HeldJob& held, const Dispatch& dispatch, Span elapsed);
   void look_after(Span now, Engine& engine);
--- a/src/state.h
+++ b/src/state.h
@@ -23,7 +23,6 @@
   bool overdue = false;
   bool behind_load = false;
   bool trial = false;
-  double fault = 0;  // that it erred or broke counts so much once the job is done elsewhere
 };
 
 struct HeldJob {
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -126,8 +126,8 @@
   assert(lossy.host.stopped.size() == 1 && lossy.host.stopped[0].first.value == 1);
 }
 
-// What errs wherever it goes is the job's fault, what is then done elsewhere the engine's; a part of resets
-// may be the network's, many are the engine's.
+// What errs wherever it goes is the job's fault, what errs on one engine alone that engine's; a part of
+// resets may be the network's, many are the engine's. Few errors don't put an engine on trial.
 void whose_fault() {
   struct Case {
     Outcome outcome;
@@ -136,7 +136,8 @@
   };
   const Case cases[] = {{Outcome::error, 1, true, true},  {Outcome::error, 1, false, false},
                         {Outcome::reset, 1, true, true},  {Outcome::reset, 1, false, false},
-                        {Outcome::reset, 4, true, false}, {Outcome::error, 2, true, true}};
+                        {Outcome::reset, 4, true, false}, {Outcome::error, 2, true, true},
+                        {Outcome::error, 5, true, false}};
   for (const Case& c : cases) {
     Bench bench;
     int seen = 0;
