--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -107,7 +107,7 @@
 class Front::Client final : public Wire::User, public HttpServerSide::Listener {
  public:
   Client(Front& front, ClientId id, const Poco::Net::StreamSocket& socket)
-      : front_(front), id_(id), http_(*this), since_(front.loop_.now()) {
+      : front_(front), id_(id), http_(*this), since_(front.loop_.now()), stuck_since_(since_) {
     wire_ = std::make_unique<Wire>(front.loop_, socket, *this);
   }
   ClientId id() const { return id_; }
@@ -153,7 +153,7 @@
     wire_->pause(http_.has_enough() || wire_->waiting() > most_unread);
   }
 
-  // Since when it holds its connection for nothing: no call is open, none has come whole.
+  // It holds its connection for nothing: no call is open, none has come whole.
   bool useless() const { return !http_.call_open() && !waits_for; }
   bool stranger() const { return calls_ == 0; }
   // The lower, the sooner it goes where places run short, and then the longest at it: one that has said
@@ -190,7 +190,7 @@
   ClientId id_;
   HttpServerSide http_;
   std::unique_ptr<Wire> wire_;
-  Span since_, stuck_since_{};
+  Span since_, stuck_since_;
   std::uint64_t calls_ = 0, written_ = 0;
 };
 
