Where a job errs on a second engine, neither is to blame for it

Bad clients' jobs err at their data set's home first, so that engine's rate stands out.

Changed: an error counts at once, but where the job errs on a second engine, the first one's count is taken back and the second gets none. The comparison with the others' mean goes: resets and errors that are everywhere alike cancel out the same way. Ruled out: trials (an error on trial still closes at once), connections (none silent).

Harm: in a fleet where most engines err none is left out; there nothing is gained by moving jobs. Test: whose_fault.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -204,16 +204,18 @@
     if (type.type.waits_for_load) engine.told_held.erase(job.data_set);
     learn(engine, held, dispatch, elapsed);
   } else if (outcome == Outcome::error || outcome == Outcome::reset) {
-    if (outcome == Outcome::error) engine.last_word = now;
-    // A reset counts half, being as often the network's fault.
-    engine.error_rate += (outcome == Outcome::error ? 0.1 : 0.05) * (1 - engine.error_rate);
-    // Guards against what errs or breaks everywhere alike, such as jobs that no engine can use: an engine is
-    // to blame where its rate is over twice the others' mean.
-    double others = -engine.error_rate;
-    for (const auto& [at, other] : engines_) others += other.error_rate;
-    const bool alike = engine.error_rate * static_cast<double>(engines_.size() - 1) < 2 * others;
-    const bool failed_trial = engine.on_trial && outcome == Outcome::error;
-    if (!alike && (engine.error_rate > 0.3 || failed_trial)) sign_of_trouble(now, engine, false);
+    const bool error = outcome == Outcome::error;
+    if (error) engine.last_word = now;
+    // A reset counts half, as often the network's; where a job errs on a second engine, neither is to blame.
+    dispatch.fault = (error ? 0.1 : 0.05) * (1 - engine.error_rate);
+    for (Dispatch& one : held.dispatches) {
+      if (one.fault == 0 || one.engine == dispatch.engine) continue;
+      const auto at = engines_.find(one.engine);
+      if (at != engines_.end()) at->second.error_rate -= std::clamp(one.fault, 0.0, at->second.error_rate);
+      one.fault = dispatch.fault = -1;
+    }
+    engine.error_rate += std::max(dispatch.fault, 0.0);
+    if (engine.error_rate > 0.3 || (engine.on_trial && error)) sign_of_trouble(now, engine, false);
   } else if (outcome == Outcome::full) {
     engine.last_full = now;  // no word: one that hangs is full, too
     engine.pace.open = std::max(engine.pace.open * 0.8, 0.25);
@@ -345,8 +347,7 @@
   // A trial is one short job: a long one would keep the engine waiting for its verdict.
   if (now < engine.closed_until) return false;
   if (engine.on_trial && (engine.trying || priority(held) < 2)) return false;
-  // No copy to where the job is still out.
-  const EngineId id = engine.listed.id;
+  const EngineId id = engine.listed.id;  // no copy to where the job is still out
   return std::ranges::none_of(held.dispatches, [&](auto& d) { return d.out && d.engine == id; });
 }
 
--- a/src/state.h
+++ b/src/state.h
@@ -23,6 +23,7 @@
   bool overdue = false;
   bool behind_load = false;
   bool trial = false;
+  double fault = 0;  // what it counts against its engine; negative where the job was at fault
 };
 
 struct HeldJob {
