--- a/src/control.cpp
+++ b/src/core/control.cpp
@@ -2,7 +2,7 @@
 // method for each thing that can happen, which acts by calling the Host. First the events; then the steps of
 // a choice: may the job go (rules), which engine and grant (ledger), health, and when to give up.
 // docs/design.md says where the mechanism comes from and when each exception to it acts.
-#include "control.h"
+#include "core/control.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/control.h
+++ b/src/core/control.h
@@ -11,8 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "state.h"
-#include "types.h"
+#include "core/state.h"
+#include "core/types.h"
 
 namespace pearchute {
 
--- a/src/state.h
+++ b/src/core/state.h
@@ -8,7 +8,7 @@
 #include <set>
 #include <utility>
 
-#include "types.h"
+#include "core/types.h"
 
 namespace pearchute {
 
--- a/src/main.cpp
+++ b/src/daemon/main.cpp
@@ -5,7 +5,7 @@
 #include <exception>
 #include <iostream>
 
-#include "net/program.h"
+#include "daemon/program.h"
 
 int main() {
   try {
--- a/src/net/program.cpp
+++ b/src/daemon/program.cpp
@@ -1,4 +1,4 @@
-#include "program.h"
+#include "daemon/program.h"
 
 #include <Poco/Exception.h>
 #include <sys/resource.h>
--- a/src/net/program.h
+++ b/src/daemon/program.h
@@ -6,10 +6,10 @@
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 
-#include "driver.h"
-#include "front.h"
-#include "list.h"
-#include "log.h"
+#include "engines/list.h"
+#include "front/front.h"
+#include "net/driver.h"
+#include "net/log.h"
 
 namespace pearchute::net {
 
--- a/src/drill/session.cpp
+++ b/src/drill/session.cpp
@@ -4,7 +4,7 @@
 #include <istream>
 #include <ostream>
 
-#include "control.h"
+#include "core/control.h"
 #include "service/deployment.h"
 
 namespace pearchute::drill {
--- a/src/drill/session.h
+++ b/src/drill/session.h
@@ -7,8 +7,8 @@
 #include <memory>
 #include <string>
 
+#include "core/types.h"
 #include "fields.h"
-#include "types.h"
 
 namespace pearchute::drill {
 
--- a/src/net/engines.cpp
+++ b/src/engines/engines.cpp
@@ -1,4 +1,4 @@
-#include "engines.h"
+#include "engines/engines.h"
 
 #include <Poco/Exception.h>
 
--- a/src/net/engines.h
+++ b/src/engines/engines.h
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
-#include "driver.h"
-#include "log.h"
-#include "resp.h"
+#include "engines/resp.h"
+#include "net/driver.h"
+#include "net/log.h"
 #include "service/deployment.h"
 
 namespace pearchute::net {
--- a/src/net/feed.cpp
+++ b/src/engines/feed.cpp
@@ -1,4 +1,4 @@
-#include "feed.h"
+#include "engines/feed.h"
 
 namespace pearchute::net {
 
--- a/src/net/feed.h
+++ b/src/engines/feed.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-#include "http.h"
+#include "net/http.h"
 
 namespace pearchute::net {
 
--- a/src/net/list.cpp
+++ b/src/engines/list.cpp
@@ -1,4 +1,4 @@
-#include "list.h"
+#include "engines/list.h"
 
 #include <Poco/Exception.h>
 
--- a/src/net/list.h
+++ b/src/engines/list.h
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
-#include "driver.h"
-#include "feed.h"
-#include "log.h"
+#include "engines/feed.h"
+#include "net/driver.h"
+#include "net/log.h"
 #include "service/deployment.h"
 
 namespace pearchute::net {
--- a/src/net/resp.cpp
+++ b/src/engines/resp.cpp
@@ -1,4 +1,4 @@
-#include "resp.h"
+#include "engines/resp.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/net/front.cpp
+++ b/src/front/front.cpp
@@ -1,12 +1,12 @@
-#include "front.h"
+#include "front/front.h"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <set>
 
+#include "front/statement.h"
 #include "service/flatten.h"
-#include "statement.h"
 
 namespace pearchute::net {
 
--- a/src/net/front.h
+++ b/src/front/front.h
@@ -10,12 +10,12 @@
 #include <unordered_map>
 #include <vector>
 
-#include "control.h"
-#include "driver.h"
-#include "engines.h"
-#include "http.h"
-#include "list.h"
-#include "log.h"
+#include "core/control.h"
+#include "engines/engines.h"
+#include "engines/list.h"
+#include "net/driver.h"
+#include "net/http.h"
+#include "net/log.h"
 #include "service/deployment.h"
 
 namespace pearchute::net {
--- a/src/net/statement.cpp
+++ b/src/front/statement.cpp
@@ -1,4 +1,4 @@
-#include "statement.h"
+#include "front/statement.h"
 
 #include <algorithm>
 #include <array>
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -1,4 +1,4 @@
-#include "driver.h"
+#include "net/driver.h"
 
 #include <Poco/Exception.h>
 #include <Poco/NObserver.h>
@@ -9,7 +9,7 @@
 #include <cerrno>
 #include <cstring>
 
-#include "log.h"
+#include "net/log.h"
 
 namespace pearchute::net {
 
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -16,7 +16,7 @@
 #include <string_view>
 #include <vector>
 
-#include "types.h"
+#include "core/types.h"
 
 namespace pearchute::net {
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1,4 +1,4 @@
-#include "http.h"
+#include "net/http.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -1,4 +1,4 @@
-#include "log.h"
+#include "net/log.h"
 
 #include <poll.h>
 #include <spdlog/details/null_mutex.h>
--- a/src/service/deployment.h
+++ b/src/service/deployment.h
@@ -9,8 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "core/types.h"
 #include "named_values.h"
-#include "types.h"
 
 namespace pearchute::service {
 
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "control.h"
+#include "core/control.h"
 
 namespace pearchute {
 
--- a/tests/test_daemon.cpp
+++ b/tests/test_daemon.cpp
@@ -18,9 +18,9 @@
 #include <string>
 #include <thread>
 
+#include "engines/engines.h"
+#include "engines/resp.h"
 #include "net/driver.h"
-#include "net/engines.h"
-#include "net/resp.h"
 
 using namespace pearchute::net;
 using pearchute::EngineId, pearchute::JobId, pearchute::Outcome;
--- a/tests/test_wire.cpp
+++ b/tests/test_wire.cpp
@@ -6,11 +6,11 @@
 #include <random>
 #include <string>
 
-#include "net/feed.h"
+#include "engines/feed.h"
+#include "engines/list.h"
+#include "engines/resp.h"
+#include "front/statement.h"
 #include "net/http.h"
-#include "net/list.h"
-#include "net/resp.h"
-#include "net/statement.h"
 #include "service/flatten.h"
 
 using namespace pearchute;
