--- /dev/null
+++ b/src/admin/office.cpp
@@ -0,0 +1,159 @@
+#include "admin/office.h"
+
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstring>
+#include <stdexcept>
+
+#include "admin.pb.h"
+#include "net/log.h"
+
+namespace pearchute::admin {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// The socket that a manager which was killed has left. One that somebody listens at stays.
+void remove_left_over(const std::string& path) {
+  const int probe = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_un at{};
+  at.sun_family = AF_UNIX;
+  std::strncpy(at.sun_path, path.c_str(), sizeof at.sun_path - 1);
+  const bool alive = probe >= 0 && ::connect(probe, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
+  if (probe >= 0) ::close(probe);
+  if (alive) throw std::runtime_error("the admin socket " + path + " is in use");
+  struct stat what {};
+  if (::lstat(path.c_str(), &what) != 0) return;
+  if (!S_ISSOCK(what.st_mode)) throw std::runtime_error(path + " is there and no socket");
+  ::unlink(path.c_str());
+}
+
+}  // namespace
+
+class Office::Line final : public net::Wire::User {
+ public:
+  Line(Office& office, const Poco::Net::StreamSocket& socket)
+      : office_(office), session_(office.desk_), since_(office.loop_.now()), stuck_since_(since_) {
+    wire_ = std::make_unique<net::Wire>(office.loop_, socket, *this);
+  }
+  net::Wire& wire() { return *wire_; }
+  std::unique_ptr<net::Wire> give_wire() { return std::move(wire_); }
+  Session& session() { return session_; }
+
+  void wire_brought(std::string_view bytes) override {
+    const bool within = session_.within();
+    if (!session_.feed(bytes)) {
+      PEARCHUTE_LOG(spdlog::level::warn, "admin channel: bytes that are no calls; connection closed");
+      return office_.drop(*this);
+    }
+    if (!within || !session_.within()) since_ = office_.loop_.now();
+    turn();
+  }
+  void wire_ended() override { office_.drop(*this); }
+  void turn() {
+    if (!wire_) return;
+    std::string out;
+    const bool more = session_.turn(wire_->waiting(), out);
+    wire_->send(out);
+    // What is not answered yet is not read either.
+    wire_->pause(session_.waiting());
+    // The rest in a turn of its own, after what else has come for clients and engines.
+    if (more) due_ = true;
+  }
+  bool due() { return std::exchange(due_, false); }
+  void event(v1::Event& event) {
+    std::string out;
+    session_.event(event, wire_->waiting(), out);
+    wire_->send(out);
+  }
+  bool overdue(Span now) {
+    constexpr seconds whole_call_within(5), read_within(10);
+    if (wire_->waiting() == 0 || wire_->written() != written_) written_ = wire_->written(), stuck_since_ = now;
+    if (now - stuck_since_ > read_within) return true;
+    if (session_.within()) return now - since_ > whole_call_within;
+    return !session_.watches() && now - since_ > office_.terms_.idle_at_most;
+  }
+
+ private:
+  Office& office_;
+  Session session_;
+  std::unique_ptr<net::Wire> wire_;
+  Span since_, stuck_since_;
+  std::uint64_t written_ = 0;
+  bool due_ = false;
+};
+
+Office::Office(net::Loop& loop, const Terms& terms, Desk& desk) : loop_(loop), terms_(terms), desk_(desk) {
+  const std::string& path = terms_.listen.path;
+  if (!path.empty()) remove_left_over(path);
+  // The socket is never there with other rights than its owner's.
+  const mode_t before = ::umask(0177);
+  try {
+    door_ = std::make_unique<net::Door>(loop, terms_.listen.address,
+                                        [this](const Poco::Net::StreamSocket& socket) { came(socket); });
+  } catch (...) {
+    ::umask(before);
+    throw;
+  }
+  ::umask(before);
+  spdlog::info("admin channel at {}", terms_.listen.text);
+  sweep();
+}
+
+Office::~Office() {
+  *alive_ = false;
+  if (!terms_.listen.path.empty()) ::unlink(terms_.listen.path.c_str());
+}
+
+void Office::came(const Poco::Net::StreamSocket& socket) {
+  if (lines_.size() >= terms_.most_connections) {
+    ++turned_away_;
+    PEARCHUTE_LOG(spdlog::level::warn, "admin channel: {} connections are open; one more is closed", lines_.size());
+    return Poco::Net::StreamSocket(socket).close();
+  }
+  lines_.push_back(std::make_unique<Line>(*this, socket));
+}
+
+void Office::drop(Line& line) {
+  const auto it = std::ranges::find(lines_, &line, [](const auto& one) { return one.get(); });
+  if (it == lines_.end()) return;
+  gone_.push_back(std::move(*it));
+  lines_.erase(it);
+  loop_.soon([this, alive = alive_] {
+    if (!*alive) return;
+    for (auto& one : gone_) loop_.retire(one->give_wire());
+    gone_.clear();
+  });
+}
+
+void Office::tell(v1::Event& event) {
+  for (const auto& line : lines_) line->event(event);
+}
+
+std::size_t Office::watchers() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(lines_, [](const auto& line) { return line->session().watches(); }));
+}
+
+// Twenty times a second, which is also how often the rest of many calls goes on.
+void Office::sweep() {
+  std::vector<Line*> overdue, due;
+  const Span now = loop_.now();
+  for (const auto& line : lines_) {
+    if (line->overdue(now)) overdue.push_back(line.get());
+    else if (line->due() || line->session().waiting()) due.push_back(line.get());
+  }
+  for (Line* line : overdue) drop(*line);
+  for (Line* line : due) line->turn();
+  loop_.at(now + milliseconds(50), [this, alive = alive_] {
+    if (*alive) sweep();
+  });
+}
+
+}  // namespace pearchute::admin
--- /dev/null
+++ b/src/admin/session.cpp
@@ -0,0 +1,67 @@
+#include "admin/session.h"
+
+#include "admin.pb.h"
+
+namespace pearchute::admin {
+
+namespace {
+
+void put(const v1::Reply& reply, std::string& out) {
+  std::string message;
+  reply.SerializeToString(&message);
+  if (message.size() <= largest_frame) return append_frame(out, message);
+  v1::Reply instead;
+  instead.set_number(reply.number());
+  instead.set_outcome(v1::busy);
+  instead.set_fault("the answer is larger than a message may be");
+  instead.SerializeToString(&message);
+  append_frame(out, message);
+}
+
+}  // namespace
+
+bool Session::feed(std::string_view bytes) {
+  return reader_.feed(bytes, [&](std::string_view message) {
+    calls_.emplace_back(message);
+    return calls_.size() <= most_waiting;
+  });
+}
+
+bool Session::turn(std::size_t unread, std::string& out) {
+  for (int count = 0; count < calls_each_turn && !calls_.empty(); ++count) {
+    if (unread + out.size() > most_unread) return false;
+    v1::Call call;
+    v1::Reply reply;
+    const bool sound = call.ParseFromString(calls_.front());
+    calls_.pop_front();
+    reply.set_number(call.number());
+    if (!sound) {
+      reply.set_outcome(v1::unusable);
+      reply.set_fault("not a message of this protocol");
+    } else if (call.what_case() == v1::Call::WHAT_NOT_SET) {
+      reply.set_outcome(v1::unknown_call);
+      reply.set_fault("this manager does not know that call");
+    } else {
+      desk_.answer(call, reply);
+      if (call.has_watch() && reply.outcome() == v1::ok) watch_ = call.number();
+    }
+    put(reply, out);
+  }
+  return !calls_.empty();
+}
+
+void Session::event(v1::Event& event, std::size_t unread, std::string& out) {
+  if (!watch_) return;
+  if (unread + out.size() > largest_frame / 2) {
+    ++lost_;
+    return;
+  }
+  v1::Reply reply;
+  reply.set_number(*watch_);
+  event.set_lost(lost_);
+  lost_ = 0;
+  *reply.mutable_event() = event;
+  put(reply, out);
+}
+
+}  // namespace pearchute::admin
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -215,14 +215,14 @@
       one.fault = dispatch.fault = -1;
     }
     engine.error_rate += std::max(dispatch.fault, 0.0);
-    if (engine.error_rate > 0.3 || (engine.on_trial && error)) sign_of_trouble(now, engine, false);
+    if (engine.error_rate > 0.3 || (engine.on_trial && error)) sign_of_trouble(now, engine, Trouble::errors);
   } else if (outcome == Outcome::full) {
     engine.last_full = now;  // no word: one that hangs is full, too
     engine.pace.open = std::max(engine.pace.open * 0.8, 0.25);
   } else if (outcome == Outcome::unreachable) {
-    sign_of_trouble(now, engine, true);
+    sign_of_trouble(now, engine, Trouble::unreachable);
   } else if (outcome == Outcome::timed_out && engine.last_word < dispatch.sent) {
-    sign_of_trouble(now, engine, false);
+    sign_of_trouble(now, engine, Trouble::unanswered);
   }
 
   if (!proves_not_run(outcome) && outcome != Outcome::done && !held.first_doubt) {
@@ -658,8 +658,9 @@
   follow(fleet_, fleet_even_, fleet_live_);
 }
 
-void WorkloadManager::sign_of_trouble(Span now, Engine& engine, bool sure) {
+void WorkloadManager::sign_of_trouble(Span now, Engine& engine, Trouble why) {
   if (now < engine.closed_until) return;
+  const bool sure = why == Trouble::unreachable;
   // Never more than a third of the fleet on suspicion alone: the rest would be overrun by what all share.
   int up = 0, closed = 0;
   for (const auto& [id, other] : engines_) {
@@ -670,6 +671,7 @@
   engine.strikes = std::min(engine.strikes + 1, 5);
   // Half a second, doubled with each failed trial up to eight: soon back from a blip, cheap on a dead engine.
   engine.closed_until = now + milliseconds(250) * (1 << engine.strikes), engine.on_trial = true;
+  engine.trouble = why;
   host_.remark("engine " + std::to_string(engine.listed.id.value) + " is left out");
 }
 
@@ -690,7 +692,7 @@
     // One is a sign by itself only when twice as late: a quiet manager hears too little to tell.
     if (engine.last_word <= sent + milliseconds(20)) silent += now - sent > 2 * usual ? 2 : 1;
   }
-  if (silent > 1) sign_of_trouble(now, engine, false);
+  if (silent > 1) sign_of_trouble(now, engine, Trouble::silent);
   if (now < engine.closed_until) lost.clear();
   for (const auto& [sent, which] : engine.out)
     if (now < engine.closed_until) lost.push_back(which);
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -52,6 +52,33 @@
   void woken(Span now, std::uint64_t mark);
   void closing(Span now);
 
+  // What it believes, for those who ask. Asking changes no decision.
+  struct Belief {
+    double slots = 0, capacity_mb = 0;
+    bool is_cold = false;
+  };
+  template <class Visit>
+  void tell_engines(Span now, Visit visit) const {
+    for (const auto& [id, engine] : engines_)
+      visit(engine, Belief{slots(now, engine), capacity(engine), cold(now, engine)});
+  }
+  // What a held job waits for.
+  enum class Waits { nothing, its_turn, rest, ration, room };
+  Waits waits_for(Span now, JobId id) {
+    const auto at = jobs_.find(id);
+    if (at == jobs_.end() || !at->second.held) return Waits::nothing;
+    const HeldJob& held = at->second;
+    if (held.job.key && type_of(held).in_order) {
+      const auto line = lines_.find(*held.job.key);
+      if (line != lines_.end() && !line->second.jobs.empty() && line->second.jobs.front() != id)
+        return Waits::its_turn;
+      if (line != lines_.end() && held.dispatches.empty() && now < line->second.rests_until)
+        return Waits::rest;
+    }
+    return held.dispatches.empty() || within_ration(now) ? Waits::room : Waits::ration;
+  }
+  std::size_t held_jobs() const { return held_.size(); }
+
  private:
   enum : std::uint64_t { beat_mark = 1, subscribe_mark = 2, job_marks = 16 };
 
@@ -94,7 +121,7 @@
   double density(const HeldJob& held) const;
   // Health
   bool slow() const;
-  void sign_of_trouble(Span now, Engine& engine, bool sure);
+  void sign_of_trouble(Span now, Engine& engine, Trouble why);
   void learn(Engine& engine, const HeldJob& held, const Dispatch& dispatch, Span elapsed);
   void look_after(Span now, Engine& engine);
   void heed(Span now, Engine& engine, const LoadReport& load);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -44,6 +44,9 @@
   bool streaming = false;
 };
 
+// Why an engine was last left out.
+enum class Trouble { none, errors, unreachable, unanswered, silent };
+
 // Learned of an engine, or of the fleet as one.
 struct Pace {
   double stretch = 1;  // time taken against the type's best, smoothed
@@ -64,6 +67,7 @@
   double error_rate = 0;
   int strikes = 0;  // signs of trouble in a row
   Span closed_until{};
+  Trouble trouble = Trouble::none;
   bool on_trial = false;
   bool trying = false;  // a trial is out
   Span last_word{};
--- /dev/null
+++ b/src/daemon/governor.cpp
@@ -0,0 +1,428 @@
+#include "daemon/governor.h"
+
+#include <dirent.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <deque>
+#include <fstream>
+
+#include "admin.pb.h"
+#include "admin/office.h"
+#include "admin/orders_file.h"
+#include "fleet/drains.h"
+#include "fleet/rest.h"
+
+namespace pearchute::daemon {
+
+namespace {
+
+using fleet::Standing;
+using net::Member;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using Waits = WorkloadManager::Waits;
+
+milliseconds unix_now() {
+  return duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+std::uint64_t in_ms(Span span) {
+  return static_cast<std::uint64_t>(std::max<Span::rep>(span.count() / 1000, 0));
+}
+
+Standing standing_of(EngineState state) {
+  return state == EngineState::up         ? Standing::up
+         : state == EngineState::draining ? Standing::draining
+                                          : Standing::gone;
+}
+
+EngineState state_of(Standing standing) {
+  return standing == Standing::up         ? EngineState::up
+         : standing == Standing::draining ? EngineState::draining
+                                          : EngineState::gone;
+}
+
+std::string_view word_for(Trouble trouble) {
+  constexpr std::string_view words[] = {"", "errors", "unreachable", "unanswered", "silent"};
+  return words[static_cast<int>(trouble)];
+}
+
+std::string_view word_for(Waits waits) {
+  constexpr std::string_view words[] = {"", "its turn in the order of its key", "its key to rest",
+                                        "the ration of further dispatches", "room on an engine"};
+  return words[static_cast<int>(waits)];
+}
+
+std::string_view word_for(fleet::Rest::State state) {
+  constexpr std::string_view words[] = {"serving", "draining", "drained"};
+  return words[static_cast<int>(state)];
+}
+
+std::uint64_t memory_kb() {
+  std::ifstream file("/proc/self/statm");
+  std::uint64_t all = 0, resident = 0;
+  file >> all >> resident;
+  return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE)) / 1024;
+}
+
+class Governor final : public net::Program::Annex,
+                       public admin::Desk,
+                       public fleet::Drains::Host,
+                       public fleet::Rest::Host {
+ public:
+  Governor(const admin::Terms& terms, const net::Program::Parts& parts)
+      : parts_(parts),
+        terms_(terms),
+        started_unix_(unix_now()),
+        orders_file_(terms.orders_file),
+        drains_(*this),
+        rest_(*this),
+        office_(parts.loop, terms, *this) {
+    parts_.front.on_remark([this](std::string_view text) { tell("remark", "", text); });
+    if (!terms.orders_file.empty()) remember();
+  }
+  ~Governor() override { parts_.front.on_remark({}); }
+
+  // ---- The program and the list of engines
+
+  void list_changed(ListNews news, const std::vector<Member>& members) override {
+    const Span now = parts_.loop.now();
+    std::vector<Member> merged = members;
+    std::set<std::string> named;
+    for (Member& member : merged) {
+      named.insert(member.name);
+      const Member* before = nullptr;
+      if (const auto at = members_.find(member.name); at != members_.end()) before = &at->second;
+      const EngineState said = member.engine.state;
+      const Standing standing =
+          drains_.channel_said(now, member.name, member.address, standing_of(said));
+      if (!before || before->engine.state != said)
+        tell("engine", member.name, "the channel says " + std::string(fleet::word_for(standing_of(said))));
+      if (said == EngineState::gone) {
+        members_.erase(member.name);
+      } else {
+        Member& kept = members_[member.name];
+        const std::string address = kept.address;
+        kept = member;
+        if (kept.address.empty()) kept.address = address;
+      }
+      member.engine.state = state_of(standing);
+    }
+    if (news != ListNews::changes) {
+      std::erase_if(members_, [&](const auto& one) { return !named.contains(one.first); });
+      drains_.channel_told_all(now, named);
+    }
+    parts_.front.list_changed(news, merged);
+    for (const Member& member : merged) {
+      if (member.engine.state == EngineState::draining) parts_.front.withhold(member.engine.id);
+    }
+  }
+  void entered(net::Program::Phase phase) override {
+    phase_ = phase;
+    tell("phase", "", net::Program::word_for(phase));
+  }
+  void looked(Span now) override {
+    if (phase_ < net::Program::Phase::leaving) rest_.looked(now, parts_.front.idle());
+  }
+
+  // ---- What orders do
+
+  void engine_stands(const std::string& engine, Standing standing) override {
+    const auto at = members_.find(engine);
+    if (at == members_.end()) return;
+    Member member = at->second;
+    member.engine.state = state_of(standing);
+    tell("engine", engine, "by orders it is " + std::string(fleet::word_for(standing)));
+    // The module first, so that what had not left goes elsewhere.
+    parts_.front.list_changed(ListNews::changes, {member});
+    if (standing == Standing::draining) parts_.front.withhold(member.engine.id);
+  }
+  void manager_drains(bool drains) override {
+    rest_.drain_ordered(parts_.loop.now(), drains, parts_.front.idle());
+  }
+  void wake_at(Span when) override {
+    if (wake_ && *wake_ <= when && *wake_ > parts_.loop.now()) return;
+    wake_ = when;
+    parts_.loop.at(when, [this] {
+      wake_.reset();
+      drains_.woken(parts_.loop.now());
+    });
+  }
+  void orders_changed() override {
+    tell("order", "", std::to_string(drains_.in_force().size()) + " orders are in force");
+    if (terms_.orders_file.empty()) return;
+    std::string fault;
+    if (orders_file_.write(drains_.all(), parts_.loop.now(), unix_now(), fault)) {
+      unwritten_.clear();
+      return;
+    }
+    unwritten_ = "orders can't be written to " + terms_.orders_file + " (" + fault +
+                 "): they hold, and would be lost with the manager";
+    PEARCHUTE_LOG(spdlog::level::err, "{}", unwritten_);
+  }
+  void remark(std::string_view text) override {
+    PEARCHUTE_LOG(spdlog::level::info, "{}", text);
+    tell("order", "", text);
+  }
+  void turn_away(bool away) override { parts_.front.turn_away(away); }
+  void end() override { parts_.end(); }
+  void rests(fleet::Rest::State state) override {
+    spdlog::info("the manager is {}", word_for(state));
+    tell("rest", "", word_for(state));
+  }
+
+  // ---- Calls
+
+  void answer(const admin::v1::Call& call, admin::v1::Reply& reply) override {
+    using Call = admin::v1::Call;
+    switch (call.what_case()) {
+      case Call::kWho:
+        return identify(*reply.mutable_identity());
+      case Call::kStatus:
+        return tell_status(*reply.mutable_status());
+      case Call::kEngines:
+        return tell_engines(call.engines(), *reply.mutable_engines());
+      case Call::kJobs:
+        return tell_jobs(call.jobs(), *reply.mutable_jobs());
+      case Call::kOrder:
+        return take_order(call.order(), reply);
+      case Call::kOrders:
+        return tell_orders(*reply.mutable_orders());
+      case Call::kEnd:
+        return end_asked(call.end(), reply);
+      case Call::kLogLevel:
+        return set_log_level(call.log_level().level(), reply);
+      case Call::kWatch:
+        return watch(call.watch(), reply);
+      case Call::WHAT_NOT_SET:
+        break;
+    }
+  }
+
+ private:
+  void remember() {
+    const auto found = orders_file_.read(unix_now());
+    if (found.damaged) {
+      damage_ = "the orders in " + terms_.orders_file + " are lost (" + found.fault +
+                "): what was drained by an order is not any more; give the orders again";
+      spdlog::error("{}", damage_);
+    }
+    for (const auto& [order, left] : found.orders) drains_.remembered(parts_.loop.now(), order, left);
+    if (!found.orders.empty()) spdlog::info("{} orders from before the start hold", drains_.in_force().size());
+  }
+
+  void identify(admin::v1::Identity& identity) const {
+    identity.set_name(parts_.name);
+    identity.set_build(PEARCHUTE_VERSION);
+    identity.set_phase(std::string(net::Program::word_for(phase_)));
+    identity.set_rest(std::string(word_for(rest_.state())));
+    identity.set_started_unix_ms(static_cast<std::uint64_t>(started_unix_.count()));
+    identity.set_pid(static_cast<std::uint64_t>(::getpid()));
+    identity.set_digest(parts_.digest);
+    identity.set_protocol(1);
+  }
+
+  void tell_status(admin::v1::Status& status) {
+    identify(*status.mutable_identity());
+    status.set_counters(parts_.counters());
+    status.set_open_jobs(parts_.front.open_jobs());
+    status.set_held_jobs(parts_.front.held_jobs());
+    for (const auto& [waits, count] : parts_.front.tell_waits())
+      (*status.mutable_held_by_reason())[std::string(word_for(waits))] = count;
+    std::uint64_t up = 0, draining = 0, left_out = 0;
+    const Span now = parts_.loop.now();
+    parts_.front.tell_engines([&](const Engine& engine, const auto&, const auto&, Span) {
+      up += engine.known_up;
+      draining += engine.listed.state == EngineState::draining;
+      left_out += engine.known_up && now < engine.closed_until;
+    });
+    status.set_engines_up(up), status.set_engines_draining(draining), status.set_engines_left_out(left_out);
+    status.set_orders(drains_.in_force().size());
+    status.set_ending(rest_.ending() || phase_ >= net::Program::Phase::leaving);
+    status.set_trouble(damage_.empty() ? unwritten_ : damage_);
+    status.set_memory_kb(memory_kb());
+    status.set_descriptors(parts_.loop.descriptors());
+  }
+
+  static void fill(admin::v1::Order& to, const fleet::Held& held, Span now) {
+    to.set_id(held.order.id), to.set_subject(held.order.subject), to.set_holder(held.order.holder);
+    to.set_generation(held.order.generation), to.set_drains(held.order.drains);
+    to.set_reason(held.order.reason), to.set_lease_ms(in_ms(held.until - now));
+  }
+
+  void tell_engines(const admin::v1::Page& page, admin::v1::Engines& engines) const {
+    // By name, a page at a time: 100 with some orders each stay within a message.
+    constexpr std::uint32_t most = 100;
+    const std::uint32_t wanted = page.most() == 0 ? most : std::min(page.most(), most);
+    std::map<EngineId, const Member*> shown;
+    for (auto at = members_.upper_bound(page.after()); at != members_.end(); ++at) {
+      if (shown.size() == wanted) {
+        engines.set_more(true);
+        break;
+      }
+      shown[at->second.engine.id] = &at->second;
+    }
+    const Span now = parts_.loop.now();
+    std::map<std::string, admin::v1::Engine> by_name;
+    parts_.front.tell_engines([&](const Engine& engine, const WorkloadManager::Belief& belief,
+                                  const net::Engines::Shown& sockets, Span oldest) {
+      const auto at = shown.find(engine.listed.id);
+      if (at == shown.end()) return;
+      const Member& member = *at->second;
+      admin::v1::Engine& to = by_name[member.name];
+      to.set_name(member.name), to.set_address(member.address);
+      const auto name_at = [](const std::vector<std::string>& names, int position) {
+        return position >= 0 ? names[static_cast<std::size_t>(position)] : std::string();
+      };
+      to.set_zone(name_at(parts_deployment().zones, member.engine.zone.value));
+      to.set_kind(name_at(parts_deployment().kinds, member.engine.kind.value));
+      to.set_said(std::string(fleet::word_for(standing_of(member.engine.state))));
+      to.set_state(std::string(fleet::word_for(drains_.standing(member.name))));
+      to.set_cold(belief.is_cold), to.set_live_mb(engine.live_bytes), to.set_capacity_mb(belief.capacity_mb);
+      to.set_live_threads(static_cast<std::uint32_t>(std::max(engine.live_threads, 0)));
+      to.set_slots(belief.slots), to.set_closed_for_ms(in_ms(engine.closed_until - now));
+      if (now < engine.closed_until || engine.on_trial) to.set_closed_why(std::string(word_for(engine.trouble)));
+      to.set_on_trial(engine.on_trial), to.set_pace(engine.pace.stretch), to.set_error_rate(engine.error_rate);
+      to.set_connections(static_cast<std::uint32_t>(sockets.connections));
+      to.set_dispatches(static_cast<std::uint32_t>(sockets.dispatches));
+      to.set_kept_back(static_cast<std::uint32_t>(sockets.kept_back));
+      to.set_oldest_ms(in_ms(oldest));
+      for (const fleet::Held& held : drains_.in_force(member.name)) {
+        if (to.orders_size() < 4) fill(*to.add_orders(), held, now);
+      }
+    });
+    for (auto& [name, engine] : by_name) *engines.add_engines() = std::move(engine);
+  }
+
+  void tell_jobs(const admin::v1::Page& page, admin::v1::Jobs& jobs) {
+    constexpr std::uint32_t most = 200;
+    std::map<EngineId, std::string> names;
+    for (const auto& [name, member] : members_) names[member.engine.id] = name;
+    jobs.set_all(parts_.front.open_jobs());
+    parts_.front.tell_jobs(page.most() == 0 ? most : std::min(page.most(), most),
+                           [&](const net::Front::JobSeen& job) {
+                             admin::v1::Job& to = *jobs.add_jobs();
+                             to.set_id(job.id), to.set_type(job.type);
+                             to.set_age_ms(in_ms(job.age)), to.set_left_ms(job.left.count() / 1000);
+                             to.set_dispatches(static_cast<std::uint32_t>(job.dispatches));
+                             for (const EngineId engine : job.out) to.add_out(names[engine]);
+                             to.set_waits_for(std::string(word_for(job.waits)));
+                           });
+  }
+
+  void take_order(const admin::v1::Order& from, admin::v1::Reply& reply) {
+    const Span now = parts_.loop.now();
+    const auto came = std::chrono::steady_clock::now().time_since_epoch();
+    fleet::Order order;
+    order.id = from.id(), order.subject = from.subject(), order.holder = from.holder();
+    order.generation = from.generation(), order.drains = from.drains(), order.everyone = from.everyone();
+    order.reason = from.reason();
+    const std::uint64_t most = in_ms(fleet::Drains::longest_lease) + 1;
+    order.lease = milliseconds(std::min(from.lease_ms(), most));
+    const fleet::Verdict verdict = drains_.ordered(now, order);
+    admin::v1::Ordered& ordered = *reply.mutable_ordered();
+    const bool done = verdict == fleet::Verdict::done || verdict == fleet::Verdict::repeated;
+    if (!done) {
+      reply.set_outcome(verdict == fleet::Verdict::unusable ? admin::v1::unusable : admin::v1::refused);
+      reply.set_fault("the order is " + std::string(fleet::word_for(verdict)));
+    }
+    ordered.set_verdict(std::string(fleet::word_for(verdict)));
+    const bool own = order.subject.empty();
+    ordered.set_standing(std::string(own ? word_for(rest_.state()) : fleet::word_for(drains_.standing(order.subject))));
+    ordered.set_listed(own || members_.contains(order.subject));
+    ordered.set_came_monotonic_us(
+        static_cast<std::uint64_t>(duration_cast<std::chrono::microseconds>(came).count()));
+    ordered.set_newest_generation(drains_.newest_generation());
+    for (const fleet::Held& held : drains_.in_force()) {
+      if (held.order.subject == order.subject && ordered.in_force_size() < 16)
+        fill(*ordered.add_in_force(), held, now);
+    }
+  }
+
+  void tell_orders(admin::v1::Orders& orders) const {
+    // All of them at their longest would not fit into a message; the first hundred at theirs do.
+    constexpr int most = 100;
+    for (const fleet::Held& held : drains_.in_force()) {
+      if (orders.orders_size() < most) fill(*orders.add_orders(), held, parts_.loop.now());
+    }
+    orders.set_newest_generation(drains_.newest_generation());
+  }
+
+  void end_asked(const admin::v1::End& end, admin::v1::Reply& reply) {
+    const Span now = parts_.loop.now();
+    if (phase_ >= net::Program::Phase::leaving) {
+      reply.set_outcome(admin::v1::refused);
+      reply.set_fault("the manager is ending already");
+    } else if (end.called_off()) {
+      rest_.end_called_off(now, parts_.front.idle());
+    } else if (end.within_ms() > 24 * 3600 * 1000) {
+      reply.set_outcome(admin::v1::unusable);
+      reply.set_fault("a day is the longest that an end may wait");
+    } else {
+      rest_.end_asked(now, milliseconds(end.within_ms()), parts_.front.idle());
+    }
+    identify(*reply.mutable_identity());
+  }
+
+  void set_log_level(const std::string& level, admin::v1::Reply& reply) {
+    const auto known = {"trace", "debug", "info", "warning", "error", "off"};
+    if (std::ranges::find(known, level) == known.end()) {
+      reply.set_outcome(admin::v1::unusable);
+      return reply.set_fault("a log level is one of trace, debug, info, warning, error, off");
+    }
+    spdlog::set_level(spdlog::level::from_str(level));
+    identify(*reply.mutable_identity());
+  }
+
+  void watch(const admin::v1::Watch& watch, admin::v1::Reply& reply) {
+    if (office_.watchers() >= terms_.most_watchers) {
+      reply.set_outcome(admin::v1::busy);
+      return reply.set_fault("as many watch already as may");
+    }
+    identify(*reply.mutable_identity());
+    if (watch.after() == 0) return;
+    // What came since goes to all who watch; who has it already knows it by its number.
+    parts_.loop.soon([this, after = watch.after()] {
+      const std::deque<admin::v1::Event> since = events_;
+      for (admin::v1::Event event : since) {
+        if (event.number() > after) office_.tell(event);
+      }
+    });
+  }
+
+  void tell(std::string_view kind, std::string_view subject, std::string_view text) {
+    constexpr std::size_t kept = 128;  // some 20 kB; what an operator's program misses on its way back here
+    admin::v1::Event& event = events_.emplace_back();
+    event.set_number(++last_event_);
+    event.set_unix_ms(static_cast<std::uint64_t>(unix_now().count()));
+    event.set_kind(std::string(kind)), event.set_subject(std::string(subject));
+    event.set_text(std::string(text));
+    if (events_.size() > kept) events_.pop_front();
+    admin::v1::Event copy = events_.back();
+    office_.tell(copy);
+  }
+  const service::Deployment& parts_deployment() const { return parts_.deployment; }
+
+  const net::Program::Parts parts_;
+  const admin::Terms terms_;
+  const milliseconds started_unix_;
+  net::Program::Phase phase_ = net::Program::Phase::starting;
+  std::map<std::string, Member> members_;  // as the channel says
+  std::deque<admin::v1::Event> events_;
+  std::uint64_t last_event_ = 0;
+  std::optional<Span> wake_;
+  std::string damage_, unwritten_;
+  admin::OrdersFile orders_file_;
+  fleet::Drains drains_;
+  fleet::Rest rest_;
+  admin::Office office_;
+};
+
+}  // namespace
+
+net::Program::MakeAnnex governor_by(const admin::Terms& terms) {
+  return [terms](const net::Program::Parts& parts) { return std::make_unique<Governor>(terms, parts); };
+}
+
+}  // namespace pearchute::daemon
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,15 +1,65 @@
-// The daemon's entry: puts the program together and runs it. What can't be started is one plain line on
+// The daemon's entry. The platform's build takes the configuration's name from the environment and nothing
+// else; other builds have a command line and an admin channel. What can't be started is one plain line on
 // standard error and a status of 1.
 #include <Poco/Exception.h>
 
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 
 #include "daemon/program.h"
 
-int main() {
+#ifdef PEARCHUTE_FLEET
+#include <CLI/CLI.hpp>
+
+#include "daemon/governor.h"
+#endif
+
+namespace {
+
+using pearchute::net::LogForm;
+using pearchute::net::Program;
+
+int start(int argc, char** argv) {
+  const char* told = std::getenv("PROXY_CONFIG");
+  std::string file = told ? told : "";
+#ifdef PEARCHUTE_FLEET
+  CLI::App app("pearchuted, the workload manager: takes clients' jobs and sends them to query engines");
+  std::string check, admin;
+  LogForm log = LogForm::plain;
+  app.add_option("--config", file, "the configuration, JSON (or PROXY_CONFIG names it)")->type_name("FILE");
+  app.add_option("--admin", admin, "opens an admin channel by this INI file")->type_name("FILE");
+  app.add_option("--log", log, "log lines: plain or json")
+      ->type_name("FORM")
+      ->transform(CLI::CheckedTransformer(
+          std::map<std::string, LogForm>{{"plain", LogForm::plain}, {"json", LogForm::json}}));
+  app.add_option("--check", check, "checks this configuration (and --admin's file), starts nothing")
+      ->type_name("FILE");
+  app.set_version_flag("--version", "pearchuted " PEARCHUTE_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : 2;
+  }
+  pearchute::net::Program::MakeAnnex annex;
+  if (!admin.empty()) annex = pearchute::daemon::governor_by(pearchute::admin::read_terms(admin));
+  if (!check.empty()) {
+    Program::check(check);
+    std::cout << check << ": usable\n";
+    return 0;
+  }
+  return Program(file, log, annex).run();
+#else
+  if (argc > 1) throw std::runtime_error(std::string("this build takes no arguments: ") + argv[1]);
+  return Program(file).run();
+#endif
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
   try {
-    return pearchute::net::Program().run();
+    return start(argc, argv);
   } catch (const Poco::Exception& error) {
     std::cerr << "pearchuted: " << error.displayText() << "\n";
   } catch (const std::exception& error) {
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -1,12 +1,15 @@
 #include "daemon/program.h"
 
 #include <Poco/Exception.h>
+#include <Poco/SHA1Engine.h>
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -24,26 +27,54 @@
 volatile std::sig_atomic_t asked_for_counters = 0;
 volatile std::sig_atomic_t asked_to_read_again = 0;
 
-const char* name_of(Program::Phase phase) {
-  const char* names[] = {"starting", "listing", "serving", "leaving", "finishing", "ended"};
-  return names[static_cast<int>(phase)];
-}
-
 std::string told(const char* name) {
   const char* value = std::getenv(name);
   return value ? value : "";
 }
 
 json read_configuration(const std::string& path) {
-  if (path.empty()) throw std::runtime_error("PROXY_CONFIG names no configuration");
+  if (path.empty()) throw std::runtime_error("no configuration is named");
   std::ifstream file(path);
   if (!file) throw std::runtime_error("the configuration '" + path + "' can't be read");
-  json configuration = json::parse(file, nullptr, false);
-  if (configuration.is_discarded() || !configuration.is_object())
-    throw std::runtime_error("the configuration '" + path + "' is not JSON");
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  json configuration;
+  try {
+    configuration = json::parse(text);
+  } catch (const json::parse_error& error) {
+    const std::string_view before = std::string_view(text).substr(0, error.byte > 0 ? error.byte - 1 : 0);
+    const auto line = 1 + std::ranges::count(before, '\n');
+    const std::size_t start = before.rfind('\n') == std::string_view::npos ? 0 : before.rfind('\n') + 1;
+    throw std::runtime_error("the configuration '" + path + "' is not JSON: line " + std::to_string(line) +
+                             ", column " + std::to_string(before.size() - start + 1));
+  }
+  if (!configuration.is_object())
+    throw std::runtime_error("the configuration '" + path + "' is not a JSON object");
   return configuration;
 }
 
+// Each name that has a value of another kind is said by its name.
+service::Deployment decode_settings(const json& configuration) {
+  if (!configuration.contains("settings")) throw std::runtime_error("the configuration holds no settings");
+  try {
+    const service::FlatValues settings(configuration.at("settings"));
+    return service::decode(settings.values());
+  } catch (const std::exception& error) {
+    throw std::runtime_error(std::string("settings: ") + error.what());
+  }
+}
+
+std::string address_in(const json& configuration) {
+  const std::string address = configuration.value("listen", told("PROXY_LISTEN"));
+  if (address.empty()) throw std::runtime_error("no address to listen at is told");
+  return address;
+}
+
+std::string digest_of(const json& configuration) {
+  Poco::SHA1Engine engine;
+  engine.update(configuration.dump());
+  return Poco::DigestEngine::digestToHex(engine.digest()).substr(0, 16);
+}
+
 // What holds until the next start.
 std::string fixed_part(json configuration) {
   for (const char* name : {"channel", "known", "seed"}) configuration.erase(name);
@@ -59,20 +90,34 @@
 
 }  // namespace
 
-Program::Program() {
+std::string_view Program::word_for(Phase phase) {
+  constexpr std::string_view words[] = {"starting", "listing", "serving", "leaving", "finishing", "ended"};
+  return words[static_cast<int>(phase)];
+}
+
+void Program::check(const std::string& file) {
+  const json configuration = read_configuration(file);
+  const Poco::Net::SocketAddress usable(address_in(configuration));
+  const service::Deployment deployment = decode_settings(configuration);
+  if (const std::string channel = configuration.value("channel", ""); !channel.empty())
+    const Poco::Net::SocketAddress channel_usable(channel);
+  if (const auto known = configuration.find("known"); known != configuration.end()) {
+    const EngineList::Change change = EngineList(deployment, milliseconds(0)).known(*known);
+    if (change.taken != EngineList::Taken::applied) throw std::runtime_error("known: " + change.fault);
+  }
+}
+
+Program::Program(const std::string& file, LogForm log, const MakeAnnex& annex) : file_(file) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, [](int) { asked_to_end = 1; });
   std::signal(SIGINT, [](int) { asked_to_end = 1; });
   std::signal(SIGHUP, [](int) { asked_to_read_again = 1; });
   std::signal(SIGUSR1, [](int) { asked_for_counters = 1; });
-  const json configuration = read_configuration(told("PROXY_CONFIG"));
+  const json configuration = read_configuration(file_);
   name_ = configuration.value("name", told("PROXY_NAME"));
-  start_log(name_.empty() ? "pearchuted" : name_);
-  const std::string address = configuration.value("listen", told("PROXY_LISTEN"));
-  if (address.empty()) throw std::runtime_error("no address to listen at is told");
-  if (!configuration.contains("settings")) throw std::runtime_error("the configuration holds no settings");
-  const service::FlatValues settings(configuration.at("settings"));
-  deployment_ = service::decode(settings.values());
+  start_log(name_.empty() ? "pearchuted" : name_, log);
+  const std::string address = address_in(configuration);
+  deployment_ = decode_settings(configuration);
   for (const ReservationType& type : deployment_.service.types)
     give_up_after_ = std::max(give_up_after_, type.job_timeout);
   // The platform ends the program no sooner than the longest job timeout, or three seconds, and 0.7 s more
@@ -95,16 +140,20 @@
                                        std::chrono::duration_cast<milliseconds>(unix_now - loop_.now()));
   front_ = std::make_unique<Front>(loop_, deployment_, seed_in(configuration), descriptors, memory_mb << 20,
                                    counters_);
+  if (annex) {
+    annex_ = annex({loop_, *front_, deployment_, name_, digest_of(configuration), [] { asked_to_end = 1; },
+                    [this] { return front_->counters_now(); }});
+  }
   if (const auto known = configuration.find("known"); known != configuration.end()) {
     const EngineList::Change change = list_->known(*known);
-    if (change.taken == EngineList::Taken::applied) front_->list_changed(change.news, change.members);
+    if (change.taken == EngineList::Taken::applied) list_listener().list_changed(change.news, change.members);
     else spdlog::warn("what is known of the engines can't be read: {}", change.fault);
   }
   door_ =
       std::make_unique<Door>(loop_, Poco::Net::SocketAddress(address),
                              [this](const Poco::Net::StreamSocket& socket) { front_->client_came(socket); });
   if (const std::string channel = configuration.value("channel", ""); !channel.empty()) {
-    feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, *front_, counters_);
+    feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, list_listener(), counters_);
     feed_->open();
   }
   before_ = fixed_part(configuration);
@@ -114,9 +163,15 @@
 
 Program::~Program() = default;
 
+ListFeed::Listener& Program::list_listener() {
+  if (annex_) return *annex_;
+  return *front_;
+}
+
 void Program::enter(Phase phase) {
-  spdlog::info("{} -> {}", name_of(phase_), name_of(phase));
+  spdlog::info("{} -> {}", word_for(phase_), word_for(phase));
   phase_ = phase;
+  if (annex_) annex_->entered(phase);
   front_->set_ready(phase == Phase::serving || phase == Phase::leaving);
 }
 
@@ -124,7 +179,7 @@
 // can't be used leaves all as it was.
 void Program::read_again() {
   try {
-    const json configuration = read_configuration(told("PROXY_CONFIG"));
+    const json configuration = read_configuration(file_);
     const std::string channel = configuration.value("channel", "");
     if (channel.empty()) throw std::runtime_error("the configuration names no channel");
     const Poco::Net::SocketAddress usable(channel);
@@ -132,7 +187,7 @@
     if (fixed_part(configuration) != before_)
       spdlog::warn("what else has changed in the configuration takes effect at the next start only");
     if (feed_) return feed_->move_to(channel);
-    feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, *front_, counters_);
+    feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, list_listener(), counters_);
     feed_->open();
   } catch (const Poco::Exception& error) {
     spdlog::warn("the configuration stays as it was: {}", error.displayText());
@@ -176,6 +231,7 @@
     enter(Phase::ended);
     return loop_.stop();
   }
+  if (annex_) annex_->looked(now);
   loop_.at(now + milliseconds(20), [this] { watch(); });
 }
 
--- a/src/daemon/program.h
+++ b/src/daemon/program.h
@@ -2,6 +2,7 @@
 // together, and ends them in turn. It serves nothing itself.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
@@ -23,23 +24,44 @@
     finishing,  // the door is shut; the last answers go out
     ended,
   };
-  // Throws std::exception with one plain line on what is missing or broken.
-  Program();
+  // What governs a running program, where anything does. It stands between the list of engines and the front,
+  // and hears of the program's steps.
+  class Annex : public ListFeed::Listener {
+   public:
+    virtual void entered(Phase phase) = 0;
+    virtual void looked(Span now) = 0;  // some fifty times a second, and fewer once it ends
+  };
+  struct Parts {
+    Loop& loop;
+    Front& front;
+    const service::Deployment& deployment;
+    std::string name, digest;    // of the configuration
+    std::function<void()> end;  // as SIGTERM does
+    std::function<std::string()> counters;
+  };
+  using MakeAnnex = std::function<std::unique_ptr<Annex>(const Parts&)>;
+  // `file` holds the configuration. Throws std::exception with one plain line on what is missing or broken.
+  explicit Program(const std::string& file, LogForm log = LogForm::plain, const MakeAnnex& annex = {});
   ~Program();
   int run();
+  // Reads a configuration as a start would, and starts nothing. Throws as the constructor does.
+  static void check(const std::string& file);
+  static std::string_view word_for(Phase phase);
 
  private:
   void enter(Phase phase);
   void watch();
   void read_again();
+  ListFeed::Listener& list_listener();
 
   Phase phase_ = Phase::starting;
   Counters counters_;
   Loop loop_;
-  std::string name_, before_;  // its configuration, less what may change
+  std::string file_, name_, before_;  // its configuration, less what may change
   service::Deployment deployment_;
   std::unique_ptr<EngineList> list_;
   std::unique_ptr<Front> front_;
+  std::unique_ptr<Annex> annex_;  // ends before the front that it governs
   std::unique_ptr<ListFeed> feed_;
   std::unique_ptr<Door> door_;
   Span counters_at_{}, asked_at_{}, give_up_after_{}, finishing_since_{};
--- a/src/engines/engines.cpp
+++ b/src/engines/engines.cpp
@@ -20,7 +20,7 @@
 
   EngineId engine() const { return engine_; }
   std::unique_ptr<Wire> give_wire() { return std::move(wire_); }
-  std::size_t busy() const { return talk_.open() + before_open_.size(); }
+  std::size_t busy() const { return talk_.open() + kept_back_.size(); }
   bool opened() const { return wire_->opened(); }
   bool knows(std::string_view id) const { return talk_.knows(id); }
   Span idle_since() const { return idle_since_; }
@@ -64,19 +64,15 @@
   void want(DispatchKey key, const Want& want, bool again = false) {
     owner_.on_[key] = this;
     if (busy() == 0) idle_until_ = owner_.loop_.now();
-    if (!opened()) {  // kept back, so that one given up before the connection is up never leaves
-      before_open_.push_back({key, want, std::string(want.id), std::string(want.kind),
-                              std::string(want.token), std::string(want.statement), again});
-      return;
-    }
-    std::string out;
-    talk_.want(key, want, out);
-    wire_->send(out);
+    // Kept back until the connection is up and its socket takes it, so that one given up by then never leaves.
+    kept_back_.push_back({key, want, std::string(want.id), std::string(want.kind), std::string(want.token),
+                          std::string(want.statement), again});
+    wire_->offer();
   }
 
   // True where it has left, so that the engine has to hear of it.
   bool never_mind(DispatchKey key) {
-    if (std::erase_if(before_open_, [&](const Kept& kept) { return kept.key == key; }) > 0) return false;
+    if (std::erase_if(kept_back_, [&](const Kept& kept) { return kept.key == key; }) > 0) return false;
     std::string out;
     talk_.never_mind(key, out);
     wire_->send(out);
@@ -88,7 +84,7 @@
   }
 
   void hurry(DispatchKey key, int priority) {
-    for (Kept& kept : before_open_) {
+    for (Kept& kept : kept_back_) {
       if (kept.key == key) kept.want.priority = priority;
     }
     std::string out;
@@ -98,11 +94,16 @@
 
   void wire_opened() override {
     heard_ = owner_.loop_.now();
+    wire_->offer();
+  }
+
+  void wire_free() override {
+    if (kept_back_.empty()) return;
     std::string out;
-    for (Kept& kept : before_open_) {
+    for (Kept& kept : kept_back_) {
       talk_.want(kept.key, kept.want_again(), out);
     }
-    before_open_.clear();
+    kept_back_.clear();
     wire_->send(out);
   }
 
@@ -125,12 +126,19 @@
 
   void wire_ended() override { lost(); }
 
+  std::size_t kept_back() const { return kept_back_.size(); }
+  void withhold() {
+    const std::vector<Kept> kept = std::move(kept_back_);
+    kept_back_.clear();
+    for (const Kept& one : kept) talk_ended(one.key, Outcome::unreachable, {});
+  }
+
   // The connection is gone, or never came up.
   void lost() {
     const std::uint64_t left = wire_->written();
     wire_->close();
-    const std::vector<Kept> kept = std::move(before_open_);
-    before_open_.clear();
+    const std::vector<Kept> kept = std::move(kept_back_);
+    kept_back_.clear();
     owner_.drop(*this);
     for (const Kept& one : kept) {
       // Guards against resets of new connections, where nothing has left yet: the machine is there, so the
@@ -171,7 +179,7 @@
   EngineId engine_;
   EngineTalk talk_;
   std::unique_ptr<Wire> wire_;
-  std::vector<Kept> before_open_;
+  std::vector<Kept> kept_back_;
   Span opened_at_, idle_since_, idle_until_{}, heard_{}, whole_since_{};
   std::optional<Span> asked_at_;  // for a sign that it works
   bool in_doubt_ = false;
@@ -212,6 +220,25 @@
   }
 }
 
+void Engines::withhold(EngineId engine) {
+  const auto at = places_.find(engine);
+  if (at == places_.end()) return;
+  std::vector<Link*> links;  // stay where they are until this event is over, whatever their endings lead to
+  for (const auto& link : at->second.links) links.push_back(link.get());
+  for (Link* link : links) link->withhold();
+}
+
+Engines::Shown Engines::shown(EngineId engine) const {
+  const auto at = places_.find(engine);
+  if (at == places_.end()) return {};
+  Shown shown{at->second.address, at->second.links.size(), 0, 0};
+  for (const auto& link : at->second.links) {
+    shown.dispatches += link->busy();
+    shown.kept_back += link->kept_back();
+  }
+  return shown;
+}
+
 // What is at work there goes on to its end, and no further.
 void Engines::drop_unused(Place& place) {
   std::vector<Link*> links;
--- a/src/engines/engines.h
+++ b/src/engines/engines.h
@@ -29,6 +29,14 @@
   void want(EngineId engine, DispatchKey key, const Want& want);
   void never_mind(DispatchKey key);  // it still ends once, as stopped if nothing else
   void hurry(DispatchKey key, int priority);
+  // What has not left for it ends as unreachable, now; what has left goes on.
+  void withhold(EngineId engine);
+  // What the sockets to an engine show.
+  struct Shown {
+    std::string address;
+    std::size_t connections = 0, dispatches = 0, kept_back = 0;
+  };
+  Shown shown(EngineId engine) const;
   std::size_t connections() const { return connections_; }
   std::size_t places() const { return places_.size(); }
 
--- a/src/engines/list.cpp
+++ b/src/engines/list.cpp
@@ -30,7 +30,8 @@
     change.news = nodes.value("complete", false) ? ListNews::complete : ListNews::changes;
     for (const json& one : nodes.at("members")) {
       Member& member = change.members.emplace_back();
-      member.engine.id = id_of(one.at("id").get<std::string>());
+      member.name = one.at("id").get<std::string>();
+      member.engine.id = id_of(member.name);
       member.address = one.value("host_port", "");
       member.engine.state = service::one_of<EngineState>(
           "phase", one.at("phase").get<std::string>(),
--- a/src/engines/list.h
+++ b/src/engines/list.h
@@ -18,6 +18,7 @@
 namespace pearchute::net {
 
 struct Member {
+  std::string name;
   ListedEngine engine;
   std::string address;
 };
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -298,7 +298,7 @@
   client.waits_for.reset();
   std::string out;
   // A client that is given a path calls it on the same connection.
-  const bool keep = client.http().keeps_alive() && (!sending_home_ || body.starts_with("{\"link\""));
+  const bool keep = client.http().keeps_alive() && ((!sending_home_ && !away_) || body.starts_with("{\"link\""));
   append_response(out, status, headers, body, keep);
   client.wire().send(out);
   if (!keep) return drop(client);
@@ -318,7 +318,8 @@
 void Front::called(Client& client, const std::string& method, const std::string& path, Message& message) {
   const std::string_view whole(path);
   if (whole == "/check") {
-    return respond(client.id(), ready_ ? 200 : 503, "", ready_ ? R"({"up":true})" : R"({"up":false})");
+    const bool up = ready_ && !away_;
+    return respond(client.id(), up ? 200 : 503, "", up ? R"({"up":true})" : R"({"up":false})");
   }
   if (whole == "/counters" && method == "GET") return respond(client.id(), 200, "", counters_now());
   if (whole.starts_with(work_path)) {
@@ -409,7 +410,7 @@
   if (!is_statement(message.body)) return bad(400, "the body is no statement");
   if (jobs_.contains(job.id)) return bad(409, "this request is being served");
   // A connection's last job may not be forgotten yet when its next one comes: a few over the limit are taken.
-  if (closing_ || owed_ >= 2 * static_cast<std::size_t>(deployment_.service.most_open) ||
+  if (closing_ || away_ || owed_ >= 2 * static_cast<std::size_t>(deployment_.service.most_open) ||
       statement_bytes_ + message.body.size() > most_unread_) {
     ++counters_.throttled;
     const Span advice =
@@ -424,7 +425,7 @@
   open.token = token;
   open.statement = std::move(message.body);
   statement_bytes_ += open.statement.size();
-  open.end = now + job.time_left;
+  open.taken = now, open.end = now + job.time_left;
   open.caller = client.id();
   client.waits_for = job.id;
   manager_.job_taken(now, job);
@@ -512,7 +513,7 @@
   const DispatchKey key{id, job.dispatches++};
   const Span now = loop_.now();
   const Span end = time_limit > Span(0) ? std::min(job.end, now + time_limit) : job.end;
-  job.out.push_back({key.number, now});
+  job.out.push_back({key.number, now, engine});
   if (job.answered || sending_nothing_ || end <= now || key.number >= deployment_.service.most_dispatches) {
     loop_.soon([this, key] { talk_ended(key, Outcome::never_sent, {}); });
     return;
@@ -557,7 +558,56 @@
   loop_.soon([this, engine] { manager_.probe_ended(loop_.now(), engine, Outcome::never_sent, Span(0), {}); });
 }
 
-void Front::remark(std::string_view text) { PEARCHUTE_LOG(spdlog::level::info, "{}", text); }
+void Front::remark(std::string_view text) {
+  PEARCHUTE_LOG(spdlog::level::info, "{}", text);
+  if (remarked_) remarked_(text);
+}
+
+// ---- For those who ask ----
+
+void Front::tell_jobs(std::size_t most, const std::function<void(const JobSeen&)>& visit) {
+  std::vector<std::pair<Span, JobId>> oldest;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.answered) oldest.emplace_back(job.taken, id);
+  }
+  const std::size_t told = std::min(most, oldest.size());
+  std::partial_sort(oldest.begin(), oldest.begin() + static_cast<std::ptrdiff_t>(told), oldest.end());
+  const Span now = loop_.now();
+  for (std::size_t i = 0; i < told; ++i) {
+    const OpenJob& job = jobs_.at(oldest[i].second);
+    JobSeen seen{job.id, job.kind, now - job.taken, job.end - now, job.dispatches, {}, {}};
+    for (const Sent& sent : job.out) seen.out.push_back(sent.engine);
+    seen.waits = manager_.waits_for(now, oldest[i].second);
+    visit(seen);
+  }
+}
+
+std::map<WorkloadManager::Waits, std::size_t> Front::tell_waits() {
+  std::map<WorkloadManager::Waits, std::size_t> waits;
+  std::size_t left = 4000;  // under a millisecond
+  for (const auto& [id, job] : jobs_) {
+    if (left-- == 0) break;
+    if (const auto what = manager_.waits_for(loop_.now(), id); what != WorkloadManager::Waits::nothing)
+      ++waits[what];
+  }
+  return waits;
+}
+
+void Front::tell_engines(const std::function<void(const Engine&, const WorkloadManager::Belief&,
+                                                  const Engines::Shown&, Span)>& visit) const {
+  const Span now = loop_.now();
+  std::map<EngineId, Span> oldest;
+  for (const auto& [id, job] : jobs_) {
+    for (const Sent& sent : job.out) {
+      Span& since = oldest[sent.engine];
+      since = std::max(since, now - sent.at);
+    }
+  }
+  manager_.tell_engines(now, [&](const Engine& engine, const WorkloadManager::Belief& belief) {
+    const auto at = oldest.find(engine.listed.id);
+    visit(engine, belief, engines_.shown(engine.listed.id), at == oldest.end() ? Span(0) : at->second);
+  });
+}
 
 // ---- What engines and the list tell ----
 
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -3,6 +3,7 @@
 // nothing: whether, where and when a job goes, and how it ends without a result, is the module's.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -36,6 +37,29 @@
   // Connections with nothing open are closed, and others with their next answer: a client that comes again
   // goes elsewhere.
   void send_home();
+  // New calls are told to come back elsewhere or later, and the check says no; what is open goes on.
+  void turn_away(bool away) { away_ = away; }
+  void withhold(EngineId engine) { engines_.withhold(engine); }
+  // What the module remarks, as it does.
+  void on_remark(std::function<void(std::string_view)> heard) { remarked_ = std::move(heard); }
+
+  // For those who ask what goes on.
+  struct JobSeen {
+    const std::string& id;
+    const std::string& type;
+    Span age{}, left{};
+    int dispatches = 0;
+    std::vector<EngineId> out;
+    WorkloadManager::Waits waits{};
+  };
+  std::size_t open_jobs() const { return owed_; }
+  std::size_t held_jobs() const { return manager_.held_jobs(); }
+  void tell_jobs(std::size_t most, const std::function<void(const JobSeen&)>& visit);  // the oldest first
+  // How many held jobs wait for what, of the first few thousand.
+  std::map<WorkloadManager::Waits, std::size_t> tell_waits();
+  // `oldest` is for how long the oldest dispatch there has been out.
+  void tell_engines(const std::function<void(const Engine&, const WorkloadManager::Belief&, const Engines::Shown&,
+                                             Span oldest)>& visit) const;
 
   // What the module does
   void dispatch(JobId job, EngineId engine, Span time_limit) override;
@@ -64,10 +88,12 @@
   struct Sent {
     int number = 0;
     Span at{};
+    EngineId engine{};
   };
   // For one job.
   struct OpenJob {
     std::string id, kind, token, statement;
+    Span taken{};
     Span end{};  // the client's patience
     std::optional<ClientId> caller;
     bool has_path = false;
@@ -99,12 +125,13 @@
   Counters& counters_;
   std::size_t most_clients_, most_unread_;
   std::size_t statement_bytes_ = 0;  // of the jobs in the table
-  bool ready_ = false, closing_ = false, sending_home_ = false, sending_nothing_ = false;
+  bool ready_ = false, closing_ = false, sending_home_ = false, sending_nothing_ = false, away_ = false;
   std::unordered_map<JobId, OpenJob> jobs_;
   std::size_t owed_ = 0;  // jobs without their answer
   std::map<ClientId, std::unique_ptr<Client>> clients_;
   std::vector<std::unique_ptr<Client>> gone_;
   std::uint64_t next_client_ = 1;
+  std::function<void(std::string_view)> remarked_;
   Engines engines_;
   WorkloadManager manager_;
 };
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -141,11 +141,19 @@
 void Wire::start() {
   ++loop_.descriptors_;
   socket_.setBlocking(false);
-  if (opened_) socket_.setNoDelay(true);
+  if (opened_) set_no_delay();
   watch_incoming(true);
   if (!opened_) want_writable(true);
 }
 
+// Unix sockets have no such thing.
+void Wire::set_no_delay() {
+  int domain = 0;
+  socklen_t size = sizeof domain;
+  ::getsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_DOMAIN, &domain, &size);
+  if (domain != AF_UNIX) socket_.setNoDelay(true);
+}
+
 Wire::~Wire() { close(); }
 
 void Wire::close() {
@@ -230,7 +238,11 @@
     buffer.end += part;
     bytes.remove_prefix(part);
   }
-  if (!opened_ || flush_due_ || writable_wanted_) return;
+  offer();
+}
+
+void Wire::offer() {
+  if (closed_ || closing_ || !opened_ || flush_due_ || flushing_ || writable_wanted_) return;
   flush_due_ = true;  // what one event makes for a peer goes out together
   loop_.soon([this] {
     flush_due_ = false;
@@ -239,7 +251,13 @@
 }
 
 void Wire::flush() {
-  while (!closed_ && !out_.empty()) {
+  while (!closed_) {
+    if (out_.empty() && user_) {
+      flushing_ = true;
+      user_->wire_free();
+      flushing_ = false;
+    }
+    if (closed_ || out_.empty()) break;
     BufferPool::Buffer& buffer = *out_.front();
     // Not by StreamSocket::sendBytes, which throws where a slow reader's buffer is full, as for a broken one.
     const auto sent = ::send(socket_.impl()->sockfd(), buffer.bytes.data() + buffer.begin,
@@ -280,7 +298,7 @@
   if (error_ != 0) return ended();
   opened_ = true;
   try {
-    socket_.setNoDelay(true);
+    set_no_delay();
   } catch (const Poco::Exception&) {
     return ended();
   }
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -94,6 +94,7 @@
    public:
     virtual ~User() = default;
     virtual void wire_opened() {}
+    virtual void wire_free() {}  // nothing waits to be written; what is sent now goes out at once
     virtual void wire_brought(std::string_view bytes) = 0;
     virtual void wire_ended() = 0;  // by the peer, by an error, or never opened; the wire is closed by then
   };
@@ -103,6 +104,7 @@
   Wire(const Wire&) = delete;
   Wire& operator=(const Wire&) = delete;
   void send(std::string_view bytes);
+  void offer();  // wire_free comes before this event is over, or as soon as the socket has taken what waits
   void close();  // at once; the user hears no more
   bool opened() const { return opened_; }
   std::uint64_t written() const { return written_; }  // bytes handed to the system
@@ -117,6 +119,7 @@
   friend class Loop;
   void close_when_written();
   void start();
+  void set_no_delay();
   void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
   void on_writable(const Poco::AutoPtr<Poco::Net::WritableNotification>&);
   void on_error(const Poco::AutoPtr<Poco::Net::ErrorNotification>&);
@@ -136,7 +139,7 @@
   std::size_t waiting_ = 0;
   std::uint64_t written_ = 0;
   bool opened_ = false, closed_ = false, closing_ = false, writable_wanted_ = false, flush_due_ = false;
-  bool registered_ = false, paused_ = false, told_end_ = false;
+  bool flushing_ = false, registered_ = false, paused_ = false, told_end_ = false;
   std::size_t discarded_ = 0;
   int error_ = 0;
 };
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -1,6 +1,7 @@
 #include "net/log.h"
 
 #include <poll.h>
+#include <spdlog/pattern_formatter.h>
 #include <spdlog/details/null_mutex.h>
 #include <spdlog/sinks/base_sink.h>
 #include <unistd.h>
@@ -30,9 +31,31 @@
 
 }  // namespace
 
-void start_log(const std::string& name) {
+// A line's text, as it stands within a JSON string.
+class JsonText final : public spdlog::custom_flag_formatter {
+ public:
+  void format(const spdlog::details::log_msg& message, const std::tm&, spdlog::memory_buf_t& out) override {
+    const auto put = [&](std::string_view text) { out.append(text.data(), text.data() + text.size()); };
+    for (const char c : std::string_view(message.payload.data(), message.payload.size())) {
+      const auto byte = static_cast<unsigned char>(c);
+      if (c == '"' || c == '\\') out.push_back('\\'), out.push_back(c);
+      else if (byte < 0x20 || byte >= 0x7f) put(fmt::format("\\u{:04x}", byte));  // never broken UTF-8
+      else out.push_back(c);
+    }
+  }
+  std::unique_ptr<custom_flag_formatter> clone() const override { return std::make_unique<JsonText>(); }
+};
+
+void start_log(const std::string& name, LogForm form) {
   auto logger = std::make_shared<spdlog::logger>(name, std::make_shared<PatientSink>());
-  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %n %^%l%$ %v");
+  if (form == LogForm::json) {
+    auto lines = std::make_unique<spdlog::pattern_formatter>();
+    lines->add_flag<JsonText>('*').set_pattern(
+        R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","name":"%n","level":"%l","text":"%*"})");
+    logger->set_formatter(std::move(lines));
+  } else {
+    logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %n %^%l%$ %v");
+  }
   spdlog::set_default_logger(std::move(logger));
 }
 
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -9,7 +9,8 @@
 
 namespace pearchute::net {
 
-void start_log(const std::string& name);
+enum class LogForm { plain, json };
+void start_log(const std::string& name, LogForm form = LogForm::plain);
 
 // How often a kind of line may come: a few at once, then one by one.
 class LineRation {
