--- /dev/null
+++ b/src/admin/caller.h
@@ -0,0 +1,60 @@
+// The operators' side of one admin channel: connects, sends calls, and tells what became of each, once. Used
+// by the command line and by tests. It decides nothing and repeats nothing by itself.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "admin.pb.h"
+#include "admin/frames.h"
+#include "admin/place.h"
+#include "net/driver.h"
+
+namespace pearchute::admin {
+
+enum class CallEnd {
+  answered,     // the reply says whether it was done
+  unreachable,  // no connection: nothing was asked
+  silent,       // no answer in time: it may have been done
+  broken,       // the connection ended, or what came is no reply: it may have been done
+};
+std::string_view word_for(CallEnd end);
+
+class Caller final : public net::Wire::User {
+ public:
+  using Heard = std::function<void(CallEnd end, const v1::Reply& reply)>;
+  // Connects with the first call, and anew after a connection has ended.
+  Caller(net::Loop& loop, const Place& place);
+  ~Caller() override;
+  // `heard` comes exactly once, after this event. The call's number is set here.
+  void call(v1::Call call, Span within, Heard heard);
+  // The events of a watch, and its end.
+  void watch(std::uint64_t after, Span within, std::function<void(const v1::Event&)> event, Heard ended);
+
+ private:
+  struct Waiting {
+    Heard heard;
+    std::function<void(const v1::Event&)> event;
+    bool watching = false;
+  };
+  std::uint64_t send(v1::Call& call, Span within, Waiting waiting);
+  void wire_brought(std::string_view bytes) override;
+  void wire_ended() override;
+  void end_all(CallEnd end);
+  void end(std::uint64_t number, CallEnd end, const v1::Reply& reply);
+
+  net::Loop& loop_;
+  const Place place_;
+  std::unique_ptr<net::Wire> wire_;
+  FrameReader reader_;
+  std::map<std::uint64_t, Waiting> waiting_;
+  std::uint64_t next_number_ = 1;
+  bool opened_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+
+  void wire_opened() override { opened_ = true; }
+};
+
+}  // namespace pearchute::admin
--- /dev/null
+++ b/src/ctl/commands.h
@@ -0,0 +1,61 @@
+// The operators' commands over the chosen instances. Each asks, tells every instance's own result, and ends
+// with the documented status. It decides nothing that fleet/ decides: losses, statuses, a restart's steps.
+#pragma once
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "ctl/fleet_file.h"
+#include "ctl/output.h"
+#include "ctl/rounds.h"
+#include "fleet/caution.h"
+
+namespace pearchute::ctl {
+
+// How a change is to be made.
+struct Manner {
+  bool dry_run = false, yes = false, everyone = false;
+  std::string holder, reason;
+  std::chrono::seconds lease{3600};
+  std::chrono::seconds within{30};     // to be drained
+  std::chrono::seconds up_within{30};  // to serve again
+  std::size_t at_once = 1;             // restarts
+};
+
+class Commands {
+ public:
+  Commands(const Fleet& fleet, std::vector<const Instance*> chosen, Output& output);
+
+  int status();
+  int engines();
+  int jobs(std::uint32_t most);
+  int top(std::chrono::milliseconds every, int rounds);
+  int watch(std::chrono::milliseconds time);
+  int orders();
+  int drain(const Manner& manner);
+  int resume(const Manner& manner);
+  int restart(const Manner& manner);
+  int engine_orders(const std::vector<std::string>& engines, bool drains, const Manner& manner);
+  int engine_list();
+  int log_level(const std::string& level);
+  int check();
+
+ private:
+  struct Told {
+    Rows rows;
+    std::vector<fleet::Done> each;
+  };
+  Rows status_rows(std::vector<fleet::Done>& each);
+  // One order of `subject` to each chosen instance, with a generation over all that they know of.
+  Told give(const std::string& subject, bool drains, const Manner& manner);
+  bool confirmed(const std::vector<fleet::Loss>& losses, const std::string& what, const Manner& manner);
+  std::vector<fleet::Loss> losses_of_managers();
+
+  const Fleet& fleet_;
+  const std::vector<const Instance*> chosen_;
+  Output& output_;
+  Rounds rounds_;
+};
+
+}  // namespace pearchute::ctl
--- /dev/null
+++ b/src/ctl/fleet_file.cpp
@@ -0,0 +1,63 @@
+#include "ctl/fleet_file.h"
+
+#include <algorithm>
+#include <map>
+
+#include "ini/reader.h"
+
+namespace pearchute::ctl {
+
+Fleet read_fleet(const std::string& file) {
+  constexpr std::size_t most_instances = 5000;  // far over the fleets that one person oversees
+  Fleet fleet;
+  std::map<std::string, std::size_t> places;
+  ini::read(file, [&](const std::string& section, const std::string& name, const std::string& text) {
+    if (section == "fleet") {
+      if (name == "timeout_ms")
+        fleet.answers_within = std::chrono::milliseconds(ini::whole(name, text, 10, 60'000));
+      // Each takes a descriptor.
+      else if (name == "parallel") fleet.at_once = static_cast<std::size_t>(ini::whole(name, text, 1, 500));
+      else throw ini::Fault("'" + name + "' is not known in [fleet]");
+      return;
+    }
+    if (!section.starts_with("instance "))
+      throw ini::Fault("[" + section + "] is not known; [fleet] and [instance NAME] are");
+    const std::string who = section.substr(9);
+    if (who.empty() || who.find_first_of(" \t") != std::string::npos)
+      throw ini::Fault("'" + who + "' is no name for an instance");
+    const auto known = std::ranges::find(fleet.instances, who, [](const Instance& one) { return one.facts.name; });
+    if (known == fleet.instances.end() && fleet.instances.size() == most_instances)
+      throw ini::Fault("more than " + std::to_string(most_instances) + " instances");
+    Instance& instance = known != fleet.instances.end() ? *known : fleet.instances.emplace_back();
+    instance.facts.name = who;
+    if (name == "admin") {
+      instance.place = admin::place_in(text);
+      instance.facts.admin = text;
+      const auto [at, first] = places.emplace(text, fleet.instances.size());
+      if (!first) throw ini::Fault("another instance has the admin address " + text);
+    } else if (name == "zone") {
+      instance.facts.zone = text;
+    } else if (name == "start") {
+      instance.start = text;
+    } else if (name == "labels") {
+      for (const std::string& item : ini::list(text)) {
+        const std::size_t equal = item.find('=');
+        const std::string label = item.substr(0, equal);
+        const bool fits = !label.empty() && std::ranges::all_of(label, [](unsigned char c) {
+          return std::isalnum(c) || c == '-' || c == '_';
+        });
+        if (!fits) throw ini::Fault("'" + item + "' is no label: NAME=VALUE, set apart by commas");
+        instance.facts.labels[label] = equal == std::string::npos ? "" : item.substr(equal + 1);
+      }
+    } else {
+      throw ini::Fault("'" + name + "' is not known in [instance NAME]");
+    }
+  });
+  for (const Instance& one : fleet.instances) {
+    if (one.place.text.empty()) throw ini::Fault(file + ": instance " + one.facts.name + " has no 'admin'");
+  }
+  if (fleet.instances.empty()) throw ini::Fault(file + ": no instance is named");
+  return fleet;
+}
+
+}  // namespace pearchute::ctl
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,166 @@
+// The operators' command line: arguments, the choice of instances, and the exit status.
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "ctl/commands.h"
+#include "ini/reader.h"
+#include "net/log.h"
+
+using namespace pearchute;
+using namespace pearchute::ctl;
+
+namespace {
+
+// For bash: the names of commands and options at each place, as the parser knows them.
+std::string completion(const CLI::App& app) {
+  std::string cases;
+  const std::function<void(const CLI::App&, const std::string&)> add = [&](const CLI::App& at,
+                                                                           const std::string& path) {
+    std::string words;
+    for (const CLI::App* sub : at.get_subcommands({})) words += sub->get_name() + " ";
+    for (const CLI::Option* option : at.get_options()) {
+      for (const std::string& name : option->get_lnames()) words += "--" + name + " ";
+    }
+    cases += "    \"" + path + "\") words=\"" + words + "\" ;;\n";
+    for (const CLI::App* sub : at.get_subcommands({}))
+      add(*sub, path.empty() ? sub->get_name() : path + " " + sub->get_name());
+  };
+  add(app, "");
+  return "_pearchutectl() {\n  local path=\"\" word words=\"\" i\n"
+         "  for ((i = 1; i < COMP_CWORD; i++)); do\n    word=\"${COMP_WORDS[i]}\"\n"
+         "    case \"$word\" in -*) ;; *) [[ \"${COMP_WORDS[i-1]}\" == -* ]] || path=\"${path:+$path }$word\" ;; esac\n"
+         "  done\n  case \"$path\" in\n" +
+         cases +
+         "  esac\n  COMPREPLY=($(compgen -W \"$words\" -- \"${COMP_WORDS[COMP_CWORD]}\"))\n}\n"
+         "complete -F _pearchutectl pearchutectl\n";
+}
+
+int run(int argc, char** argv) {
+  CLI::App app("pearchutectl: sees and governs many managers at once");
+  app.require_subcommand(1);
+  app.fallthrough();  // what holds for all commands may stand behind them
+  app.set_version_flag("--version", "pearchutectl " PEARCHUTE_VERSION);
+  const char* told = std::getenv("PEARCHUTE_FLEET");
+  std::string file = told ? told : "/etc/pearchute/fleet.ini", on, form = "table";
+  int timeout = 0, parallel = 0;
+  app.add_option("--fleet", file, "the list of instances, INI (or PEARCHUTE_FLEET names it)")->type_name("FILE");
+  app.add_option("--on", on, "which instances, e.g. 'zone = hall-a and not name ~ n3*'")->type_name("SELECTOR");
+  app.add_option("--output", form, "table or json")->check(CLI::IsMember({"table", "json"}));
+  app.add_option("--timeout", timeout, "how long one may take to answer")->type_name("MS")->check(CLI::Range(10, 60000));
+  app.add_option("--parallel", parallel, "how many are asked at once")->check(CLI::Range(1, 500));
+
+  Manner manner;
+  const char* user = std::getenv("USER");
+  manner.holder = user && *user ? user : "operator";
+  int lease = 3600, within = 30, up_within = 30, at_once = 1, most = 50, rounds = 0, every = 2000, watched = 0;
+  std::vector<std::string> engines;
+  std::string level;
+  const auto changes = [&](CLI::App* command) {
+    command->add_flag("--dry-run", manner.dry_run, "says what would be done, and does nothing");
+    command->add_flag("--yes", manner.yes, "without asking, though over half of a zone would stop");
+    command->add_option("--as", manner.holder, "who answers for the order")->type_name("NAME");
+    return command;
+  };
+  const auto drains = [&](CLI::App* command) {
+    command->add_option("--lease", lease, "how long the order holds")->type_name("S")->check(CLI::Range(1, 604800));
+    command->add_option("--reason", manner.reason, "what others are told");
+    return changes(command);
+  };
+  const auto restores = [&](CLI::App* command) {
+    command->add_flag("--everyone", manner.everyone, "ends the older orders of other holders, too");
+    return changes(command);
+  };
+  CLI::App* status = app.add_subcommand("status", "each manager's state");
+  CLI::App* engine_table = app.add_subcommand("engines", "what each manager believes of its engines");
+  CLI::App* jobs = app.add_subcommand("jobs", "the oldest open jobs");
+  jobs->add_option("--most", most, "of each manager")->check(CLI::Range(1, 200));
+  CLI::App* top = app.add_subcommand("top", "status again and again, with rates");
+  top->add_option("--every", every)->type_name("MS")->check(CLI::Range(100, 60000));
+  top->add_option("--rounds", rounds, "0: until interrupted");
+  CLI::App* watch = app.add_subcommand("watch", "events as they happen");
+  watch->add_option("--for", watched, "0: until interrupted")->type_name("MS");
+  CLI::App* orders = app.add_subcommand("orders", "the open orders of operators");
+  CLI::App* drain = drains(app.add_subcommand("drain", "managers take no new calls; what is open ends"));
+  drain->add_option("--within", within, "how long to wait until nothing is open")->type_name("S");
+  CLI::App* resume = restores(app.add_subcommand("resume", "drained managers take calls again"));
+  CLI::App* restart = changes(app.add_subcommand("restart", "drain, end, start again, one after the other"));
+  restart->add_option("--within", within, "how long to wait until nothing is open")->type_name("S");
+  restart->add_option("--up-within", up_within, "how long one may take to serve again")->type_name("S");
+  restart->add_option("--at-once", at_once, "so many at a time")->check(CLI::Range(1, 100));
+  CLI::App* engine = app.add_subcommand("engine", "engines, at all chosen managers");
+  engine->require_subcommand(1);
+  CLI::App* engine_drain = drains(engine->add_subcommand("drain", "nothing new goes to these engines"));
+  engine_drain->add_option("names", engines, "names, or @ADDRESS: whatever engine is there")->required();
+  CLI::App* engine_restore = restores(engine->add_subcommand("restore", "back to the channel's word"));
+  engine_restore->add_option("names", engines, "names or @ADDRESS")->required();
+  CLI::App* engine_list = engine->add_subcommand("list", "how each engine stands, over all managers");
+  CLI::App* log_level = app.add_subcommand("log-level", "of the managers' logs, until their next start");
+  log_level->add_option("level", level)->required();
+  CLI::App* check = app.add_subcommand("check", "the fleet file, and who answers under which name");
+  CLI::App* completions = app.add_subcommand("completion", "a completion script for bash");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : fleet::usage;
+  }
+  if (completions->parsed()) {
+    std::cout << completion(app);
+    return 0;
+  }
+  manner.lease = std::chrono::seconds(lease), manner.within = std::chrono::seconds(within);
+  manner.up_within = std::chrono::seconds(up_within), manner.at_once = static_cast<std::size_t>(at_once);
+
+  Fleet known;
+  std::vector<const Instance*> chosen;
+  try {
+    known = read_fleet(file);
+    const Selector selector = selector_in(on);
+    for (const Instance& one : known.instances) {
+      if (selector(one.facts)) chosen.push_back(&one);
+    }
+  } catch (const ini::Fault& fault) {
+    std::cerr << "pearchutectl: " << fault.what() << "\n";
+    return fleet::usage;
+  } catch (const SelectorFault& fault) {
+    std::cerr << "pearchutectl: --on, column " << fault.column << ": " << fault.what() << "\n  " << on << "\n  "
+              << std::string(fault.column - 1, ' ') << "^\n";
+    return fleet::usage;
+  }
+  if (chosen.empty()) {
+    std::cerr << "pearchutectl: no instance of " << file << " is chosen\n";
+    return fleet::usage;
+  }
+  if (timeout > 0) known.answers_within = std::chrono::milliseconds(timeout);
+  if (parallel > 0) known.at_once = static_cast<std::size_t>(parallel);
+  Output output(form == "json");
+  Commands commands(known, chosen, output);
+  if (status->parsed()) return commands.status();
+  if (engine_table->parsed()) return commands.engines();
+  if (jobs->parsed()) return commands.jobs(static_cast<std::uint32_t>(most));
+  if (top->parsed()) return commands.top(std::chrono::milliseconds(every), rounds);
+  if (watch->parsed()) return commands.watch(std::chrono::milliseconds(watched));
+  if (orders->parsed()) return commands.orders();
+  if (drain->parsed()) return commands.drain(manner);
+  if (resume->parsed()) return commands.resume(manner);
+  if (restart->parsed()) return commands.restart(manner);
+  if (engine_drain->parsed()) return commands.engine_orders(engines, true, manner);
+  if (engine_restore->parsed()) return commands.engine_orders(engines, false, manner);
+  if (engine_list->parsed()) return commands.engine_list();
+  if (log_level->parsed()) return commands.log_level(level);
+  if (check->parsed()) return commands.check();
+  return fleet::usage;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  net::start_log("pearchutectl");
+  spdlog::set_level(spdlog::level::off);  // what there is to say comes with the results
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "pearchutectl: " << error.what() << "\n";
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/ctl/rounds.cpp
@@ -0,0 +1,93 @@
+#include "ctl/rounds.h"
+
+#include <thread>
+
+namespace pearchute::ctl {
+
+using admin::Caller;
+using admin::CallEnd;
+
+std::string Heard::trouble() const {
+  if (!answered()) return std::string(word_for(end));
+  switch (reply.outcome()) {
+    case admin::v1::ok:
+      return "";
+    case admin::v1::unknown_call:
+      return "an older manager: it does not know this call";
+    default:
+      return reply.fault();
+  }
+}
+
+std::vector<Heard> Rounds::ask(const Instances& instances,
+                               const std::function<admin::v1::Call(std::size_t)>& call_for) {
+  struct Round {
+    std::vector<Heard> heard;
+    std::vector<std::unique_ptr<Caller>> callers;
+    std::size_t next = 0, left = 0;
+    std::promise<void> done;
+    std::function<void()> go_on;
+  };
+  const auto round = std::make_shared<Round>();
+  round->heard.resize(instances.size());
+  round->callers.resize(instances.size());
+  round->left = instances.size();
+  if (instances.empty()) return {};
+  auto done = round->done.get_future();
+  stage_.on([&] {
+    round->go_on = [&, round = round.get()] {
+      if (round->next == instances.size()) return;
+      const std::size_t number = round->next++;
+      round->callers[number] = std::make_unique<Caller>(stage_.loop(), instances[number]->place);
+      round->callers[number]->call(
+          call_for(number), within_, [&, round, number](CallEnd end, const admin::v1::Reply& reply) {
+            round->heard[number].end = end, round->heard[number].reply = reply;
+            // Its connection goes once this event is over, and the next instance has its turn.
+            stage_.loop().soon([&, round, number] {
+              round->callers[number].reset();
+              if (--round->left == 0) round->done.set_value();
+              else round->go_on();
+            });
+          });
+    };
+    for (std::size_t i = 0; i < std::min(at_once_, instances.size()); ++i) round->go_on();
+  });
+  done.get();
+  stage_.on([] {});  // the event that said so is over
+  return std::move(round->heard);
+}
+
+std::vector<Heard> Rounds::ask(const Instances& instances, const admin::v1::Call& call) {
+  return ask(instances, [&](std::size_t) { return call; });
+}
+
+Heard Rounds::ask_one(const Instance& instance, const admin::v1::Call& call) {
+  return ask({&instance}, call).front();
+}
+
+void Rounds::watch(const Instances& instances, std::chrono::milliseconds time,
+                   const std::function<void(const Instance&, const admin::v1::Event&)>& event,
+                   const std::function<void(const Instance&, const std::string&)>& ended,
+                   const std::function<bool()>& done) {
+  std::vector<std::unique_ptr<Caller>> callers;
+  std::size_t left = instances.size();
+  stage_.on([&] {
+    for (const Instance* instance : instances) {
+      callers.push_back(std::make_unique<Caller>(stage_.loop(), instance->place));
+      callers.back()->watch(
+          0, within_, [&, instance](const admin::v1::Event& what) { event(*instance, what); },
+          [&, instance](CallEnd end, const admin::v1::Reply& reply) {
+            --left;
+            ended(*instance, Heard{end, reply}.trouble());
+          });
+    }
+  });
+  const auto until = std::chrono::steady_clock::now() + time;
+  while (!done() && (time.count() == 0 || std::chrono::steady_clock::now() < until)) {
+    if (stage_.on([&] { return left; }) == 0) break;
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  stage_.on([&] { callers.clear(); });
+}
+
+}  // namespace pearchute::ctl
--- /dev/null
+++ b/src/ctl/rounds.h
@@ -0,0 +1,43 @@
+// Asks many instances at once, so many at a time, and hears what became of each: a round lasts as long as the
+// slowest answer or the time limit of one, not their sum. It keeps no connection and repeats nothing.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "admin/caller.h"
+#include "ctl/fleet_file.h"
+#include "net/stage.h"
+
+namespace pearchute::ctl {
+
+struct Heard {
+  admin::CallEnd end = admin::CallEnd::unreachable;
+  admin::v1::Reply reply;
+  bool answered() const { return end == admin::CallEnd::answered; }
+  bool ok() const { return answered() && reply.outcome() == admin::v1::ok; }
+  std::string trouble() const;  // in a few words; empty where it is ok
+};
+
+class Rounds {
+ public:
+  Rounds(std::size_t at_once, std::chrono::milliseconds within) : at_once_(at_once), within_(within) {}
+  using Instances = std::vector<const Instance*>;
+  std::vector<Heard> ask(const Instances& instances,
+                         const std::function<admin::v1::Call(std::size_t)>& call_for);
+  std::vector<Heard> ask(const Instances& instances, const admin::v1::Call& call);
+  Heard ask_one(const Instance& instance, const admin::v1::Call& call);
+  // Events of all, as they come, until `time` is over (0: for good) or `done` says so.
+  void watch(const Instances& instances, std::chrono::milliseconds time,
+             const std::function<void(const Instance&, const admin::v1::Event&)>& event,
+             const std::function<void(const Instance&, const std::string& why)>& ended,
+             const std::function<bool()>& done);
+
+ private:
+  const std::size_t at_once_;
+  const std::chrono::milliseconds within_;
+  net::Stage stage_;
+};
+
+}  // namespace pearchute::ctl
--- /dev/null
+++ b/src/ctl/selector.h
@@ -0,0 +1,34 @@
+// The language that picks instances: `zone = hall-a and not name ~ n3*`. It knows no instance by itself.
+//
+//     expression = term { "or" term }        term = factor { "and" factor }
+//     factor = "not" factor | "(" expression ")" | test
+//     test = field ( "=" | "!=" | "~" | "!~" ) value | field "in" "{" value { "," value } "}" | "label." name
+//     field = "name" | "zone" | "admin" | "label." name
+//
+// `~` takes a pattern with * and ?; values stand as they are or in double quotes. A label by itself asks
+// whether it is there.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <stdexcept>
+#include <string>
+
+namespace pearchute::ctl {
+
+struct Facts {
+  std::string name, zone, admin;
+  std::map<std::string, std::string> labels;
+};
+
+struct SelectorFault : std::runtime_error {
+  SelectorFault(std::size_t at, const std::string& what) : std::runtime_error(what), column(at) {}
+  std::size_t column;  // from 1
+};
+
+using Selector = std::function<bool(const Facts&)>;
+// Throws SelectorFault with the column at which it can't go on. An empty text picks all.
+Selector selector_in(const std::string& text);
+
+}  // namespace pearchute::ctl
--- /dev/null
+++ b/src/lab/channel.cpp
@@ -0,0 +1,92 @@
+#include "lab/channel.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pearchute::lab {
+
+class StandInChannel::Line final : public net::Wire::User, public net::HttpServerSide::Listener {
+ public:
+  Line(StandInChannel& channel, const Poco::Net::StreamSocket& socket) : channel_(channel) {
+    wire_ = std::make_unique<net::Wire>(channel.loop_, socket, *this);
+  }
+  std::unique_ptr<net::Wire> give_wire() { return std::move(wire_); }
+  void wire_brought(std::string_view bytes) override { http_.feed(bytes); }
+  void wire_ended() override { channel_.forget(*this); }
+  void called(const std::string&, const std::string&, net::Message& message) override {
+    told_ = static_cast<std::size_t>(std::atoll(std::string(message.header("last-event-id")).c_str()));
+    open_ = true;
+    wire_->send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n");
+    send();
+  }
+  void refused_call(int) override { channel_.forget(*this); }
+  void send() {
+    if (!open_ || channel_.silent_) return;
+    for (; told_ < channel_.events_.size(); ++told_)
+      wire_->send("id: " + std::to_string(told_ + 1) + "\ndata: " + channel_.events_[told_] + "\n\n");
+  }
+  void comment() {
+    if (open_ && !channel_.silent_) wire_->send(": still here\n\n");
+  }
+
+ private:
+  StandInChannel& channel_;
+  net::HttpServerSide http_{*this};
+  std::unique_ptr<net::Wire> wire_;
+  std::size_t told_ = 0;
+  bool open_ = false;
+};
+
+StandInChannel::StandInChannel(net::Loop& loop)
+    : loop_(loop), door_(loop, Poco::Net::SocketAddress("127.0.0.1:0"), [this](const auto& socket) {
+        auto line = std::make_unique<Line>(*this, socket);
+        Line* key = line.get();
+        lines_[key] = std::move(line);
+      }) {
+  tick();
+}
+
+StandInChannel::~StandInChannel() { *alive_ = false; }
+
+void StandInChannel::tell(const std::vector<Member>& members, bool complete) {
+  nlohmann::json event;
+  event["cursor"] = events_.size() + 1;
+  event["nodes"]["revision"] = events_.size() + 1;
+  event["nodes"]["complete"] = complete;
+  event["nodes"]["members"] = nlohmann::json::array();
+  for (const Member& member : members) {
+    event["nodes"]["members"].push_back({{"id", member.name},
+                                         {"host_port", member.address},
+                                         {"locality", member.zone},
+                                         {"flavor", member.kind},
+                                         {"cell", 0},
+                                         {"phase", member.phase},
+                                         {"up_since_ms", 0}});
+  }
+  events_.push_back(event.dump());
+  for (const auto& [line, owned] : lines_) line->send();
+}
+
+void StandInChannel::cut_streams() {
+  while (!lines_.empty()) forget(*lines_.begin()->first);
+}
+
+void StandInChannel::forget(Line& line) {
+  const auto at = lines_.find(&line);
+  if (at == lines_.end()) return;
+  gone_.push_back(std::move(at->second));
+  lines_.erase(at);
+  loop_.soon([this, alive = alive_] {
+    if (!*alive) return;
+    for (auto& one : gone_) loop_.retire(one->give_wire());
+    gone_.clear();
+  });
+}
+
+void StandInChannel::tick() {
+  for (const auto& [line, owned] : lines_) line->comment();
+  loop_.at(loop_.now() + std::chrono::seconds(1), [this, alive = alive_] {
+    if (*alive) tick();
+  });
+}
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/channel.h
@@ -0,0 +1,43 @@
+// A stand-in command channel: numbered events of the list of engines, as server-sent events to whoever asks,
+// from the number that it asks for. It can fall silent, break its streams, and forget.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/driver.h"
+#include "net/http.h"
+
+namespace pearchute::lab {
+
+class StandInChannel {
+ public:
+  struct Member {
+    std::string name, address, zone, kind, phase;  // active, leaving, left
+  };
+  explicit StandInChannel(net::Loop& loop);
+  ~StandInChannel();
+  std::string address() const { return door_.address().toString(); }
+  void tell(const std::vector<Member>& members, bool complete);
+  void cut_streams();
+  void fall_silent(bool silent) { silent_ = silent; }
+  std::size_t streams() const { return lines_.size(); }
+
+ private:
+  class Line;
+  friend class Line;
+  void tick();
+  void forget(Line& line);
+
+  net::Loop& loop_;
+  net::Door door_;
+  std::vector<std::string> events_;  // from number 1
+  std::map<Line*, std::unique_ptr<Line>> lines_;
+  std::vector<std::unique_ptr<Line>> gone_;
+  bool silent_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/crowd.h
@@ -0,0 +1,70 @@
+// Stand-in clients: send jobs to managers at times of their own (open loop), over kept connections, as the
+// operators' protocol says, follow paths, withdraw, and tell the record what became of each.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "lab/record.h"
+#include "net/driver.h"
+#include "net/http.h"
+
+namespace pearchute::lab {
+
+// What is asked for, once.
+struct Ask {
+  std::string type = "quick";
+  std::string statement = "SELECT work=5 FROM a_1.t";
+  std::chrono::milliseconds patience{2000};
+  std::uint64_t key = 0;  // 0: none
+  double cost_ms = 5, memory_mb = 8;
+};
+
+class Crowd {
+ public:
+  // `kind_of` tells what the rules hold for a type.
+  Crowd(net::Loop& loop, std::uint64_t seed, Record& record, std::function<Record::Kind(const std::string&)> kind_of);
+  ~Crowd();
+  // A manager's address; the number stands for it from then on.
+  int add_manager(const std::string& address);
+  // Sends one; `heard` gets the answer, or nothing where none came. Returns its id.
+  std::string ask(int manager, const Ask& ask, std::function<void(std::optional<Answer>)> heard = {});
+  void withdraw(const std::string& job);  // closes its connection, or deletes its path
+  // Offers `rate` jobs a second to the managers in turn, of the mix, until told 0.
+  void offer(double rate, std::vector<Ask> mix);
+  // Managers that are not to get new jobs, as a front in front of them would see.
+  void avoid(int manager, bool avoided) { avoided_[manager] = avoided; }
+  std::uint64_t retry_advised() const { return retry_advised_; }
+
+ private:
+  class Line;
+  friend class Line;
+  struct Manager {
+    std::string address;
+    std::vector<std::unique_ptr<Line>> lines;
+  };
+  Line& line_to(int manager);
+  void drop(Line& line);
+  void next(std::uint64_t turn);
+
+  net::Loop& loop_;
+  std::knuth_b chance_;
+  Record& record_;
+  std::function<Record::Kind(const std::string&)> kind_of_;
+  std::vector<Manager> managers_;
+  std::map<int, bool> avoided_;
+  std::map<std::uint64_t, Time> key_sent_;
+  std::vector<std::unique_ptr<Line>> gone_;
+  std::vector<Ask> mix_;
+  double rate_ = 0;
+  Time next_due_{};
+  std::uint64_t next_job_ = 1, offers_ = 0, turn_ = 0, retry_advised_ = 0;
+  const std::uint64_t salt_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/engine.cpp
@@ -0,0 +1,202 @@
+#include "lab/engine.h"
+
+#include <algorithm>
+
+#include "engines/resp.h"
+
+namespace pearchute::lab {
+
+namespace {
+
+// The value behind `name=` in a statement or a list of fields.
+std::string value_of(std::string_view text, std::string_view name) {
+  const std::string mark = std::string(name) + "=";
+  std::size_t at = text.find(mark);
+  while (at != std::string_view::npos && at > 0 && text[at - 1] != ' ' && text[at - 1] != ',')
+    at = text.find(mark, at + 1);
+  if (at == std::string_view::npos) return "";
+  text.remove_prefix(at + mark.size());
+  return std::string(text.substr(0, text.find_first_of(" ,*")));
+}
+
+double number_of(std::string_view text, std::string_view name, double otherwise) {
+  const std::string value = value_of(text, name);
+  return value.empty() ? otherwise : std::atof(value.c_str());
+}
+
+}  // namespace
+
+class StandInEngine::Line final : public net::Wire::User {
+ public:
+  Line(StandInEngine& engine, const Poco::Net::StreamSocket& socket) : engine_(engine) {
+    wire_ = std::make_unique<net::Wire>(engine.loop_, socket, *this);
+    wire_->pause(engine.faults_.deaf);
+  }
+  net::Wire& wire() { return *wire_; }
+  std::unique_ptr<net::Wire> give_wire() { return std::move(wire_); }
+  void say(std::initializer_list<std::string_view> words, std::size_t cut = 0) {
+    std::string out;
+    net::append_command(out, words);
+    if (cut > 0) out.resize(std::min(cut, out.size()));
+    if (wire_) wire_->send(out);
+  }
+  void wire_ended() override { engine_.forget(*this); }
+  void wire_brought(std::string_view bytes) override {
+    const bool sound = reader_.feed(bytes, [&](std::vector<std::string>& words) {
+      if (words[0] == "there" && words.size() == 2) say({words[1], "PONG", "-", ""});
+      else if (words[0] == "never_mind" && words.size() == 2) engine_.never_mind(*this, words[1]);
+      else if (words[0] == "want" && words.size() == 4) engine_.want(*this, words);
+      else if (words[0] == "turn" && words.size() == 3)
+        say({words[1], "PART", "fetch_no=" + words[2], "p\t" + words[2] + "\tx\n"});
+    });
+    if (!sound) engine_.forget(*this);
+  }
+
+ private:
+  StandInEngine& engine_;
+  net::RespReader reader_;
+  std::unique_ptr<net::Wire> wire_;
+};
+
+StandInEngine::StandInEngine(net::Loop& loop, std::string name, int cores, double memory_mb,
+                             std::uint64_t seed, Record* record)
+    : loop_(loop),
+      name_(std::move(name)),
+      cores_(cores),
+      memory_mb_(memory_mb),
+      chance_(static_cast<std::knuth_b::result_type>(seed)),
+      record_(record) {
+  address_ = "127.0.0.1:0";
+  live();
+}
+
+StandInEngine::~StandInEngine() { *alive_ = false; }
+
+void StandInEngine::live() {
+  if (door_) return;
+  door_ = std::make_unique<net::Door>(loop_, Poco::Net::SocketAddress(address_),
+                                      [this](const Poco::Net::StreamSocket& socket) { came(socket); });
+  address_ = door_->address().toString();
+}
+
+void StandInEngine::die() {
+  if (door_) door_->shut();
+  loop_.soon([door = std::shared_ptr<net::Door>(std::move(door_))] {});
+  while (!lines_.empty()) {
+    Line& line = *lines_.begin()->first;
+    forget(line);
+  }
+}
+
+void StandInEngine::set(const Faults& faults) {
+  if (faults.deaf != faults_.deaf) {
+    for (const auto& [line, owned] : lines_) line->wire().pause(faults.deaf);
+  }
+  faults_ = faults;
+}
+
+void StandInEngine::came(const Poco::Net::StreamSocket& socket) {
+  if (faults_.refuse) return Poco::Net::StreamSocket(socket).close();
+  auto line = std::make_unique<Line>(*this, socket);
+  Line* key = line.get();
+  lines_[key] = std::move(line);
+}
+
+void StandInEngine::over(const Run& run, bool turned_away) {
+  granted_mb_ -= run.grant_mb;
+  if (record_) record_->ended(name_, run.job, turned_away);
+}
+
+void StandInEngine::forget(Line& line) {
+  const auto at = lines_.find(&line);
+  if (at == lines_.end()) return;
+  for (auto it = running_.begin(); it != running_.end();) {
+    if (it->second.line != &line) ++it;
+    else over(it->second, false), it = running_.erase(it);
+  }
+  std::erase_if(waiting_, [&](const Run& run) {
+    if (run.line == &line) over(run, false);
+    return run.line == &line;
+  });
+  gone_.push_back(std::move(at->second));
+  lines_.erase(at);
+  loop_.soon([this, alive = alive_] {
+    if (!*alive) return;
+    for (auto& one : gone_) loop_.retire(one->give_wire());
+    gone_.clear();
+    start_next();
+  });
+}
+
+void StandInEngine::want(Line& line, std::vector<std::string>& words) {
+  ++begun_;
+  Run run{&line, words[1], 0, 0, 1, value_of(words[3], "fault"), next_++};
+  if (record_) record_->begun(name_, run.job);
+  run.work_ms = number_of(words[3], "work", 5) * faults_.slow;
+  run.grant_mb = number_of(words[2], "workmem", 0);
+  run.rows = static_cast<int>(number_of(words[3], "pages", 1));
+  const double drawn = std::generate_canonical<double, 32>(chance_);
+  double share = 0;
+  const auto struck = [&](double part) { return drawn < (share += part); };
+  if (run.fault.empty()) {
+    if (struck(faults_.error)) run.fault = "error";
+    else if (struck(faults_.reset)) run.fault = "reset";
+    else if (struck(faults_.hang)) run.fault = "hang";
+    else if (struck(faults_.cut)) run.fault = "cut";
+    else if (struck(faults_.turn_away)) run.fault = "full";
+  }
+  granted_mb_ += run.grant_mb;
+  if (run.fault == "full" || granted_mb_ > memory_mb_) {
+    over(run, true);
+    return line.say({run.job, "SHED", "-", ""});
+  }
+  waiting_.push_back(std::move(run));
+  start_next();
+}
+
+void StandInEngine::start_next() {
+  while (!waiting_.empty() && running_.size() < static_cast<std::size_t>(cores_)) {
+    Run run = std::move(waiting_.front());
+    waiting_.erase(waiting_.begin());
+    const std::uint64_t number = run.number;
+    const auto time = std::chrono::duration_cast<Span>(std::chrono::duration<double, std::milli>(run.work_ms));
+    running_[number] = std::move(run);
+    loop_.at(loop_.now() + time, [this, alive = alive_, number] {
+      if (*alive) finish(number);
+    });
+  }
+}
+
+void StandInEngine::finish(std::uint64_t number) {
+  const auto at = running_.find(number);
+  if (at == running_.end() || at->second.fault == "hang") return;
+  const Run run = std::move(at->second);
+  running_.erase(at);
+  over(run, false);
+  if (run.fault == "reset") {
+    forget(*run.line);
+  } else if (run.fault == "error") {
+    run.line->say({run.job, "FAULT", "-", ""});
+  } else {
+    run.line->say({run.job, "HIT", "fetches=" + std::to_string(run.rows), "a\t" + run.job + "\tz\n"},
+                  run.fault == "cut" ? 30 : 0);
+  }
+  start_next();
+}
+
+void StandInEngine::never_mind(Line& line, const std::string& job) {
+  ++given_up_;
+  for (auto it = running_.begin(); it != running_.end(); ++it) {
+    if (it->second.line != &line || it->second.job != job) continue;
+    over(it->second, false);
+    running_.erase(it);
+    return start_next();
+  }
+  std::erase_if(waiting_, [&](const Run& run) {
+    const bool given = run.line == &line && run.job == job;
+    if (given) over(run, true);
+    return given;
+  });
+}
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/engine.h
@@ -0,0 +1,77 @@
+// A stand-in engine: speaks the operators' RESP protocol, runs jobs for the time that their statements say on
+// as many cores as it has, holds their grants in its memory, and fails in scripted and seeded ways. It tells
+// the record what it saw.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "lab/record.h"
+#include "net/driver.h"
+
+namespace pearchute::lab {
+
+// Each share is of the jobs that come. A statement may ask for a fault of its own: `fault=error` and so on.
+struct Faults {
+  double error = 0, reset = 0, hang = 0, cut = 0, turn_away = 0;
+  double slow = 1;     // times the work
+  bool deaf = false;   // connections stay open, nothing is read
+  bool refuse = false;  // no new connections
+};
+
+class StandInEngine {
+ public:
+  StandInEngine(net::Loop& loop, std::string name, int cores, double memory_mb, std::uint64_t seed,
+                Record* record);
+  ~StandInEngine();
+  const std::string& name() const { return name_; }
+  std::string address() const { return address_; }
+  void set(const Faults& faults);
+  void die();   // resets all connections, and refuses others from then on
+  void live();  // at the same address
+  std::uint64_t begun() const { return begun_; }
+  std::uint64_t given_up() const { return given_up_; }
+  std::size_t running() const { return running_.size() + waiting_.size(); }
+
+ private:
+  class Line;
+  friend class Line;
+  struct Run {
+    Line* line = nullptr;
+    std::string job;
+    double work_ms = 0, grant_mb = 0;
+    int rows = 1;
+    std::string fault;
+    std::uint64_t number = 0;
+  };
+  void came(const Poco::Net::StreamSocket& socket);
+  void want(Line& line, std::vector<std::string>& words);
+  void never_mind(Line& line, const std::string& job);
+  void start_next();
+  void finish(std::uint64_t number);
+  void forget(Line& line);
+  void over(const Run& run, bool turned_away);
+
+  net::Loop& loop_;
+  const std::string name_;
+  const int cores_;
+  const double memory_mb_;
+  std::knuth_b chance_;
+  Record* record_;
+  Faults faults_;
+  std::string address_;
+  std::unique_ptr<net::Door> door_;
+  std::map<Line*, std::unique_ptr<Line>> lines_;
+  std::vector<std::unique_ptr<Line>> gone_;
+  std::map<std::uint64_t, Run> running_;
+  std::vector<Run> waiting_;
+  double granted_mb_ = 0;
+  std::uint64_t next_ = 1, begun_ = 0, given_up_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,82 @@
+// The laboratory's command line.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <exception>
+#include <filesystem>
+#include <iostream>
+#include <map>
+
+#include "lab/measure.h"
+#include "lab/world.h"
+#include "net/log.h"
+
+using namespace pearchute::lab;
+
+namespace {
+
+volatile std::sig_atomic_t asked_to_end = 0;
+
+// A small site that stays up until it is interrupted, for trying things out by hand.
+int up(const Bench& bench, int managers, int engines, double rate, int seconds) {
+  std::signal(SIGINT, [](int) { asked_to_end = 1; });
+  std::signal(SIGTERM, [](int) { asked_to_end = 1; });
+  Site site;
+  site.managers = managers, site.engines = engines, site.seed = bench.seed;
+  site.pearchuted = bench.programs + "/pearchuted";
+  World world(site);
+  if (!world.all_serving(static_cast<std::uint64_t>(engines))) throw std::runtime_error("the managers don't serve");
+  std::cout << "export PEARCHUTE_FLEET=" << world.write_fleet() << std::endl;
+  for (auto& manager : world.managers()) std::cerr << manager.name << " listens at " << manager.listen << "\n";
+  world.on([&] {
+    world.crowd().offer(rate, {{"quick", "SELECT work=10 FROM a_1.t", std::chrono::milliseconds(2000), 0, 10, 8},
+                               {"report", "SELECT work=60 FROM a_2.t", std::chrono::milliseconds(3500), 0, 60, 64}});
+  });
+  const Time end = steady_now() + std::chrono::seconds(seconds);
+  while (!asked_to_end && (seconds == 0 || steady_now() < end)) world.rest(std::chrono::milliseconds(50));
+  world.on([&] { world.crowd().offer(0, {}); });
+  world.quiet();
+  const Record::Verdict verdict = world.verdict();
+  std::cerr << verdict.sent << " jobs: " << verdict.done << " done, " << verdict.refused << " throttled, "
+            << verdict.failed << " failed, " << verdict.lost << " without an answer\n";
+  for (const std::string& fault : verdict.faults) std::cerr << fault << "\n";
+  return verdict.clean() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("pearchute-lab: stand-ins and measurements. Loopback only; what it starts it ends.");
+  app.require_subcommand(1);
+  Bench bench;
+  bench.programs = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+  const std::map<std::string, int (*)(const Bench&)> measurements = {{"drain", measure_drain},
+                                                                     {"fleet-status", measure_fleet_status}};
+  std::string name;
+  CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
+  std::vector<std::string> names;
+  for (const auto& [known, run] : measurements) names.push_back(known);
+  measure->add_option("name", name)->required()->check(CLI::IsMember(names));
+  measure->add_option("--size", bench.size, "how many, where not as documented");
+  app.add_option("--seed", bench.seed);
+  app.add_option("--programs", bench.programs, "the folder of pearchuted and pearchutectl");
+  int managers = 3, engines = 4, seconds = 0;
+  double rate = 50;
+  CLI::App* site = app.add_subcommand("up", "a small site on loopback until interrupted; prints how to reach it");
+  site->add_option("--managers", managers)->check(CLI::Range(1, 50));
+  site->add_option("--engines", engines)->check(CLI::Range(1, 200));
+  site->add_option("--rate", rate, "jobs a second")->check(CLI::Range(0.0, 5000.0));
+  site->add_option("--for", seconds, "0: until interrupted")->type_name("S");
+  for (CLI::App* one : {measure, site}) one->fallthrough();
+  CLI11_PARSE(app, argc, argv);
+  pearchute::net::start_log("lab");
+  spdlog::set_level(spdlog::level::err);
+  try {
+    if (site->parsed()) return up(bench, managers, engines, rate, seconds);
+    return measurements.at(name)(bench);
+  } catch (const std::exception& error) {
+    std::cerr << "pearchute-lab: " << error.what() << "\n";
+    return 3;
+  }
+}
--- /dev/null
+++ b/src/lab/measure.h
@@ -0,0 +1,19 @@
+// The measurements, by name. Each prints one JSON object on the last line of standard output, and returns a
+// status other than 0 where it breaks what it must show.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace pearchute::lab {
+
+struct Bench {
+  std::uint64_t seed = 1;
+  int size = 0;  // 0: as documented
+  std::string programs;  // the folder of the programs
+};
+
+int measure_drain(const Bench& bench);
+int measure_fleet_status(const Bench& bench);
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/record.h
@@ -0,0 +1,85 @@
+// What stand-in clients and engines saw of each job, with times, and the rules checked by it alone: never by
+// the managers' own word. Times are the machine's steady clock.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pearchute::lab {
+
+using Time = std::chrono::microseconds;  // of the steady clock
+Time steady_now();
+
+enum class Answer { done, refused, failed };
+
+class Record {
+ public:
+  struct Kind {
+    bool once = false;      // must never be begun twice unless the first was turned away
+    bool in_order = false;  // jobs of one key one at a time, as sent
+  };
+  void sent(const std::string& job, int manager, Kind kind, std::uint64_t key, Time until);
+  void answered(const std::string& job, Answer answer);
+  void unanswered(const std::string& job);  // its connection ended without one, or its time did
+  void withdrawn(const std::string& job);
+  // At an engine. A run ends when its answer is written, it is given up, or its connection ends.
+  void begun(const std::string& engine, const std::string& job);
+  void ended(const std::string& engine, const std::string& job, bool turned_away);
+
+  // Manager `manager` had the order to drain `engine` at `came`; nothing new may reach it much later.
+  void drain_came(const std::string& engine, int manager, Time came);
+  void drain_over(const std::string& engine, int manager);
+
+  struct Verdict {
+    std::uint64_t sent = 0, done = 0, refused = 0, failed = 0, withdrawn = 0;
+    std::uint64_t lost = 0, doubled = 0, late = 0, twice_run = 0, overlaps = 0, disorder = 0;
+    std::uint64_t drains = 0, late_over_500ms = 0;
+    std::vector<Time> drain_delays;  // from the order to the last new dispatch; 0 where none came after
+    std::vector<std::string> faults;  // the first few, in words
+    bool clean() const {
+      return lost + doubled + twice_run + overlaps + disorder + late_over_500ms + late == 0;
+    }
+  };
+  // Jobs whose time is not up yet are not judged.
+  const Verdict& verdict();
+  std::uint64_t open() const { return open_; }
+
+ private:
+  struct Run {
+    std::string engine;
+    bool over = false, turned_away = false;
+  };
+  struct Job {
+    int manager = 0;
+    Kind kind;
+    std::uint64_t key = 0, turn = 0;
+    Time until{};
+    int answers = 0;
+    bool given_up = false;
+    std::vector<Run> runs;
+  };
+  struct Line {
+    std::uint64_t next_turn = 1, last_begun = 0;
+    std::string out;  // the job of the key that is out
+  };
+  struct Drained {
+    Time came{}, last{};
+  };
+  void fault(std::uint64_t& count, const std::string& what);
+  void closed(const std::string& id, Job& job);
+
+  std::map<std::string, Job> jobs_;
+  std::deque<std::pair<Time, std::string>> over_;  // to be forgotten in time
+  std::map<std::uint64_t, Line> lines_;
+  std::map<std::pair<std::string, int>, std::deque<Time>> wants_;  // of the last second
+  std::map<std::pair<std::string, int>, Drained> drained_;
+  std::uint64_t open_ = 0;
+  Verdict verdict_;
+};
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/world.cpp
@@ -0,0 +1,246 @@
+#include "lab/world.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace pearchute::lab {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+Record::Kind kind_of(const std::string& type) { return {type == "once", type == "load"}; }
+
+namespace {
+
+// A port that was free a moment ago, at an address that few others use.
+std::string free_address(std::size_t number) {
+  const int pid = ::getpid();
+  const std::string host = "127." + std::to_string(1 + pid / 250 % 250) + "." + std::to_string(pid % 250) + "." +
+                           std::to_string(1 + number % 250);
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress(host, 0), true);
+  return socket.address().toString();
+}
+
+}  // namespace
+
+World::World(const Site& site) : site_(site) {
+  ::signal(SIGPIPE, SIG_IGN);
+  char folder[] = "/tmp/pearchute-lab-XXXXXX";
+  if (!::mkdtemp(folder)) throw std::runtime_error("no folder for the laboratory's files");
+  folder_ = folder;
+  on([this] { raise(); });
+  for (std::size_t i = 0; i < managers_.size(); ++i) start(i);
+}
+
+void World::raise() {
+  channel_ = std::make_unique<StandInChannel>(loop());
+  std::vector<StandInChannel::Member> members;
+  for (int i = 0; i < site_.engines; ++i) {
+    engines_.push_back(std::make_unique<StandInEngine>(loop(), "e" + std::to_string(i + 1), site_.cores,
+                                                       site_.memory_mb, site_.seed + static_cast<unsigned>(i),
+                                                       &record_));
+    members.push_back(member(static_cast<std::size_t>(i)));
+  }
+  channel_->tell(members, true);
+  crowd_ = std::make_unique<Crowd>(loop(), site_.seed, record_, kind_of);
+  for (int i = 0; i < site_.managers; ++i) {
+    Manager& manager = managers_.emplace_back();
+    const auto number = static_cast<std::size_t>(i);
+    manager.name = "n" + std::to_string(i + 1);
+    manager.zone = site_.zones[number % site_.zones.size()];
+    manager.listen = free_address(number);
+    manager.admin = folder_ + "/" + manager.name + ".sock";
+    manager.configuration = folder_ + "/" + manager.name + ".json";
+    manager.admin_file = folder_ + "/" + manager.name + ".ini";
+    manager.log = folder_ + "/" + manager.name + ".log";
+    write_configuration(number, channel_->address());
+    std::ofstream(manager.admin_file) << "[admin]\nlisten = unix:" << manager.admin
+                                      << "\norders_file = " << folder_ << "/" << manager.name << ".orders\n";
+    manager.caller = std::make_unique<admin::Caller>(loop(), admin::place_in("unix:" + manager.admin));
+    crowd_->add_manager(manager.listen);
+  }
+}
+
+World::~World() {
+  for (std::size_t i = 0; i < managers_.size(); ++i) {
+    if (ended(i) != -1) {
+      end_successor(i);
+      continue;
+    }
+    ::kill(managers_[i].process, SIGKILL);
+    ::waitpid(managers_[i].process, nullptr, 0);
+  }
+  on([this] {
+    crowd_.reset(), managers_.clear(), engines_.clear(), channel_.reset();
+    loop().settle();
+  });
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+// A manager that a command line has started again is no child of ours: it is asked to end.
+void World::end_successor(std::size_t manager) {
+  admin::CallEnd how{};
+  admin::v1::Call end;
+  end.mutable_end()->set_within_ms(1);
+  call(manager, end, &how);
+  const Time until = steady_now() + std::chrono::seconds(8);
+  while (how == admin::CallEnd::answered && steady_now() < until) {
+    rest(milliseconds(20));
+    admin::v1::Call who;
+    who.mutable_who();
+    call(manager, who, &how);
+  }
+}
+
+StandInChannel::Member World::member(std::size_t engine, const std::string& phase) const {
+  return {engines_[engine]->name(), engines_[engine]->address(), site_.zones[engine % site_.zones.size()], "std",
+          phase};
+}
+
+void World::write_configuration(std::size_t number, const std::string& channel) {
+  const Manager& manager = managers_[number];
+  const auto slowest = std::chrono::duration_cast<std::chrono::microseconds>(site_.slowest).count();
+  const auto type = [&](const char* name, const char* repeat, bool in_order, double worth) {
+    return json{{"name", name},   {"repeat", repeat},     {"keyScope", "all"}, {"window", 9'000'000},
+                {"slo", 600'000}, {"giveUp", slowest}, {"worth", worth},    {"byArrival", in_order}};
+  };
+  json configuration = {
+      {"name", manager.name},
+      {"listen", manager.listen},
+      {"seed", "1"},
+      {"limits", {{"sockets", 512}}},
+      {"channel", channel},
+      {"known", {{"cursor", 0}, {"cmds", json::array()}}},
+      {"settings",
+       {{"classes", {type("quick", "pure", false, 1), type("report", "pure", false, 5),
+                     type("load", "token", true, 3), type("once", "side_effect", false, 2)}},
+        {"hostTypes", {"std"}},
+        {"failureDomains", site_.zones},
+        {"zone", manager.zone},
+        {"me", number},
+        {"nInstances", site_.managers},
+        {"obligations", {{"stopSendingWithin", 500'000}, {"orderPause", 100'000}}},
+        {"familyInfo",
+         {{"coresByKind", {site_.cores}},
+          {"sizeMb", {site_.memory_mb}},
+          {"takesGrants", true},
+          {"takesPriority", true},
+          {"grantCap", 0.5}}},
+        {"limits",
+         {{"attemptsCap", 3},
+          {"cancel", true},
+          {"connectTimeout", 250'000},
+          {"idleClose", 15'000'000},
+          {"streamsPerConn", 4},
+          {"retryAfter", true},
+          {"maxRetryAfter", 500'000}}}}}};
+  std::ofstream(manager.configuration) << configuration.dump(1) << "\n";
+}
+
+std::string World::write_fleet() const {
+  const std::string name = folder_ + "/fleet.ini";
+  std::ofstream file(name);
+  file << "[fleet]\ntimeout_ms = 1000\n";
+  for (const Manager& manager : managers_) {
+    file << "\n[instance " << manager.name << "]\nadmin = unix:" << manager.admin << "\nzone = " << manager.zone
+         << "\nstart = exec " << site_.pearchuted << " --config " << manager.configuration << " --admin "
+         << manager.admin_file << " 2>>" << manager.log << "\n";
+  }
+  return name;
+}
+
+void World::move_channel(std::size_t manager, const std::string& address) { write_configuration(manager, address); }
+
+void World::start(std::size_t number) {
+  Manager& manager = managers_[number];
+  const pid_t parent = ::getpid();
+  manager.process = ::fork();
+  if (manager.process != 0) return;
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a laboratory that dies leaves nothing running
+  if (::getppid() != parent) ::_exit(127);
+  const int log = ::open(manager.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  ::dup2(log, STDERR_FILENO), ::dup2(log, STDOUT_FILENO);
+  for (int fd = 3; fd < 1024; ++fd) ::close(fd);
+  ::execl(site_.pearchuted.c_str(), "pearchuted", "--config", manager.configuration.c_str(), "--admin",
+          manager.admin_file.c_str(), static_cast<char*>(nullptr));
+  ::_exit(127);
+}
+
+void World::signal(std::size_t manager, int signal) {
+  if (managers_[manager].process > 0) ::kill(managers_[manager].process, signal);
+}
+
+int World::ended(std::size_t number) {
+  Manager& manager = managers_[number];
+  if (manager.process < 0) return -2;
+  int status = 0;
+  if (::waitpid(manager.process, &status, WNOHANG) == 0) return -1;
+  manager.process = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -2;
+}
+
+bool World::until(const std::function<bool()>& done, milliseconds at_most) {
+  const Time end = steady_now() + at_most;
+  while (!on(done)) {
+    if (steady_now() > end) return false;
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  return true;
+}
+
+void World::rest(milliseconds time) { std::this_thread::sleep_for(time); }
+
+admin::v1::Reply World::call(std::size_t manager, admin::v1::Call call, admin::CallEnd* end) {
+  std::promise<std::pair<admin::CallEnd, admin::v1::Reply>> heard;
+  auto reply = heard.get_future();
+  on([&] {
+    managers_[manager].caller->call(std::move(call), std::chrono::seconds(3),
+                                    [&](admin::CallEnd how, const admin::v1::Reply& what) {
+                                      heard.set_value({how, what});
+                                    });
+  });
+  const auto [how, what] = reply.get();
+  if (end) *end = how;
+  return what;
+}
+
+admin::v1::Reply World::order(std::size_t manager, const std::string& subject, bool drains,
+                              std::uint64_t generation, const std::string& holder, const std::string& id,
+                              milliseconds lease) {
+  admin::v1::Call order;
+  order.mutable_order()->set_id(id.empty() ? holder + "-" + std::to_string(generation) : id);
+  order.mutable_order()->set_subject(subject), order.mutable_order()->set_holder(holder);
+  order.mutable_order()->set_generation(generation), order.mutable_order()->set_drains(drains);
+  order.mutable_order()->set_lease_ms(static_cast<std::uint64_t>(lease.count()));
+  return call(manager, order);
+}
+
+admin::v1::Status World::status(std::size_t manager) {
+  admin::v1::Call what;
+  what.mutable_status();
+  return call(manager, what).status();
+}
+
+bool World::all_serving(std::uint64_t engines_up) {
+  const Time end = steady_now() + std::chrono::seconds(20);
+  for (std::size_t i = 0; i < managers_.size(); ++i) {
+    while (status(i).engines_up() != engines_up || status(i).identity().phase() != "serving") {
+      if (steady_now() > end) return false;
+      rest(milliseconds(10));
+    }
+  }
+  return true;
+}
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/world.h
@@ -0,0 +1,102 @@
+// A whole small site on loopback: a command channel, stand-in engines, managers as processes with their admin
+// channels, and a crowd of clients, all but the managers on one loop. It ends what it has started, by id.
+#pragma once
+
+#include <sys/types.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "admin/caller.h"
+#include "lab/channel.h"
+#include "lab/crowd.h"
+#include "lab/engine.h"
+#include "net/stage.h"
+
+namespace pearchute::lab {
+
+struct Site {
+  int managers = 1, engines = 2;
+  std::vector<std::string> zones = {"east", "west"};  // engines and managers in turn
+  int cores = 8;
+  double memory_mb = 8000;
+  std::uint64_t seed = 1;
+  std::string pearchuted;  // the program
+  std::chrono::milliseconds slowest{4000};  // the longest job timeout
+};
+
+class World {
+ public:
+  explicit World(const Site& site);
+  ~World();
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
+  struct Manager {
+    std::string name, zone, listen, admin, configuration, admin_file, log;
+    pid_t process = -1;
+    std::unique_ptr<admin::Caller> caller;
+  };
+  // The stand-ins live on a loop of their own: they are reached within `on` only.
+  template <class What>
+  auto on(What what) {
+    return stage_.on(std::move(what));
+  }
+  net::Loop& loop() { return stage_.loop(); }
+  Record& record() { return record_; }
+  StandInChannel& channel() { return *channel_; }
+  Crowd& crowd() { return *crowd_; }
+  std::vector<Manager>& managers() { return managers_; }
+  std::vector<std::unique_ptr<StandInEngine>>& engines() { return engines_; }
+  StandInChannel::Member member(std::size_t engine, const std::string& phase = "active") const;
+  const std::string& folder() const { return folder_; }
+  // A fleet file for pearchutectl over the managers, which starts them again as they were started. Its name.
+  std::string write_fleet() const;
+
+  void start(std::size_t manager);
+  void signal(std::size_t manager, int signal);
+  // The exit status once it has ended; -1 while it runs, -2 where a signal ended it.
+  int ended(std::size_t manager);
+  // A manager with another command channel, from its next reading on.
+  void move_channel(std::size_t manager, const std::string& address);
+
+  // Waits until `done`, asked on the loop some two hundred times a second; false where that took too long.
+  bool until(const std::function<bool()>& done, std::chrono::milliseconds at_most = std::chrono::seconds(20));
+  void rest(std::chrono::milliseconds time);
+  Record::Verdict verdict() {
+    return on([this] { return record_.verdict(); });
+  }
+  // No job is open any more.
+  bool quiet(std::chrono::milliseconds at_most = std::chrono::seconds(10)) {
+    return until([this] { return record_.verdict(), record_.open() == 0; }, at_most);
+  }
+  // A call to a manager, waited for.
+  admin::v1::Reply call(std::size_t manager, admin::v1::Call call, admin::CallEnd* end = nullptr);
+  admin::v1::Reply order(std::size_t manager, const std::string& subject, bool drains, std::uint64_t generation,
+                         const std::string& holder = "lab", const std::string& id = "",
+                         std::chrono::milliseconds lease = std::chrono::seconds(60));
+  admin::v1::Status status(std::size_t manager);
+  bool all_serving(std::uint64_t engines_up);  // waits for it
+
+ private:
+  void raise();
+  void end_successor(std::size_t manager);
+  void write_configuration(std::size_t manager, const std::string& channel);
+
+  net::Stage stage_;
+  const Site site_;
+  Record record_;
+  std::string folder_;
+  std::unique_ptr<StandInChannel> channel_;
+  std::vector<std::unique_ptr<StandInEngine>> engines_;
+  std::unique_ptr<Crowd> crowd_;
+  std::vector<Manager> managers_;
+};
+
+// What the rules hold for the site's reservation types: quick, report (restartable), load (keyed, in order),
+// once (run once).
+Record::Kind kind_of(const std::string& type);
+
+}  // namespace pearchute::lab
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -151,6 +151,7 @@
        std::function<void(const Poco::Net::StreamSocket&)> came);
   ~Door();
   void shut();
+  Poco::Net::SocketAddress address() const { return socket_.address(); }  // with the port that was picked
 
  private:
   void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
