--- a/src/admin/caller.cpp
+++ b/src/admin/caller.cpp
@@ -18,9 +18,12 @@
   if (wire_) loop_.retire(std::move(wire_));
 }
 
-void Caller::call(v1::Call call, Span within, Heard heard) { send(call, within, {std::move(heard), {}, false}); }
+void Caller::call(v1::Call call, Span within, Heard heard) {
+  send(call, within, {std::move(heard), {}, false});
+}
 
-void Caller::watch(std::uint64_t after, Span within, std::function<void(const v1::Event&)> event, Heard ended) {
+void Caller::watch(std::uint64_t after, Span within, std::function<void(const v1::Event&)> event,
+                   Heard ended) {
   v1::Call call;
   call.mutable_watch()->set_after(after);
   send(call, within, {std::move(ended), std::move(event), false});
--- a/src/admin/frames.cpp
+++ b/src/admin/frames.cpp
@@ -36,7 +36,8 @@
 }
 
 void append_frame(std::string& out, std::string_view message) {
-  for (int shift = 24; shift >= 0; shift -= 8) out.push_back(static_cast<char>(message.size() >> shift & 0xff));
+  for (int shift = 24; shift >= 0; shift -= 8)
+    out.push_back(static_cast<char>(message.size() >> shift & 0xff));
   out.append(message);
 }
 
--- a/src/admin/office.cpp
+++ b/src/admin/office.cpp
@@ -74,7 +74,8 @@
   }
   bool overdue(Span now) {
     constexpr seconds whole_call_within(5), read_within(10);
-    if (wire_->waiting() == 0 || wire_->written() != written_) written_ = wire_->written(), stuck_since_ = now;
+    if (wire_->waiting() == 0 || wire_->written() != written_)
+      written_ = wire_->written(), stuck_since_ = now;
     if (now - stuck_since_ > read_within) return true;
     if (session_.within()) return now - since_ > whole_call_within;
     return !session_.watches() && now - since_ > office_.terms_.idle_at_most;
@@ -114,7 +115,8 @@
 void Office::came(const Poco::Net::StreamSocket& socket) {
   if (lines_.size() >= terms_.most_connections) {
     ++turned_away_;
-    PEARCHUTE_LOG(spdlog::level::warn, "admin channel: {} connections are open; one more is closed", lines_.size());
+    PEARCHUTE_LOG(spdlog::level::warn, "admin channel: {} connections are open; one more is closed",
+                  lines_.size());
     return Poco::Net::StreamSocket(socket).close();
   }
   lines_.push_back(std::make_unique<Line>(*this, socket));
--- a/src/admin/office.h
+++ b/src/admin/office.h
@@ -1,6 +1,6 @@
 // The driver of an admin channel: listens, and moves bytes between operators' connections and their sessions,
-// on the manager's own loop. It owns the connections and keeps their bounds; one that makes noise, never reads
-// or says nothing is closed, and costs the clients' jobs nothing.
+// on the manager's own loop. It owns the connections and keeps their bounds; one that makes noise, never
+// reads or says nothing is closed, and costs the clients' jobs nothing.
 #pragma once
 
 #include <memory>
--- a/src/admin/orders_file.cpp
+++ b/src/admin/orders_file.cpp
@@ -38,8 +38,8 @@
     : path_(std::move(path)), passes_(std::move(passes)) {}
 
 const std::vector<const char*>& OrdersFile::points() {
-  static const std::vector<const char*> all = {"begun", "half written", "written", "synced", "renamed",
-                                               "folder synced"};
+  static const std::vector<const char*> all = {"begun",  "half written", "written",
+                                               "synced", "renamed",      "folder synced"};
   return all;
 }
 
--- a/src/admin/session.h
+++ b/src/admin/session.h
@@ -30,7 +30,7 @@
  public:
   // Replies that wait to be read; more and the next calls wait, so that one who never reads costs no more.
   static constexpr std::size_t most_unread = 2 * largest_frame;
-  static constexpr int calls_each_turn = 8;       // some hundred microseconds of the manager's time
+  static constexpr int calls_each_turn = 8;        // some hundred microseconds of the manager's time
   static constexpr std::size_t most_waiting = 32;  // calls read and not yet answered
 
   explicit Session(Desk& desk) : desk_(desk) {}
--- a/src/admin/terms.h
+++ b/src/admin/terms.h
@@ -15,6 +15,8 @@
   std::size_t most_connections = 16;
   std::size_t most_watchers = 4;
   std::chrono::seconds idle_at_most{60};
+  // How soon fronts see that the check says no. Usual ones ask each second and believe the second answer.
+  std::chrono::milliseconds notice{2000};
 };
 
 // Throws ini::Fault with file, line and what is wrong.
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -58,9 +58,11 @@
 std::string age(std::uint64_t ms) {
   char text[32];
   if (ms < 10'000) std::snprintf(text, sizeof text, "%.1fs", static_cast<double>(ms) / 1000);
-  else if (ms < 600'000) std::snprintf(text, sizeof text, "%llus", static_cast<unsigned long long>(ms / 1000));
-  else std::snprintf(text, sizeof text, "%lluh%02llum", static_cast<unsigned long long>(ms / 3'600'000),
-                     static_cast<unsigned long long>(ms / 60'000 % 60));
+  else if (ms < 600'000)
+    std::snprintf(text, sizeof text, "%llus", static_cast<unsigned long long>(ms / 1000));
+  else
+    std::snprintf(text, sizeof text, "%lluh%02llum", static_cast<unsigned long long>(ms / 3'600'000),
+                  static_cast<unsigned long long>(ms / 60'000 % 60));
   return text;
 }
 
@@ -127,8 +129,9 @@
       row["up"] = age(unix_ms() - std::min(unix_ms(), identity.started_unix_ms()));
       row["jobs"] = status.open_jobs();
       row["held"] = status.held_jobs();
-      row["engines"] = std::to_string(status.engines_up()) + " up, " + std::to_string(status.engines_draining()) +
-                       " draining, " + std::to_string(status.engines_left_out()) + " left out";
+      row["engines"] = std::to_string(status.engines_up()) + " up, " +
+                       std::to_string(status.engines_draining()) + " draining, " +
+                       std::to_string(status.engines_left_out()) + " left out";
       row["orders"] = status.orders();
       row["build"] = identity.build();
       row["digest"] = identity.digest();
@@ -149,7 +152,8 @@
 int Commands::status() {
   std::vector<Done> each;
   const Rows rows = status_rows(each);
-  output_.rows(rows, {"instance", "zone", "state", "up", "jobs", "held", "engines", "orders", "build", "trouble"});
+  output_.rows(rows,
+               {"instance", "zone", "state", "up", "jobs", "held", "engines", "orders", "build", "trouble"});
   return fleet::status_of_question(each);
 }
 
@@ -187,7 +191,8 @@
         row["threads"] = engine.live_threads(), row["slots"] = engine.slots();
         row["pace"] = engine.pace(), row["errors"] = engine.error_rate();
         row["cold"] = engine.cold();
-        if (engine.closed_for_ms() > 0) row["closed"] = age(engine.closed_for_ms()) + " " + engine.closed_why();
+        if (engine.closed_for_ms() > 0)
+          row["closed"] = age(engine.closed_for_ms()) + " " + engine.closed_why();
         else if (engine.on_trial()) row["closed"] = "on trial, " + engine.closed_why();
         row["connections"] = engine.connections(), row["out"] = engine.dispatches();
         row["kept_back"] = engine.kept_back(), row["oldest"] = age(engine.oldest_ms());
@@ -199,8 +204,8 @@
     }
     open = more;
   }
-  output_.rows(rows, {"instance", "engine", "engine_zone", "state", "said", "live_mb", "threads", "slots", "pace",
-                      "errors", "closed", "connections", "out", "kept_back", "oldest"});
+  output_.rows(rows, {"instance", "engine", "engine_zone", "state", "said", "live_mb", "threads", "slots",
+                      "pace", "errors", "closed", "connections", "out", "kept_back", "oldest"});
   return fleet::status_of_question(each);
 }
 
@@ -277,8 +282,8 @@
       row["failed"] = counters["answered"].value("cancelled", std::uint64_t{0});
     }
     if (terminal && !output_.json()) std::cout << "\033[H\033[2J";
-    output_.rows(rows, {"instance", "zone", "state", "jobs", "held", "jobs_a_second", "done", "throttled", "failed",
-                        "engines", "memory_kb", "trouble"});
+    output_.rows(rows, {"instance", "zone", "state", "jobs", "held", "jobs_a_second", "done", "throttled",
+                        "failed", "engines", "memory_kb", "trouble"});
   }
   return status;
 }
@@ -339,8 +344,12 @@
     for (const auto& [state, count] : seen.states)
       states += (states.empty() ? "" : "; ") + state + " at " + std::to_string(count);
     for (const std::string& holder : seen.holders) holders += (holders.empty() ? "" : ",") + holder;
-    rows.push_back({{"engine", name}, {"zone", seen.zone}, {"address", seen.address}, {"states", states},
-                    {"one_mind", seen.states.size() == 1}, {"held_by", holders}});
+    rows.push_back({{"engine", name},
+                    {"zone", seen.zone},
+                    {"address", seen.address},
+                    {"states", states},
+                    {"one_mind", seen.states.size() == 1},
+                    {"held_by", holders}});
   }
   for (std::size_t i = 0; i < heard.size(); ++i) {
     if (each[i] != Done::yes) std::cerr << chosen_[i]->facts.name << ": " << heard[i].trouble() << std::endl;
@@ -388,7 +397,8 @@
 
 // ---- Changes ----
 
-bool Commands::confirmed(const std::vector<fleet::Loss>& losses, const std::string& what, const Manner& manner) {
+bool Commands::confirmed(const std::vector<fleet::Loss>& losses, const std::string& what,
+                         const Manner& manner) {
   if (losses.empty() || manner.yes) return true;
   for (const fleet::Loss& loss : losses) {
     std::cerr << what << ": " << loss.stopping << " of the " << loss.serving << " that serve in zone "
@@ -424,19 +434,20 @@
   Told told;
   const std::vector<Heard> known = rounds_.ask(chosen_, orders_call);
   std::uint64_t newest = 0;
-  for (const Heard& one : known) newest = std::max<std::uint64_t>(newest, one.reply.orders().newest_generation());
+  for (const Heard& one : known)
+    newest = std::max<std::uint64_t>(newest, one.reply.orders().newest_generation());
   Call call;
   admin::v1::Order& order = *call.mutable_order();
   order.set_id(fresh_id()), order.set_subject(subject), order.set_holder(manner.holder);
   order.set_generation(newest + 1), order.set_drains(drains), order.set_everyone(manner.everyone && !drains);
   order.set_reason(manner.reason);
-  if (drains)
-    order.set_lease_ms(static_cast<std::uint64_t>(milliseconds(manner.lease).count()));
+  if (drains) order.set_lease_ms(static_cast<std::uint64_t>(milliseconds(manner.lease).count()));
   if (manner.dry_run) {
     for (std::size_t i = 0; i < chosen_.size(); ++i) {
       json row = base(*chosen_[i]);
       row["subject"] = subject.empty() ? "(manager)" : subject;
-      row["result"] = known[i].ok() ? (drains ? "would be drained" : "would be restored") : known[i].trouble();
+      row["result"] =
+          known[i].ok() ? (drains ? "would be drained" : "would be restored") : known[i].trouble();
       told.rows.push_back(std::move(row));
       told.each.push_back(done_of(known[i]));
     }
@@ -468,7 +479,8 @@
                    (one.reason().empty() ? "" : " (" + one.reason() + ")");
     }
     if (!holders.empty()) row["also_held_by"] = holders;
-    if (heard[i].ok() && !ordered.listed()) row["note"] = "not in this manager's list; the order waits for it";
+    if (heard[i].ok() && !ordered.listed())
+      row["note"] = "not in this manager's list; the order waits for it";
     Done done = done_of(heard[i]);
     // A restore that was taken, and others still hold it.
     if (done == Done::yes && !drains && ordered.in_force_size() > 0) done = Done::conflict;
@@ -504,8 +516,9 @@
       if (heard[at].ok()) row["state"] = status.identity().rest(), row["jobs"] = status.open_jobs();
       if (heard[at].ok() && status.identity().rest() == "drained") continue;
       if (!up) left.push_back(open[at]);
-      else told.each[open[at]] = heard[at].ok() ? Done::time_up : Done::unreachable,
-           row["result"] = heard[at].ok() ? "drains, but not within the time" : heard[at].trouble();
+      else
+        told.each[open[at]] = heard[at].ok() ? Done::time_up : Done::unreachable,
+        row["result"] = heard[at].ok() ? "drains, but not within the time" : heard[at].trouble();
     }
     open = left;
     if (open.empty()) break;
@@ -571,7 +584,8 @@
 
 // One instance's restart, with its calls kept until the next step carries them out.
 struct OneRestart final : fleet::Restart::Host {
-  OneRestart(const Instance& which, const fleet::Restart::Limits& limits) : instance(which), steps(*this, limits) {}
+  OneRestart(const Instance& which, const fleet::Restart::Limits& limits)
+      : instance(which), steps(*this, limits) {}
   void ask_to_end(Span within) override { end_within = within; }
   void start_program() override { start = true; }
   void ask_orders() override { orders = true; }
@@ -640,8 +654,7 @@
   for (const Instance* instance : chosen_) {
     rows.push_back(base(*instance));
     rows.back()["result"] = manner.dry_run ? "would be restarted" : "not begun";
-    if (manner.dry_run)
-      rows.back()["start"] = instance->start.empty() ? "by somebody else" : instance->start;
+    if (manner.dry_run) rows.back()["start"] = instance->start.empty() ? "by somebody else" : instance->start;
   }
   bool stopped = manner.dry_run;
   std::size_t next = 0;
--- a/src/ctl/fleet_file.cpp
+++ b/src/ctl/fleet_file.cpp
@@ -25,7 +25,8 @@
     const std::string who = section.substr(9);
     if (who.empty() || who.find_first_of(" \t") != std::string::npos)
       throw ini::Fault("'" + who + "' is no name for an instance");
-    const auto known = std::ranges::find(fleet.instances, who, [](const Instance& one) { return one.facts.name; });
+    const auto known =
+        std::ranges::find(fleet.instances, who, [](const Instance& one) { return one.facts.name; });
     if (known == fleet.instances.end() && fleet.instances.size() == most_instances)
       throw ini::Fault("more than " + std::to_string(most_instances) + " instances");
     Instance& instance = known != fleet.instances.end() ? *known : fleet.instances.emplace_back();
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -29,7 +29,8 @@
   add(app, "");
   return "_pearchutectl() {\n  local path=\"\" word words=\"\" i\n"
          "  for ((i = 1; i < COMP_CWORD; i++)); do\n    word=\"${COMP_WORDS[i]}\"\n"
-         "    case \"$word\" in -*) ;; *) [[ \"${COMP_WORDS[i-1]}\" == -* ]] || path=\"${path:+$path }$word\" ;; esac\n"
+         "    case \"$word\" in -*) ;; *) [[ \"${COMP_WORDS[i-1]}\" == -* ]] || path=\"${path:+$path "
+         "}$word\" ;; esac\n"
          "  done\n  case \"$path\" in\n" +
          cases +
          "  esac\n  COMPREPLY=($(compgen -W \"$words\" -- \"${COMP_WORDS[COMP_CWORD]}\"))\n}\n"
@@ -44,16 +45,21 @@
   const char* told = std::getenv("PEARCHUTE_FLEET");
   std::string file = told ? told : "/etc/pearchute/fleet.ini", on, form = "table";
   int timeout = 0, parallel = 0;
-  app.add_option("--fleet", file, "the list of instances, INI (or PEARCHUTE_FLEET names it)")->type_name("FILE");
-  app.add_option("--on", on, "which instances, e.g. 'zone = hall-a and not name ~ n3*'")->type_name("SELECTOR");
+  app.add_option("--fleet", file, "the list of instances, INI (or PEARCHUTE_FLEET names it)")
+      ->type_name("FILE");
+  app.add_option("--on", on, "which instances, e.g. 'zone = hall-a and not name ~ n3*'")
+      ->type_name("SELECTOR");
   app.add_option("--output", form, "table or json")->check(CLI::IsMember({"table", "json"}));
-  app.add_option("--timeout", timeout, "how long one may take to answer")->type_name("MS")->check(CLI::Range(10, 60000));
+  app.add_option("--timeout", timeout, "how long one may take to answer")
+      ->type_name("MS")
+      ->check(CLI::Range(10, 60000));
   app.add_option("--parallel", parallel, "how many are asked at once")->check(CLI::Range(1, 500));
 
   Manner manner;
   const char* user = std::getenv("USER");
   manner.holder = user && *user ? user : "operator";
-  int lease = 3600, within = 30, up_within = 30, at_once = 1, most = 50, rounds = 0, every = 2000, watched = 0;
+  int lease = 3600, within = 30, up_within = 30, at_once = 1, most = 50, rounds = 0, every = 2000,
+      watched = 0;
   std::vector<std::string> engines;
   std::string level;
   const auto changes = [&](CLI::App* command) {
@@ -63,7 +69,9 @@
     return command;
   };
   const auto drains = [&](CLI::App* command) {
-    command->add_option("--lease", lease, "how long the order holds")->type_name("S")->check(CLI::Range(1, 604800));
+    command->add_option("--lease", lease, "how long the order holds")
+        ->type_name("S")
+        ->check(CLI::Range(1, 604800));
     command->add_option("--reason", manner.reason, "what others are told");
     return changes(command);
   };
@@ -123,8 +131,8 @@
     std::cerr << "pearchutectl: " << fault.what() << "\n";
     return fleet::usage;
   } catch (const SelectorFault& fault) {
-    std::cerr << "pearchutectl: --on, column " << fault.column << ": " << fault.what() << "\n  " << on << "\n  "
-              << std::string(fault.column - 1, ' ') << "^\n";
+    std::cerr << "pearchutectl: --on, column " << fault.column << ": " << fault.what() << "\n  " << on
+              << "\n  " << std::string(fault.column - 1, ' ') << "^\n";
     return fleet::usage;
   }
   if (chosen.empty()) {
--- a/src/ctl/output.cpp
+++ b/src/ctl/output.cpp
@@ -48,7 +48,9 @@
     return head;
   });
   for (const auto& row : rows)
-    put([&](const std::string& column) { return row.contains(column) ? text_of(row[column]) : std::string(); });
+    put([&](const std::string& column) {
+      return row.contains(column) ? text_of(row[column]) : std::string();
+    });
   return text;
 }
 
--- a/src/ctl/rounds.cpp
+++ b/src/ctl/rounds.cpp
@@ -4,8 +4,8 @@
 
 namespace pearchute::ctl {
 
-using admin::Caller;
 using admin::CallEnd;
+using admin::Caller;
 
 std::string Heard::trouble() const {
   if (!answered()) return std::string(word_for(end));
@@ -39,16 +39,17 @@
       if (round->next == instances.size()) return;
       const std::size_t number = round->next++;
       round->callers[number] = std::make_unique<Caller>(stage_.loop(), instances[number]->place);
-      round->callers[number]->call(
-          call_for(number), within_, [&, round, number](CallEnd end, const admin::v1::Reply& reply) {
-            round->heard[number].end = end, round->heard[number].reply = reply;
-            // Its connection goes once this event is over, and the next instance has its turn.
-            stage_.loop().soon([&, round, number] {
-              round->callers[number].reset();
-              if (--round->left == 0) round->done.set_value();
-              else round->go_on();
-            });
-          });
+      round->callers[number]->call(call_for(number), within_,
+                                   [&, round, number](CallEnd end, const admin::v1::Reply& reply) {
+                                     round->heard[number].end = end, round->heard[number].reply = reply;
+                                     // Its connection goes once this event is over, and the next instance has
+                                     // its turn.
+                                     stage_.loop().soon([&, round, number] {
+                                       round->callers[number].reset();
+                                       if (--round->left == 0) round->done.set_value();
+                                       else round->go_on();
+                                     });
+                                   });
     };
     for (std::size_t i = 0; i < std::min(at_once_, instances.size()); ++i) round->go_on();
   });
--- a/src/ctl/selector.cpp
+++ b/src/ctl/selector.cpp
@@ -76,7 +76,8 @@
   };
 };
 const auto among = [](auto& context) {
-  x3::_val(context) = [field = x3::get<FieldTag>(context).get(), values = x3::_attr(context)](const Facts& facts) {
+  x3::_val(context) = [field = x3::get<FieldTag>(context).get(),
+                       values = x3::_attr(context)](const Facts& facts) {
     const std::string* fact = field(facts);
     return fact && std::find(values.begin(), values.end(), *fact) != values.end();
   };
@@ -89,9 +90,8 @@
 using Position = std::string::const_iterator;
 // What has to come next, in the words of the message where it does not.
 const auto or_say = [](const char* what) {
-  return x3::eps[([what](auto& context) {
-    throw x3::expectation_failure<Position>(x3::_where(context).begin(), what);
-  })];
+  return x3::eps[(
+      [what](auto& context) { throw x3::expectation_failure<Position>(x3::_where(context).begin(), what); })];
 };
 constexpr const char* factor_words = "not, ( or a field: name, zone, admin or label.NAME";
 
@@ -131,7 +131,8 @@
   Field field_now;
   By operator_now = By::equal;
   auto at = text.begin();
-  const auto parser = x3::with<FieldTag>(std::ref(field_now))[x3::with<OperatorTag>(std::ref(operator_now))[expression]];
+  const auto parser =
+      x3::with<FieldTag>(std::ref(field_now))[x3::with<OperatorTag>(std::ref(operator_now))[expression]];
   const auto column = [&](auto where) {
     while (where != text.end() && (*where == ' ' || *where == '\t')) ++where;
     return static_cast<std::size_t>(where - text.begin()) + 1;
--- a/src/daemon/governor.cpp
+++ b/src/daemon/governor.cpp
@@ -77,7 +77,7 @@
         started_unix_(unix_now()),
         orders_file_(terms.orders_file),
         drains_(*this),
-        rest_(*this),
+        rest_(*this, terms.notice),
         office_(parts.loop, terms, *this) {
     parts_.front.on_remark([this](std::string_view text) { tell("remark", "", text); });
     if (!terms.orders_file.empty()) remember();
@@ -95,8 +95,7 @@
       const Member* before = nullptr;
       if (const auto at = members_.find(member.name); at != members_.end()) before = &at->second;
       const EngineState said = member.engine.state;
-      const Standing standing =
-          drains_.channel_said(now, member.name, member.address, standing_of(said));
+      const Standing standing = drains_.channel_said(now, member.name, member.address, standing_of(said));
       if (!before || before->engine.state != said)
         tell("engine", member.name, "the channel says " + std::string(fleet::word_for(standing_of(said))));
       if (said == EngineState::gone) {
@@ -209,7 +208,8 @@
       spdlog::error("{}", damage_);
     }
     for (const auto& [order, left] : found.orders) drains_.remembered(parts_.loop.now(), order, left);
-    if (!found.orders.empty()) spdlog::info("{} orders from before the start hold", drains_.in_force().size());
+    if (!found.orders.empty())
+      spdlog::info("{} orders from before the start hold", drains_.in_force().size());
   }
 
   void identify(admin::v1::Identity& identity) const {
@@ -282,8 +282,10 @@
       to.set_cold(belief.is_cold), to.set_live_mb(engine.live_bytes), to.set_capacity_mb(belief.capacity_mb);
       to.set_live_threads(static_cast<std::uint32_t>(std::max(engine.live_threads, 0)));
       to.set_slots(belief.slots), to.set_closed_for_ms(in_ms(engine.closed_until - now));
-      if (now < engine.closed_until || engine.on_trial) to.set_closed_why(std::string(word_for(engine.trouble)));
-      to.set_on_trial(engine.on_trial), to.set_pace(engine.pace.stretch), to.set_error_rate(engine.error_rate);
+      if (now < engine.closed_until || engine.on_trial)
+        to.set_closed_why(std::string(word_for(engine.trouble)));
+      to.set_on_trial(engine.on_trial), to.set_pace(engine.pace.stretch),
+          to.set_error_rate(engine.error_rate);
       to.set_connections(static_cast<std::uint32_t>(sockets.connections));
       to.set_dispatches(static_cast<std::uint32_t>(sockets.dispatches));
       to.set_kept_back(static_cast<std::uint32_t>(sockets.kept_back));
@@ -329,7 +331,8 @@
     }
     ordered.set_verdict(std::string(fleet::word_for(verdict)));
     const bool own = order.subject.empty();
-    ordered.set_standing(std::string(own ? word_for(rest_.state()) : fleet::word_for(drains_.standing(order.subject))));
+    ordered.set_standing(
+        std::string(own ? word_for(rest_.state()) : fleet::word_for(drains_.standing(order.subject))));
     ordered.set_listed(own || members_.contains(order.subject));
     ordered.set_came_monotonic_us(
         static_cast<std::uint64_t>(duration_cast<std::chrono::microseconds>(came).count()));
--- a/src/daemon/program.h
+++ b/src/daemon/program.h
@@ -35,7 +35,7 @@
     Loop& loop;
     Front& front;
     const service::Deployment& deployment;
-    std::string name, digest;    // of the configuration
+    std::string name, digest;   // of the configuration
     std::function<void()> end;  // as SIGTERM does
     std::function<std::string()> counters;
   };
--- a/src/engines/engines.cpp
+++ b/src/engines/engines.cpp
@@ -64,7 +64,8 @@
   void want(DispatchKey key, const Want& want, bool again = false) {
     owner_.on_[key] = this;
     if (busy() == 0) idle_until_ = owner_.loop_.now();
-    // Kept back until the connection is up and its socket takes it, so that one given up by then never leaves.
+    // Kept back until the connection is up and its socket takes it, so that one given up by then never
+    // leaves.
     kept_back_.push_back({key, want, std::string(want.id), std::string(want.kind), std::string(want.token),
                           std::string(want.statement), again});
     wire_->offer();
@@ -98,12 +99,12 @@
   }
 
   void wire_free() override {
+    // One at a time, so that only the last that was put out can be with a socket that takes nothing.
     if (kept_back_.empty()) return;
+    const Kept kept = std::move(kept_back_.front());
+    kept_back_.erase(kept_back_.begin());
     std::string out;
-    for (Kept& kept : kept_back_) {
-      talk_.want(kept.key, kept.want_again(), out);
-    }
-    kept_back_.clear();
+    talk_.want(kept.key, kept.want_again(), out);
     wire_->send(out);
   }
 
@@ -130,6 +131,11 @@
   void withhold() {
     const std::vector<Kept> kept = std::move(kept_back_);
     kept_back_.clear();
+    const auto unsent = wire_->waiting() > 0 ? talk_.take_back(wire_->written()) : std::nullopt;
+    if (unsent) {
+      wire_->skip(unsent->second);
+      talk_ended(unsent->first, Outcome::unreachable, {});
+    }
     for (const Kept& one : kept) talk_ended(one.key, Outcome::unreachable, {});
   }
 
--- a/src/engines/resp.cpp
+++ b/src/engines/resp.cpp
@@ -126,6 +126,18 @@
   open.starts_at = put_;
   ids_[key] = want.id;
   put(out, {"want", want.id, fields, want.statement});
+  open.length = static_cast<std::size_t>(put_ - open.starts_at);
+}
+
+std::optional<std::pair<DispatchKey, std::size_t>> EngineTalk::take_back(std::uint64_t bytes_left) {
+  const auto it = std::ranges::find_if(open_, [&](const auto& one) {
+    return one.second.starts_at == bytes_left && one.second.farewell.empty();
+  });
+  if (it == open_.end()) return std::nullopt;
+  const std::pair taken{it->second.key, it->second.length};
+  ids_.erase(taken.first);
+  open_.erase(it);
+  return taken;
 }
 
 // Guards against two dispatches of a job that overlap: one given up is over only when its engine has heard,
--- a/src/engines/resp.h
+++ b/src/engines/resp.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -79,6 +80,9 @@
   bool feed(std::string_view bytes, std::string& out);
   // The connection is gone: what is open ends as reset, or as `unsent` where nothing of it had left.
   void broke(std::uint64_t bytes_left);
+  // The dispatch of which nothing has left after so many bytes, with the length of its command, where there
+  // is one: it is forgotten, and its listener is not told.
+  std::optional<std::pair<DispatchKey, std::size_t>> take_back(std::uint64_t bytes_left);
   std::size_t open() const { return open_.size(); }
   // Whether an answer under this id may still come: one that was given up, or a second copy of one that came.
   bool knows(std::string_view id) const;
@@ -90,6 +94,7 @@
   struct Open {
     DispatchKey key;
     std::uint64_t starts_at = 0;  // bytes put out before it
+    std::size_t length = 0;       // of its command
     std::size_t pages_here = 0;
     std::vector<std::string> pages;  // empty where one is missing yet
     std::vector<bool> here;
--- a/src/fleet/drains.cpp
+++ b/src/fleet/drains.cpp
@@ -97,9 +97,10 @@
   for (const auto& [name, one] : holders) {
     if (one.order.id == order.id && one.order.generation == order.generation) verdict = Verdict::repeated;
   }
-  // What it is held against: its holder's last word, and the last that was said for everyone.
+  // What it is held against: its holder's last word, and the last that was said for everyone. One that itself
+  // speaks for everyone ends what is older whatever its holder has said since.
   for (const auto& at : {own, all}) {
-    if (verdict != Verdict::done || at == holders.end()) continue;
+    if (verdict != Verdict::done || at == holders.end() || (order.everyone && at == own)) continue;
     const Order& other = at->second.order;
     if (order.generation < other.generation) verdict = Verdict::stale;
     // Of the same generation the one that drains stands, whichever comes first.
--- a/src/fleet/drains.h
+++ b/src/fleet/drains.h
@@ -25,13 +25,13 @@
 enum class Standing { up, draining, gone };
 
 struct Order {
-  std::string id;           // the same when it is sent again
-  std::string subject;      // an engine's name; "@" and an address: whatever engine is there; "": the manager
-  std::string holder;       // who answers for it
+  std::string id;       // the same when it is sent again
+  std::string subject;  // an engine's name; "@" and an address: whatever engine is there; "": the manager
+  std::string holder;   // who answers for it
   std::uint64_t generation = 0;
-  bool drains = true;       // false: restores
-  bool everyone = false;    // a restore that ends older orders of all holders, not its own only
-  Span lease{};             // how long it holds, of a drain
+  bool drains = true;     // false: restores
+  bool everyone = false;  // a restore that ends older orders of all holders, not its own only
+  Span lease{};           // how long it holds, of a drain
   std::string reason;
 };
 
@@ -61,7 +61,8 @@
     virtual void orders_changed() = 0;  // what is to survive a restart is other than before
     virtual void remark(std::string_view text) = 0;
   };
-  static constexpr Span longest_lease = std::chrono::hours(7 * 24);  // the longest works on a machine take days
+  static constexpr Span longest_lease =
+      std::chrono::hours(7 * 24);                   // the longest works on a machine take days
   static constexpr std::size_t most_orders = 512;   // a fleet's engines, each twice; under 300 kB
   static constexpr std::size_t longest_name = 128;  // as the protocol's own tokens
   static constexpr std::size_t longest_reason = 256;
--- a/src/fleet/rest.cpp
+++ b/src/fleet/rest.cpp
@@ -26,14 +26,19 @@
   if (ended_) return;
   const bool away = ordered_ || end_by_;
   // Once drained, it stays so until resumed: no call is taken that could open anything again.
-  const State next = !away ? State::serving : idle || state_ == State::drained ? State::drained : State::draining;
+  const State next = !away                              ? State::serving
+                     : idle || state_ == State::drained ? State::drained
+                                                        : State::draining;
   if (next != state_) {
     const bool turned = (state_ == State::serving) != (next == State::serving);
     state_ = next;
-    if (turned) host_.turn_away(next != State::serving);
+    if (turned) {
+      away_since_ = now;
+      host_.turn_away(next != State::serving);
+    }
     host_.rests(next);
   }
-  if (end_by_ && (state_ == State::drained || now >= *end_by_)) {
+  if (end_by_ && ((state_ == State::drained && now >= away_since_ + notice_) || now >= *end_by_)) {
     ended_ = true;
     host_.end();
   }
--- a/src/fleet/rest.h
+++ b/src/fleet/rest.h
@@ -19,7 +19,9 @@
     virtual void end() = 0;  // by the program's own way, which answers what is still open
     virtual void rests(State state) = 0;
   };
-  explicit Rest(Host& host) : host_(host) {}
+  // `notice` is how long those who send clients here take to see that calls are turned away: no end comes
+  // sooner, lest calls that are on their way find nobody.
+  Rest(Host& host, Span notice) : host_(host), notice_(notice) {}
 
   // By the orders in force. To be resumed undoes an end that was asked for, too, until it has begun.
   void drain_ordered(Span now, bool drains, bool idle);
@@ -35,6 +37,8 @@
   void settle(Span now, bool idle);
 
   Host& host_;
+  const Span notice_;
+  Span away_since_{};
   State state_ = State::serving;
   bool ordered_ = false, ended_ = false;
   std::optional<Span> end_by_;
--- a/src/fleet/restart.cpp
+++ b/src/fleet/restart.cpp
@@ -30,13 +30,15 @@
 void Restart::end_answered(Span, Seen seen, bool accepted) {
   if (state_ != State::asked) return;
   if (seen == Seen::gone) return finish(Done::unreachable, "not reached; nothing was asked of it");
-  if (seen == Seen::answered && !accepted) return finish(Done::refused, "refused to end; it goes on as before");
+  if (seen == Seen::answered && !accepted)
+    return finish(Done::refused, "refused to end; it goes on as before");
   // Where no answer came it may have been taken all the same: what is seen next tells.
   state_ = State::ending;
 }
 
 void Restart::seen(Span now, Seen seen, const std::optional<Identity>& identity) {
-  const bool other = identity && (identity->started != before_.started || identity->process != before_.process);
+  const bool other =
+      identity && (identity->started != before_.started || identity->process != before_.process);
   if (state_ == State::ending) {
     if (seen == Seen::gone) {
       state_ = State::starting;
@@ -71,7 +73,8 @@
     return host_.ask_orders();
   }
   if (!missing.empty())
-    return finish(Done::refused, "serves again, but " + std::to_string(missing.size()) + " orders are not in force");
+    return finish(Done::refused,
+                  "serves again, but " + std::to_string(missing.size()) + " orders are not in force");
   std::string word = "serves again";
   if (after_.build != before_.build) word += ", build " + before_.build + " -> " + after_.build;
   if (after_.digest != before_.digest) word += ", another configuration";
--- a/src/fleet/restart.h
+++ b/src/fleet/restart.h
@@ -1,6 +1,6 @@
-// The restart of one manager, step by step: asked to end once nothing is open, gone, started, serving, and the
-// open orders back in force. It decides what comes next and when to give up; it knows no socket, process or
-// clock. What it was told last is what its outcome says, so that no instance is left in a state unknown.
+// The restart of one manager, step by step: asked to end once nothing is open, gone, started, serving, and
+// the open orders back in force. It decides what comes next and when to give up; it knows no socket, process
+// or clock. What it was told last is what its outcome says, so that no instance is left in a state unknown.
 #pragma once
 
 #include <chrono>
@@ -26,16 +26,16 @@
     std::string build, digest;
   };
   struct Limits {
-    Span drain_within{};  // until what is open has ended; it ends then all the same
-    Span up_within{};     // from its end until it serves
+    Span drain_within{};     // until what is open has ended; it ends then all the same
+    Span up_within{};        // from its end until it serves
     bool starts_it = false;  // else somebody else does
   };
   class Host {
    public:
     virtual ~Host() = default;
-    virtual void ask_to_end(Span within) = 0;   // answered by end_answered
-    virtual void start_program() = 0;           // answered by nothing but its coming up
-    virtual void ask_orders() = 0;              // answered by orders_told
+    virtual void ask_to_end(Span within) = 0;                        // answered by end_answered
+    virtual void start_program() = 0;                                // answered by nothing but its coming up
+    virtual void ask_orders() = 0;                                   // answered by orders_told
     virtual void give_orders(const std::set<std::string>& ids) = 0;  // and then ask_orders once more
   };
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -298,7 +298,8 @@
   client.waits_for.reset();
   std::string out;
   // A client that is given a path calls it on the same connection.
-  const bool keep = client.http().keeps_alive() && ((!sending_home_ && !away_) || body.starts_with("{\"link\""));
+  const bool keep =
+      client.http().keeps_alive() && ((!sending_home_ && !away_) || body.starts_with("{\"link\""));
   append_response(out, status, headers, body, keep);
   client.wire().send(out);
   if (!keep) return drop(client);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -58,8 +58,8 @@
   // How many held jobs wait for what, of the first few thousand.
   std::map<WorkloadManager::Waits, std::size_t> tell_waits();
   // `oldest` is for how long the oldest dispatch there has been out.
-  void tell_engines(const std::function<void(const Engine&, const WorkloadManager::Belief&, const Engines::Shown&,
-                                             Span oldest)>& visit) const;
+  void tell_engines(const std::function<void(const Engine&, const WorkloadManager::Belief&,
+                                             const Engines::Shown&, Span oldest)>& visit) const;
 
   // What the module does
   void dispatch(JobId job, EngineId engine, Span time_limit) override;
--- a/src/ini/reader.h
+++ b/src/ini/reader.h
@@ -18,7 +18,8 @@
 
 // Calls `value` for each line `name = value` in order. What it throws as a Fault is given the file and line.
 // A name that comes twice in a section is a fault, and so is a file that can't be read.
-using Value = std::function<void(const std::string& section, const std::string& name, const std::string& text)>;
+using Value =
+    std::function<void(const std::string& section, const std::string& name, const std::string& text)>;
 void read(const std::string& file, const Value& value);
 
 // Plain values; throws a Fault that names the value.
--- a/src/lab/crowd.cpp
+++ b/src/lab/crowd.cpp
@@ -25,6 +25,7 @@
   bool busy() const { return !job_.empty(); }
   const std::string& job() const { return job_; }
   std::unique_ptr<net::Wire> give_wire() { return std::move(wire_); }
+  void wire_opened() override { opened_ = true; }
 
   void ask(const std::string& job, std::string call, std::function<void(std::optional<Answer>)> heard) {
     job_ = job, call_ = std::move(call), heard_ = std::move(heard);
@@ -63,6 +64,11 @@
   }
   void wire_ended() override {
     if (!busy() || deleting_) return crowd_.drop(*this);
+    if (!opened_ && path_.empty()) {
+      crowd_.record_.unreached(job_);
+      job_.clear();
+      return ended(std::nullopt);
+    }
     // A path is called again on a new connection, three times at most; a call that crossed the close of an
     // idle connection is sent again once.
     const bool crossed = path_.empty() && reused_ && !answer_begun_ && tries_ == 0;
@@ -76,14 +82,16 @@
 
  private:
   void connect() {
+    opened_ = false;
     wire_ = std::make_unique<net::Wire>(
-        crowd_.loop_,
-        Poco::Net::SocketAddress(crowd_.managers_[static_cast<std::size_t>(manager_)].address), *this);
+        crowd_.loop_, Poco::Net::SocketAddress(crowd_.managers_[static_cast<std::size_t>(manager_)].address),
+        *this);
   }
   std::string get_path() const { return "GET " + path_ + " HTTP/1.1\r\nHost: a\r\n\r\n"; }
   void heard(const net::Message& message) {
     if (deleting_) return crowd_.drop(*this);
-    if (!busy()) return crowd_.record_.answered("nothing", Answer::failed);  // an answer that nobody asked for
+    if (!busy())
+      return crowd_.record_.answered("nothing", Answer::failed);  // an answer that nobody asked for
     const int status = std::atoi(message.first_line.substr(message.first_line.find(' ') + 1).c_str());
     const bool later = message.body.find("\"TryLater\"") != std::string::npos;
     const std::size_t link = message.body.find("\"link\":\"");
@@ -116,10 +124,51 @@
   net::MessageReader reader_{net::MessageReader::Side::requests};
   std::string job_, call_, path_;
   std::function<void(std::optional<Answer>)> heard_;
-  bool answer_begun_ = false, closes_ = false, reused_ = false, deleting_ = false;
+  bool opened_ = false, answer_begun_ = false, closes_ = false, reused_ = false, deleting_ = false;
   int tries_ = 0, calls_ = 0;
 };
 
+// What a front sees of one manager.
+class Crowd::Check final : public net::Wire::User {
+ public:
+  Check(net::Loop& loop, std::string address) : loop_(loop), address_(std::move(address)) { ask(); }
+  ~Check() override { loop_.retire(std::move(wire_)); }
+  bool up() const { return up_; }
+  void wire_brought(std::string_view bytes) override {
+    while (!bytes.empty() && reader_.feed(bytes) == net::MessageReader::Status::whole) {
+      up_ = reader_.message().first_line.find(" 200") != std::string::npos;
+      heard_ = true;
+      if (reader_.message().header("connection") == "close") over();
+      reader_.next();
+    }
+  }
+  void wire_ended() override { over(), up_ = false; }
+
+ private:
+  void over() {
+    if (wire_) loop_.retire(std::move(wire_));
+  }
+  void ask() {
+    if (!heard_) up_ = false, over();
+    heard_ = false;
+    if (!wire_) {
+      reader_ = net::MessageReader(net::MessageReader::Side::requests);
+      wire_ = std::make_unique<net::Wire>(loop_, Poco::Net::SocketAddress(address_), *this);
+    }
+    wire_->send("GET /check HTTP/1.1\r\nHost: a\r\n\r\n");
+    loop_.at(loop_.now() + milliseconds(200), [this, alive = std::weak_ptr<bool>(alive_)] {
+      if (!alive.expired()) ask();
+    });
+  }
+
+  net::Loop& loop_;
+  const std::string address_;
+  std::unique_ptr<net::Wire> wire_;
+  net::MessageReader reader_{net::MessageReader::Side::requests};
+  bool up_ = false, heard_ = true;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
 Crowd::Crowd(net::Loop& loop, std::uint64_t seed, Record& record,
              std::function<Record::Kind(const std::string&)> kind_of)
     : loop_(loop),
@@ -132,6 +181,7 @@
 
 int Crowd::add_manager(const std::string& address) {
   managers_.push_back({address, {}});
+  checks_.push_back(std::make_unique<Check>(loop_, address));
   return static_cast<int>(managers_.size()) - 1;
 }
 
@@ -160,7 +210,8 @@
   std::string call = "POST /do/" + ask.type + " HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id +
                      "\r\nX-Timeout-Ms: " + std::to_string(ask.patience.count()) +
                      "\r\nX-Cost-Ms: " + std::to_string(ask.cost_ms) +
-                     "\r\nX-Est-Mb: " + std::to_string(ask.memory_mb) + "\r\nIdempotency-Key: k" + id + "\r\n";
+                     "\r\nX-Est-Mb: " + std::to_string(ask.memory_mb) + "\r\nIdempotency-Key: k" + id +
+                     "\r\n";
   if (ask.key != 0) call += "X-Object: " + hex(ask.key) + "\r\n";
   call += "Content-Length: " + std::to_string(ask.statement.size()) + "\r\n\r\n" + ask.statement;
   record_.sent(id, manager, kind_of_(ask.type), ask.key, steady_now() + ask.patience);
@@ -193,7 +244,7 @@
     int manager = -1;
     for (std::size_t i = 0; i < managers_.size() && manager < 0; ++i) {
       const int candidate = static_cast<int>((turn_ + i) % managers_.size());
-      if (!avoided_[candidate]) manager = candidate;
+      if (checks_[static_cast<std::size_t>(candidate)]->up()) manager = candidate;
     }
     ++turn_;
     if (manager < 0) continue;
--- a/src/lab/crowd.h
+++ b/src/lab/crowd.h
@@ -27,7 +27,8 @@
 class Crowd {
  public:
   // `kind_of` tells what the rules hold for a type.
-  Crowd(net::Loop& loop, std::uint64_t seed, Record& record, std::function<Record::Kind(const std::string&)> kind_of);
+  Crowd(net::Loop& loop, std::uint64_t seed, Record& record,
+        std::function<Record::Kind(const std::string&)> kind_of);
   ~Crowd();
   // A manager's address; the number stands for it from then on.
   int add_manager(const std::string& address);
@@ -36,8 +37,8 @@
   void withdraw(const std::string& job);  // closes its connection, or deletes its path
   // Offers `rate` jobs a second to the managers in turn, of the mix, until told 0.
   void offer(double rate, std::vector<Ask> mix);
-  // Managers that are not to get new jobs, as a front in front of them would see.
-  void avoid(int manager, bool avoided) { avoided_[manager] = avoided; }
+  // As the front does that stands before managers, it asks each for its check five times a second, and sends
+  // nothing new where the answer is no or does not come.
   std::uint64_t retry_advised() const { return retry_advised_; }
 
  private:
@@ -56,7 +57,8 @@
   Record& record_;
   std::function<Record::Kind(const std::string&)> kind_of_;
   std::vector<Manager> managers_;
-  std::map<int, bool> avoided_;
+  class Check;
+  std::vector<std::unique_ptr<Check>> checks_;  // one for each manager
   std::map<std::uint64_t, Time> key_sent_;
   std::vector<std::unique_ptr<Line>> gone_;
   std::vector<Ask> mix_;
--- a/src/lab/engine.h
+++ b/src/lab/engine.h
@@ -18,8 +18,8 @@
 // Each share is of the jobs that come. A statement may ask for a fault of its own: `fault=error` and so on.
 struct Faults {
   double error = 0, reset = 0, hang = 0, cut = 0, turn_away = 0;
-  double slow = 1;     // times the work
-  bool deaf = false;   // connections stay open, nothing is read
+  double slow = 1;      // times the work
+  bool deaf = false;    // connections stay open, nothing is read
   bool refuse = false;  // no new connections
 };
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -26,12 +26,15 @@
   site.managers = managers, site.engines = engines, site.seed = bench.seed;
   site.pearchuted = bench.programs + "/pearchuted";
   World world(site);
-  if (!world.all_serving(static_cast<std::uint64_t>(engines))) throw std::runtime_error("the managers don't serve");
+  if (!world.all_serving(static_cast<std::uint64_t>(engines)))
+    throw std::runtime_error("the managers don't serve");
   std::cout << "export PEARCHUTE_FLEET=" << world.write_fleet() << std::endl;
-  for (auto& manager : world.managers()) std::cerr << manager.name << " listens at " << manager.listen << "\n";
+  for (auto& manager : world.managers())
+    std::cerr << manager.name << " listens at " << manager.listen << "\n";
   world.on([&] {
-    world.crowd().offer(rate, {{"quick", "SELECT work=10 FROM a_1.t", std::chrono::milliseconds(2000), 0, 10, 8},
-                               {"report", "SELECT work=60 FROM a_2.t", std::chrono::milliseconds(3500), 0, 60, 64}});
+    world.crowd().offer(
+        rate, {{"quick", "SELECT work=10 FROM a_1.t", std::chrono::milliseconds(2000), 0, 10, 8},
+               {"report", "SELECT work=60 FROM a_2.t", std::chrono::milliseconds(3500), 0, 60, 64}});
   });
   const Time end = steady_now() + std::chrono::seconds(seconds);
   while (!asked_to_end && (seconds == 0 || steady_now() < end)) world.rest(std::chrono::milliseconds(50));
@@ -63,7 +66,8 @@
   app.add_option("--programs", bench.programs, "the folder of pearchuted and pearchutectl");
   int managers = 3, engines = 4, seconds = 0;
   double rate = 50;
-  CLI::App* site = app.add_subcommand("up", "a small site on loopback until interrupted; prints how to reach it");
+  CLI::App* site =
+      app.add_subcommand("up", "a small site on loopback until interrupted; prints how to reach it");
   site->add_option("--managers", managers)->check(CLI::Range(1, 50));
   site->add_option("--engines", engines)->check(CLI::Range(1, 200));
   site->add_option("--rate", rate, "jobs a second")->check(CLI::Range(0.0, 5000.0));
--- /dev/null
+++ b/src/lab/managers.cpp
@@ -0,0 +1,56 @@
+#include "lab/managers.h"
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/un.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstring>
+#include <stdexcept>
+
+namespace pearchute::lab {
+
+SilentPlace::SilentPlace(const std::string& path) : path_(path) {
+  socket_ = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_un at{};
+  at.sun_family = AF_UNIX;
+  std::strncpy(at.sun_path, path.c_str(), sizeof at.sun_path - 1);
+  if (::bind(socket_, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || ::listen(socket_, 16) != 0)
+    throw std::runtime_error("can't listen at " + path);
+}
+
+SilentPlace::~SilentPlace() {
+  ::close(socket_);
+  ::unlink(path_.c_str());
+}
+
+Ran run_program(const std::string& program, const std::vector<std::string>& arguments) {
+  int pipe[2];
+  if (::pipe2(pipe, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+  std::vector<char*> words = {const_cast<char*>(program.c_str())};
+  for (const std::string& word : arguments) words.push_back(const_cast<char*>(word.c_str()));
+  words.push_back(nullptr);
+  const auto begun = std::chrono::steady_clock::now();
+  const pid_t child = ::fork();
+  if (child == 0) {
+    const int nothing = ::open("/dev/null", O_RDWR);
+    ::dup2(nothing, STDIN_FILENO), ::dup2(pipe[1], STDOUT_FILENO);
+    ::execv(program.c_str(), words.data());
+    ::_exit(127);
+  }
+  ::close(pipe[1]);
+  Ran ran;
+  char buffer[4096];
+  for (ssize_t got; (got = ::read(pipe[0], buffer, sizeof buffer)) > 0;)
+    ran.out.append(buffer, static_cast<std::size_t>(got));
+  ::close(pipe[0]);
+  int status = 0;
+  ::waitpid(child, &status, 0);
+  ran.seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+  if (WIFEXITED(status)) ran.status = WEXITSTATUS(status);
+  return ran;
+}
+
+}  // namespace pearchute::lab
--- a/src/lab/measure.h
+++ b/src/lab/measure.h
@@ -9,7 +9,7 @@
 
 struct Bench {
   std::uint64_t seed = 1;
-  int size = 0;  // 0: as documented
+  int size = 0;          // 0: as documented
   std::string programs;  // the folder of the programs
 };
 
--- a/src/lab/measure_drain.cpp
+++ b/src/lab/measure_drain.cpp
@@ -16,7 +16,8 @@
 int measure_drain(const Bench& bench) {
   const int drains = bench.size > 0 ? bench.size : 120;
   Site site;
-  site.managers = 5, site.engines = 8, site.seed = bench.seed, site.pearchuted = bench.programs + "/pearchuted";
+  site.managers = 5, site.engines = 8, site.seed = bench.seed,
+  site.pearchuted = bench.programs + "/pearchuted";
   World world(site);
   if (!world.all_serving(8)) throw std::runtime_error("the managers don't serve");
   std::vector<Ask> mix = {{"quick", "SELECT work=4 FROM a_1.t", milliseconds(2000), 0, 4, 8},
@@ -40,7 +41,8 @@
     for (std::size_t m = 0; m < world.managers().size(); ++m) {
       if (!drain) world.on([&] { world.record().drain_over(name, static_cast<int>(m)); });
       const admin::v1::Reply reply = world.order(m, name, drain, generation);
-      if (reply.ordered().verdict() != "done") throw std::runtime_error("an order is not done: " + reply.fault());
+      if (reply.ordered().verdict() != "done")
+        throw std::runtime_error("an order is not done: " + reply.fault());
       const Time came(reply.ordered().came_monotonic_us());
       if (drain) world.on([&] { world.record().drain_came(name, static_cast<int>(m), came); });
     }
@@ -51,7 +53,8 @@
     if (drained.size() < 3 && !drained.contains(engine)) {
       order_all(engine, true), drained.insert(engine), ++done;
     } else if (!drained.empty()) {
-      const std::size_t back = *std::next(drained.begin(), static_cast<std::ptrdiff_t>(chance() % drained.size()));
+      const std::size_t back =
+          *std::next(drained.begin(), static_cast<std::ptrdiff_t>(chance() % drained.size()));
       order_all(back, false), drained.erase(back);
     }
   }
@@ -64,11 +67,12 @@
   std::vector<Time>& delays = verdict.drain_delays;
   std::ranges::sort(delays);
   const auto at = [&](double share) {
-    return delays.empty() ? 0.0
-                          : static_cast<double>(delays[static_cast<std::size_t>(
-                                share * static_cast<double>(delays.size() - 1))]
-                                                    .count()) /
-                                1000;
+    return delays.empty()
+               ? 0.0
+               : static_cast<double>(
+                     delays[static_cast<std::size_t>(share * static_cast<double>(delays.size() - 1))]
+                         .count()) /
+                     1000;
   };
   for (const std::string& fault : verdict.faults) std::cerr << fault << "\n";
   const nlohmann::json told = {{"drains", drains},
--- a/src/lab/record.cpp
+++ b/src/lab/record.cpp
@@ -60,6 +60,14 @@
   closed(id, at->second);
 }
 
+void Record::unreached(const std::string& id) {
+  const auto at = jobs_.find(id);
+  if (at == jobs_.end() || at->second.answers > 0 || at->second.given_up) return;
+  at->second.given_up = true;
+  ++verdict_.unreached;
+  closed(id, at->second);
+}
+
 void Record::begun(const std::string& engine, const std::string& id) {
   const auto at = jobs_.find(id);
   if (at == jobs_.end()) return;
@@ -78,7 +86,8 @@
   job.runs.push_back({engine});
   if (!job.kind.in_order) return;
   Line& line = lines_[job.key];
-  if (!line.out.empty() && line.out != id) fault(verdict_.disorder, id + " begins while " + line.out + " is out");
+  if (!line.out.empty() && line.out != id)
+    fault(verdict_.disorder, id + " begins while " + line.out + " is out");
   else if (job.turn < line.last_begun) fault(verdict_.disorder, id + " begins after a later one of its key");
   line.last_begun = std::max(line.last_begun, job.turn);
   line.out = id;
--- a/src/lab/record.h
+++ b/src/lab/record.h
@@ -27,6 +27,7 @@
   void answered(const std::string& job, Answer answer);
   void unanswered(const std::string& job);  // its connection ended without one, or its time did
   void withdrawn(const std::string& job);
+  void unreached(const std::string& job);  // no connection: it came to nobody
   // At an engine. A run ends when its answer is written, it is given up, or its connection ends.
   void begun(const std::string& engine, const std::string& job);
   void ended(const std::string& engine, const std::string& job, bool turned_away);
@@ -36,10 +37,10 @@
   void drain_over(const std::string& engine, int manager);
 
   struct Verdict {
-    std::uint64_t sent = 0, done = 0, refused = 0, failed = 0, withdrawn = 0;
+    std::uint64_t sent = 0, done = 0, refused = 0, failed = 0, withdrawn = 0, unreached = 0;
     std::uint64_t lost = 0, doubled = 0, late = 0, twice_run = 0, overlaps = 0, disorder = 0;
     std::uint64_t drains = 0, late_over_500ms = 0;
-    std::vector<Time> drain_delays;  // from the order to the last new dispatch; 0 where none came after
+    std::vector<Time> drain_delays;   // from the order to the last new dispatch; 0 where none came after
     std::vector<std::string> faults;  // the first few, in words
     bool clean() const {
       return lost + doubled + twice_run + overlaps + disorder + late_over_500ms + late == 0;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -24,8 +24,8 @@
 // A port that was free a moment ago, at an address that few others use.
 std::string free_address(std::size_t number) {
   const int pid = ::getpid();
-  const std::string host = "127." + std::to_string(1 + pid / 250 % 250) + "." + std::to_string(pid % 250) + "." +
-                           std::to_string(1 + number % 250);
+  const std::string host = "127." + std::to_string(1 + pid / 250 % 250) + "." + std::to_string(pid % 250) +
+                           "." + std::to_string(1 + number % 250);
   Poco::Net::ServerSocket socket;
   socket.bind(Poco::Net::SocketAddress(host, 0), true);
   return socket.address().toString();
@@ -64,8 +64,9 @@
     manager.admin_file = folder_ + "/" + manager.name + ".ini";
     manager.log = folder_ + "/" + manager.name + ".log";
     write_configuration(number, channel_->address());
-    std::ofstream(manager.admin_file) << "[admin]\nlisten = unix:" << manager.admin
-                                      << "\norders_file = " << folder_ << "/" << manager.name << ".orders\n";
+    std::ofstream(manager.admin_file)
+        << "[admin]\nlisten = unix:" << manager.admin << "\norders_file = " << folder_ << "/" << manager.name
+        << ".orders\nnotice_ms = 500\n";
     manager.caller = std::make_unique<admin::Caller>(loop(), admin::place_in("unix:" + manager.admin));
     crowd_->add_manager(manager.listen);
   }
@@ -104,47 +105,47 @@
 }
 
 StandInChannel::Member World::member(std::size_t engine, const std::string& phase) const {
-  return {engines_[engine]->name(), engines_[engine]->address(), site_.zones[engine % site_.zones.size()], "std",
-          phase};
+  return {engines_[engine]->name(), engines_[engine]->address(), site_.zones[engine % site_.zones.size()],
+          "std", phase};
 }
 
 void World::write_configuration(std::size_t number, const std::string& channel) {
   const Manager& manager = managers_[number];
   const auto slowest = std::chrono::duration_cast<std::chrono::microseconds>(site_.slowest).count();
   const auto type = [&](const char* name, const char* repeat, bool in_order, double worth) {
-    return json{{"name", name},   {"repeat", repeat},     {"keyScope", "all"}, {"window", 9'000'000},
+    return json{{"name", name},   {"repeat", repeat},  {"keyScope", "all"}, {"window", 9'000'000},
                 {"slo", 600'000}, {"giveUp", slowest}, {"worth", worth},    {"byArrival", in_order}};
   };
-  json configuration = {
-      {"name", manager.name},
-      {"listen", manager.listen},
-      {"seed", "1"},
-      {"limits", {{"sockets", 512}}},
-      {"channel", channel},
-      {"known", {{"cursor", 0}, {"cmds", json::array()}}},
-      {"settings",
-       {{"classes", {type("quick", "pure", false, 1), type("report", "pure", false, 5),
-                     type("load", "token", true, 3), type("once", "side_effect", false, 2)}},
-        {"hostTypes", {"std"}},
-        {"failureDomains", site_.zones},
-        {"zone", manager.zone},
-        {"me", number},
-        {"nInstances", site_.managers},
-        {"obligations", {{"stopSendingWithin", 500'000}, {"orderPause", 100'000}}},
-        {"familyInfo",
-         {{"coresByKind", {site_.cores}},
-          {"sizeMb", {site_.memory_mb}},
-          {"takesGrants", true},
-          {"takesPriority", true},
-          {"grantCap", 0.5}}},
-        {"limits",
-         {{"attemptsCap", 3},
-          {"cancel", true},
-          {"connectTimeout", 250'000},
-          {"idleClose", 15'000'000},
-          {"streamsPerConn", 4},
-          {"retryAfter", true},
-          {"maxRetryAfter", 500'000}}}}}};
+  json configuration = {{"name", manager.name},
+                        {"listen", manager.listen},
+                        {"seed", "1"},
+                        {"limits", {{"sockets", 512}}},
+                        {"channel", channel},
+                        {"known", {{"cursor", 0}, {"cmds", json::array()}}},
+                        {"settings",
+                         {{"classes",
+                           {type("quick", "pure", false, 1), type("report", "pure", false, 5),
+                            type("load", "token", true, 3), type("once", "side_effect", false, 2)}},
+                          {"hostTypes", {"std"}},
+                          {"failureDomains", site_.zones},
+                          {"zone", manager.zone},
+                          {"me", number},
+                          {"nInstances", site_.managers},
+                          {"obligations", {{"stopSendingWithin", 500'000}, {"orderPause", 100'000}}},
+                          {"familyInfo",
+                           {{"coresByKind", {site_.cores}},
+                            {"sizeMb", {site_.memory_mb}},
+                            {"takesGrants", true},
+                            {"takesPriority", true},
+                            {"grantCap", 0.5}}},
+                          {"limits",
+                           {{"attemptsCap", 3},
+                            {"cancel", true},
+                            {"connectTimeout", 250'000},
+                            {"idleClose", 15'000'000},
+                            {"streamsPerConn", 4},
+                            {"retryAfter", true},
+                            {"maxRetryAfter", 500'000}}}}}};
   std::ofstream(manager.configuration) << configuration.dump(1) << "\n";
 }
 
@@ -153,14 +154,16 @@
   std::ofstream file(name);
   file << "[fleet]\ntimeout_ms = 1000\n";
   for (const Manager& manager : managers_) {
-    file << "\n[instance " << manager.name << "]\nadmin = unix:" << manager.admin << "\nzone = " << manager.zone
-         << "\nstart = exec " << site_.pearchuted << " --config " << manager.configuration << " --admin "
-         << manager.admin_file << " 2>>" << manager.log << "\n";
+    file << "\n[instance " << manager.name << "]\nadmin = unix:" << manager.admin
+         << "\nzone = " << manager.zone << "\nstart = exec " << site_.pearchuted << " --config "
+         << manager.configuration << " --admin " << manager.admin_file << " 2>>" << manager.log << "\n";
   }
   return name;
 }
 
-void World::move_channel(std::size_t manager, const std::string& address) { write_configuration(manager, address); }
+void World::move_channel(std::size_t manager, const std::string& address) {
+  write_configuration(manager, address);
+}
 
 void World::start(std::size_t number) {
   Manager& manager = managers_[number];
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -23,7 +23,7 @@
   int cores = 8;
   double memory_mb = 8000;
   std::uint64_t seed = 1;
-  std::string pearchuted;  // the program
+  std::string pearchuted;                   // the program
   std::chrono::milliseconds slowest{4000};  // the longest job timeout
 };
 
@@ -74,8 +74,9 @@
   }
   // A call to a manager, waited for.
   admin::v1::Reply call(std::size_t manager, admin::v1::Call call, admin::CallEnd* end = nullptr);
-  admin::v1::Reply order(std::size_t manager, const std::string& subject, bool drains, std::uint64_t generation,
-                         const std::string& holder = "lab", const std::string& id = "",
+  admin::v1::Reply order(std::size_t manager, const std::string& subject, bool drains,
+                         std::uint64_t generation, const std::string& holder = "lab",
+                         const std::string& id = "",
                          std::chrono::milliseconds lease = std::chrono::seconds(60));
   admin::v1::Status status(std::size_t manager);
   bool all_serving(std::uint64_t engines_up);  // waits for it
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -250,6 +250,17 @@
   });
 }
 
+void Wire::skip(std::size_t bytes) {
+  while (bytes > 0 && !out_.empty()) {
+    BufferPool::Buffer& buffer = *out_.front();
+    const std::size_t part = std::min(bytes, buffer.end - buffer.begin);
+    buffer.begin += part, bytes -= part, waiting_ -= part, written_ += part;
+    if (buffer.begin < buffer.end) return;
+    loop_.buffers_.give_back(std::move(out_.front()));
+    out_.pop_front();
+  }
+}
+
 void Wire::flush() {
   while (!closed_) {
     if (out_.empty() && user_) {
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -105,6 +105,8 @@
   Wire& operator=(const Wire&) = delete;
   void send(std::string_view bytes);
   void offer();  // wire_free comes before this event is over, or as soon as the socket has taken what waits
+  // Drops so many bytes of the front of what waits, and counts them as written.
+  void skip(std::size_t bytes);
   void close();  // at once; the user hears no more
   bool opened() const { return opened_; }
   std::uint64_t written() const { return written_; }  // bytes handed to the system
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -1,8 +1,8 @@
 #include "net/log.h"
 
 #include <poll.h>
-#include <spdlog/pattern_formatter.h>
 #include <spdlog/details/null_mutex.h>
+#include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/base_sink.h>
 #include <unistd.h>
 
--- a/src/net/stage.h
+++ b/src/net/stage.h
@@ -1,5 +1,5 @@
-// A loop on a thread of its own, and the way to it for whoever goes step by step on another thread (the command
-// line, the scripts of stand-ins): what is to happen on the loop is handed over and waited for.
+// A loop on a thread of its own, and the way to it for whoever goes step by step on another thread (the
+// command line, the scripts of stand-ins): what is to happen on the loop is handed over and waited for.
 #pragma once
 
 #include <deque>
--- /dev/null
+++ b/tests/test_admin.cpp
@@ -0,0 +1,332 @@
+// The admin channel without a socket: frames and sessions fed in any cut and with noise, orders on disk
+// through kills at each point and damage, INI files, places, the selector language, the fleet file.
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <random>
+
+#include "admin.pb.h"
+#include "admin/frames.h"
+#include "admin/orders_file.h"
+#include "admin/place.h"
+#include "admin/session.h"
+#include "admin/terms.h"
+#include "ctl/fleet_file.h"
+#include "ctl/output.h"
+#include "ctl/selector.h"
+#include "ini/reader.h"
+
+using namespace pearchute;
+using namespace pearchute::admin;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string folder;
+
+struct CountingDesk final : Desk {
+  int answers = 0;
+  void answer(const v1::Call& call, v1::Reply& reply) override {
+    ++answers;
+    if (call.has_who()) reply.mutable_identity()->set_name("n1");
+    if (call.has_jobs()) {
+      // More than fits into a message.
+      for (int i = 0; i < 4000; ++i)
+        reply.mutable_jobs()->add_jobs()->set_id("0123456789abcdef0123456789abcdef");
+    }
+    if (call.has_watch()) reply.mutable_identity();
+  }
+};
+
+std::string framed(const v1::Call& call) {
+  std::string message, out;
+  call.SerializeToString(&message);
+  append_frame(out, message);
+  return out;
+}
+
+std::vector<v1::Reply> replies_in(const std::string& bytes) {
+  std::vector<v1::Reply> replies;
+  FrameReader reader;
+  assert(reader.feed(bytes, [&](std::string_view message) {
+    assert(message.size() <= largest_frame);
+    return replies.emplace_back().ParseFromArray(message.data(), static_cast<int>(message.size()));
+  }));
+  assert(!reader.within());
+  return replies;
+}
+
+v1::Call who(std::uint64_t number) {
+  v1::Call call;
+  call.set_number(number);
+  call.mutable_who();
+  return call;
+}
+
+void sessions() {
+  {  // In any cut.
+    const std::string bytes = framed(who(1)) + framed(who(2));
+    for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+      CountingDesk desk;
+      Session session(desk);
+      std::string out;
+      assert(session.feed(std::string_view(bytes).substr(0, cut)) &&
+             session.feed(std::string_view(bytes).substr(cut)));
+      assert(!session.turn(0, out));
+      const auto replies = replies_in(out);
+      assert(replies.size() == 2 && replies[1].number() == 2 && replies[1].identity().name() == "n1");
+    }
+  }
+  {  // From newer and older peers: an unknown call is answered, an unknown field is passed over.
+    CountingDesk desk;
+    Session session(desk);
+    std::string out, unknown("\x08\x07\xfa\x07\x00", 5), more;  // number 7, and field 127 with nothing in it
+    append_frame(more, unknown);
+    std::string with_more;
+    who(8).SerializeToString(&with_more);
+    append_frame(more, with_more + std::string("\xfa\x07\x00", 3));
+    append_frame(more, "\xff\xff\xff");
+    assert(session.feed(more) && !session.turn(0, out));
+    const auto replies = replies_in(out);
+    assert(replies.size() == 3 && replies[0].outcome() == v1::unknown_call && replies[0].number() == 7);
+    assert(replies[1].outcome() == v1::ok && replies[2].outcome() == v1::unusable && desk.answers == 1);
+  }
+  {  // Bounds: a huge length, an empty one, too many calls at once, an answer that is too large.
+    for (const std::string& noise :
+         {std::string("\xff\xff\xff\xff"), std::string(4, '\0'), std::string("GET / HTTP")}) {
+      CountingDesk desk;
+      assert(!Session(desk).feed(noise));
+    }
+    CountingDesk desk;
+    Session session(desk);
+    std::string many, out;
+    for (std::size_t i = 0; i <= Session::most_waiting; ++i) many += framed(who(i));
+    assert(!session.feed(many));
+    Session calm(desk);
+    many.clear();
+    for (std::uint64_t i = 0; i < 20; ++i) many += framed(who(i));
+    assert(calm.feed(many) && calm.turn(0, out) && desk.answers == Session::calls_each_turn);
+    assert(!calm.turn(Session::most_unread + 1, out) && desk.answers == Session::calls_each_turn);
+    assert(calm.turn(0, out) && !calm.turn(0, out) && replies_in(out).size() == 20);
+    v1::Call jobs;
+    jobs.mutable_jobs();
+    out.clear();
+    assert(calm.feed(framed(jobs)) && !calm.turn(0, out) && replies_in(out)[0].outcome() == v1::busy);
+  }
+  {  // A watch whose reader is slow loses events and is told how many.
+    CountingDesk desk;
+    Session session(desk);
+    std::string out;
+    v1::Call watch;
+    watch.set_number(9), watch.mutable_watch();
+    v1::Event event;
+    session.event(event, 0, out);
+    assert(out.empty() && session.feed(framed(watch)) && !session.turn(0, out) && session.watches());
+    out.clear();
+    for (std::uint64_t number = 1; number <= 5; ++number) {
+      event.set_number(number);
+      session.event(event, number >= 2 && number <= 4 ? largest_frame : 0, out);
+    }
+    const auto replies = replies_in(out);
+    assert(replies.size() == 2 && replies[0].event().lost() == 0 && replies[0].number() == 9);
+    assert(replies[1].event().number() == 5 && replies[1].event().lost() == 3);
+  }
+  for (unsigned seed = 1; seed <= 3000; ++seed) {  // Noise, and sound calls with a byte changed
+    std::knuth_b chance(seed);
+    std::string bytes = framed(who(seed)) + framed(who(seed + 1));
+    for (unsigned i = 0; i <= seed % 4; ++i) bytes[chance() % bytes.size()] = static_cast<char>(chance());
+    CountingDesk desk;
+    Session session(desk);
+    std::string out;
+    if (session.feed(bytes)) session.turn(0, out);
+    replies_in(out);
+  }
+}
+
+fleet::Held held(const std::string& id, const std::string& subject, std::uint64_t generation,
+                 bool drains = true) {
+  return {{id, subject, "ann", generation, drains, false, seconds(60), "why"}, fleet::Span(0), seconds(60)};
+}
+
+void orders_on_disk() {
+  const std::string path = folder + "/orders";
+  const milliseconds now(1'700'000'000'000);
+  std::string fault;
+  OrdersFile file(path);
+  assert(!file.read(now).damaged && file.read(now).orders.empty());
+  assert(file.write({held("1", "a", 3), held("2", "", 4), held("3", "b", 5, false)}, fleet::Span(0), now,
+                    fault));
+  const auto found = file.read(now + seconds(20));
+  assert(!found.damaged && found.orders.size() == 3 && found.orders[0].second == seconds(40));
+  assert(found.orders[0].first.subject == "a" && found.orders[0].first.generation == 3 &&
+         found.orders[1].first.subject.empty() && !found.orders[2].first.drains);
+  assert(file.read(now + seconds(61)).orders[0].second < fleet::Span(0));
+
+  // A kill at each point leaves the orders of before or of after.
+  for (const char* point : OrdersFile::points()) {
+    assert(file.write({held("old", "a", 1)}, fleet::Span(0), now, fault));
+    const pid_t child = fork();
+    if (child == 0) {
+      // A point of the list that is never passed shows as another status.
+      OrdersFile dying(path, [&](const char* at) {
+        if (std::string(at) == point) _exit(9);
+      });
+      dying.write({held("new", "a", 2), held("more", "b", 2)}, fleet::Span(0), now, fault);
+      _exit(1);
+    }
+    int status = 0;
+    waitpid(child, &status, 0);
+    assert(WIFEXITED(status) && WEXITSTATUS(status) == 9);
+    const auto after = file.read(now);
+    assert(!after.damaged);
+    const bool renamed = std::string(point) == "renamed" || std::string(point) == "folder synced";
+    assert(after.orders.size() == (renamed ? 2u : 1u) &&
+           after.orders[0].first.id == (renamed ? "new" : "old"));
+  }
+  // Damage of any kind is told, the file set aside, and nothing taken from it.
+  std::ifstream whole(path, std::ios::binary);
+  const std::string text{std::istreambuf_iterator<char>(whole), {}};
+  for (std::size_t length = 0; length < text.size(); ++length) {
+    std::ofstream(path, std::ios::binary) << text.substr(0, length);
+    const auto cut = file.read(now);
+    assert(cut.damaged && cut.orders.empty() && access(path.c_str(), F_OK) != 0);
+  }
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    std::string changed = text;
+    changed[at] = static_cast<char>(changed[at] ^ 0x20);
+    std::ofstream(path, std::ios::binary) << changed;
+    assert(file.read(now).damaged);
+  }
+  // Where it can't be written, the reason comes back.
+  assert(!OrdersFile(folder + "/nowhere/orders").write({}, fleet::Span(0), now, fault) && !fault.empty());
+}
+
+std::string write(const std::string& name, const std::string& text) {
+  std::ofstream(folder + "/" + name) << text;
+  return folder + "/" + name;
+}
+
+template <class Read>
+std::string fault_of(Read read) {
+  try {
+    read();
+  } catch (const std::exception& fault) {
+    return fault.what();
+  }
+  return "";
+}
+
+void files() {
+  struct Case {
+    const char* text;
+    const char* fault;  // behind the file's name; empty: it is usable
+  };
+  const Case terms[] = {
+      {"[admin]\nlisten = unix:/run/x.sock\n", ""},
+      {"; a comment\n[admin]\nlisten = 127.0.0.1:900\nconnections = 4\nwatchers = 2\nidle_s = 5\n", ""},
+      {"[admin]\nconnections = 4\n", ": 'listen' is missing in [admin]"},
+      {"[admin]\nlisten = 10.0.0.1:900\n", ":2: '10.0.0.1:900' is no loopback address"},
+      {"[admin]\nlisten = unix:x\n", ":2: the path of 'unix:x' is not absolute"},
+      {"[admin]\nlisten = 127.0.0.1:900\n\nconnections = 0\n", ":4: 'connections' has to be from 1 to 64"},
+      {"[admin]\nlisten = 127.0.0.1:900\nconnections = four\n", ":3: 'connections' is no whole number: four"},
+      {"[admin]\nlisten = 127.0.0.1:900\nlisten = 127.0.0.1:901\n", ":3: 'listen' comes twice in [admin]"},
+      {"[admin]\nlisten = 127.0.0.1:900\nhear = x\n", ":3: 'hear' is not known in [admin]"},
+      {"[amin]\nlisten = 127.0.0.1:900\n", ":2: [amin] is not known; [admin] is"},
+      {"[admin]\nwhat is this\n", ":2: neither [section] nor name = value"},
+  };
+  for (const Case& c : terms) {
+    const std::string file = write("terms.ini", c.text);
+    const std::string fault = fault_of([&] { read_terms(file); });
+    if (fault != (*c.fault ? file + c.fault : "")) std::fprintf(stderr, "%s\n", fault.c_str());
+    assert(fault == (*c.fault ? file + c.fault : ""));
+  }
+  const Case fleets[] = {
+      {"[instance a]\nadmin = 127.0.0.1:1\nzone = x\nlabels = tier=gold, spare\n", ""},
+      {"[fleet]\nparallel = 4\n", ": no instance is named"},
+      {"[instance a]\nzone = x\n", ": instance a has no 'admin'"},
+      {"[instance a]\nadmin = 127.0.0.1:1\n[instance b]\nadmin = 127.0.0.1:1\n",
+       ":4: another instance has the admin address 127.0.0.1:1"},
+      {"[instance a]\nadmin = 127.0.0.1:1\nlabels = =x\n",
+       ":3: '=x' is no label: NAME=VALUE, set apart by commas"},
+      {"[instance a b]\nadmin = 127.0.0.1:1\n", ":2: 'a b' is no name for an instance"},
+  };
+  for (const Case& c : fleets) {
+    const std::string file = write("fleet.ini", c.text);
+    const std::string fault = fault_of([&] { ctl::read_fleet(file); });
+    if (fault != (*c.fault ? file + c.fault : "")) std::fprintf(stderr, "%s\n", fault.c_str());
+    assert(fault == (*c.fault ? file + c.fault : ""));
+  }
+  const auto fleet = ctl::read_fleet(write("fleet.ini", fleets[0].text));
+  assert(fleet.instances[0].facts.labels.at("tier") == "gold" &&
+         fleet.instances[0].facts.labels.contains("spare"));
+  assert(!fault_of([] { read_terms("/nowhere.ini"); }).empty());
+}
+
+void selectors() {
+  const ctl::Facts one{"n31", "hall-a", "127.0.0.1:1", {{"tier", "gold"}}},
+      other{"n2", "hall-b", "127.0.0.1:2", {}};
+  struct Case {
+    const char* text;
+    bool picks_one, picks_other;
+    std::size_t column;  // of its fault; 0: none
+  };
+  const Case cases[] = {
+      {"", true, true, 0},
+      {"zone = hall-a", true, false, 0},
+      {"zone = hall-a and not name ~ n3*", false, false, 0},
+      {"name in {n2, n31}", true, true, 0},
+      {"label.tier", true, false, 0},
+      {"not label.tier", false, true, 0},
+      {"label.tier != gold", false, true, 0},
+      {"label.tier !~ g*", false, true, 0},
+      {"zone = \"hall-b\" or label.tier = gold and name = n31", true, true, 0},
+      {"(zone = hall-b or label.tier = gold) and name = n31", true, false, 0},
+      {"not (not admin ~ *:1)", true, false, 0},
+      {"android = 1", false, false, 1},
+      {"name", false, false, 1},
+      {"name =", false, false, 7},
+      {"name in n2", false, false, 9},
+      {"name in {n2", false, false, 12},
+      {"(name = n2", false, false, 11},
+      {"name = n2 and", false, false, 14},
+      {"name = n2 zone = x", false, false, 11},
+      {"name = \"n2", false, false, 8},
+      {"not", false, false, 4},
+      {")", false, false, 1},
+  };
+  for (const Case& c : cases) {
+    std::size_t column = 0;
+    try {
+      const ctl::Selector selector = ctl::selector_in(c.text);
+      assert(selector(one) == c.picks_one && selector(other) == c.picks_other);
+    } catch (const ctl::SelectorFault& fault) {
+      column = fault.column;
+      assert(std::string(fault.what()).starts_with("expected "));
+    }
+    if (column != c.column) std::fprintf(stderr, "%s: column %zu\n", c.text, column);
+    assert(column == c.column);
+  }
+  // As deep as it may get, and one longer.
+  const std::string deep = std::string(250, '(') + "name = n2" + std::string(250, ')');
+  assert(ctl::selector_in(deep)(other));
+  assert(!fault_of([&] { ctl::selector_in("not " + std::string(600, '(')); }).empty());
+  const ctl::Rows rows = {{{"a", "x"}, {"b", 1.5}}, {{"a", "longer"}, {"c", true}}};
+  assert(ctl::table(rows, {"a", "b", "c"}) == "a       b     c\nx       1.50\nlonger        yes\n");
+}
+
+int main() {
+  char name[] = "/tmp/pearchute-admin-XXXXXX";
+  assert(mkdtemp(name));
+  folder = name;
+  sessions();
+  orders_on_disk();
+  files();
+  selectors();
+  for (const char* file : {"orders", "orders.new", "orders.damaged", "terms.ini", "fleet.ini"})
+    unlink((folder + "/" + file).c_str());
+  rmdir(folder.c_str());
+}
