--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -13,11 +13,11 @@
 #include <CLI/CLI.hpp>
 
 #include "daemon/governor.h"
+#include "net/json_lines.h"
 #endif
 
 namespace {
 
-using pearchute::net::LogForm;
 using pearchute::net::Program;
 
 int start(int argc, char** argv) {
@@ -26,13 +26,12 @@
 #ifdef PEARCHUTE_FLEET
   CLI::App app("pearchuted, the workload manager: takes clients' jobs and sends them to query engines");
   std::string check, admin;
-  LogForm log = LogForm::plain;
+  std::string log = "plain";
   app.add_option("--config", file, "the configuration, JSON (or PROXY_CONFIG names it)")->type_name("FILE");
   app.add_option("--admin", admin, "opens an admin channel by this INI file")->type_name("FILE");
   app.add_option("--log", log, "log lines: plain or json")
       ->type_name("FORM")
-      ->transform(CLI::CheckedTransformer(
-          std::map<std::string, LogForm>{{"plain", LogForm::plain}, {"json", LogForm::json}}));
+      ->check(CLI::IsMember({"plain", "json"}));
   app.add_option("--check", check, "checks this configuration (and --admin's file), starts nothing")
       ->type_name("FILE");
   app.set_version_flag("--version", "pearchuted " PEARCHUTE_VERSION);
@@ -48,7 +47,7 @@
     std::cout << check << ": usable\n";
     return 0;
   }
-  return Program(file, log, annex).run();
+  return Program(file, log == "json" ? pearchute::net::json_lines() : nullptr, annex).run();
 #else
   if (argc > 1) throw std::runtime_error(std::string("this build takes no arguments: ") + argv[1]);
   return Program(file).run();
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -107,7 +107,8 @@
   }
 }
 
-Program::Program(const std::string& file, LogForm log, const MakeAnnex& annex) : file_(file) {
+Program::Program(const std::string& file, std::unique_ptr<spdlog::formatter> log, const MakeAnnex& annex)
+    : file_(file) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, [](int) { asked_to_end = 1; });
   std::signal(SIGINT, [](int) { asked_to_end = 1; });
@@ -115,7 +116,7 @@
   std::signal(SIGUSR1, [](int) { asked_for_counters = 1; });
   const json configuration = read_configuration(file_);
   name_ = configuration.value("name", told("PROXY_NAME"));
-  start_log(name_.empty() ? "pearchuted" : name_, log);
+  start_log(name_.empty() ? "pearchuted" : name_, std::move(log));
   const std::string address = address_in(configuration);
   deployment_ = decode_settings(configuration);
   for (const ReservationType& type : deployment_.service.types)
--- a/src/daemon/program.h
+++ b/src/daemon/program.h
@@ -41,7 +41,8 @@
   };
   using MakeAnnex = std::function<std::unique_ptr<Annex>(const Parts&)>;
   // `file` holds the configuration. Throws std::exception with one plain line on what is missing or broken.
-  explicit Program(const std::string& file, LogForm log = LogForm::plain, const MakeAnnex& annex = {});
+  explicit Program(const std::string& file, std::unique_ptr<spdlog::formatter> log = {},
+                   const MakeAnnex& annex = {});
   ~Program();
   int run();
   // Reads a configuration as a start would, and starts nothing. Throws as the constructor does.
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -2,15 +2,17 @@
 // reader does not take is dropped and counted, and each kind of line has a ration. It never ends the program.
 #pragma once
 
+#include <spdlog/formatter.h>
 #include <spdlog/spdlog.h>
 
 #include <cstdint>
+#include <memory>
 #include <string>
 
 namespace pearchute::net {
 
-enum class LogForm { plain, json };
-void start_log(const std::string& name, LogForm form = LogForm::plain);
+// Lines of `form`; without one, plain ones.
+void start_log(const std::string& name, std::unique_ptr<spdlog::formatter> form = {});
 
 // How often a kind of line may come: a few at once, then one by one.
 class LineRation {
