Decisions of claims and rollouts, with a simulated fleet and a Promela model

Need: agents die, connections break and two operators work at once; after any of it each instance has to be in a state that is known, told, and right by what was last ordered.

--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,11 @@
 # `make build` does so by itself where something is missing and it may.
 BUILD ?= build
 PACKAGES = cmake g++ make libpoco-dev libspdlog-dev nlohmann-json3-dev libcli11-dev libinih-dev libboost-dev \
-  libprotobuf-dev protobuf-compiler
+  libprotobuf-dev protobuf-compiler libsqlitecpp-dev libsqlite3-dev spin
 # Headers of the module's and the network code's own; the libraries' are not ours to lint.
 SOURCES = $(shell find src tests -name '*.cpp')
 
-.PHONY: build needed demo measure test sanitize lint format run counters packages clean
+.PHONY: build needed demo measure model test sanitize lint format run counters packages clean
 
 build: needed
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release -DBUILD_TESTING=ON -DPEARCHUTE_FLEET=ON -DPEARCHUTE_LAB=ON
@@ -24,6 +24,12 @@
 measure: build
 	$(BUILD)/pearchute-lab measure drain
 	$(BUILD)/pearchute-lab measure fleet-status
+	$(BUILD)/pearchute-lab measure rollout
+
+# Some seconds; installs Spin where it is missing and it may.
+model:
+	@command -v spin >/dev/null || { [ "$$(id -u)" = 0 ] && apt-get install -y -qq spin; }
+	model/check
 
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure
--- /dev/null
+++ b/src/fleet/keeper.cpp
@@ -0,0 +1,140 @@
+#include "fleet/keeper.h"
+
+#include <algorithm>
+
+namespace pearchute::fleet {
+
+// One instance, between its life and the agent's hands.
+class Keeper::One final : public Life::Host {
+ public:
+  One(Keeper& keeper, std::string name, const Kept& kept)
+      : keeper_(keeper), name_(std::move(name)), kept_(kept), life_(*this, kept.wanted, kept.version) {
+    life_.remembered(kept.step, kept.past);
+  }
+  Life& life() { return life_; }
+  const Life& life() const { return life_; }
+  Kept& kept() { return kept_; }
+  const Kept& kept() const { return kept_; }
+
+ private:
+  bool intend(const std::string& what, const std::optional<Step>& step) override {
+    Kept next = keeper_.kept_of(*this);
+    next.step = step;
+    if (!keeper_.host_.write({{name_, next}}, what)) return false;
+    kept_ = next;
+    return true;
+  }
+  void start(int version) override { keeper_.host_.start(name_, version); }
+  void ask_to_end(Span within) override { keeper_.host_.ask_to_end(name_, within); }
+  void call_off_end() override { keeper_.host_.call_off_end(name_); }
+  void order_drain(bool drains, const Step& step) override { keeper_.host_.order_drain(name_, drains, step); }
+  void terminate() override { keeper_.host_.terminate(name_); }
+  void kill() override { keeper_.host_.kill(name_); }
+  void step_ended(const Step& step, StepEnd end, const std::string& word) override {
+    // Should this not get written, the step is found under way after a kill, and falls back: it does no harm.
+    kept_.step.reset();
+    kept_ = keeper_.kept_of(*this);
+    keeper_.host_.write({{name_, kept_}}, "step ended");
+    keeper_.host_.step_ended(name_, step, end, word);
+  }
+
+  Keeper& keeper_;
+  const std::string name_;
+  Kept kept_;
+  Life life_;
+};
+
+Keeper::Keeper(Host& host) : host_(host), claims_(*this) {}
+Keeper::~Keeper() = default;
+
+Keeper::Kept Keeper::kept_of(const One& one) const {
+  Kept kept = one.kept();
+  kept.wanted = one.life().wanted(), kept.version = one.life().version();
+  kept.past = one.life().last();
+  return kept;
+}
+
+void Keeper::owns(Span now, const std::string& instance, const Kept& kept) {
+  all_[instance] = std::make_unique<One>(*this, instance, kept);
+  claims_.owns(now, instance, kept.last_fence, kept.claim, kept.lease);
+}
+
+Claims::Answer Keeper::ask(Span now, const ClaimAsk& ask) {
+  now_ = now;
+  for (const std::string& instance : ask.instances) {
+    if (const auto at = all_.find(instance); at != all_.end()) at->second->kept().lease = ask.lease;
+  }
+  return claims_.ask(now, ask);
+}
+
+bool Keeper::renew(Span now, const std::string& operation, Span lease) {
+  now_ = now;
+  return claims_.renew(now, operation, lease);
+}
+
+void Keeper::release(Span now, const std::string& operation) {
+  now_ = now;
+  claims_.release(now, operation);
+}
+
+bool Keeper::keep(const std::map<std::string, Claim>& granted) {
+  std::map<std::string, Kept> write;
+  for (const auto& [instance, claim] : granted) {
+    Kept kept = kept_of(*all_.at(instance));
+    kept.claim = claim, kept.last_fence = std::max(kept.last_fence, claim.fence);
+    write[instance] = kept;
+  }
+  if (!host_.write(write, "claim")) return false;
+  for (const auto& [instance, kept] : write) all_.at(instance)->kept() = kept;
+  return true;
+}
+
+void Keeper::claim_ended(const std::string& instance, const Claim& claim, Claims::Ended why) {
+  One& one = *all_.at(instance);
+  one.kept().claim.reset();
+  host_.write({{instance, kept_of(one)}}, "claim ended");
+  host_.claim_over(instance, claim, why);
+  // A step that its own coordinator gives back goes on to its end: nobody else is waiting for the instance.
+  if (why != Claims::Ended::released) one.life().claim_ended(now_);
+}
+
+bool Keeper::step(Span now, const std::string& instance, const Step& step, std::string& fault) {
+  now_ = now;
+  claims_.woken(now);
+  const auto at = all_.find(instance);
+  if (at == all_.end()) return fault = "not this agent's", false;
+  if (!claims_.live(now, instance, step.fence)) {
+    fault = "its claim is not live: fence " + std::to_string(step.fence) + ", the last is " +
+            std::to_string(claims_.last_fence(instance));
+    return false;
+  }
+  if (claims_.claim_on(now, instance)->operation != step.operation)
+    return fault = "claimed by another operation", false;
+  if (at->second->life().step(now, step)) return true;
+  fault = at->second->life().under_way()
+              ? "another step is under way"
+              : "its state is " + std::string(word_for(at->second->life().condition()));
+  return false;
+}
+
+void Keeper::looked(Span now, const std::string& instance, const Life::Look& look) {
+  now_ = now;
+  claims_.woken(now);
+  if (const auto at = all_.find(instance); at != all_.end()) at->second->life().looked(now, look);
+}
+
+void Keeper::woken(Span now) {
+  now_ = now;
+  claims_.woken(now);
+}
+
+const Life* Keeper::life(const std::string& instance) const {
+  const auto at = all_.find(instance);
+  return at == all_.end() ? nullptr : &at->second->life();
+}
+
+bool Keeper::settled() const {
+  return std::ranges::all_of(all_, [](const auto& one) { return !one.second->life().under_way(); });
+}
+
+}  // namespace pearchute::fleet
--- /dev/null
+++ b/src/store/store.cpp
@@ -0,0 +1,283 @@
+#include "store/store.h"
+
+#include <SQLiteCpp/SQLiteCpp.h>
+
+#include <nlohmann/json.hpp>
+
+namespace pearchute::store {
+
+using fleet::Claim;
+using fleet::Keeper;
+using fleet::Life;
+using fleet::RolloutPlan;
+using fleet::Span;
+using fleet::Step;
+using nlohmann::json;
+
+namespace {
+
+json to_json(const Step& step) {
+  return {{"operation", step.operation},
+          {"fence", step.fence},
+          {"kind", static_cast<int>(step.kind)},
+          {"fallback", static_cast<int>(step.fallback)},
+          {"version", step.version},
+          {"drain_within_us", step.drain_within.count()},
+          {"up_within_us", step.up_within.count()}};
+}
+
+Step step_in(const json& from) {
+  Step step;
+  step.operation = from.at("operation"), step.fence = from.at("fence");
+  step.kind = static_cast<fleet::StepKind>(from.at("kind").get<int>());
+  step.fallback = static_cast<fleet::Fallback>(from.at("fallback").get<int>());
+  step.version = from.at("version");
+  step.drain_within = Span(from.at("drain_within_us").get<Span::rep>());
+  step.up_within = Span(from.at("up_within_us").get<Span::rep>());
+  return step;
+}
+
+json to_json(const RolloutPlan& plan) {
+  json targets = json::array();
+  for (const fleet::Target& target : plan.targets)
+    targets.push_back({target.instance, target.agent, target.zone});
+  return {{"who", plan.who},
+          {"kind", static_cast<int>(plan.kind)},
+          {"fallback", static_cast<int>(plan.fallback)},
+          {"version", plan.version},
+          {"version_before", plan.version_before},
+          {"targets", targets},
+          {"at_once", plan.at_once},
+          {"batch", plan.batch},
+          {"least_serving", plan.least_serving},
+          {"warm_us", plan.warm.count()},
+          {"gate_us", plan.gate.count()},
+          {"margin", plan.margin},
+          {"failures", plan.failures},
+          {"take_over", plan.take_over},
+          {"lease_us", plan.lease.count()},
+          {"drain_within_us", plan.drain_within.count()},
+          {"up_within_us", plan.up_within.count()}};
+}
+
+RolloutPlan plan_in(const std::string& id, const json& from) {
+  RolloutPlan plan;
+  plan.id = id, plan.who = from.at("who");
+  plan.kind = static_cast<fleet::StepKind>(from.at("kind").get<int>());
+  plan.fallback = static_cast<fleet::Fallback>(from.at("fallback").get<int>());
+  plan.version = from.at("version"), plan.version_before = from.at("version_before");
+  for (const json& target : from.at("targets"))
+    plan.targets.push_back({target.at(0), target.at(1), target.at(2)});
+  plan.at_once = from.at("at_once"), plan.batch = from.at("batch");
+  plan.least_serving = from.at("least_serving").get<std::map<std::string, int>>();
+  plan.warm = Span(from.at("warm_us").get<Span::rep>()),
+  plan.gate = Span(from.at("gate_us").get<Span::rep>());
+  plan.margin = from.at("margin"), plan.failures = from.at("failures"), plan.take_over = from.at("take_over");
+  plan.lease = Span(from.at("lease_us").get<Span::rep>());
+  plan.drain_within = Span(from.at("drain_within_us").get<Span::rep>());
+  plan.up_within = Span(from.at("up_within_us").get<Span::rep>());
+  return plan;
+}
+
+}  // namespace
+
+Store::Store(std::string path, std::function<void(const char*)> passes)
+    : path_(std::move(path)), passes_(std::move(passes)) {}
+
+Store::~Store() = default;
+
+const std::vector<const char*>& Store::points() {
+  static const std::vector<const char*> all = {"begun", "put", "committed"};
+  return all;
+}
+
+Store::Opened Store::open(std::string& fault) {
+  try {
+    database_ = std::make_unique<SQLite::Database>(path_, SQLite::OPEN_READWRITE | SQLite::OPEN_CREATE, 200);
+    // A transaction is on the disk itself when it is over, whatever falls: the process, the system, the
+    // power.
+    database_->exec("PRAGMA journal_mode=DELETE; PRAGMA synchronous=FULL;");
+    const std::string sound = database_->execAndGet("PRAGMA integrity_check(1)").getString();
+    if (sound != "ok") {
+      fault = path_ + " is damaged: " + sound;
+      database_.reset();
+      return Opened::damaged;
+    }
+    const int from = database_->execAndGet("PRAGMA user_version").getInt();
+    if (from > version) {
+      fault = path_ + " is of version " + std::to_string(from) + ", newer than this program's " +
+              std::to_string(version);
+      database_.reset();
+      return Opened::too_new;
+    }
+    SQLite::Transaction transaction(*database_);
+    migrate(from);
+    database_->exec("PRAGMA user_version = " + std::to_string(version));
+    transaction.commit();
+    // What can be read only is of no use: an intent that can't be written must not be acted on.
+    SQLite::Transaction probe(*database_);
+    database_->exec("CREATE TABLE IF NOT EXISTS probe (x); DROP TABLE probe;");
+    probe.commit();
+    instances(), processes(), rollouts(1);
+    return Opened::usable;
+  } catch (const SQLite::Exception& error) {
+    const int code = error.getErrorCode();
+    const bool damaged = code == 11 || code == 26;  // SQLITE_CORRUPT, SQLITE_NOTADB
+    fault = path_ + (damaged ? " is damaged: " : " can't be used: ") + error.what();
+    database_.reset();
+    return damaged ? Opened::damaged : Opened::unusable;
+  } catch (const std::exception& error) {
+    fault = path_ + " holds what can't be read: " + error.what();
+    database_.reset();
+    return Opened::damaged;
+  }
+}
+
+// Each step brings a file to the next version.
+void Store::migrate(int from) {
+  if (from < 1) {
+    database_->exec(
+        "CREATE TABLE instance (name TEXT PRIMARY KEY, wanted INTEGER NOT NULL, version INTEGER NOT NULL,"
+        " last_fence INTEGER NOT NULL, claim_operation TEXT, claim_who TEXT, claim_fence INTEGER,"
+        " lease_us INTEGER NOT NULL, step TEXT, past TEXT);"
+        "CREATE TABLE process (instance TEXT PRIMARY KEY, pid INTEGER NOT NULL, started INTEGER NOT NULL,"
+        " boot TEXT NOT NULL);");
+  }
+  if (from < 2) {
+    database_->exec(
+        "CREATE TABLE rollout (id TEXT PRIMARY KEY, plan TEXT NOT NULL, state INTEGER NOT NULL,"
+        " stages TEXT NOT NULL, word TEXT NOT NULL, begun_unix_ms INTEGER NOT NULL);");
+  }
+}
+
+bool Store::transact(const std::function<void()>& what) {
+  const auto pass = [&](const char* point) {
+    if (passes_) passes_(point);
+  };
+  if (!database_) return fault_ = "the store is not open", false;
+  try {
+    SQLite::Transaction transaction(*database_);
+    pass("begun");
+    what();
+    pass("put");
+    transaction.commit();
+    pass("committed");
+    fault_.clear();
+    return true;
+  } catch (const SQLite::Exception& error) {
+    fault_ = path_ + ": " + error.what();
+    return false;
+  }
+}
+
+bool Store::write(const std::map<std::string, Keeper::Kept>& kept) {
+  return transact([&] {
+    for (const auto& [name, one] : kept) {
+      SQLite::Statement put(*database_, "INSERT OR REPLACE INTO instance VALUES (?,?,?,?,?,?,?,?,?,?)");
+      put.bind(1, name), put.bind(2, one.wanted), put.bind(3, one.version);
+      put.bind(4, static_cast<std::int64_t>(one.last_fence));
+      if (one.claim) {
+        put.bind(5, one.claim->operation), put.bind(6, one.claim->who);
+        put.bind(7, static_cast<std::int64_t>(one.claim->fence));
+      }
+      put.bind(8, static_cast<std::int64_t>(one.lease.count()));
+      if (one.step) put.bind(9, to_json(*one.step).dump());
+      if (one.past) {
+        json past = {{"step", to_json(one.past->step)},
+                     {"end", static_cast<int>(one.past->end)},
+                     {"word", one.past->word}};
+        put.bind(10, past.dump());
+      }
+      put.exec();
+    }
+  });
+}
+
+bool Store::write_process(const std::string& instance, const std::optional<Process>& process) {
+  return transact([&] {
+    if (!process) {
+      SQLite::Statement remove(*database_, "DELETE FROM process WHERE instance = ?");
+      remove.bind(1, instance);
+      remove.exec();
+      return;
+    }
+    SQLite::Statement put(*database_, "INSERT OR REPLACE INTO process VALUES (?,?,?,?)");
+    put.bind(1, instance), put.bind(2, process->pid);
+    put.bind(3, static_cast<std::int64_t>(process->started)), put.bind(4, process->boot);
+    put.exec();
+  });
+}
+
+bool Store::write_rollout(const KeptRollout& rollout) {
+  // Of the past ones as many are kept as an operator looks back on.
+  constexpr int most = 200;
+  return transact([&] {
+    json stages = json::object();
+    for (const auto& [instance, stage] : rollout.stages) stages[instance] = static_cast<int>(stage);
+    SQLite::Statement put(*database_, "INSERT OR REPLACE INTO rollout VALUES (?,?,?,?,?,?)");
+    put.bind(1, rollout.plan.id), put.bind(2, to_json(rollout.plan).dump());
+    put.bind(3, static_cast<int>(rollout.state)), put.bind(4, stages.dump());
+    put.bind(5, rollout.word), put.bind(6, rollout.begun_unix_ms);
+    put.exec();
+    SQLite::Statement prune(
+        *database_,
+        "DELETE FROM rollout WHERE id NOT IN (SELECT id FROM rollout ORDER BY begun_unix_ms"
+        " DESC LIMIT ?)");
+    prune.bind(1, most);
+    prune.exec();
+  });
+}
+
+std::map<std::string, Keeper::Kept> Store::instances() const {
+  std::map<std::string, Keeper::Kept> all;
+  SQLite::Statement get(*database_, "SELECT * FROM instance");
+  while (get.executeStep()) {
+    Keeper::Kept& one = all[get.getColumn(0).getString()];
+    one.wanted = get.getColumn(1).getInt() != 0, one.version = get.getColumn(2).getInt();
+    one.last_fence = static_cast<std::uint64_t>(get.getColumn(3).getInt64());
+    one.lease = Span(get.getColumn(7).getInt64());
+    if (!get.getColumn(4).isNull()) {
+      one.claim = Claim{get.getColumn(4).getString(),
+                        get.getColumn(5).getString(),
+                        static_cast<std::uint64_t>(get.getColumn(6).getInt64()),
+                        {},
+                        {}};
+    }
+    if (!get.getColumn(8).isNull()) one.step = step_in(json::parse(get.getColumn(8).getString()));
+    if (!get.getColumn(9).isNull()) {
+      const json past = json::parse(get.getColumn(9).getString());
+      one.past = Life::Past{step_in(past.at("step")), static_cast<fleet::StepEnd>(past.at("end").get<int>()),
+                            past.at("word")};
+    }
+  }
+  return all;
+}
+
+std::map<std::string, Process> Store::processes() const {
+  std::map<std::string, Process> all;
+  SQLite::Statement get(*database_, "SELECT * FROM process");
+  while (get.executeStep()) {
+    all[get.getColumn(0).getString()] = {get.getColumn(1).getInt64(),
+                                         static_cast<std::uint64_t>(get.getColumn(2).getInt64()),
+                                         get.getColumn(3).getString()};
+  }
+  return all;
+}
+
+std::vector<KeptRollout> Store::rollouts(std::size_t most) const {
+  std::vector<KeptRollout> all;
+  SQLite::Statement get(*database_, "SELECT * FROM rollout ORDER BY begun_unix_ms DESC LIMIT ?");
+  get.bind(1, static_cast<std::int64_t>(most));
+  while (get.executeStep()) {
+    KeptRollout& one = all.emplace_back();
+    one.plan = plan_in(get.getColumn(0).getString(), json::parse(get.getColumn(1).getString()));
+    one.state = static_cast<fleet::Rollout::State>(get.getColumn(2).getInt());
+    const json stages = json::parse(get.getColumn(3).getString());
+    for (const auto& [instance, stage] : stages.items())
+      one.stages[instance] = static_cast<fleet::Rollout::Stage>(stage.get<int>());
+    one.word = get.getColumn(4).getString(), one.begun_unix_ms = get.getColumn(5).getInt64();
+  }
+  return all;
+}
+
+}  // namespace pearchute::store
--- /dev/null
+++ b/tests/test_store.cpp
@@ -0,0 +1,182 @@
+// An agent's state on disk: written and read back, through kills at each point, older and newer files,
+// damage, and a disk that takes nothing.
+#include <SQLiteCpp/SQLiteCpp.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+#include "store/store.h"
+
+using namespace pearchute;
+using namespace pearchute::store;
+using std::chrono::seconds;
+
+std::string folder;
+
+fleet::Keeper::Kept kept(std::uint64_t fence) {
+  fleet::Keeper::Kept one;
+  one.version = 3, one.last_fence = fence, one.lease = seconds(30);
+  one.claim = fleet::Claim{"op", "ann", fence, {}, {}};
+  one.step =
+      fleet::Step{"op", fence, fleet::StepKind::change, fleet::Fallback::finish, 4, seconds(5), seconds(6)};
+  one.past = fleet::Life::Past{*one.step, fleet::StepEnd::time_up, "does not serve"};
+  return one;
+}
+
+Store::Opened open(Store& store) {
+  std::string fault;
+  const Store::Opened opened = store.open(fault);
+  if (!fault.empty()) std::fprintf(stderr, "%s\n", fault.c_str());
+  assert((opened == Store::Opened::usable) == fault.empty());
+  return opened;
+}
+
+void written_and_read() {
+  const std::string path = folder + "/a.db";
+  KeptRollout rollout;
+  rollout.plan.id = "r1", rollout.plan.who = "ann", rollout.plan.targets = {{"i1", "a1", "z1"}};
+  rollout.plan.least_serving = {{"z1", 2}}, rollout.plan.warm = seconds(7), rollout.plan.take_over = true;
+  rollout.state = fleet::Rollout::State::paused, rollout.stages = {{"i1", fleet::Rollout::Stage::asked}};
+  rollout.word = "by an operator", rollout.begun_unix_ms = 5;
+  {
+    Store store(path);
+    assert(open(store) == Store::Opened::usable && store.instances().empty());
+    assert(store.write({{"i1", kept(7)}, {"i2", {}}}) && store.write_process("i1", Process{12, 34, "b"}));
+    assert(store.write_process("i2", Process{13, 35, "b"}) && store.write_process("i2", std::nullopt));
+    assert(store.write_rollout(rollout));
+  }
+  Store store(path);
+  assert(open(store) == Store::Opened::usable);
+  const auto one = store.instances().at("i1");
+  assert(one.last_fence == 7 && one.claim->who == "ann" && one.step->version == 4 &&
+         one.step->up_within == seconds(6) && one.step->fallback == fleet::Fallback::finish &&
+         one.past->end == fleet::StepEnd::time_up && one.past->word == "does not serve" &&
+         one.lease == seconds(30));
+  assert(!store.instances().at("i2").step && store.processes().size() == 1 &&
+         (store.processes().at("i1") == Process{12, 34, "b"}));
+  const auto back = store.rollouts(10);
+  assert(back.size() == 1 && back[0].plan.targets[0].agent == "a1" &&
+         back[0].plan.least_serving.at("z1") == 2 && back[0].plan.warm == seconds(7) &&
+         back[0].plan.take_over && back[0].stages == rollout.stages && back[0].state == rollout.state);
+  for (int i = 0; i < 250; ++i) {
+    rollout.plan.id = "x" + std::to_string(i), rollout.begun_unix_ms = 10 + i;
+    if (i < 2 || i > 240) assert(store.write_rollout(rollout));
+  }
+  assert(store.rollouts(3)[0].plan.id == "x249" && store.rollouts(1000).size() <= 200);
+}
+
+// A kill at each point of a write that changes two instances leaves both as before or both as after.
+void kills() {
+  const std::string path = folder + "/k.db";
+  for (const char* point : Store::points()) {
+    std::filesystem::remove(path);
+    {
+      Store store(path);
+      assert(open(store) == Store::Opened::usable && store.write({{"i1", kept(1)}, {"i2", kept(1)}}));
+    }
+    const pid_t child = fork();
+    if (child == 0) {
+      Store store(path, [&](const char* at) {
+        if (std::string(at) == point) raise(SIGKILL);
+      });
+      open(store);
+      store.write({{"i1", kept(2)}, {"i2", kept(2)}});
+      _exit(0);
+    }
+    int status = 0;
+    waitpid(child, &status, 0);
+    assert(WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL);
+    Store store(path);
+    assert(open(store) == Store::Opened::usable);
+    const std::uint64_t fence = store.instances().at("i1").last_fence;
+    assert(fence == store.instances().at("i2").last_fence);
+    assert(fence == (std::string(point) == "committed" ? 2u : 1u));
+  }
+}
+
+void older_and_newer() {
+  const std::string path = folder + "/v.db";
+  {  // Version 1 had no rollouts.
+    SQLite::Database old(path, SQLite::OPEN_READWRITE | SQLite::OPEN_CREATE);
+    old.exec(
+        "CREATE TABLE instance (name TEXT PRIMARY KEY, wanted INTEGER NOT NULL, version INTEGER NOT NULL,"
+        " last_fence INTEGER NOT NULL, claim_operation TEXT, claim_who TEXT, claim_fence INTEGER,"
+        " lease_us INTEGER NOT NULL, step TEXT, past TEXT);"
+        "CREATE TABLE process (instance TEXT PRIMARY KEY, pid INTEGER NOT NULL, started INTEGER NOT NULL,"
+        " boot TEXT NOT NULL);"
+        "INSERT INTO instance VALUES ('i1', 1, 2, 9, NULL, NULL, NULL, 0, NULL, NULL); PRAGMA user_version = "
+        "1;");
+  }
+  {
+    Store store(path);
+    assert(open(store) == Store::Opened::usable && store.instances().at("i1").last_fence == 9);
+    assert(store.rollouts(5).empty());
+  }
+  SQLite::Database(path, SQLite::OPEN_READWRITE).exec("PRAGMA user_version = 99;");
+  Store store(path);
+  assert(open(store) == Store::Opened::too_new);
+  // It is left as it is.
+  assert(SQLite::Database(path).execAndGet("PRAGMA user_version").getInt() == 99);
+}
+
+void damage() {
+  const std::string path = folder + "/d.db";
+  {
+    Store store(path);
+    open(store);
+    for (int i = 0; i < 200; ++i) store.write({{"i" + std::to_string(i), kept(1)}});
+  }
+  const auto size = std::filesystem::file_size(path);
+  int told = 0;
+  for (std::uint64_t at = 0; at < size; at += 4096) {  // a page overwritten, each in turn
+    const std::string broken = folder + "/broken.db";
+    std::filesystem::copy_file(path, broken, std::filesystem::copy_options::overwrite_existing);
+    {
+      std::fstream file(broken, std::ios::in | std::ios::out | std::ios::binary);
+      file.seekp(static_cast<std::streamoff>(at));
+      file << std::string(4096, '\x5a');
+    }
+    Store store(broken);
+    const Store::Opened opened = open(store);
+    assert(opened == Store::Opened::damaged || opened == Store::Opened::unusable);
+    ++told;
+  }
+  assert(told > 5);
+  // No place for it, and one that takes nothing any more: the write fails whole, and says so.
+  Store nowhere(folder + "/none/x.db");
+  assert(open(nowhere) == Store::Opened::unusable && !nowhere.write({{"i", kept(1)}}));
+  const pid_t child = fork();
+  if (child == 0) {
+    Store store(path);
+    open(store);
+    std::signal(SIGXFSZ, SIG_IGN);
+    const rlimit limit{size, size};
+    setrlimit(RLIMIT_FSIZE, &limit);
+    std::map<std::string, fleet::Keeper::Kept> many;
+    for (int i = 0; i < 2000; ++i) many["j" + std::to_string(i)] = kept(2);
+    const bool written = store.write(many);
+    _exit(!written && !store.fault().empty() ? 0 : 1);
+  }
+  int status = 0;
+  waitpid(child, &status, 0);
+  assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  Store after(path);
+  assert(open(after) == Store::Opened::usable && after.instances().size() == 200);
+}
+
+int main() {
+  char name[] = "/tmp/pearchute-store-XXXXXX";
+  assert(mkdtemp(name));
+  folder = name;
+  written_and_read();
+  kills();
+  older_and_newer();
+  damage();
+  std::filesystem::remove_all(folder);
+}
