pearchute-agent: adopts, starts and steps its instances under claims; rollouts over gRPC

Need: the decisions on claims and rollouts need eyes and hands, and have to hold with real processes.

Change: src/agent: processes (started only once they are kept on disk, known again by number, start time and boot, held by pidfd), charter (INI), warden (the keeper's eyes and hands; observes only where its state can't be used), coordinator (rollouts by remote calls with deadlines), gRPC service on a Unix socket or loopback address; an agent's state keeps the version of each process.

--- /dev/null
+++ b/src/agent/charter.cpp
@@ -0,0 +1,65 @@
+#include "agent/charter.h"
+
+#include <set>
+
+#include "ini/reader.h"
+
+namespace pearchute::agent {
+
+Charter read_charter(const std::string& file) {
+  constexpr std::size_t most_instances = 200;  // of one host
+  Charter charter;
+  std::set<std::string> admins;
+  ini::read(file, [&](const std::string& section, const std::string& name, const std::string& text) {
+    if (section == "agent") {
+      if (name == "name") charter.name = text;
+      else if (name == "state") charter.state = text;
+      else if (name == "control") charter.control = admin::place_in(text);
+      else throw ini::Fault("'" + name + "' is not known in [agent]");
+      if (name == "state" && !text.starts_with("/")) throw ini::Fault("'state' is no absolute path");
+      return;
+    }
+    if (section.starts_with("peer ") && section.size() > 5 && section.find(' ', 5) == std::string::npos) {
+      if (name != "control") throw ini::Fault("'" + name + "' is not known in [peer NAME]");
+      charter.peers[section.substr(5)] = admin::place_in(text).text;
+      return;
+    }
+    if (!section.starts_with("instance ") || section.size() == 9 || section.find(' ', 9) != std::string::npos)
+      throw ini::Fault("[" + section + "] is not known; [agent], [peer NAME] and [instance NAME] are");
+    Owned& owned = charter.instances[section.substr(9)];
+    if (charter.instances.size() > most_instances)
+      throw ini::Fault("more than " + std::to_string(most_instances) + " instances");
+    if (name == "command") {
+      owned.commands[1] = text;
+    } else if (name.starts_with("command.")) {
+      owned.commands[static_cast<int>(ini::whole(name, name.substr(8), 2, 1'000'000))] = text;
+    } else if (name == "admin") {
+      owned.admin = admin::place_in(text);
+      if (!admins.insert(text).second) throw ini::Fault("another instance has the admin address " + text);
+    } else if (name == "zone") {
+      owned.zone = text;
+    } else if (name == "log") {
+      owned.log = text;
+    } else if (name == "wanted") {
+      owned.wanted = ini::yes(name, text);
+    } else if (name == "version") {
+      owned.version = static_cast<int>(ini::whole(name, text, 1, 1'000'000));
+    } else {
+      throw ini::Fault("'" + name + "' is not known in [instance NAME]");
+    }
+  });
+  if (charter.name.empty()) throw ini::Fault(file + ": 'name' is missing in [agent]");
+  if (charter.state.empty()) throw ini::Fault(file + ": 'state' is missing in [agent]");
+  if (charter.control.text.empty()) throw ini::Fault(file + ": 'control' is missing in [agent]");
+  if (charter.peers.contains(charter.name)) throw ini::Fault(file + ": this agent is its own peer");
+  if (charter.instances.empty()) throw ini::Fault(file + ": no instance is named");
+  for (const auto& [name, owned] : charter.instances) {
+    if (owned.admin.text.empty()) throw ini::Fault(file + ": instance " + name + " has no 'admin'");
+    if (!owned.commands.contains(owned.version))
+      throw ini::Fault(file + ": instance " + name + " has no command of version " +
+                       std::to_string(owned.version));
+  }
+  return charter;
+}
+
+}  // namespace pearchute::agent
--- /dev/null
+++ b/src/agent/coordinator.cpp
@@ -0,0 +1,242 @@
+#include "agent/coordinator.h"
+
+#include <algorithm>
+
+#include "agent/wire.h"
+#include "net/log.h"
+
+namespace pearchute::agent {
+
+using fleet::Rollout;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+// For any one call: an agent answers within milliseconds, or it is not there.
+constexpr milliseconds answers_within(1500), ask_again_after(500);
+
+std::int64_t unix_ms() {
+  return duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+}  // namespace
+
+template <class Ask, class Answer, class Method>
+void Coordinator::call(const std::string& agent, Method method, const Ask& ask,
+                       std::function<void(bool, const Answer&)> heard) {
+  struct Open {
+    grpc::ClientContext context;
+    Ask ask;
+    Answer answer;
+  };
+  const auto open = std::make_shared<Open>();
+  open->ask = ask;
+  open->context.set_deadline(std::chrono::system_clock::now() + answers_within);
+  std::function<void(grpc::Status)> done = [stage = &stage_, open, heard,
+                                            alive = alive_](grpc::Status status) {
+    stage->post([open, heard, alive, ok = status.ok()] {
+      if (*alive) heard(ok, open->answer);
+    });
+  };
+  method(stub(agent).async(), &open->context, &open->ask, &open->answer, done);
+}
+
+struct Coordinator::One final : Rollout::Host {
+  One(Coordinator& c, const fleet::RolloutPlan& plan, std::int64_t begun)
+      : owner(c), begun_unix_ms(begun), rollout(*this, plan) {}
+  bool keep(Rollout::State state) override {
+    return owner.store_.write_rollout(
+        {rollout.plan(), state, rollout.stages(), rollout.word(), begun_unix_ms});
+  }
+  Span now() const { return owner.stage_.loop().now(); }
+  void again(std::function<void()> what) {
+    owner.stage_.loop().at(now() + ask_again_after, [alive = owner.alive_, what] {
+      if (*alive) what();
+    });
+  }
+  void ask_claims(const std::string& agent, const std::vector<std::string>& instances) override {
+    v1::ClaimAsk ask;
+    ask.set_operation(rollout.plan().id), ask.set_who(rollout.plan().who);
+    for (const std::string& instance : instances) ask.add_instances(instance);
+    ask.set_lease_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(rollout.plan().lease).count()));
+    ask.set_take_over(rollout.plan().take_over);
+    const Span sent = now();
+    owner.call<v1::ClaimAsk, v1::ClaimAnswer>(
+        agent, [](auto* to, auto... what) { to->Claim(what...); }, ask,
+        [this, agent, instances, sent](bool ok, const v1::ClaimAnswer& answer) {
+          if (!ok) {
+            if (rollout.state() == Rollout::State::claiming)
+              again([this, agent, instances] { ask_claims(agent, instances); });
+            return;
+          }
+          std::string holder = answer.fault();
+          for (const auto& held : answer.held()) {
+            holder += (holder.empty() ? "" : "; ") + held.instance() + " is held by " + held.claim().who() +
+                      " for " + held.claim().operation() + " since " +
+                      std::to_string(held.claim().held_ms() / 1000) + " s, for " +
+                      std::to_string(held.claim().left_ms() / 1000) + " s more";
+          }
+          rollout.claims_answered(now(), sent, agent, answer.granted(),
+                                  {answer.fences().begin(), answer.fences().end()}, holder);
+        });
+  }
+  void renew(const std::string& agent) override {
+    v1::Renewal ask;
+    ask.set_operation(rollout.plan().id);
+    ask.set_lease_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(rollout.plan().lease).count()));
+    const Span sent = now();
+    owner.call<v1::Renewal, v1::Renewed>(
+        agent, [](auto* to, auto... what) { to->Renew(what...); }, ask,
+        [this, agent, sent](bool ok, const v1::Renewed& answer) {
+          if (ok) rollout.renewed(now(), sent, agent, answer.live());
+        });
+  }
+  void release(const std::string& agent) override {
+    v1::Operation ask;
+    ask.set_id(rollout.plan().id);
+    owner.call<v1::Operation, v1::Empty>(
+        agent, [](auto* to, auto... what) { to->Release(what...); }, ask,
+        [](bool, const v1::Empty&) {});  // where it is lost, the lease runs out
+  }
+  void step(const std::string& agent, const std::string& instance, const fleet::Step& step) override {
+    v1::StepAsk ask;
+    ask.set_instance(instance);
+    *ask.mutable_step() = to_wire(step);
+    owner.call<v1::StepAsk, v1::StepAnswer>(
+        agent, [](auto* to, auto... what) { to->DoStep(what...); }, ask,
+        [this, agent, instance, step](bool ok, const v1::StepAnswer& answer) {
+          if (ok) return rollout.step_answered(now(), instance, answer.accepted(), answer.fault());
+          // Only while its own claim lasts: later it would be refused.
+          const auto until = rollout.lease_until(agent);
+          const auto stages = rollout.stages();
+          if (until && now() + ask_again_after < *until && stages.at(instance) == Rollout::Stage::asked)
+            again([this, agent, instance, step] { this->step(agent, instance, step); });
+        });
+  }
+  void ask_fleet() override {
+    for (const auto& [agent, stub] : owner.stubs_) {
+      owner.call<v1::Empty, v1::Shown>(
+          agent, [](auto* to, auto... what) { to->Show(what...); }, {},
+          [this](bool ok, const v1::Shown& shown) {
+            if (ok) heard(shown);
+          });
+    }
+  }
+  void heard(const v1::Shown& shown) {
+    for (const v1::Instance& one : shown.instances()) {
+      rollout.seen(now(), one.name(), one.zone(), condition_in(one.condition()));
+      if (one.has_last() && one.last().step().operation() == rollout.plan().id) {
+        const fleet::Life::Past past = from_wire(one.last());
+        rollout.step_ended(now(), one.name(), past.step, past.end, past.word);
+      }
+      // What was answered since the last look; one that started anew counts from nothing.
+      Counted& before = counted[one.name()];
+      if (before.pid == one.pid() && one.answered() >= before.answered) {
+        done += static_cast<double>(one.done() - before.done);
+        all += static_cast<double>(one.answered() - before.answered);
+      }
+      before = {one.pid(), one.done(), one.answered()};
+    }
+    // Over some ten looks of each agent; with hardly any traffic nothing has fallen.
+    done *= 0.97, all *= 0.97;
+    rollout.service(now(), all < 5 ? 1.0 : done / all);
+  }
+  void told(std::string_view what) override { spdlog::info("rollout {}: {}", rollout.plan().id, what); }
+
+  struct Counted {
+    std::uint64_t pid = 0, done = 0, answered = 0;
+  };
+  Coordinator& owner;
+  const std::int64_t begun_unix_ms;
+  std::map<std::string, Counted> counted;
+  double done = 0, all = 0;
+  Rollout rollout;
+};
+
+Coordinator::Coordinator(net::Stage& stage, const Charter& charter)
+    : stage_(stage), charter_(charter), store_(charter.state) {
+  const auto opened = store_.open(trouble_);
+  const auto add = [&](const std::string& name, const std::string& place) {
+    stubs_[name] = v1::Agent::NewStub(grpc::CreateChannel(place, grpc::InsecureChannelCredentials()));
+  };
+  add(charter_.name, charter_.control.text);
+  for (const auto& [name, place] : charter_.peers) add(name, place);
+  if (opened == store::Store::Opened::usable) {
+    for (const store::KeptRollout& kept : store_.rollouts(50)) {
+      const bool over = kept.state == Rollout::State::done || kept.state == Rollout::State::aborted ||
+                        kept.state == Rollout::State::failed;
+      if (over) {
+        past_.push_back(kept);
+        continue;
+      }
+      auto& one = rollouts_[kept.plan.id] = std::make_unique<One>(*this, kept.plan, kept.begun_unix_ms);
+      one->rollout.remembered(stage_.loop().now(), kept.stages);
+    }
+  }
+  wake();
+}
+
+Coordinator::~Coordinator() { *alive_ = false; }
+
+v1::Agent::Stub& Coordinator::stub(const std::string& agent) { return *stubs_.at(agent); }
+
+void Coordinator::wake() {
+  for (const auto& [id, one] : rollouts_) one->rollout.woken(stage_.loop().now());
+  stage_.loop().at(stage_.loop().now() + milliseconds(200), [this, alive = alive_] {
+    if (*alive) wake();
+  });
+}
+
+std::string Coordinator::start(const fleet::RolloutPlan& plan) {
+  if (!trouble_.empty()) return trouble_;
+  if (rollouts_.contains(plan.id)) return "";  // the same ask again
+  for (const fleet::Target& target : plan.targets) {
+    if (!stubs_.contains(target.agent)) return "agent " + target.agent + " is not known here";
+  }
+  // Those that are over stay to be looked at; so many, and the oldest go.
+  constexpr std::size_t most = 50;
+  while (rollouts_.size() >= most) {
+    const auto over =
+        std::ranges::find_if(rollouts_, [](const auto& one) { return one.second->rollout.over(); });
+    if (over == rollouts_.end()) return "as many rollouts are under way as may";
+    rollouts_.erase(over);
+  }
+  auto& one = rollouts_[plan.id] = std::make_unique<One>(*this, plan, unix_ms());
+  one->rollout.begin(stage_.loop().now());
+  return "";
+}
+
+std::string Coordinator::say(const std::string& id, const std::string& word) {
+  const auto at = rollouts_.find(id);
+  if (at == rollouts_.end()) return "no such rollout under way here";
+  Rollout& rollout = at->second->rollout;
+  const Span now = stage_.loop().now();
+  if (rollout.over()) return "it is over";
+  if (word == "pause") rollout.pause(now);
+  else if (word == "resume") rollout.resume(now);
+  else if (word == "abort") rollout.abort(now);
+  else if (word == "back") rollout.roll_back(now);
+  else return "a rollout is told pause, resume, abort or back";
+  return "";
+}
+
+void Coordinator::tell(v1::RolloutList& list) const {
+  for (const auto& [id, one] : rollouts_) {
+    v1::Rollout& to = *list.add_rollouts();
+    *to.mutable_plan() = to_wire(one->rollout.plan());
+    to.set_state(std::string(fleet::word_for(one->rollout.state()))), to.set_word(one->rollout.word());
+    for (const auto& [instance, stage] : one->rollout.stages())
+      (*to.mutable_stages())[instance] = std::string(fleet::word_for(stage));
+    for (const auto& [instance, word] : one->rollout.words()) (*to.mutable_words())[instance] = word;
+  }
+  for (const store::KeptRollout& kept : past_) {
+    v1::Rollout& to = *list.add_rollouts();
+    *to.mutable_plan() = to_wire(kept.plan);
+    to.set_state(std::string(fleet::word_for(kept.state))), to.set_word(kept.word);
+    for (const auto& [instance, stage] : kept.stages)
+      (*to.mutable_stages())[instance] = std::string(fleet::word_for(stage));
+  }
+}
+
+}  // namespace pearchute::agent
--- /dev/null
+++ b/src/agent/coordinator.h
@@ -0,0 +1,48 @@
+// The rollouts that were asked of this agent: carries what fleet::Rollout decides to the agents concerned,
+// itself among them, by remote calls with a deadline each, and keeps each rollout on disk. Asks are sent
+// again until they are answered; each is harmless when it comes twice.
+#pragma once
+
+#include <grpcpp/grpcpp.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "agent.grpc.pb.h"
+#include "agent/charter.h"
+#include "net/stage.h"
+#include "store/store.h"
+
+namespace pearchute::agent {
+
+class Coordinator {
+ public:
+  // Lives on the stage's loop.
+  Coordinator(net::Stage& stage, const Charter& charter);
+  ~Coordinator();
+  std::string start(const fleet::RolloutPlan& plan);                // the fault, or nothing
+  std::string say(const std::string& id, const std::string& word);  // the same
+  void tell(v1::RolloutList& list) const;
+
+ private:
+  struct One;
+  friend struct One;
+  v1::Agent::Stub& stub(const std::string& agent);
+  void wake();
+  // Sends one call; `heard` comes on the loop, with the reply where there is one.
+  template <class Ask, class Answer, class Method>
+  void call(const std::string& agent, Method method, const Ask& ask,
+            std::function<void(bool ok, const Answer& answer)> heard);
+
+  net::Stage& stage_;
+  const Charter charter_;
+  store::Store store_;
+  std::string trouble_;
+  std::map<std::string, std::unique_ptr<v1::Agent::Stub>> stubs_;
+  std::map<std::string, std::unique_ptr<One>> rollouts_;
+  std::vector<store::KeptRollout> past_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace pearchute::agent
--- /dev/null
+++ b/src/agent/main.cpp
@@ -0,0 +1,178 @@
+// The agent of one host: reads its charter, looks after its instances, and answers remote calls until it is
+// asked to end. Its instances go on without it.
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "agent/coordinator.h"
+#include "agent/warden.h"
+#include "agent/wire.h"
+#include "ini/reader.h"
+#include "net/json_lines.h"
+#include "net/log.h"
+#include "net/stage.h"
+
+using namespace pearchute;
+using namespace pearchute::agent;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+volatile std::sig_atomic_t asked_to_end = 0;
+
+// Each call runs on the loop, where all else does; its own thread waits.
+class Service final : public v1::Agent::Service {
+ public:
+  Service(net::Stage& stage, Warden& warden, Coordinator& coordinator, std::string name)
+      : stage_(stage), warden_(warden), coordinator_(coordinator), name_(std::move(name)) {}
+
+  grpc::Status Show(grpc::ServerContext*, const v1::Empty*, v1::Shown* shown) override {
+    return on([&] {
+      shown->set_name(name_), shown->set_build(PEARCHUTE_VERSION), shown->set_trouble(warden_.trouble());
+      for (const Warden::Seen& seen : warden_.seen()) {
+        v1::Instance& to = *shown->add_instances();
+        to.set_name(seen.instance), to.set_zone(seen.zone);
+        to.set_condition(std::string(fleet::word_for(seen.condition)));
+        to.set_version(seen.version), to.set_falls(static_cast<std::uint32_t>(seen.falls));
+        to.set_pid(static_cast<std::uint64_t>(seen.pid)), to.set_done(seen.done),
+            to.set_answered(seen.answered);
+        if (seen.claim) fill(*to.mutable_claim(), *seen.claim);
+        if (seen.under_way) *to.mutable_under_way() = to_wire(*seen.under_way);
+        if (seen.last) *to.mutable_last() = to_wire(*seen.last);
+      }
+    });
+  }
+  grpc::Status Claim(grpc::ServerContext*, const v1::ClaimAsk* ask, v1::ClaimAnswer* to) override {
+    return on([&] {
+      if (ask->lease_ms() > 24 * 3600 * 1000) throw std::invalid_argument("a lease out of bounds");
+      const fleet::Claims::Answer answer = warden_.ask({ask->operation(),
+                                                        ask->who(),
+                                                        {ask->instances().begin(), ask->instances().end()},
+                                                        milliseconds(ask->lease_ms()),
+                                                        ask->take_over()});
+      to->set_granted(answer.granted), to->set_fault(answer.fault);
+      for (const auto& [instance, fence] : answer.fences) (*to->mutable_fences())[instance] = fence;
+      for (const auto& held : answer.held) {
+        auto& one = *to->add_held();
+        one.set_instance(held.instance);
+        fill(*one.mutable_claim(), held.claim);
+      }
+    });
+  }
+  grpc::Status Renew(grpc::ServerContext*, const v1::Renewal* ask, v1::Renewed* to) override {
+    return on([&] {
+      if (ask->lease_ms() > 24 * 3600 * 1000) throw std::invalid_argument("a lease out of bounds");
+      to->set_live(warden_.renew(ask->operation(), milliseconds(ask->lease_ms())));
+    });
+  }
+  grpc::Status Release(grpc::ServerContext*, const v1::Operation* ask, v1::Empty*) override {
+    return on([&] { warden_.release(ask->id()); });
+  }
+  grpc::Status DoStep(grpc::ServerContext*, const v1::StepAsk* ask, v1::StepAnswer* to) override {
+    return on([&] {
+      std::string fault;
+      to->set_accepted(warden_.step(ask->instance(), from_wire(ask->step()), fault));
+      to->set_fault(fault);
+    });
+  }
+  grpc::Status StartRollout(grpc::ServerContext*, const v1::Plan* plan, v1::Said* said) override {
+    return on([&] { said->set_fault(coordinator_.start(from_wire(*plan))); });
+  }
+  grpc::Status Rollouts(grpc::ServerContext*, const v1::Empty*, v1::RolloutList* list) override {
+    return on([&] { coordinator_.tell(*list); });
+  }
+  grpc::Status Say(grpc::ServerContext*, const v1::Word* word, v1::Said* said) override {
+    return on([&] { said->set_fault(coordinator_.say(word->id(), word->word())); });
+  }
+
+ private:
+  template <class What>
+  grpc::Status on(What what) {
+    try {
+      stage_.on(what);
+      return grpc::Status::OK;
+    } catch (const std::invalid_argument& fault) {
+      return {grpc::StatusCode::INVALID_ARGUMENT, fault.what()};
+    }
+  }
+  void fill(v1::Claim& to, const fleet::Claim& claim) const {
+    const Span now = stage_.loop().now();
+    const auto in_ms = [](Span span) {
+      return static_cast<std::uint64_t>(std::max<Span::rep>(duration_cast<milliseconds>(span).count(), 0));
+    };
+    to.set_operation(claim.operation), to.set_who(claim.who), to.set_fence(claim.fence);
+    to.set_held_ms(in_ms(now - claim.since)), to.set_left_ms(in_ms(claim.until - now));
+  }
+
+  net::Stage& stage_;
+  Warden& warden_;
+  Coordinator& coordinator_;
+  const std::string name_;
+};
+
+int run(const Charter& charter) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, [](int) { asked_to_end = 1; });
+  std::signal(SIGINT, [](int) { asked_to_end = 1; });
+  net::Stage stage;
+  std::unique_ptr<Warden> warden;
+  std::unique_ptr<Coordinator> coordinator;
+  stage.on([&] {
+    warden = std::make_unique<Warden>(stage.loop(), charter);
+    coordinator = std::make_unique<Coordinator>(stage, charter);
+  });
+  Service service(stage, *warden, *coordinator, charter.name);
+  grpc::ServerBuilder builder;
+  // Bounds: of threads, of a message (the largest is a plan of some thousand instances), and of idle
+  // connections.
+  grpc::ResourceQuota quota;
+  quota.SetMaxThreads(16);
+  builder.SetResourceQuota(quota);
+  builder.SetMaxReceiveMessageSize(1 << 20);
+  builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS, 60'000);
+  builder.AddListeningPort(charter.control.text, grpc::InsecureServerCredentials());
+  builder.RegisterService(&service);
+  const mode_t before = ::umask(0177);
+  const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+  ::umask(before);
+  if (!server) throw std::runtime_error("can't listen at " + charter.control.text);
+  spdlog::info("agent {} at {}, {} instances", charter.name, charter.control.text, charter.instances.size());
+  while (!asked_to_end) ::usleep(50'000);
+  server->Shutdown(std::chrono::system_clock::now() + milliseconds(500));
+  stage.on([&] { coordinator.reset(), warden.reset(); });
+  spdlog::info("agent {} ends; its instances go on", charter.name);
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("pearchute-agent: looks after the instances of one host");
+  std::string file, log = "plain";
+  bool check = false;
+  app.add_option("--charter", file, "who it is and what it owns, INI")->required()->type_name("FILE");
+  app.add_option("--log", log, "log lines: plain or json")->check(CLI::IsMember({"plain", "json"}));
+  app.add_flag("--check", check, "checks the charter and starts nothing");
+  app.set_version_flag("--version", "pearchute-agent " PEARCHUTE_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : 2;
+  }
+  try {
+    const Charter charter = read_charter(file);
+    if (check) {
+      std::cout << file << ": usable\n";
+      return 0;
+    }
+    net::start_log(charter.name, log == "json" ? net::json_lines() : nullptr);
+    return run(charter);
+  } catch (const std::exception& error) {
+    std::cerr << "pearchute-agent: " << error.what() << "\n";
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/agent/processes.cpp
@@ -0,0 +1,140 @@
+#include "agent/processes.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/syscall.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+namespace pearchute::agent {
+
+namespace {
+
+std::string read_boot() {
+  std::string boot;
+  std::getline(std::ifstream("/proc/sys/kernel/random/boot_id"), boot);
+  return boot;
+}
+
+int open_pidfd(std::int64_t pid) {
+  return static_cast<int>(::syscall(SYS_pidfd_open, static_cast<pid_t>(pid), 0));
+}
+
+}  // namespace
+
+std::optional<std::uint64_t> start_time_of(std::int64_t pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+  std::string text{std::istreambuf_iterator<char>(file), {}};
+  // The name, in brackets, may hold anything; the fields count from behind it. The start is the 22nd of all.
+  const std::size_t name_end = text.rfind(')');
+  if (name_end == std::string::npos) return std::nullopt;
+  std::istringstream fields(text.substr(name_end + 1));
+  std::string field;
+  for (int number = 3; number <= 22 && fields >> field; ++number) {
+    if (number == 3 && (field == "Z" || field == "X")) return std::nullopt;  // has ended
+    if (number == 22) return std::stoull(field);
+  }
+  return std::nullopt;
+}
+
+Processes::Processes() : boot_(read_boot()) {}
+
+Processes::~Processes() {
+  for (const auto& [instance, held] : held_) ::close(held.pidfd);
+}
+
+bool Processes::start(const std::string& instance, const std::string& command, const std::string& log,
+                      const std::function<bool(const store::Process&)>& keep, std::string& fault) {
+  int go[2];
+  if (::pipe2(go, O_CLOEXEC) != 0) return fault = std::string("pipe: ") + std::strerror(errno), false;
+  const pid_t child = ::fork();
+  if (child < 0) {
+    fault = std::string("fork: ") + std::strerror(errno);
+    ::close(go[0]), ::close(go[1]);
+    return false;
+  }
+  if (child == 0) {
+    // Nothing but what a forked process may do. It waits for the word that it is kept: an agent that dies
+    // before that closes the pipe, and this one ends.
+    ::close(go[1]);
+    char word = 0;
+    if (::read(go[0], &word, 1) != 1) ::_exit(0);
+    ::setsid();
+    ::signal(SIGPIPE, SIG_DFL);
+    const int in = ::open("/dev/null", O_RDONLY);
+    const int out = ::open(log.empty() ? "/dev/null" : log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    ::dup2(in, 0), ::dup2(out, 1), ::dup2(out, 2);
+    for (int fd = 3; fd < 1024; ++fd) ::close(fd);
+    ::execl("/bin/sh", "sh", "-c", command.c_str(), static_cast<char*>(nullptr));
+    ::_exit(127);
+  }
+  ::close(go[0]);
+  const int pidfd = open_pidfd(child);
+  const auto started = start_time_of(child);
+  const store::Process process{child, started.value_or(0), boot_};
+  const bool kept = pidfd >= 0 && started && keep(process);
+  if (!kept) fault = pidfd < 0 || !started ? "its process can't be held" : "it can't be written down";
+  if (kept) {
+    let_go(instance);
+    held_[instance] = {pidfd, process};
+    [[maybe_unused]] const auto told = ::write(go[1], "g", 1);
+  }
+  ::close(go[1]);
+  if (!kept) {
+    ::waitpid(child, nullptr, 0);
+    if (pidfd >= 0) ::close(pidfd);
+  }
+  return kept;
+}
+
+bool Processes::adopt(const std::string& instance, const store::Process& process) {
+  if (process.boot != boot_) return false;
+  // The pidfd first: what it holds can't become another one between the look and the signal.
+  const int pidfd = open_pidfd(process.pid);
+  if (pidfd < 0) return false;
+  if (start_time_of(process.pid) != process.started) {
+    ::close(pidfd);
+    return false;
+  }
+  let_go(instance);
+  held_[instance] = {pidfd, process};
+  return alive(instance);
+}
+
+bool Processes::alive(const std::string& instance) {
+  const auto at = held_.find(instance);
+  if (at == held_.end()) return false;
+  pollfd ended{at->second.pidfd, POLLIN, 0};
+  if (::poll(&ended, 1, 0) == 0) return true;
+  siginfo_t status{};
+  ::waitid(P_PIDFD, static_cast<id_t>(at->second.pidfd), &status, WEXITED | WNOHANG);  // where it is a child
+  let_go(instance);
+  return false;
+}
+
+bool Processes::signal(const std::string& instance, int signal) {
+  const auto at = held_.find(instance);
+  return at != held_.end() && ::syscall(SYS_pidfd_send_signal, at->second.pidfd, signal, nullptr, 0) == 0;
+}
+
+std::optional<store::Process> Processes::process_of(const std::string& instance) const {
+  const auto at = held_.find(instance);
+  if (at == held_.end()) return std::nullopt;
+  return at->second.process;
+}
+
+void Processes::let_go(const std::string& instance) {
+  const auto at = held_.find(instance);
+  if (at == held_.end()) return;
+  ::close(at->second.pidfd);
+  held_.erase(at);
+}
+
+}  // namespace pearchute::agent
--- /dev/null
+++ b/src/agent/processes.h
@@ -0,0 +1,46 @@
+// The processes of an agent's instances: started in sessions of their own, so that they outlive the agent,
+// known again after its restart by number, start time and the machine's boot, and held by a pidfd, so that a
+// signal never reaches another process that has the number by then. It decides nothing.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "store/store.h"
+
+namespace pearchute::agent {
+
+class Processes {
+ public:
+  Processes();
+  ~Processes();
+  Processes(const Processes&) = delete;
+  Processes& operator=(const Processes&) = delete;
+
+  // Starts a shell command. It begins only once `keep` has returned true: a process that nobody could know
+  // again never is. False where it can't be started or kept, with the reason.
+  bool start(const std::string& instance, const std::string& command, const std::string& log,
+             const std::function<bool(const store::Process&)>& keep, std::string& fault);
+  // True where that very process still runs; it is held from then on.
+  bool adopt(const std::string& instance, const store::Process& process);
+  bool alive(const std::string& instance);  // lets it go where it has ended
+  bool signal(const std::string& instance, int signal);
+  std::optional<store::Process> process_of(const std::string& instance) const;
+
+ private:
+  struct Held {
+    int pidfd = -1;
+    store::Process process;
+  };
+  void let_go(const std::string& instance);
+
+  const std::string boot_;
+  std::map<std::string, Held> held_;
+};
+
+// In clock ticks since the boot; nothing where there is no such process.
+std::optional<std::uint64_t> start_time_of(std::int64_t pid);
+
+}  // namespace pearchute::agent
--- /dev/null
+++ b/src/agent/warden.cpp
@@ -0,0 +1,257 @@
+#include "agent/warden.h"
+
+#include <unistd.h>
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+#include "net/log.h"
+
+namespace pearchute::agent {
+
+using admin::CallEnd;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Five looks a second: a rollout sees a change within half a second, and one look costs a manager some 50 us.
+constexpr milliseconds look_every(200);
+// A sound manager answers within a millisecond, on a full machine within some tens.
+constexpr milliseconds answers_within(1000);
+
+}  // namespace
+
+// What was last seen of one instance.
+struct Warden::Eye {
+  std::unique_ptr<admin::Caller> caller;
+  bool looking = false, answers = false;
+  std::string phase, rest;
+  std::int64_t pid = 0;
+  int version = 0;  // by which its process was started
+  std::uint64_t done = 0, answered = 0;
+};
+
+Warden::Warden(net::Loop& loop, const Charter& charter)
+    : loop_(loop), charter_(charter), store_(charter.state) {
+  const auto opened = store_.open(trouble_);
+  for (const auto& [name, owned] : charter_.instances) {
+    auto& eye = eyes_[name] = std::make_unique<Eye>();
+    eye->caller = std::make_unique<admin::Caller>(loop_, owned.admin);
+    eye->version = owned.version;
+  }
+  if (opened != store::Store::Opened::usable) {
+    spdlog::error("{}; this agent observes and takes no orders until its state is mended", trouble_);
+  } else {
+    keeper_ = std::make_unique<fleet::Keeper>(*this);
+    const auto kept = store_.instances();
+    const auto processes = store_.processes();
+    for (const auto& [name, owned] : charter_.instances) {
+      fleet::Keeper::Kept one;
+      one.wanted = owned.wanted, one.version = owned.version;
+      if (const auto at = kept.find(name); at != kept.end()) one = at->second;
+      // A version that the charter names no more can't be started: the charter's own is.
+      if (!owned.commands.contains(one.version)) one.version = owned.version;
+      eyes_[name]->version = one.version;
+      if (const auto at = processes.find(name); at != processes.end()) {
+        const bool ours = processes_.adopt(name, at->second);
+        if (ours && at->second.version > 0) eyes_[name]->version = at->second.version;
+        spdlog::info("instance {}: process {} {}", name, at->second.pid, ours ? "is adopted" : "has ended");
+      }
+      keeper_->owns(loop_.now(), name, one);
+    }
+  }
+  look();
+}
+
+Warden::~Warden() { *alive_ = false; }
+
+// ---- What operators ask
+
+fleet::Claims::Answer Warden::ask(const fleet::ClaimAsk& ask) {
+  if (keeper_) return keeper_->ask(loop_.now(), ask);
+  fleet::Claims::Answer answer;
+  answer.fault = trouble_;
+  return answer;
+}
+
+bool Warden::renew(const std::string& operation, Span lease) {
+  return keeper_ && keeper_->renew(loop_.now(), operation, lease);
+}
+
+void Warden::release(const std::string& operation) {
+  if (keeper_) keeper_->release(loop_.now(), operation);
+}
+
+bool Warden::step(const std::string& instance, const fleet::Step& step, std::string& fault) {
+  if (!keeper_) return fault = trouble_, false;
+  const auto at = charter_.instances.find(instance);
+  if (at != charter_.instances.end() && step.kind == fleet::StepKind::change &&
+      !at->second.commands.contains(step.version))
+    return fault = "no command of version " + std::to_string(step.version), false;
+  return keeper_->step(loop_.now(), instance, step, fault);
+}
+
+std::vector<Warden::Seen> Warden::seen() const {
+  std::vector<Seen> all;
+  for (const auto& [name, owned] : charter_.instances) {
+    Seen& one = all.emplace_back();
+    one.instance = name, one.zone = owned.zone;
+    const Eye& eye = *eyes_.at(name);
+    one.pid = eye.pid, one.done = eye.done, one.answered = eye.answered;
+    if (!keeper_) {
+      one.condition = !eye.answers             ? fleet::Condition::unseen
+                      : eye.rest == "drained"  ? fleet::Condition::drained
+                      : eye.rest == "draining" ? fleet::Condition::draining
+                      : eye.phase == "serving" ? fleet::Condition::serving
+                                               : fleet::Condition::starting;
+      continue;
+    }
+    const fleet::Life& life = *keeper_->life(name);
+    one.condition = life.condition(), one.version = life.version(), one.falls = life.falls();
+    one.claim = keeper_->claims().claim_on(loop_.now(), name);
+    one.under_way = life.under_way(), one.last = life.last();
+    if (const auto process = processes_.process_of(name)) one.pid = process->pid;
+  }
+  return all;
+}
+
+// ---- Eyes
+
+void Warden::look() {
+  for (auto& [name, eye] : eyes_) {
+    if (eye->looking) continue;
+    eye->looking = true;
+    admin::v1::Call call;
+    call.mutable_status();
+    eye->caller->call(call, answers_within, [this, name = name](CallEnd end, const admin::v1::Reply& reply) {
+      Eye& seen = *eyes_.at(name);
+      seen.looking = false;
+      seen.answers = end == CallEnd::answered && reply.outcome() == admin::v1::ok;
+      const admin::v1::Identity& identity = reply.status().identity();
+      seen.phase = identity.phase(), seen.rest = identity.rest();
+      seen.pid = static_cast<std::int64_t>(identity.pid());
+      const auto counters = nlohmann::json::parse(reply.status().counters(), nullptr, false);
+      if (counters.is_object() && counters.contains("answered")) {
+        const auto& answers = counters["answered"];
+        seen.done = answers.value("done", std::uint64_t{0});
+        seen.answered = seen.done + answers.value("throttled", std::uint64_t{0}) +
+                        answers.value("cancelled", std::uint64_t{0});
+      }
+      looked(name);
+    });
+  }
+  loop_.at(loop_.now() + look_every, [this, alive = alive_] {
+    if (*alive) look();
+  });
+}
+
+void Warden::looked(const std::string& name) {
+  if (!keeper_) return;
+  const Eye& eye = *eyes_.at(name);
+  fleet::Life::Look look;
+  look.ours = processes_.alive(name);
+  look.answers = eye.answers;
+  // The shell that was started may have become the manager or be its parent: a session of ours holds both.
+  const auto process = processes_.process_of(name);
+  look.is_ours = look.ours && process &&
+                 (eye.pid == process->pid || ::getsid(static_cast<pid_t>(eye.pid)) == process->pid);
+  look.serves = eye.phase == "serving" || eye.phase == "listing";
+  look.drains = eye.rest == "draining", look.drained = eye.rest == "drained";
+  look.version = eye.version;
+  keeper_->looked(loop_.now(), name, look);
+}
+
+void Warden::wake_at(Span when) {
+  if (wake_ && *wake_ <= when && *wake_ > loop_.now()) return;
+  wake_ = when;
+  loop_.at(when, [this, alive = alive_] {
+    if (!*alive) return;
+    wake_.reset();
+    keeper_->woken(loop_.now());
+  });
+}
+
+// ---- Hands
+
+bool Warden::write(const std::map<std::string, fleet::Keeper::Kept>& kept, const std::string& why) {
+  if (store_.write(kept)) return true;
+  PEARCHUTE_LOG(spdlog::level::err, "{}: {} is not done", store_.fault(), why);
+  return false;
+}
+
+void Warden::start(const std::string& name, int version) {
+  const Owned& owned = charter_.instances.at(name);
+  const auto command = owned.commands.find(version);
+  if (command == owned.commands.end()) {
+    PEARCHUTE_LOG(spdlog::level::err, "instance {}: no command of version {}", name, version);
+    return;
+  }
+  std::string fault;
+  const bool started = processes_.start(
+      name, command->second, owned.log,
+      [&](store::Process process) {
+        process.version = version;
+        return store_.write_process(name, process);
+      },
+      fault);
+  if (started) eyes_.at(name)->version = version;
+  PEARCHUTE_LOG(started ? spdlog::level::info : spdlog::level::err, "instance {}: {}", name,
+                started ? "started, version " + std::to_string(version) : "can't be started: " + fault);
+}
+
+void Warden::ask_to_end(const std::string& name, Span within) {
+  admin::v1::Call call;
+  call.mutable_end()->set_within_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(within).count()));
+  eyes_.at(name)->caller->call(call, answers_within, {});
+}
+
+void Warden::call_off_end(const std::string& name) {
+  admin::v1::Call call;
+  call.mutable_end()->set_called_off(true);
+  eyes_.at(name)->caller->call(call, answers_within, {});
+}
+
+// Under the operation's name, and with a generation over all that the manager knows.
+void Warden::order_drain(const std::string& name, bool drains, const fleet::Step& step) {
+  admin::v1::Call known;
+  known.mutable_orders();
+  eyes_.at(name)->caller->call(
+      known, answers_within,
+      [this, alive = alive_, name, drains, step](CallEnd end, const admin::v1::Reply& reply) {
+        if (!*alive || end != CallEnd::answered) return;
+        admin::v1::Call call;
+        admin::v1::Order& order = *call.mutable_order();
+        order.set_id(step.operation + "-" + std::to_string(step.fence) + (drains ? "-drain" : "-restore"));
+        order.set_holder("agent:" + charter_.name), order.set_drains(drains);
+        order.set_generation(reply.orders().newest_generation() + 1);
+        // A drained instance stays so until somebody resumes it, a day at most.
+        order.set_lease_ms(24 * 3600 * 1000), order.set_reason("operation " + step.operation);
+        eyes_.at(name)->caller->call(call, answers_within, {});
+      });
+}
+
+void Warden::terminate(const std::string& name) {
+  spdlog::warn("instance {}: SIGTERM", name);
+  processes_.signal(name, SIGTERM);
+}
+
+void Warden::kill(const std::string& name) {
+  spdlog::warn("instance {}: SIGKILL", name);
+  processes_.signal(name, SIGKILL);
+}
+
+void Warden::step_ended(const std::string& name, const fleet::Step& step, fleet::StepEnd end,
+                        const std::string& word) {
+  constexpr std::string_view words[] = {"done", "refused", "time up", "fell back"};
+  spdlog::info("instance {}: step of {} under fence {}: {}, {}", name, step.operation, step.fence,
+               words[static_cast<int>(end)], word);
+}
+
+void Warden::claim_over(const std::string& name, const fleet::Claim& claim, fleet::Claims::Ended why) {
+  constexpr std::string_view words[] = {"has run out", "is given back", "is taken over"};
+  spdlog::info("instance {}: the claim of {} for {} {}", name, claim.who, claim.operation,
+               words[static_cast<int>(why)]);
+}
+
+}  // namespace pearchute::agent
--- /dev/null
+++ b/src/agent/warden.h
@@ -0,0 +1,70 @@
+// An agent's eyes and hands: looks at its instances, starts and ends their processes, hands them orders, and
+// keeps what its Keeper decides on disk. Where the disk can't be used it observes, takes no orders, and its
+// instances go on serving. It decides nothing itself.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "admin/caller.h"
+#include "agent/charter.h"
+#include "agent/processes.h"
+#include "fleet/keeper.h"
+#include "net/driver.h"
+#include "store/store.h"
+
+namespace pearchute::agent {
+
+class Warden final : public fleet::Keeper::Host {
+ public:
+  Warden(net::Loop& loop, const Charter& charter);
+  ~Warden() override;
+
+  // What operators ask; `fault` says why not.
+  fleet::Claims::Answer ask(const fleet::ClaimAsk& ask);
+  bool renew(const std::string& operation, Span lease);
+  void release(const std::string& operation);
+  bool step(const std::string& instance, const fleet::Step& step, std::string& fault);
+
+  struct Seen {
+    std::string instance, zone;
+    fleet::Condition condition = fleet::Condition::unseen;
+    int version = 0, falls = 0;
+    std::int64_t pid = 0;
+    std::uint64_t done = 0, answered = 0;  // jobs, since its process started
+    std::optional<fleet::Claim> claim;     // `until` as on this agent's clock
+    std::optional<fleet::Step> under_way;
+    std::optional<fleet::Life::Past> last;
+  };
+  std::vector<Seen> seen() const;
+  const std::string& trouble() const { return trouble_; }  // empty: it takes orders
+  bool settled() const { return !keeper_ || keeper_->settled(); }
+
+ private:
+  struct Eye;
+  bool write(const std::map<std::string, fleet::Keeper::Kept>& kept, const std::string& why) override;
+  void start(const std::string& instance, int version) override;
+  void ask_to_end(const std::string& instance, Span within) override;
+  void call_off_end(const std::string& instance) override;
+  void order_drain(const std::string& instance, bool drains, const fleet::Step& step) override;
+  void terminate(const std::string& instance) override;
+  void kill(const std::string& instance) override;
+  void step_ended(const std::string& instance, const fleet::Step& step, fleet::StepEnd end,
+                  const std::string& word) override;
+  void claim_over(const std::string& instance, const fleet::Claim& claim, fleet::Claims::Ended why) override;
+  void wake_at(Span when) override;
+  void look();
+  void looked(const std::string& instance);
+
+  net::Loop& loop_;
+  const Charter charter_;
+  store::Store store_;
+  Processes processes_;
+  std::string trouble_;
+  std::map<std::string, std::unique_ptr<Eye>> eyes_;
+  std::unique_ptr<fleet::Keeper> keeper_;  // none where it only observes
+  std::optional<Span> wake_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace pearchute::agent
--- /dev/null
+++ b/src/agent/wire.cpp
@@ -0,0 +1,117 @@
+#include "agent/wire.h"
+
+#include <array>
+#include <stdexcept>
+
+namespace pearchute::agent {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::array<std::string_view, 4> kinds = {"drain", "resume", "restart", "change"};
+constexpr std::array<std::string_view, 2> fallbacks = {"serve_again", "finish"};
+constexpr std::array<std::string_view, 4> ends = {"done", "refused", "time_up", "fell_back"};
+
+template <class Enum, std::size_t size>
+Enum among(const std::array<std::string_view, size>& words, const std::string& word) {
+  for (std::size_t i = 0; i < size; ++i) {
+    if (words[i] == word) return static_cast<Enum>(i);
+  }
+  throw std::invalid_argument("'" + word + "' is not known");
+}
+
+std::uint64_t ms(fleet::Span span) {
+  return static_cast<std::uint64_t>(duration_cast<milliseconds>(span).count());
+}
+
+// A day is longer than anything that is waited for here.
+fleet::Span span(std::uint64_t from) {
+  if (from > 24 * 3600 * 1000) throw std::invalid_argument("a span of over a day");
+  return milliseconds(from);
+}
+
+}  // namespace
+
+std::string_view word_for(fleet::StepKind kind) { return kinds[static_cast<std::size_t>(kind)]; }
+std::string_view word_for(fleet::StepEnd end) { return ends[static_cast<std::size_t>(end)]; }
+
+fleet::Condition condition_in(const std::string& word) {
+  for (int i = 0; i <= static_cast<int>(fleet::Condition::foreign); ++i) {
+    if (word_for(static_cast<fleet::Condition>(i)) == word) return static_cast<fleet::Condition>(i);
+  }
+  return fleet::Condition::unseen;
+}
+
+v1::Step to_wire(const fleet::Step& step) {
+  v1::Step to;
+  to.set_operation(step.operation), to.set_fence(step.fence);
+  to.set_kind(std::string(word_for(step.kind)));
+  to.set_fallback(std::string(fallbacks[static_cast<std::size_t>(step.fallback)]));
+  to.set_version(step.version);
+  to.set_drain_within_ms(ms(step.drain_within)), to.set_up_within_ms(ms(step.up_within));
+  return to;
+}
+
+fleet::Step from_wire(const v1::Step& step) {
+  fleet::Step to;
+  to.operation = step.operation(), to.fence = step.fence();
+  to.kind = among<fleet::StepKind>(kinds, step.kind());
+  to.fallback = among<fleet::Fallback>(fallbacks, step.fallback());
+  to.version = step.version();
+  to.drain_within = span(step.drain_within_ms()), to.up_within = span(step.up_within_ms());
+  return to;
+}
+
+v1::Ended to_wire(const fleet::Life::Past& past) {
+  v1::Ended to;
+  *to.mutable_step() = to_wire(past.step);
+  to.set_end(std::string(word_for(past.end))), to.set_word(past.word);
+  return to;
+}
+
+fleet::Life::Past from_wire(const v1::Ended& ended) {
+  return {from_wire(ended.step()), among<fleet::StepEnd>(ends, ended.end()), ended.word()};
+}
+
+v1::Plan to_wire(const fleet::RolloutPlan& plan) {
+  v1::Plan to;
+  to.set_id(plan.id), to.set_who(plan.who), to.set_kind(std::string(word_for(plan.kind)));
+  to.set_fallback(std::string(fallbacks[static_cast<std::size_t>(plan.fallback)]));
+  to.set_version(plan.version), to.set_version_before(plan.version_before);
+  for (const fleet::Target& target : plan.targets) {
+    v1::Target& one = *to.add_targets();
+    one.set_instance(target.instance), one.set_agent(target.agent), one.set_zone(target.zone);
+  }
+  to.set_at_once(plan.at_once), to.set_batch(plan.batch);
+  for (const auto& [zone, least] : plan.least_serving) (*to.mutable_least_serving())[zone] = least;
+  to.set_warm_ms(ms(plan.warm)), to.set_gate_ms(ms(plan.gate)), to.set_margin(plan.margin);
+  to.set_failures(plan.failures), to.set_take_over(plan.take_over), to.set_lease_ms(ms(plan.lease));
+  to.set_drain_within_ms(ms(plan.drain_within)), to.set_up_within_ms(ms(plan.up_within));
+  return to;
+}
+
+fleet::RolloutPlan from_wire(const v1::Plan& plan) {
+  fleet::RolloutPlan to;
+  to.id = plan.id(), to.who = plan.who();
+  to.kind = among<fleet::StepKind>(kinds, plan.kind());
+  to.fallback = among<fleet::Fallback>(fallbacks, plan.fallback());
+  to.version = plan.version(), to.version_before = plan.version_before();
+  for (const v1::Target& target : plan.targets())
+    to.targets.push_back({target.instance(), target.agent(), target.zone()});
+  to.at_once = plan.at_once(), to.batch = plan.batch();
+  for (const auto& [zone, least] : plan.least_serving()) to.least_serving[zone] = least;
+  to.warm = span(plan.warm_ms()), to.gate = span(plan.gate_ms()), to.margin = plan.margin();
+  to.failures = plan.failures(), to.take_over = plan.take_over(), to.lease = span(plan.lease_ms());
+  to.drain_within = span(plan.drain_within_ms()), to.up_within = span(plan.up_within_ms());
+  if (to.id.empty() || to.id.size() > 64 || to.who.empty() || to.who.size() > 128)
+    throw std::invalid_argument("a rollout needs a short id and a name");
+  if (to.at_once < 1 || to.batch < 0 || to.failures < 0) throw std::invalid_argument("a limit out of bounds");
+  if (to.targets.empty() || to.targets.size() > 5000) throw std::invalid_argument("no target, or too many");
+  if (to.lease < fleet::Claims::shortest_lease || to.lease > fleet::Claims::longest_lease)
+    throw std::invalid_argument("a lease out of bounds");
+  return to;
+}
+
+}  // namespace pearchute::agent
--- /dev/null
+++ b/src/agent/wire.h
@@ -0,0 +1,21 @@
+// Between the agents' messages and the decisions' terms, both ways. A word that is not known throws
+// std::invalid_argument.
+#pragma once
+
+#include "agent.pb.h"
+#include "fleet/keeper.h"
+#include "fleet/rollout.h"
+
+namespace pearchute::agent {
+
+std::string_view word_for(fleet::StepKind kind);
+std::string_view word_for(fleet::StepEnd end);
+fleet::Condition condition_in(const std::string& word);
+v1::Step to_wire(const fleet::Step& step);
+fleet::Step from_wire(const v1::Step& step);
+v1::Ended to_wire(const fleet::Life::Past& past);
+fleet::Life::Past from_wire(const v1::Ended& ended);
+v1::Plan to_wire(const fleet::RolloutPlan& plan);
+fleet::RolloutPlan from_wire(const v1::Plan& plan);  // out of bounds throws as well
+
+}  // namespace pearchute::agent
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -39,7 +39,7 @@
   if (!::mkdtemp(folder)) throw std::runtime_error("no folder for the laboratory's files");
   folder_ = folder;
   on([this] { raise(); });
-  for (std::size_t i = 0; i < managers_.size(); ++i) start(i);
+  for (std::size_t i = 0; i < managers_.size() && site_.starts_managers; ++i) start(i);
 }
 
 void World::raise() {
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -24,6 +24,7 @@
   double memory_mb = 8000;
   std::uint64_t seed = 1;
   std::string pearchuted;                   // the program
+  bool starts_managers = true;              // else agents do
   std::chrono::milliseconds slowest{4000};  // the longest job timeout
 };
 
--- a/src/net/stage.h
+++ b/src/net/stage.h
@@ -41,11 +41,13 @@
     return future.get();
   }
 
- private:
+  // Handed over, and not waited for.
   void post(std::function<void()> what) {
     const std::lock_guard lock(mutex_);
     posted_.push_back(std::move(what));
   }
+
+ private:
   void run() {
     Loop loop;
     const std::function<void()> look = [&] {
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -148,6 +148,7 @@
         "CREATE TABLE rollout (id TEXT PRIMARY KEY, plan TEXT NOT NULL, state INTEGER NOT NULL,"
         " stages TEXT NOT NULL, word TEXT NOT NULL, begun_unix_ms INTEGER NOT NULL);");
   }
+  if (from < 3) database_->exec("ALTER TABLE process ADD COLUMN version INTEGER NOT NULL DEFAULT 0;");
 }
 
 bool Store::transact(const std::function<void()>& what) {
@@ -201,9 +202,10 @@
       remove.exec();
       return;
     }
-    SQLite::Statement put(*database_, "INSERT OR REPLACE INTO process VALUES (?,?,?,?)");
+    SQLite::Statement put(*database_, "INSERT OR REPLACE INTO process VALUES (?,?,?,?,?)");
     put.bind(1, instance), put.bind(2, process->pid);
     put.bind(3, static_cast<std::int64_t>(process->started)), put.bind(4, process->boot);
+    put.bind(5, process->version);
     put.exec();
   });
 }
@@ -259,7 +261,7 @@
   while (get.executeStep()) {
     all[get.getColumn(0).getString()] = {get.getColumn(1).getInt64(),
                                          static_cast<std::uint64_t>(get.getColumn(2).getInt64()),
-                                         get.getColumn(3).getString()};
+                                         get.getColumn(3).getString(), get.getColumn(4).getInt()};
   }
   return all;
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -24,6 +24,7 @@
   std::int64_t pid = 0;
   std::uint64_t started = 0;  // clock ticks since the machine's boot
   std::string boot;           // the machine's boot id
+  int version = 0;            // of the command by which it was started
   bool operator==(const Process&) const = default;
 };
 
@@ -44,7 +45,7 @@
   // Creates the file, or brings an older one to this version. `fault` says what is wrong where it is not
   // usable; the file is left as it is.
   Opened open(std::string& fault);
-  static constexpr int version = 2;
+  static constexpr int version = 3;
   static const std::vector<const char*>& points();
 
   // False where it can't be written (see fault()): nothing of it is, then.
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -47,8 +47,8 @@
   {
     Store store(path);
     assert(open(store) == Store::Opened::usable && store.instances().empty());
-    assert(store.write({{"i1", kept(7)}, {"i2", {}}}) && store.write_process("i1", Process{12, 34, "b"}));
-    assert(store.write_process("i2", Process{13, 35, "b"}) && store.write_process("i2", std::nullopt));
+    assert(store.write({{"i1", kept(7)}, {"i2", {}}}) && store.write_process("i1", Process{12, 34, "b", 3}));
+    assert(store.write_process("i2", Process{13, 35, "b", 1}) && store.write_process("i2", std::nullopt));
     assert(store.write_rollout(rollout));
   }
   Store store(path);
@@ -59,7 +59,7 @@
          one.past->end == fleet::StepEnd::time_up && one.past->word == "does not serve" &&
          one.lease == seconds(30));
   assert(!store.instances().at("i2").step && store.processes().size() == 1 &&
-         (store.processes().at("i1") == Process{12, 34, "b"}));
+         (store.processes().at("i1") == Process{12, 34, "b", 3}));
   const auto back = store.rollouts(10);
   assert(back.size() == 1 && back[0].plan.targets[0].agent == "a1" &&
          back[0].plan.least_serving.at("z1") == 2 && back[0].plan.warm == seconds(7) &&
