--- /dev/null
+++ b/src/ctl/agents.cpp
@@ -0,0 +1,284 @@
+#include "ctl/agents.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <algorithm>
+#include <future>
+#include <iostream>
+#include <random>
+#include <thread>
+
+#include "agent.grpc.pb.h"
+#include "agent/wire.h"
+#include "fleet/caution.h"
+
+namespace pearchute::ctl {
+
+using agent::v1::Agent;
+using fleet::Done;
+using json = nlohmann::ordered_json;
+using std::chrono::milliseconds;
+
+struct AgentCommands::Seen {
+  std::string agent, trouble;
+  bool answered = false;
+  agent::v1::Shown shown;
+  agent::v1::RolloutList rollouts;
+};
+
+namespace {
+
+std::unique_ptr<Agent::Stub> stub_to(const AgentPlace& place) {
+  return Agent::NewStub(grpc::CreateChannel(place.control, grpc::InsecureChannelCredentials()));
+}
+
+void set_deadline(grpc::ClientContext& context, milliseconds within) {
+  context.set_deadline(std::chrono::system_clock::now() + within);
+}
+
+std::string in_seconds(std::uint64_t ms) { return std::to_string(ms / 1000) + "s"; }
+
+std::string fresh_id() {
+  std::random_device device;
+  char text[16];
+  std::snprintf(text, sizeof text, "r%08x", device());
+  return text;
+}
+
+bool is_over(const std::string& state) { return state == "done" || state == "aborted" || state == "failed"; }
+
+fleet::Status status_of(const std::string& state) {
+  if (state == "done") return fleet::all_done;
+  return is_over(state) ? fleet::partly_done : fleet::time_was_up;
+}
+
+}  // namespace
+
+AgentCommands::AgentCommands(const Fleet& fleet, std::vector<const Instance*> chosen, Output& output)
+    : fleet_(fleet), chosen_(std::move(chosen)), output_(output) {}
+
+// All agents at once; a round lasts as long as the time limit of one.
+std::vector<AgentCommands::Seen> AgentCommands::look() {
+  std::vector<std::future<Seen>> asked;
+  for (const AgentPlace& place : fleet_.agents) {
+    asked.push_back(std::async(std::launch::async, [&place, within = fleet_.answers_within] {
+      Seen seen;
+      seen.agent = place.name;
+      const auto stub = stub_to(place);
+      grpc::ClientContext context, second;
+      set_deadline(context, within), set_deadline(second, within);
+      const grpc::Status status = stub->Show(&context, {}, &seen.shown);
+      seen.answered = status.ok();
+      seen.trouble = status.ok() ? seen.shown.trouble() : status.error_message();
+      if (status.ok()) stub->Rollouts(&second, {}, &seen.rollouts);
+      return seen;
+    }));
+  }
+  std::vector<Seen> all;
+  for (auto& one : asked) all.push_back(one.get());
+  return all;
+}
+
+int AgentCommands::agents() {
+  std::vector<Done> each;
+  Rows rows;
+  for (const Seen& seen : look()) {
+    each.push_back(seen.answered ? Done::yes : Done::unreachable);
+    if (!seen.answered || !seen.trouble.empty())
+      rows.push_back({{"agent", seen.agent}, {"trouble", seen.trouble}, {"answers", seen.answered}});
+    for (const auto& instance : seen.shown.instances()) {
+      json row = {{"agent", seen.agent},           {"instance", instance.name()},
+                  {"zone", instance.zone()},       {"condition", instance.condition()},
+                  {"version", instance.version()}, {"pid", instance.pid()},
+                  {"falls", instance.falls()}};
+      if (instance.has_claim())
+        row["claimed_by"] = instance.claim().who() + " for " + instance.claim().operation();
+      if (instance.has_under_way()) row["step"] = instance.under_way().kind();
+      if (instance.has_last())
+        row["last_step"] =
+            instance.last().step().kind() + " " + instance.last().end() + ": " + instance.last().word();
+      rows.push_back(std::move(row));
+    }
+  }
+  output_.rows(rows, {"agent", "instance", "zone", "condition", "version", "pid", "falls", "claimed_by",
+                      "step", "last_step", "trouble"});
+  return fleet::status_of_question(each);
+}
+
+int AgentCommands::claims() {
+  std::vector<Done> each;
+  Rows rows;
+  for (const Seen& seen : look()) {
+    each.push_back(seen.answered ? Done::yes : Done::unreachable);
+    if (!seen.answered) std::cerr << seen.agent << ": " << seen.trouble << std::endl;
+    for (const auto& instance : seen.shown.instances()) {
+      if (!instance.has_claim()) continue;
+      const auto& claim = instance.claim();
+      rows.push_back({{"instance", instance.name()},
+                      {"agent", seen.agent},
+                      {"operation", claim.operation()},
+                      {"held_by", claim.who()},
+                      {"fence", claim.fence()},
+                      {"since", in_seconds(claim.held_ms())},
+                      {"left", in_seconds(claim.left_ms())}});
+    }
+  }
+  output_.rows(rows, {"instance", "agent", "operation", "held_by", "fence", "since", "left"});
+  return fleet::status_of_question(each);
+}
+
+int AgentCommands::rollout(fleet::RolloutPlan plan, const std::string& coordinator, bool start, bool follow) {
+  if (plan.id.empty()) plan.id = fresh_id();
+  std::map<std::string, std::pair<std::string, agent::v1::Instance>> owned;  // by instance: agent, as seen
+  for (const Seen& seen : look()) {
+    if (!seen.answered) std::cerr << seen.agent << ": " << seen.trouble << std::endl;
+    for (const auto& instance : seen.shown.instances()) owned[instance.name()] = {seen.agent, instance};
+  }
+  std::map<std::string, int> serving;
+  for (const auto& [name, one] : owned) serving[one.second.zone()] += one.second.condition() == "serving";
+  Rows rows;
+  bool unowned = false;
+  for (const Instance* instance : chosen_) {
+    const auto at = owned.find(instance->facts.name);
+    json row = {{"instance", instance->facts.name}};
+    if (at == owned.end()) {
+      row["result"] = "no agent that answers owns it";
+      unowned = true;
+    } else {
+      plan.targets.push_back({instance->facts.name, at->second.first, at->second.second.zone()});
+      row["agent"] = at->second.first, row["zone"] = at->second.second.zone();
+      row["condition"] = at->second.second.condition(), row["version"] = at->second.second.version();
+      if (at->second.second.has_claim()) row["claimed_by"] = at->second.second.claim().who();
+      row["result"] = start ? "asked for" : "would be stepped: " + std::string(agent::word_for(plan.kind));
+    }
+    rows.push_back(std::move(row));
+  }
+  output_.rows(rows, {"instance", "agent", "zone", "condition", "version", "claimed_by", "result"});
+  for (const auto& [zone, least] : plan.least_serving) {
+    if (serving[zone] <= least)
+      output_.line("zone " + zone + ": " + std::to_string(serving[zone]) + " serve, and " +
+                   std::to_string(least) + " are to stay: nothing there can be stepped now");
+  }
+  if (unowned) return fleet::some_unreachable;
+  if (!start) return fleet::all_done;
+  const auto place = std::ranges::find_if(
+      fleet_.agents, [&](const AgentPlace& one) { return coordinator.empty() || one.name == coordinator; });
+  if (place == fleet_.agents.end()) {
+    std::cerr << "no agent " << coordinator << " in the fleet file" << std::endl;
+    return fleet::usage;
+  }
+  grpc::ClientContext context;
+  set_deadline(context, fleet_.answers_within);
+  agent::v1::Said said;
+  const grpc::Status status = stub_to(*place)->StartRollout(&context, agent::to_wire(plan), &said);
+  if (!status.ok()) {
+    std::cerr << place->name << ": " << status.error_message()
+              << (status.error_code() == grpc::StatusCode::INVALID_ARGUMENT
+                      ? ""
+                      : "; whether it was started tells: pearchutectl rollout status " + plan.id)
+              << std::endl;
+    return status.error_code() == grpc::StatusCode::INVALID_ARGUMENT ? fleet::usage : fleet::some_unreachable;
+  }
+  if (!said.fault().empty()) {
+    std::cerr << place->name << ": " << said.fault() << std::endl;
+    return fleet::was_refused;
+  }
+  std::cerr << "rollout " << plan.id << " is coordinated by " << place->name << std::endl;
+  return follow ? this->status(plan.id, true) : fleet::all_done;
+}
+
+int AgentCommands::rollouts(bool past) {
+  std::vector<Done> each;
+  Rows rows;
+  for (const Seen& seen : look()) {
+    each.push_back(seen.answered ? Done::yes : Done::unreachable);
+    for (const auto& one : seen.rollouts.rollouts()) {
+      if (!past && is_over(one.state())) continue;
+      std::map<std::string, int> stages;
+      for (const auto& [instance, stage] : one.stages()) ++stages[stage];
+      std::string text;
+      for (const auto& [stage, count] : stages)
+        text += (text.empty() ? "" : ", ") + std::to_string(count) + " " + stage;
+      rows.push_back({{"rollout", one.plan().id()},
+                      {"coordinator", seen.agent},
+                      {"by", one.plan().who()},
+                      {"kind", one.plan().kind()},
+                      {"state", one.state()},
+                      {"stages", text},
+                      {"word", one.word()}});
+    }
+  }
+  output_.rows(rows, {"rollout", "coordinator", "by", "kind", "state", "stages", "word"});
+  return fleet::status_of_question(each);
+}
+
+int AgentCommands::status(const std::string& id, bool follow) {
+  while (true) {
+    agent::v1::Rollout found;
+    bool known = false, answered = true;
+    for (const Seen& seen : look()) {
+      answered = answered && seen.answered;
+      for (const auto& one : seen.rollouts.rollouts()) {
+        if (one.plan().id() == id) found = one, known = true;
+      }
+    }
+    if (!known && !follow) {
+      std::cerr << "no agent that answers knows rollout " << id << std::endl;
+      return answered ? fleet::usage : fleet::some_unreachable;
+    }
+    if (known && follow && !is_over(found.state()) && found.state() != "paused") {
+      std::map<std::string, int> stages;
+      for (const auto& [instance, stage] : found.stages()) ++stages[stage];
+      std::string text = found.state();
+      for (const auto& [stage, count] : stages) text += ", " + std::to_string(count) + " " + stage;
+      output_.progress(text);
+    } else if (known) {
+      output_.progress_over();
+      Rows rows;
+      for (const auto& target : found.plan().targets()) {
+        const auto stage = found.stages().find(target.instance()),
+                   word = found.words().find(target.instance());
+        rows.push_back({{"instance", target.instance()},
+                        {"agent", target.agent()},
+                        {"zone", target.zone()},
+                        {"stage", stage == found.stages().end() ? "" : stage->second},
+                        {"word", word == found.words().end() ? "" : word->second}});
+      }
+      output_.rows(rows, {"instance", "agent", "zone", "stage", "word"});
+      std::cerr << "rollout " << id << " is " << found.state()
+                << (found.word().empty() ? "" : ": " + found.word()) << std::endl;
+      return status_of(found.state());
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+  }
+}
+
+int AgentCommands::say(const std::string& id, const std::string& word) {
+  for (const AgentPlace& place : fleet_.agents) {
+    const auto stub = stub_to(place);
+    grpc::ClientContext look_context, context;
+    set_deadline(look_context, fleet_.answers_within);
+    agent::v1::RolloutList list;
+    if (!stub->Rollouts(&look_context, {}, &list).ok()) continue;
+    if (std::ranges::none_of(list.rollouts(), [&](const auto& one) { return one.plan().id() == id; }))
+      continue;
+    set_deadline(context, fleet_.answers_within);
+    agent::v1::Word ask;
+    ask.set_id(id), ask.set_word(word);
+    agent::v1::Said said;
+    const grpc::Status status = stub->Say(&context, ask, &said);
+    if (!status.ok()) {
+      std::cerr << place.name << ": " << status.error_message() << std::endl;
+      return fleet::some_unreachable;
+    }
+    if (!said.fault().empty()) {
+      std::cerr << place.name << ": " << said.fault() << std::endl;
+      return fleet::was_refused;
+    }
+    return this->status(id, false) == fleet::usage ? fleet::usage : fleet::all_done;
+  }
+  std::cerr << "no agent that answers knows rollout " << id << std::endl;
+  return fleet::some_unreachable;
+}
+
+}  // namespace pearchute::ctl
--- a/src/ctl/fleet_file.cpp
+++ b/src/ctl/fleet_file.cpp
@@ -20,8 +20,13 @@
       else throw ini::Fault("'" + name + "' is not known in [fleet]");
       return;
     }
+    if (section.starts_with("agent ") && section.size() > 6 && section.find(' ', 6) == std::string::npos) {
+      if (name != "control") throw ini::Fault("'" + name + "' is not known in [agent NAME]");
+      fleet.agents.push_back({section.substr(6), admin::place_in(text).text});
+      return;
+    }
     if (!section.starts_with("instance "))
-      throw ini::Fault("[" + section + "] is not known; [fleet] and [instance NAME] are");
+      throw ini::Fault("[" + section + "] is not known; [fleet], [agent NAME] and [instance NAME] are");
     const std::string who = section.substr(9);
     if (who.empty() || who.find_first_of(" \t") != std::string::npos)
       throw ini::Fault("'" + who + "' is no name for an instance");
--- a/src/ctl/fleet_file.h
+++ b/src/ctl/fleet_file.h
@@ -16,7 +16,12 @@
   std::string start;  // a shell command that starts it; empty: somebody else does
 };
 
+struct AgentPlace {
+  std::string name, control;
+};
+
 struct Fleet {
+  std::vector<AgentPlace> agents;
   std::vector<Instance> instances;  // in the file's order
   std::chrono::milliseconds answers_within{2000};
   std::size_t at_once = 128;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "ctl/agents.h"
 #include "ctl/commands.h"
 #include "ini/reader.h"
 #include "net/log.h"
@@ -106,6 +107,62 @@
   CLI::App* log_level = app.add_subcommand("log-level", "of the managers' logs, until their next start");
   log_level->add_option("level", level)->required();
   CLI::App* check = app.add_subcommand("check", "the fleet file, and who answers under which name");
+  CLI::App* agents = app.add_subcommand("agents", "what each agent sees of its instances");
+  CLI::App* claims = app.add_subcommand("claims", "who works on which instance, since when, for how long");
+  CLI::App* rollout = app.add_subcommand("rollout", "steps over many instances, within limits");
+  rollout->require_subcommand(1);
+  fleet::RolloutPlan plan;
+  std::string kind = "restart", fallback = "serve_again", coordinator, id;
+  std::vector<std::string> least;
+  int batch = 0, warm = 5, gate = 10, roll_lease = 30;
+  bool follow = false;
+  const auto planned = [&](CLI::App* command) {
+    command->add_option("--kind", kind)->check(CLI::IsMember({"drain", "resume", "restart", "change"}));
+    command->add_option("--fallback", fallback, "what a half-done step becomes when its claim ends")
+        ->check(CLI::IsMember({"serve_again", "finish"}));
+    command->add_option("--version-to", plan.version, "of the command, for a change");
+    command->add_option("--version-from", plan.version_before, "to which a rollback goes");
+    command->add_option("--at-once", plan.at_once, "so many under way at a time")->check(CLI::Range(1, 1000));
+    command->add_option("--batch", batch, "so many between two gates; 0: no gate")
+        ->check(CLI::Range(0, 5000));
+    command->add_option("--gate", gate, "how long service is looked at")
+        ->type_name("S")
+        ->check(CLI::Range(0, 3600));
+    command->add_option("--margin", plan.margin, "how far the share done may fall")
+        ->check(CLI::Range(0.0, 1.0));
+    command->add_option("--least", least, "that are to stay serving in a zone")->type_name("ZONE=N");
+    command->add_option("--warm", warm, "one that came back counts after this")
+        ->type_name("S")
+        ->check(CLI::Range(0, 3600));
+    command->add_option("--failures", plan.failures, "that are borne")->check(CLI::Range(0, 1000));
+    command->add_option("--lease", roll_lease, "of the claims")->type_name("S")->check(CLI::Range(1, 3600));
+    command->add_option("--within", within, "until what is open has ended")
+        ->type_name("S")
+        ->check(CLI::Range(0, 3600));
+    command->add_option("--up-within", up_within, "until one serves again")
+        ->type_name("S")
+        ->check(CLI::Range(1, 3600));
+    command->add_flag("--take-over", plan.take_over, "ends other operations' claims");
+    command->add_option("--as", manner.holder, "who answers for it")->type_name("NAME");
+    return command;
+  };
+  planned(rollout->add_subcommand("plan", "says what would be done"));
+  CLI::App* roll_start = planned(rollout->add_subcommand("start", "begins it"));
+  roll_start->add_option("--coordinator", coordinator, "the agent that is asked; else the first")
+      ->type_name("AGENT");
+  roll_start->add_option("--id", id, "the same id again is the same rollout");
+  roll_start->add_flag("--follow", follow, "until it is over or paused");
+  CLI::App* roll_list = rollout->add_subcommand("list", "those under way");
+  CLI::App* roll_history = rollout->add_subcommand("history", "those that are over, too");
+  CLI::App* roll_status = rollout->add_subcommand("status", "each instance's stage");
+  roll_status->add_option("id", id)->required();
+  roll_status->add_flag("--follow", follow, "until it is over or paused");
+  std::map<std::string, CLI::App*> words;
+  for (const char* word : {"pause", "resume", "abort", "back"}) {
+    words[word] =
+        rollout->add_subcommand(word, std::string(word) == "back" ? "what was changed goes back" : "");
+    words[word]->add_option("id", id)->required();
+  }
   CLI::App* completions = app.add_subcommand("completion", "a completion script for bash");
   try {
     app.parse(argc, argv);
@@ -142,6 +199,45 @@
   if (timeout > 0) known.answers_within = std::chrono::milliseconds(timeout);
   if (parallel > 0) known.at_once = static_cast<std::size_t>(parallel);
   Output output(form == "json");
+  if (agents->parsed() || claims->parsed() || rollout->parsed()) {
+    if (known.agents.empty()) {
+      std::cerr << "pearchutectl: " << file << " names no [agent NAME]\n";
+      return fleet::usage;
+    }
+    AgentCommands of_agents(known, chosen, output);
+    if (agents->parsed()) return of_agents.agents();
+    if (claims->parsed()) return of_agents.claims();
+    if (roll_list->parsed() || roll_history->parsed()) return of_agents.rollouts(roll_history->parsed());
+    if (roll_status->parsed()) return of_agents.status(id, follow);
+    for (const auto& [word, command] : words) {
+      if (command->parsed()) return of_agents.say(id, word);
+    }
+    plan.id = id, plan.who = manner.holder;
+    plan.kind = kind == "drain"    ? fleet::StepKind::drain
+                : kind == "resume" ? fleet::StepKind::resume
+                : kind == "change" ? fleet::StepKind::change
+                                   : fleet::StepKind::restart;
+    plan.fallback = fallback == "finish" ? fleet::Fallback::finish : fleet::Fallback::serve_again;
+    plan.batch = batch, plan.warm = std::chrono::seconds(warm), plan.gate = std::chrono::seconds(gate);
+    plan.lease = std::chrono::seconds(roll_lease);
+    plan.drain_within = std::chrono::seconds(within), plan.up_within = std::chrono::seconds(up_within);
+    if (plan.kind == fleet::StepKind::change && (plan.version < 1 || plan.version_before < 1)) {
+      std::cerr << "pearchutectl: a change needs --version-to and --version-from\n";
+      return fleet::usage;
+    }
+    for (const std::string& one : least) {
+      const std::size_t equal = one.find('=');
+      try {
+        if (equal == std::string::npos) throw ini::Fault("--least is ZONE=N, not " + one);
+        plan.least_serving[one.substr(0, equal)] =
+            static_cast<int>(ini::whole("--least", one.substr(equal + 1), 0, 5000));
+      } catch (const ini::Fault& fault) {
+        std::cerr << "pearchutectl: " << fault.what() << "\n";
+        return fleet::usage;
+      }
+    }
+    return of_agents.rollout(plan, coordinator, roll_start->parsed(), follow);
+  }
   Commands commands(known, chosen, output);
   if (status->parsed()) return commands.status();
   if (engine_table->parsed()) return commands.engines();
--- a/tests/test_agents.cpp
+++ b/tests/test_agents.cpp
@@ -14,6 +14,7 @@
 #include "agent.grpc.pb.h"
 #include "agent/charter.h"
 #include "agent/processes.h"
+#include "lab/managers.h"
 #include "lab/world.h"
 
 using namespace pearchute;
@@ -269,6 +270,29 @@
     return all_serve() && std::ranges::none_of(all, [](const auto& one) { return one.second.has_claim(); });
   }));
 
+  // From the command line.
+  const std::string fleet = world.write_fleet();
+  {
+    std::ofstream file(fleet, std::ios::app);
+    for (const Agent& one : agents) file << "[agent " << one.name << "]\ncontrol = " << one.control << "\n";
+  }
+  const auto ctl = [&](std::vector<std::string> words) {
+    words.insert(words.begin(), {"--fleet", fleet});
+    return run_program(PEARCHUTECTL, words);
+  };
+  assert(ctl({"agents"}).status == 0 && ctl({"claims"}).status == 0);
+  assert(ctl({"rollout", "plan", "--on", "name = n5"}).out.find("would be stepped: restart") !=
+         std::string::npos);
+  const auto old = conditions().at("n5").pid();
+  assert(ctl({"rollout", "start", "--on", "name = n5", "--id", "r3", "--warm", "0", "--coordinator", "a2",
+              "--follow"})
+             .status == 0);
+  assert(conditions().at("n5").pid() != old);
+  assert(ctl({"rollout", "history"}).out.find("r3") != std::string::npos);
+  assert(ctl({"rollout", "status", "r3"}).status == 0 && ctl({"rollout", "status", "r9"}).status == 2);
+  assert(ctl({"rollout", "pause", "r3"}).status == 4 &&
+         ctl({"rollout", "start", "--kind", "change"}).status == 2);
+
   // A state that can't be used: the agent says so, observes, takes no orders, and its instances go on.
   agents[2].end(SIGKILL);
   std::ofstream(world.folder() + "/a3.db", std::ios::trunc)
