--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -3,6 +3,7 @@
 // admin peers, and the command line over managers of which some are dead, hang or are older.
 #include <signal.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/un.h>
 #include <unistd.h>
 
@@ -178,6 +179,12 @@
   assert(verdict.clean());
 }
 
+// Nobody else reaches the channel.
+void own_rights(World& world) {
+  struct stat what {};
+  assert(::stat(world.managers()[0].admin.c_str(), &what) == 0 && (what.st_mode & 0777) == 0600);
+}
+
 // The channel says what it likes during an operator's drain.
 void against_the_channel(World& world) {
   world.on([&] { world.crowd().offer(200, mix); });
@@ -501,6 +508,7 @@
     std::printf("%-20s at %5.1f s\n", name, static_cast<double>((steady_now() - begun).count()) / 1e6);
     std::fflush(stdout);
   };
+  scene("own rights", own_rights);
   scene("against the channel", against_the_channel);
   scene("against each other", against_each_other);
   scene("nothing left", nothing_left);
