--- a/src/agent/coordinator.cpp
+++ b/src/agent/coordinator.cpp
@@ -1,6 +1,9 @@
 #include "agent/coordinator.h"
 
 #include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <set>
 
 #include "agent/wire.h"
 #include "net/log.h"
@@ -22,6 +25,13 @@
 
 }  // namespace
 
+// The calls that are under way, told of by gRPC's own threads.
+struct Coordinator::Calls {
+  std::mutex mutex;
+  std::condition_variable ended;
+  std::set<grpc::ClientContext*> open;
+};
+
 template <class Ask, class Answer, class Method>
 void Coordinator::call(const std::string& agent, Method method, const Ask& ask,
                        std::function<void(bool, const Answer&)> heard) {
@@ -33,11 +43,15 @@
   const auto open = std::make_shared<Open>();
   open->ask = ask;
   open->context.set_deadline(std::chrono::system_clock::now() + answers_within);
-  std::function<void(grpc::Status)> done = [stage = &stage_, open, heard,
-                                            alive = alive_](grpc::Status status) {
-    stage->post([open, heard, alive, ok = status.ok()] {
-      if (*alive) heard(ok, open->answer);
-    });
+  {
+    const std::lock_guard lock(calls_->mutex);
+    calls_->open.insert(&open->context);
+  }
+  std::function<void(grpc::Status)> done = [stage = &stage_, open, heard, calls = calls_](grpc::Status status) {
+    stage->post([open, heard, ok = status.ok()] { heard(ok, open->answer); });
+    const std::lock_guard lock(calls->mutex);
+    calls->open.erase(&open->context);
+    calls->ended.notify_all();
   };
   method(stub(agent).async(), &open->context, &open->ask, &open->answer, done);
 }
@@ -50,10 +64,15 @@
         {rollout.plan(), state, rollout.stages(), rollout.word(), begun_unix_ms});
   }
   Span now() const { return owner.stage_.loop().now(); }
+  // What comes back after this rollout has gone is dropped.
+  template <class What>
+  auto while_here(What what) const {
+    return [here = std::weak_ptr<bool>(here), what](const auto&... all_of_it) {
+      if (!here.expired()) what(all_of_it...);
+    };
+  }
   void again(std::function<void()> what) {
-    owner.stage_.loop().at(now() + ask_again_after, [alive = owner.alive_, what] {
-      if (*alive) what();
-    });
+    owner.stage_.loop().at(now() + ask_again_after, while_here(what));
   }
   void ask_claims(const std::string& agent, const std::vector<std::string>& instances) override {
     v1::ClaimAsk ask;
@@ -64,7 +83,7 @@
     const Span sent = now();
     owner.call<v1::ClaimAsk, v1::ClaimAnswer>(
         agent, [](auto* to, auto... what) { to->Claim(what...); }, ask,
-        [this, agent, instances, sent](bool ok, const v1::ClaimAnswer& answer) {
+        while_here([this, agent, instances, sent](bool ok, const v1::ClaimAnswer& answer) {
           if (!ok) {
             if (rollout.state() == Rollout::State::claiming)
               again([this, agent, instances] { ask_claims(agent, instances); });
@@ -79,18 +98,19 @@
           }
           rollout.claims_answered(now(), sent, agent, answer.granted(),
                                   {answer.fences().begin(), answer.fences().end()}, holder);
-        });
+        }));
   }
-  void renew(const std::string& agent) override {
+  void renew(const std::string& agent, const std::vector<std::string>& instances) override {
     v1::Renewal ask;
     ask.set_operation(rollout.plan().id);
+    for (const std::string& instance : instances) ask.add_instances(instance);
     ask.set_lease_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(rollout.plan().lease).count()));
     const Span sent = now();
     owner.call<v1::Renewal, v1::Renewed>(
         agent, [](auto* to, auto... what) { to->Renew(what...); }, ask,
-        [this, agent, sent](bool ok, const v1::Renewed& answer) {
+        while_here([this, agent, sent](bool ok, const v1::Renewed& answer) {
           if (ok) rollout.renewed(now(), sent, agent, answer.live());
-        });
+        }));
   }
   void release(const std::string& agent) override {
     v1::Operation ask;
@@ -105,22 +125,22 @@
     *ask.mutable_step() = to_wire(step);
     owner.call<v1::StepAsk, v1::StepAnswer>(
         agent, [](auto* to, auto... what) { to->DoStep(what...); }, ask,
-        [this, agent, instance, step](bool ok, const v1::StepAnswer& answer) {
+        while_here([this, agent, instance, step](bool ok, const v1::StepAnswer& answer) {
           if (ok) return rollout.step_answered(now(), instance, answer.accepted(), answer.fault());
           // Only while its own claim lasts: later it would be refused.
           const auto until = rollout.lease_until(agent);
           const auto stages = rollout.stages();
           if (until && now() + ask_again_after < *until && stages.at(instance) == Rollout::Stage::asked)
             again([this, agent, instance, step] { this->step(agent, instance, step); });
-        });
+        }));
   }
   void ask_fleet() override {
     for (const auto& [agent, stub] : owner.stubs_) {
       owner.call<v1::Empty, v1::Shown>(
           agent, [](auto* to, auto... what) { to->Show(what...); }, {},
-          [this](bool ok, const v1::Shown& shown) {
+          while_here([this](bool ok, const v1::Shown& shown) {
             if (ok) heard(shown);
-          });
+          }));
     }
   }
   void heard(const v1::Shown& shown) {
@@ -138,7 +158,7 @@
       }
       before = {one.pid(), one.done(), one.answered()};
     }
-    // Over some ten looks of each agent; with hardly any traffic nothing has fallen.
+    // Each look at an agent counts a little less than the next; with hardly any traffic nothing has fallen.
     done *= 0.97, all *= 0.97;
     rollout.service(now(), all < 5 ? 1.0 : done / all);
   }
@@ -152,21 +172,24 @@
   std::map<std::string, Counted> counted;
   double done = 0, all = 0;
   Rollout rollout;
+  const std::shared_ptr<bool> here = std::make_shared<bool>(true);
 };
 
-Coordinator::Coordinator(net::Stage& stage, const Charter& charter)
-    : stage_(stage), charter_(charter), store_(charter.state) {
-  const auto opened = store_.open(trouble_);
+Coordinator::Coordinator(net::Stage& stage, const Charter& charter, store::Store& store,
+                         const std::string& trouble)
+    : stage_(stage),
+      charter_(charter),
+      store_(store),
+      trouble_(trouble),
+      calls_(std::make_shared<Calls>()) {
   const auto add = [&](const std::string& name, const std::string& place) {
     stubs_[name] = v1::Agent::NewStub(grpc::CreateChannel(place, grpc::InsecureChannelCredentials()));
   };
   add(charter_.name, charter_.control.text);
   for (const auto& [name, place] : charter_.peers) add(name, place);
-  if (opened == store::Store::Opened::usable) {
+  if (trouble_.empty()) {
     for (const store::KeptRollout& kept : store_.rollouts(50)) {
-      const bool over = kept.state == Rollout::State::done || kept.state == Rollout::State::aborted ||
-                        kept.state == Rollout::State::failed;
-      if (over) {
+      if (fleet::is_over(kept.state)) {
         past_.push_back(kept);
         continue;
       }
@@ -177,7 +200,13 @@
   wake();
 }
 
-Coordinator::~Coordinator() { *alive_ = false; }
+// No call's end may reach a stage that has gone.
+Coordinator::~Coordinator() {
+  *alive_ = false;
+  std::unique_lock lock(calls_->mutex);
+  for (grpc::ClientContext* context : calls_->open) context->TryCancel();
+  calls_->ended.wait(lock, [this] { return calls_->open.empty(); });
+}
 
 v1::Agent::Stub& Coordinator::stub(const std::string& agent) { return *stubs_.at(agent); }
 
@@ -221,22 +250,29 @@
   return "";
 }
 
-void Coordinator::tell(v1::RolloutList& list) const {
-  for (const auto& [id, one] : rollouts_) {
-    v1::Rollout& to = *list.add_rollouts();
-    *to.mutable_plan() = to_wire(one->rollout.plan());
-    to.set_state(std::string(fleet::word_for(one->rollout.state()))), to.set_word(one->rollout.word());
-    for (const auto& [instance, stage] : one->rollout.stages())
-      (*to.mutable_stages())[instance] = std::string(fleet::word_for(stage));
-    for (const auto& [instance, word] : one->rollout.words()) (*to.mutable_words())[instance] = word;
-  }
-  for (const store::KeptRollout& kept : past_) {
+void Coordinator::tell(const std::string& id, v1::RolloutList& list) const {
+  const auto add = [&](const fleet::RolloutPlan& plan, Rollout::State state, const std::string& word,
+                       const std::map<std::string, Rollout::Stage>& stages) -> v1::Rollout* {
+    if (!id.empty() && plan.id != id) return nullptr;
     v1::Rollout& to = *list.add_rollouts();
-    *to.mutable_plan() = to_wire(kept.plan);
-    to.set_state(std::string(fleet::word_for(kept.state))), to.set_word(kept.word);
-    for (const auto& [instance, stage] : kept.stages)
-      (*to.mutable_stages())[instance] = std::string(fleet::word_for(stage));
+    *to.mutable_plan() = to_wire(plan);
+    to.set_state(std::string(fleet::word_for(state))), to.set_word(word);
+    for (const auto& [instance, stage] : stages) {
+      const std::string text(fleet::word_for(stage));
+      ++(*to.mutable_counts())[text];
+      if (!id.empty()) (*to.mutable_stages())[instance] = text;
+    }
+    // All of them whole would be more than a message may hold.
+    if (id.empty()) to.mutable_plan()->clear_targets();
+    return &to;
+  };
+  for (const auto& [name, one] : rollouts_) {
+    const Rollout& rollout = one->rollout;
+    v1::Rollout* to = add(rollout.plan(), rollout.state(), rollout.word(), rollout.stages());
+    if (!to || id.empty()) continue;
+    for (const auto& [instance, word] : rollout.words()) (*to->mutable_words())[instance] = word;
   }
+  for (const store::KeptRollout& kept : past_) add(kept.plan, kept.state, kept.word, kept.stages);
 }
 
 }  // namespace pearchute::agent
--- a/src/agent/coordinator.h
+++ b/src/agent/coordinator.h
@@ -18,16 +18,17 @@
 
 class Coordinator {
  public:
-  // Lives on the stage's loop.
-  Coordinator(net::Stage& stage, const Charter& charter);
+  // Lives on the stage's loop. `trouble` says why the store can't be used, where it can't.
+  Coordinator(net::Stage& stage, const Charter& charter, store::Store& store, const std::string& trouble);
   ~Coordinator();
   std::string start(const fleet::RolloutPlan& plan);                // the fault, or nothing
   std::string say(const std::string& id, const std::string& word);  // the same
-  void tell(v1::RolloutList& list) const;
+  void tell(const std::string& id, v1::RolloutList& list) const;  // one whole; without an id a summary of all
 
  private:
   struct One;
   friend struct One;
+  struct Calls;
   v1::Agent::Stub& stub(const std::string& agent);
   void wake();
   // Sends one call; `heard` comes on the loop, with the reply where there is one.
@@ -37,8 +38,9 @@
 
   net::Stage& stage_;
   const Charter charter_;
-  store::Store store_;
-  std::string trouble_;
+  store::Store& store_;
+  const std::string trouble_;
+  const std::shared_ptr<Calls> calls_;
   std::map<std::string, std::unique_ptr<v1::Agent::Stub>> stubs_;
   std::map<std::string, std::unique_ptr<One>> rollouts_;
   std::vector<store::KeptRollout> past_;
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -66,7 +66,8 @@
   grpc::Status Renew(grpc::ServerContext*, const v1::Renewal* ask, v1::Renewed* to) override {
     return on([&] {
       if (ask->lease_ms() > 24 * 3600 * 1000) throw std::invalid_argument("a lease out of bounds");
-      to->set_live(warden_.renew(ask->operation(), milliseconds(ask->lease_ms())));
+      to->set_live(warden_.renew(ask->operation(), {ask->instances().begin(), ask->instances().end()},
+                                  milliseconds(ask->lease_ms())));
     });
   }
   grpc::Status Release(grpc::ServerContext*, const v1::Operation* ask, v1::Empty*) override {
@@ -82,8 +83,8 @@
   grpc::Status StartRollout(grpc::ServerContext*, const v1::Plan* plan, v1::Said* said) override {
     return on([&] { said->set_fault(coordinator_.start(from_wire(*plan))); });
   }
-  grpc::Status Rollouts(grpc::ServerContext*, const v1::Empty*, v1::RolloutList* list) override {
-    return on([&] { coordinator_.tell(*list); });
+  grpc::Status Rollouts(grpc::ServerContext*, const v1::Operation* one, v1::RolloutList* list) override {
+    return on([&] { coordinator_.tell(one->id(), *list); });
   }
   grpc::Status Say(grpc::ServerContext*, const v1::Word* word, v1::Said* said) override {
     return on([&] { said->set_fault(coordinator_.say(word->id(), word->word())); });
@@ -123,7 +124,7 @@
   std::unique_ptr<Coordinator> coordinator;
   stage.on([&] {
     warden = std::make_unique<Warden>(stage.loop(), charter);
-    coordinator = std::make_unique<Coordinator>(stage, charter);
+    coordinator = std::make_unique<Coordinator>(stage, charter, warden->store(), warden->trouble());
   });
   Service service(stage, *warden, *coordinator, charter.name);
   grpc::ServerBuilder builder;
--- a/src/agent/warden.cpp
+++ b/src/agent/warden.cpp
@@ -75,8 +75,8 @@
   return answer;
 }
 
-bool Warden::renew(const std::string& operation, Span lease) {
-  return keeper_ && keeper_->renew(loop_.now(), operation, lease);
+bool Warden::renew(const std::string& operation, const std::vector<std::string>& instances, Span lease) {
+  return keeper_ && keeper_->renew(loop_.now(), operation, instances, lease);
 }
 
 void Warden::release(const std::string& operation) {
@@ -156,7 +156,7 @@
   const auto process = processes_.process_of(name);
   look.is_ours = look.ours && process &&
                  (eye.pid == process->pid || ::getsid(static_cast<pid_t>(eye.pid)) == process->pid);
-  look.serves = eye.phase == "serving" || eye.phase == "listing";
+  look.serves = eye.phase == "serving";
   look.drains = eye.rest == "draining", look.drained = eye.rest == "drained";
   look.version = eye.version;
   keeper_->looked(loop_.now(), name, look);
--- a/src/agent/warden.h
+++ b/src/agent/warden.h
@@ -22,7 +22,8 @@
 
   // What operators ask; `fault` says why not.
   fleet::Claims::Answer ask(const fleet::ClaimAsk& ask);
-  bool renew(const std::string& operation, Span lease);
+  bool renew(const std::string& operation, const std::vector<std::string>& instances, Span lease);
+  store::Store& store() { return store_; }
   void release(const std::string& operation);
   bool step(const std::string& instance, const fleet::Step& step, std::string& fault);
 
--- a/src/ctl/agents.cpp
+++ b/src/ctl/agents.cpp
@@ -23,7 +23,6 @@
   std::string agent, trouble;
   bool answered = false;
   agent::v1::Shown shown;
-  agent::v1::RolloutList rollouts;
 };
 
 namespace {
@@ -47,6 +46,14 @@
 
 bool is_over(const std::string& state) { return state == "done" || state == "aborted" || state == "failed"; }
 
+std::string counts_of(const agent::v1::Rollout& rollout) {
+  std::map<std::string, std::uint32_t> counts(rollout.counts().begin(), rollout.counts().end());
+  std::string text;
+  for (const auto& [stage, count] : counts)
+    text += (text.empty() ? "" : ", ") + std::to_string(count) + " " + stage;
+  return text;
+}
+
 fleet::Status status_of(const std::string& state) {
   if (state == "done") return fleet::all_done;
   return is_over(state) ? fleet::partly_done : fleet::time_was_up;
@@ -65,12 +72,11 @@
       Seen seen;
       seen.agent = place.name;
       const auto stub = stub_to(place);
-      grpc::ClientContext context, second;
-      set_deadline(context, within), set_deadline(second, within);
+      grpc::ClientContext context;
+      set_deadline(context, within);
       const grpc::Status status = stub->Show(&context, {}, &seen.shown);
       seen.answered = status.ok();
       seen.trouble = status.ok() ? seen.shown.trouble() : status.error_message();
-      if (status.ok()) stub->Rollouts(&second, {}, &seen.rollouts);
       return seen;
     }));
   }
@@ -187,24 +193,38 @@
   return follow ? this->status(plan.id, true) : fleet::all_done;
 }
 
+// What each agent says of one rollout, or of all in short.
+std::vector<AgentCommands::Told> AgentCommands::ask_rollouts(const std::string& id) {
+  std::vector<std::future<Told>> asked;
+  for (const AgentPlace& place : fleet_.agents) {
+    asked.push_back(std::async(std::launch::async, [&place, id, within = fleet_.answers_within] {
+      Told told{&place, false, {}};
+      grpc::ClientContext context;
+      set_deadline(context, within);
+      agent::v1::Operation ask;
+      ask.set_id(id);
+      told.answered = stub_to(place)->Rollouts(&context, ask, &told.list).ok();
+      return told;
+    }));
+  }
+  std::vector<Told> all;
+  for (auto& one : asked) all.push_back(one.get());
+  return all;
+}
+
 int AgentCommands::rollouts(bool past) {
   std::vector<Done> each;
   Rows rows;
-  for (const Seen& seen : look()) {
-    each.push_back(seen.answered ? Done::yes : Done::unreachable);
-    for (const auto& one : seen.rollouts.rollouts()) {
+  for (const Told& told : ask_rollouts("")) {
+    each.push_back(told.answered ? Done::yes : Done::unreachable);
+    for (const auto& one : told.list.rollouts()) {
       if (!past && is_over(one.state())) continue;
-      std::map<std::string, int> stages;
-      for (const auto& [instance, stage] : one.stages()) ++stages[stage];
-      std::string text;
-      for (const auto& [stage, count] : stages)
-        text += (text.empty() ? "" : ", ") + std::to_string(count) + " " + stage;
       rows.push_back({{"rollout", one.plan().id()},
-                      {"coordinator", seen.agent},
+                      {"coordinator", told.place->name},
                       {"by", one.plan().who()},
                       {"kind", one.plan().kind()},
                       {"state", one.state()},
-                      {"stages", text},
+                      {"stages", counts_of(one)},
                       {"word", one.word()}});
     }
   }
@@ -214,68 +234,49 @@
 
 int AgentCommands::status(const std::string& id, bool follow) {
   while (true) {
-    agent::v1::Rollout found;
-    bool known = false, answered = true;
-    for (const Seen& seen : look()) {
-      answered = answered && seen.answered;
-      for (const auto& one : seen.rollouts.rollouts()) {
-        if (one.plan().id() == id) found = one, known = true;
-      }
+    std::optional<agent::v1::Rollout> found;
+    bool answered = true;
+    for (const Told& told : ask_rollouts(id)) {
+      answered = answered && told.answered;
+      if (told.list.rollouts_size() > 0) found = told.list.rollouts(0);
     }
-    if (!known && !follow) {
+    if (!found && !follow) {
       std::cerr << "no agent that answers knows rollout " << id << std::endl;
       return answered ? fleet::usage : fleet::some_unreachable;
     }
-    if (known && follow && !is_over(found.state()) && found.state() != "paused") {
-      std::map<std::string, int> stages;
-      for (const auto& [instance, stage] : found.stages()) ++stages[stage];
-      std::string text = found.state();
-      for (const auto& [stage, count] : stages) text += ", " + std::to_string(count) + " " + stage;
-      output_.progress(text);
-    } else if (known) {
+    if (found && (!follow || is_over(found->state()) || found->state() == "paused")) {
       output_.progress_over();
       Rows rows;
-      for (const auto& target : found.plan().targets()) {
-        const auto stage = found.stages().find(target.instance()),
-                   word = found.words().find(target.instance());
-        rows.push_back({{"instance", target.instance()},
-                        {"agent", target.agent()},
-                        {"zone", target.zone()},
-                        {"stage", stage == found.stages().end() ? "" : stage->second},
-                        {"word", word == found.words().end() ? "" : word->second}});
+      for (const auto& target : found->plan().targets()) {
+        json row = {{"instance", target.instance()}, {"agent", target.agent()}, {"zone", target.zone()}};
+        if (const auto at = found->stages().find(target.instance()); at != found->stages().end())
+          row["stage"] = at->second;
+        if (const auto at = found->words().find(target.instance()); at != found->words().end())
+          row["word"] = at->second;
+        rows.push_back(std::move(row));
       }
       output_.rows(rows, {"instance", "agent", "zone", "stage", "word"});
-      std::cerr << "rollout " << id << " is " << found.state()
-                << (found.word().empty() ? "" : ": " + found.word()) << std::endl;
-      return status_of(found.state());
+      std::cerr << "rollout " << id << " is " << found->state()
+                << (found->word().empty() ? "" : ": " + found->word()) << std::endl;
+      return status_of(found->state());
     }
+    if (found) output_.progress(found->state() + ", " + counts_of(*found));
     std::this_thread::sleep_for(milliseconds(500));
   }
 }
 
 int AgentCommands::say(const std::string& id, const std::string& word) {
-  for (const AgentPlace& place : fleet_.agents) {
-    const auto stub = stub_to(place);
-    grpc::ClientContext look_context, context;
-    set_deadline(look_context, fleet_.answers_within);
-    agent::v1::RolloutList list;
-    if (!stub->Rollouts(&look_context, {}, &list).ok()) continue;
-    if (std::ranges::none_of(list.rollouts(), [&](const auto& one) { return one.plan().id() == id; }))
-      continue;
+  for (const Told& told : ask_rollouts(id)) {
+    if (told.list.rollouts_size() == 0) continue;
+    grpc::ClientContext context;
     set_deadline(context, fleet_.answers_within);
     agent::v1::Word ask;
     ask.set_id(id), ask.set_word(word);
     agent::v1::Said said;
-    const grpc::Status status = stub->Say(&context, ask, &said);
-    if (!status.ok()) {
-      std::cerr << place.name << ": " << status.error_message() << std::endl;
-      return fleet::some_unreachable;
-    }
-    if (!said.fault().empty()) {
-      std::cerr << place.name << ": " << said.fault() << std::endl;
-      return fleet::was_refused;
-    }
-    return this->status(id, false) == fleet::usage ? fleet::usage : fleet::all_done;
+    const grpc::Status status = stub_to(*told.place)->Say(&context, ask, &said);
+    if (status.ok() && said.fault().empty()) return this->status(id, false), fleet::all_done;
+    std::cerr << told.place->name << ": " << (status.ok() ? said.fault() : status.error_message()) << std::endl;
+    return status.ok() ? fleet::was_refused : fleet::some_unreachable;
   }
   std::cerr << "no agent that answers knows rollout " << id << std::endl;
   return fleet::some_unreachable;
--- a/src/ctl/agents.h
+++ b/src/ctl/agents.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "agent.pb.h"
 #include "ctl/fleet_file.h"
 #include "ctl/output.h"
 #include "fleet/rollout.h"
@@ -26,6 +27,12 @@
  private:
   struct Seen;
   std::vector<Seen> look();
+  struct Told {
+    const AgentPlace* place;
+    bool answered;
+    agent::v1::RolloutList list;
+  };
+  std::vector<Told> ask_rollouts(const std::string& id);
 
   const Fleet& fleet_;
   const std::vector<const Instance*> chosen_;
--- a/src/fleet/claims.cpp
+++ b/src/fleet/claims.cpp
@@ -55,16 +55,20 @@
   return answer;
 }
 
-bool Claims::renew(Span now, const std::string& operation, Span lease) {
+bool Claims::renew(Span now, const std::string& operation, const std::vector<std::string>& instances,
+                   Span lease) {
   woken(now);
-  bool any = false;
-  for (auto& [instance, owned] : owned_) {
-    if (!owned.claim || owned.claim->operation != operation) continue;
-    any = true;
-    owned.claim->until = std::max(owned.claim->until, now + std::clamp(lease, shortest_lease, longest_lease));
+  bool all = true;
+  for (const std::string& instance : instances) {
+    const auto at = owned_.find(instance);
+    const bool live = at != owned_.end() && at->second.claim && at->second.claim->operation == operation;
+    all = all && live;
+    if (!live) continue;
+    Span& until = at->second.claim->until;
+    until = std::max(until, now + std::clamp(lease, shortest_lease, longest_lease));
   }
   set_wake();
-  return any;
+  return all;
 }
 
 void Claims::release(Span now, const std::string& operation) {
--- a/src/fleet/claims.h
+++ b/src/fleet/claims.h
@@ -66,8 +66,8 @@
     std::string fault;       // where it is refused for anything else
   };
   Answer ask(Span now, const ClaimAsk& ask);
-  // False where any of the operation's claims is not live any more; those that are go on for `lease`.
-  bool renew(Span now, const std::string& operation, Span lease);
+  // Those of these claims that are live go on for `lease`. False where any is not: run out, or taken over.
+  bool renew(Span now, const std::string& operation, const std::vector<std::string>& instances, Span lease);
   void release(Span now, const std::string& operation);
   void woken(Span now);
 
--- a/src/fleet/keeper.cpp
+++ b/src/fleet/keeper.cpp
@@ -61,15 +61,13 @@
 
 Claims::Answer Keeper::ask(Span now, const ClaimAsk& ask) {
   now_ = now;
-  for (const std::string& instance : ask.instances) {
-    if (const auto at = all_.find(instance); at != all_.end()) at->second->kept().lease = ask.lease;
-  }
   return claims_.ask(now, ask);
 }
 
-bool Keeper::renew(Span now, const std::string& operation, Span lease) {
+bool Keeper::renew(Span now, const std::string& operation, const std::vector<std::string>& instances,
+                   Span lease) {
   now_ = now;
-  return claims_.renew(now, operation, lease);
+  return claims_.renew(now, operation, instances, lease);
 }
 
 void Keeper::release(Span now, const std::string& operation) {
@@ -81,7 +79,8 @@
   std::map<std::string, Kept> write;
   for (const auto& [instance, claim] : granted) {
     Kept kept = kept_of(*all_.at(instance));
-    kept.claim = claim, kept.last_fence = std::max(kept.last_fence, claim.fence);
+    kept.claim = claim, kept.lease = claim.until - now_;
+    kept.last_fence = std::max(kept.last_fence, claim.fence);
     write[instance] = kept;
   }
   if (!host_.write(write, "claim")) return false;
--- a/src/fleet/keeper.h
+++ b/src/fleet/keeper.h
@@ -45,7 +45,7 @@
 
   void owns(Span now, const std::string& instance, const Kept& kept);
   Claims::Answer ask(Span now, const ClaimAsk& ask);
-  bool renew(Span now, const std::string& operation, Span lease);
+  bool renew(Span now, const std::string& operation, const std::vector<std::string>& instances, Span lease);
   void release(Span now, const std::string& operation);
   // Under a live claim of that operation with that fence only; else `fault` says why not.
   bool step(Span now, const std::string& instance, const Step& step, std::string& fault);
--- a/src/fleet/rollout.cpp
+++ b/src/fleet/rollout.cpp
@@ -19,6 +19,12 @@
 
 }  // namespace
 
+bool is_over(Rollout::State state) {
+  return state == Rollout::State::done || state == Rollout::State::aborted || state == Rollout::State::failed;
+}
+
+bool Rollout::over() const { return is_over(state_); }
+
 std::string_view word_for(Rollout::State state) {
   constexpr std::string_view words[] = {"planned",  "claiming", "running", "gate",  "paused",
                                         "aborting", "done",     "aborted", "failed"};
@@ -340,7 +346,7 @@
       // Paused, with nothing under way, it holds nobody up: its claims run out, and are taken anew when it is
       // resumed.
       agent.renew_at = now + plan_.lease / 3;
-      host_.renew(name);
+      host_.renew(name, agent.instances);
     }
   }
   if (state_ == State::gate && now >= gate_until_) {
--- a/src/fleet/rollout.h
+++ b/src/fleet/rollout.h
@@ -60,7 +60,7 @@
     // To be written before anything else happens; false where that fails.
     virtual bool keep(State state) = 0;
     virtual void ask_claims(const std::string& agent, const std::vector<std::string>& instances) = 0;
-    virtual void renew(const std::string& agent) = 0;
+    virtual void renew(const std::string& agent, const std::vector<std::string>& instances) = 0;
     virtual void release(const std::string& agent) = 0;
     virtual void step(const std::string& agent, const std::string& instance, const Step& step) = 0;
     virtual void ask_fleet() = 0;  // answered by seen() for each instance, and by service()
@@ -96,7 +96,7 @@
   const RolloutPlan& plan() const { return plan_; }
   std::map<std::string, Stage> stages() const;
   std::map<std::string, std::string> words() const;
-  bool over() const { return state_ == State::done || state_ == State::aborted || state_ == State::failed; }
+  bool over() const;
   bool going_back() const { return going_back_; }
   // Until when claims at that agent are gone by here; nothing where there are none.
   std::optional<Span> lease_until(const std::string& agent) const {
@@ -149,6 +149,7 @@
   Span gate_until_{}, asked_fleet_at_{-1'000'000'000}, claim_until_{};
 };
 
+bool is_over(Rollout::State state);
 std::string_view word_for(Rollout::State state);
 std::string_view word_for(Rollout::Stage stage);
 
--- a/src/lab/fleet_model.cpp
+++ b/src/lab/fleet_model.cpp
@@ -59,7 +59,7 @@
       return true;
     }
     void ask_claims(const std::string& agent, const std::vector<std::string>& instances) override;
-    void renew(const std::string& agent) override;
+    void renew(const std::string& agent, const std::vector<std::string>& wanted) override;
     void release(const std::string& agent) override;
     void step(const std::string& agent, const std::string& instance, const Step& step) override;
     void ask_fleet() override;
@@ -175,10 +175,12 @@
     if ((!named && !random) || result.killed) return;
     result.killed = true;
     killed_at = now;
-    const std::size_t coordinator = coordinators.empty() ? 0 : coordinators.front()->at;
-    std::set<std::size_t> whom = {agent};
-    if (shape.kill_whom == "both") whom.insert(coordinator);
+    const std::size_t coordinator = coordinators.empty() ? agent : coordinators.front()->at;
+    std::set<std::size_t> whom;
+    if (shape.kill_whom != "coordinator") whom.insert(agent);
+    if (shape.kill_whom != "passer") whom.insert(coordinator);
     for (const std::size_t one : whom) end(one);
+    if (!whom.contains(agent)) return;
     throw Killed{};
   }
   void end(std::size_t number) {
@@ -196,8 +198,7 @@
         const auto state = coordinator->kept_state;
         graveyard.push_back(std::move(coordinator));
         coordinator = std::move(fresh);
-        const bool was_over = state == Rollout::State::done || state == Rollout::State::aborted ||
-                              state == Rollout::State::failed;
+        const bool was_over = is_over(state);
         coordinator->kept_state = state, coordinator->kept_stages = stages;
         if (was_over) {
           finished = true;
@@ -373,12 +374,13 @@
   m.pass("claims asked", at);
 }
 
-void FleetModel::Impl::Coordinator::renew(const std::string& agent) {
+void FleetModel::Impl::Coordinator::renew(const std::string& agent,
+                                           const std::vector<std::string>& wanted) {
   Impl& m = model;
   const std::size_t to = m.number_of(agent), from = at;
   const Span sent = m.now;
-  m.send(from, to, [&m, this, from, to, agent, sent, id = rollout.plan().id, lease = rollout.plan().lease] {
-    const bool live = m.agents[to]->keeper->renew(m.now, id, lease);
+  m.send(from, to, [&m, this, from, to, agent, wanted, sent, id = rollout.plan().id, lease = rollout.plan().lease] {
+    const bool live = m.agents[to]->keeper->renew(m.now, id, wanted, lease);
     m.send(to, from, [&m, this, agent, sent, live] {
       if (m.current(this)) rollout.renewed(m.now, sent, agent, live);
     });
@@ -451,10 +453,8 @@
   floor = plan.least_serving, kind = plan.kind;
   // Somewhere within the run; a rollout of this size passes some twenty points an instance.
   kill_at_pass = 1 + chance() % (20 * instances.size());
-  std::size_t coordinator_at = 0;
-  if (shape.kill_whom == "owner") coordinator_at = agents.size() - 1;
   for (const auto& agent : agents) at(between(0, 100), [this, &a = *agent] { look(a); });
-  coordinators.push_back(std::make_unique<Coordinator>(*this, coordinator_at, plan));
+  coordinators.push_back(std::make_unique<Coordinator>(*this, 0, plan));
   Coordinator* first = coordinators.front().get();
   at(milliseconds(300), [this, first] { guarded([&] { first->rollout.begin(now); }); });
   const auto follow = [this] {
--- a/src/lab/measure_rollout.cpp
+++ b/src/lab/measure_rollout.cpp
@@ -35,7 +35,7 @@
   for (int i = 0; i < count; ++i) {
     FleetModel::Shape shape{.seed = bench.seed * 100'000 + static_cast<std::uint64_t>(i)};
     shape.agents = 5, shape.instances_each = 2, shape.loss = 0.05, shape.doubled = 0.05;
-    shape.kill_at = "random", shape.kill_whom = i % 5 == 0 ? "both" : "any";
+    shape.kill_at = "random", shape.kill_whom = i % 5 == 0 ? "both" : "passer";
     shape.cut_off = 0.2, shape.stopped = 0.1, shape.hangs = i % 4 == 0 ? 0.2 : 0;
     FleetModel model(shape);
     const FleetModel::Result result = model.play(plan_of(shape.seed));
--- a/tests/test_agents.cpp
+++ b/tests/test_agents.cpp
@@ -110,12 +110,11 @@
   }
   agent::v1::Rollout rollout(const std::string& id) {
     grpc::ClientContext context;
+    agent::v1::Operation ask;
+    ask.set_id(id);
     agent::v1::RolloutList list;
-    stub->Rollouts(&context, {}, &list);
-    for (const auto& one : list.rollouts()) {
-      if (one.plan().id() == id) return one;
-    }
-    return {};
+    stub->Rollouts(&context, ask, &list);
+    return list.rollouts_size() == 1 ? list.rollouts(0) : agent::v1::Rollout();
   }
 };
 
--- a/tests/test_rollouts.cpp
+++ b/tests/test_rollouts.cpp
@@ -47,11 +47,13 @@
   assert(over.granted && over.fences.at("b") == 6 && !claims.live(seconds(4), "b", 5) &&
          claims.live(seconds(4), "a", 5));
   assert(host.ended == std::vector<std::string>{"b one taken over"});
-  assert(claims.renew(seconds(5), "one", seconds(10)) && claims.live(seconds(14), "a", 5));
+  // What is left of the older operation can be renewed, and it hears that it has lost the rest.
+  assert(!claims.renew(seconds(5), "one", {"a", "b"}, seconds(10)) && claims.live(seconds(14), "a", 5));
+  assert(claims.renew(seconds(5), "one", {"a"}, seconds(10)) && claims.renew(seconds(5), "two", {"b", "c"}, seconds(10)));
   // Run out by the clock alone, whoever was woken or not; then free for others under a newer fence.
   assert(!claims.live(seconds(15), "a", 5) && !claims.claim_on(seconds(15), "a"));
   assert(claims.ask(seconds(15), ask("three", {"a"})).fences["a"] == 6 &&
-         !claims.renew(seconds(16), "one", seconds(9)));
+         !claims.renew(seconds(16), "one", {"a"}, seconds(9)));
   claims.release(seconds(16), "three");
   claims.release(seconds(16), "three");
   assert(!claims.live(seconds(16), "a", 6) && claims.last_fence("a") == 6);
@@ -242,32 +244,42 @@
       visited.insert(result.points.begin(), result.points.end());
     }
   }
-  // Killed at each point, of either kind of agent, on its first or a later passing.
+  // Killed at each point: the agent that passes it, the coordinator meanwhile, or both; come back or not.
+  std::map<std::string, std::set<std::string>> killed;
+  const std::vector<std::string> kinds = {"passer", "coordinator", "both"};
   for (const std::string& point : FleetModel::all_points()) {
-    for (std::uint64_t seed = 1; seed <= 24; ++seed) {
-      for (const char* whom : {"any", "both"}) {
-        FleetModel::Shape shape{
-            .seed = seed, .kill_at = point, .kill_whom = whom, .kill_pass = 1 + static_cast<int>(seed % 3)};
+    for (const std::string& whom : kinds) {
+      for (std::uint64_t seed = 1; seed <= 60 && (seed <= 12 || !killed[point].contains(whom)); ++seed) {
+        FleetModel::Shape shape{.seed = seed, .kill_at = point, .kill_whom = whom};
+        shape.kill_pass = 1 + static_cast<int>(seed % 3);
         shape.comes_back = seed % 4 != 0;
-        shape.hangs = seed % 2 ? 0.3 : 0;
+        // Some points are passed only where an instance does not end when asked, or a claim ends amid a step.
+        shape.hangs = seed % 2 ? 0.5 : 0;
+        shape.cut_off = seed % 2;
         shape.loss = 0.05;
         RolloutPlan plan = plan_of(seed % 2 ? StepKind::restart : StepKind::change);
         if (seed % 3 == 0) plan.fallback = Fallback::finish;
         if (seed % 6 == 5) plan.kind = StepKind::drain, plan.least_serving.clear();
         const auto result = play(shape, plan);
         visited.insert(result.points.begin(), result.points.end());
+        if (result.killed) killed[point].insert(whom);
       }
     }
   }
+  for (const std::string& point : FleetModel::all_points()) {
+    for (const std::string& whom : kinds) {
+      if (!killed[point].contains(whom)) std::fprintf(stderr, "nobody (%s) was killed at: %s\n", whom.c_str(), point.c_str());
+      assert(killed[point].contains(whom));
+    }
+  }
   for (std::uint64_t seed = 1; seed <= 400; ++seed) {
     FleetModel::Shape shape{
-        .seed = seed, .loss = 0.1, .doubled = 0.1, .kill_at = seed % 3 ? "random" : "", .kill_whom = "any"};
+        .seed = seed, .loss = 0.1, .doubled = 0.1, .kill_at = seed % 3 ? "random" : "", .kill_whom = "passer"};
     shape.cut_off = 0.4, shape.stopped = 0.3;
     shape.hangs = seed % 5 == 0 ? 0.3 : 0, shape.falls = seed % 7 == 0 ? 0.3 : 0;
     shape.rival = seed % 4 == 0;
     RolloutPlan plan = plan_of(seed % 2 ? StepKind::restart : StepKind::change);
     if (seed % 2) plan.fallback = Fallback::finish;
-    visited.insert(shape.kill_at);
     const auto result = play(shape, plan);
     visited.insert(result.points.begin(), result.points.end());
   }
