Answers of the admin channel keep within a message; a watch alone gets what it missed

Cause: read through, a hundred engines with long orders, or over ninety long orders, would not have fitted into a message and been answered busy; beyond a hundred orders the rest was not told; events that one watch had missed went to every watch.

Change: engines, orders and jobs are told as far as they fit, with more to come; a Desk tells what was missed since a number, and the session gives it to its own watch; a turn of a session has no second answer that said the same as waiting().

--- a/src/admin/office.cpp
+++ b/src/admin/office.cpp
@@ -59,15 +59,13 @@
   void turn() {
     if (!wire_) return;
     std::string out;
-    const bool more = session_.turn(wire_->waiting(), out);
+    session_.turn(wire_->waiting(), out);
     wire_->send(out);
-    // What is not answered yet is not read either.
+    // What is not answered yet is not read either; the sweep goes on with it, after what else has come for
+    // clients and engines.
     wire_->pause(session_.waiting());
-    // The rest in a turn of its own, after what else has come for clients and engines.
-    if (more) due_ = true;
   }
-  bool due() { return std::exchange(due_, false); }
-  void event(v1::Event& event) {
+  void event(const v1::Event& event) {
     std::string out;
     session_.event(event, wire_->waiting(), out);
     wire_->send(out);
@@ -87,7 +85,6 @@
   std::unique_ptr<net::Wire> wire_;
   Span since_, stuck_since_;
   std::uint64_t written_ = 0;
-  bool due_ = false;
 };
 
 Office::Office(net::Loop& loop, const Terms& terms, Desk& desk) : loop_(loop), terms_(terms), desk_(desk) {
@@ -134,7 +131,7 @@
   });
 }
 
-void Office::tell(v1::Event& event) {
+void Office::tell(const v1::Event& event) {
   for (const auto& line : lines_) line->event(event);
 }
 
@@ -149,7 +146,7 @@
   const Span now = loop_.now();
   for (const auto& line : lines_) {
     if (line->overdue(now)) overdue.push_back(line.get());
-    else if (line->due() || line->session().waiting()) due.push_back(line.get());
+    else if (line->session().waiting()) due.push_back(line.get());
   }
   for (Line* line : overdue) drop(*line);
   for (Line* line : due) line->turn();
--- a/src/admin/office.h
+++ b/src/admin/office.h
@@ -17,7 +17,7 @@
   // Throws std::exception where the place can't be listened at.
   Office(net::Loop& loop, const Terms& terms, Desk& desk);
   ~Office();
-  void tell(v1::Event& event);  // to each watch
+  void tell(const v1::Event& event);  // to each watch
   std::size_t watchers() const;
   std::size_t connections() const { return lines_.size(); }
   std::uint64_t turned_away() const { return turned_away_; }
--- a/src/admin/session.cpp
+++ b/src/admin/session.cpp
@@ -20,6 +20,8 @@
 
 }  // namespace
 
+std::vector<v1::Event> Desk::since(std::uint64_t) const { return {}; }
+
 bool Session::feed(std::string_view bytes) {
   return reader_.feed(bytes, [&](std::string_view message) {
     calls_.emplace_back(message);
@@ -27,9 +29,9 @@
   });
 }
 
-bool Session::turn(std::size_t unread, std::string& out) {
+void Session::turn(std::size_t unread, std::string& out) {
   for (int count = 0; count < calls_each_turn && !calls_.empty(); ++count) {
-    if (unread + out.size() > most_unread) return false;
+    if (unread + out.size() > most_unread) return;
     v1::Call call;
     v1::Reply reply;
     const bool sound = call.ParseFromString(calls_.front());
@@ -43,14 +45,16 @@
       reply.set_fault("this manager does not know that call");
     } else {
       desk_.answer(call, reply);
-      if (call.has_watch() && reply.outcome() == v1::ok) watch_ = call.number();
     }
     put(reply, out);
+    if (!call.has_watch() || reply.outcome() != v1::ok) continue;
+    watch_ = call.number();
+    if (call.watch().after() == 0) continue;  // from now on
+    for (const v1::Event& missed : desk_.since(call.watch().after())) event(missed, unread, out);
   }
-  return !calls_.empty();
 }
 
-void Session::event(v1::Event& event, std::size_t unread, std::string& out) {
+void Session::event(const v1::Event& event, std::size_t unread, std::string& out) {
   if (!watch_) return;
   if (unread + out.size() > largest_frame / 2) {
     ++lost_;
@@ -58,9 +62,9 @@
   }
   v1::Reply reply;
   reply.set_number(*watch_);
-  event.set_lost(lost_);
-  lost_ = 0;
   *reply.mutable_event() = event;
+  reply.mutable_event()->set_lost(lost_);
+  lost_ = 0;
   put(reply, out);
 }
 
--- a/src/admin/session.h
+++ b/src/admin/session.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "admin/frames.h"
 
@@ -24,6 +25,8 @@
  public:
   virtual ~Desk() = default;
   virtual void answer(const v1::Call& call, v1::Reply& reply) = 0;
+  // What a watch has missed behind that event, as far as it is kept.
+  virtual std::vector<v1::Event> since(std::uint64_t after) const;
 };
 
 class Session {
@@ -36,12 +39,12 @@
   explicit Session(Desk& desk) : desk_(desk) {}
   // False where the connection is to be closed: it does not speak the protocol, or asks too much at once.
   bool feed(std::string_view bytes);
-  // Answers what waits, as far as one turn goes; `unread` is what its peer has not taken yet. True where more
-  // is left for another turn.
-  bool turn(std::size_t unread, std::string& out);
+  // Answers what waits, as far as one turn goes; `unread` is what its peer has not taken yet. The rest waits for
+  // another turn.
+  void turn(std::size_t unread, std::string& out);
   // An event for its watch, if it has one. A reader that is behind loses it, and is told how many with the
   // next that it gets.
-  void event(v1::Event& event, std::size_t unread, std::string& out);
+  void event(const v1::Event& event, std::size_t unread, std::string& out);
   bool watches() const { return watch_.has_value(); }
   bool within() const { return reader_.within(); }
   bool waiting() const { return !calls_.empty(); }
--- a/src/daemon/governor.cpp
+++ b/src/daemon/governor.cpp
@@ -66,6 +66,19 @@
   return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE)) / 1024;
 }
 
+// How much goes into one answer: a message less what stands round its list.
+class Room {
+ public:
+  template <class Item>
+  bool takes(const Item& item) {
+    left_ -= std::min(left_, item.ByteSizeLong() + 8);
+    return left_ > 0;
+  }
+
+ private:
+  std::size_t left_ = admin::largest_frame - 1024;
+};
+
 class Governor final : public net::Program::Annex,
                        public admin::Desk,
                        public fleet::Drains::Host,
@@ -187,13 +200,13 @@
       case Call::kOrder:
         return take_order(call.order(), reply);
       case Call::kOrders:
-        return tell_orders(*reply.mutable_orders());
+        return tell_orders(call.orders().orders(), *reply.mutable_orders());
       case Call::kEnd:
         return end_asked(call.end(), reply);
       case Call::kLogLevel:
         return set_log_level(call.log_level().level(), reply);
       case Call::kWatch:
-        return watch(call.watch(), reply);
+        return watch(reply);
       case Call::WHAT_NOT_SET:
         break;
     }
@@ -252,8 +265,8 @@
   }
 
   void tell_engines(const admin::v1::Page& page, admin::v1::Engines& engines) const {
-    // By name, a page at a time: 100 with some orders each stay within a message.
-    constexpr std::uint32_t most = 100;
+    // By name, a page at a time, as many as fit.
+    constexpr std::uint32_t most = 200;
     const std::uint32_t wanted = page.most() == 0 ? most : std::min(page.most(), most);
     std::map<EngineId, const Member*> shown;
     for (auto at = members_.upper_bound(page.after()); at != members_.end(); ++at) {
@@ -275,8 +288,8 @@
       const auto name_at = [](const std::vector<std::string>& names, int position) {
         return position >= 0 ? names[static_cast<std::size_t>(position)] : std::string();
       };
-      to.set_zone(name_at(parts_deployment().zones, member.engine.zone.value));
-      to.set_kind(name_at(parts_deployment().kinds, member.engine.kind.value));
+      to.set_zone(name_at(parts_.deployment.zones, member.engine.zone.value));
+      to.set_kind(name_at(parts_.deployment.kinds, member.engine.kind.value));
       to.set_said(std::string(fleet::word_for(standing_of(member.engine.state))));
       to.set_state(std::string(fleet::word_for(drains_.standing(member.name))));
       to.set_cold(belief.is_cold), to.set_live_mb(engine.live_bytes), to.set_capacity_mb(belief.capacity_mb);
@@ -294,7 +307,11 @@
         if (to.orders_size() < 4) fill(*to.add_orders(), held, now);
       }
     });
-    for (auto& [name, engine] : by_name) *engines.add_engines() = std::move(engine);
+    Room room;
+    for (auto& [name, engine] : by_name) {
+      if (!room.takes(engine)) return engines.set_more(true);
+      *engines.add_engines() = std::move(engine);
+    }
   }
 
   void tell_jobs(const admin::v1::Page& page, admin::v1::Jobs& jobs) {
@@ -302,14 +319,16 @@
     std::map<EngineId, std::string> names;
     for (const auto& [name, member] : members_) names[member.engine.id] = name;
     jobs.set_all(parts_.front.open_jobs());
+    Room room;
     parts_.front.tell_jobs(page.most() == 0 ? most : std::min(page.most(), most),
                            [&](const net::Front::JobSeen& job) {
-                             admin::v1::Job& to = *jobs.add_jobs();
+                             admin::v1::Job to;
                              to.set_id(job.id), to.set_type(job.type);
                              to.set_age_ms(in_ms(job.age)), to.set_left_ms(job.left.count() / 1000);
                              to.set_dispatches(static_cast<std::uint32_t>(job.dispatches));
                              for (const EngineId engine : job.out) to.add_out(names[engine]);
                              to.set_waits_for(std::string(word_for(job.waits)));
+                             if (room.takes(to)) *jobs.add_jobs() = std::move(to);
                            });
   }
 
@@ -343,13 +362,16 @@
     }
   }
 
-  void tell_orders(admin::v1::Orders& orders) const {
-    // All of them at their longest would not fit into a message; the first hundred at theirs do.
-    constexpr int most = 100;
-    for (const fleet::Held& held : drains_.in_force()) {
-      if (orders.orders_size() < most) fill(*orders.add_orders(), held, parts_.loop.now());
-    }
+  void tell_orders(std::size_t skip, admin::v1::Orders& orders) const {
     orders.set_newest_generation(drains_.newest_generation());
+    const std::vector<fleet::Held> all = drains_.in_force();
+    Room room;
+    for (std::size_t i = skip; i < all.size(); ++i) {
+      admin::v1::Order order;
+      fill(order, all[i], parts_.loop.now());
+      if (!room.takes(order)) return orders.set_more(true);
+      *orders.add_orders() = std::move(order);
+    }
   }
 
   void end_asked(const admin::v1::End& end, admin::v1::Reply& reply) {
@@ -378,20 +400,19 @@
     identify(*reply.mutable_identity());
   }
 
-  void watch(const admin::v1::Watch& watch, admin::v1::Reply& reply) {
+  void watch(admin::v1::Reply& reply) {
     if (office_.watchers() >= terms_.most_watchers) {
       reply.set_outcome(admin::v1::busy);
       return reply.set_fault("as many watch already as may");
     }
     identify(*reply.mutable_identity());
-    if (watch.after() == 0) return;
-    // What came since goes to all who watch; who has it already knows it by its number.
-    parts_.loop.soon([this, after = watch.after()] {
-      const std::deque<admin::v1::Event> since = events_;
-      for (admin::v1::Event event : since) {
-        if (event.number() > after) office_.tell(event);
-      }
-    });
+  }
+  std::vector<admin::v1::Event> since(std::uint64_t after) const override {
+    std::vector<admin::v1::Event> events;
+    for (const admin::v1::Event& event : events_) {
+      if (event.number() > after) events.push_back(event);
+    }
+    return events;
   }
 
   void tell(std::string_view kind, std::string_view subject, std::string_view text) {
@@ -401,11 +422,9 @@
     event.set_unix_ms(static_cast<std::uint64_t>(unix_now().count()));
     event.set_kind(std::string(kind)), event.set_subject(std::string(subject));
     event.set_text(std::string(text));
+    office_.tell(event);
     if (events_.size() > kept) events_.pop_front();
-    admin::v1::Event copy = events_.back();
-    office_.tell(copy);
   }
-  const service::Deployment& parts_deployment() const { return parts_.deployment; }
 
   const net::Program::Parts parts_;
   const admin::Terms terms_;
--- a/tests/test_admin.cpp
+++ b/tests/test_admin.cpp
@@ -40,6 +40,11 @@
     }
     if (call.has_watch()) reply.mutable_identity();
   }
+  std::vector<v1::Event> since(std::uint64_t after) const override {
+    std::vector<v1::Event> events(2);
+    for (v1::Event& event : events) event.set_number(++after);
+    return events;
+  }
 };
 
 std::string framed(const v1::Call& call) {
@@ -76,7 +81,8 @@
       std::string out;
       assert(session.feed(std::string_view(bytes).substr(0, cut)) &&
              session.feed(std::string_view(bytes).substr(cut)));
-      assert(!session.turn(0, out));
+      session.turn(0, out);
+      assert(!session.waiting());
       const auto replies = replies_in(out);
       assert(replies.size() == 2 && replies[1].number() == 2 && replies[1].identity().name() == "n1");
     }
@@ -90,7 +96,8 @@
     who(8).SerializeToString(&with_more);
     append_frame(more, with_more + std::string("\xfa\x07\x00", 3));
     append_frame(more, "\xff\xff\xff");
-    assert(session.feed(more) && !session.turn(0, out));
+    assert(session.feed(more));
+    session.turn(0, out);
     const auto replies = replies_in(out);
     assert(replies.size() == 3 && replies[0].outcome() == v1::unknown_call && replies[0].number() == 7);
     assert(replies[1].outcome() == v1::ok && replies[2].outcome() == v1::unusable && desk.answers == 1);
@@ -109,13 +116,17 @@
     Session calm(desk);
     many.clear();
     for (std::uint64_t i = 0; i < 20; ++i) many += framed(who(i));
-    assert(calm.feed(many) && calm.turn(0, out) && desk.answers == Session::calls_each_turn);
-    assert(!calm.turn(Session::most_unread + 1, out) && desk.answers == Session::calls_each_turn);
-    assert(calm.turn(0, out) && !calm.turn(0, out) && replies_in(out).size() == 20);
+    assert(calm.feed(many));
+    calm.turn(0, out), calm.turn(Session::most_unread + 1, out);
+    assert(desk.answers == Session::calls_each_turn && calm.waiting());
+    calm.turn(0, out), calm.turn(0, out);
+    assert(!calm.waiting() && replies_in(out).size() == 20);
     v1::Call jobs;
     jobs.mutable_jobs();
     out.clear();
-    assert(calm.feed(framed(jobs)) && !calm.turn(0, out) && replies_in(out)[0].outcome() == v1::busy);
+    assert(calm.feed(framed(jobs)));
+    calm.turn(0, out);
+    assert(replies_in(out)[0].outcome() == v1::busy);
   }
   {  // A watch whose reader is slow loses events and is told how many.
     CountingDesk desk;
@@ -125,7 +136,11 @@
     watch.set_number(9), watch.mutable_watch();
     v1::Event event;
     session.event(event, 0, out);
-    assert(out.empty() && session.feed(framed(watch)) && !session.turn(0, out) && session.watches());
+    watch.mutable_watch()->set_after(40);
+    assert(out.empty() && session.feed(framed(watch)));
+    session.turn(0, out);
+    const auto first = replies_in(out);  // what it missed comes right behind the answer, and to this one only
+    assert(session.watches() && first.size() == 3 && first[1].event().number() == 41 && first[2].number() == 9);
     out.clear();
     for (std::uint64_t number = 1; number <= 5; ++number) {
       event.set_number(number);
