pearchutectl reads engines and orders to their last page, by one way of asking for all questions

Cause: beyond a page, engine list, the losses before a drain, and the orders that a restart compares were cut off in silence; engines, jobs and orders each had their own loop of the same shape.

Change: Rounds::ask_pages, and one Commands::question for the three.

--- a/src/admin/session.h
+++ b/src/admin/session.h
@@ -39,8 +39,8 @@
   explicit Session(Desk& desk) : desk_(desk) {}
   // False where the connection is to be closed: it does not speak the protocol, or asks too much at once.
   bool feed(std::string_view bytes);
-  // Answers what waits, as far as one turn goes; `unread` is what its peer has not taken yet. The rest waits for
-  // another turn.
+  // Answers what waits, as far as one turn goes; `unread` is what its peer has not taken yet. The rest waits
+  // for another turn.
   void turn(std::size_t unread, std::string& out);
   // An event for its watch, if it has one. A reader that is behind loses it, and is told how many with the
   // next that it gets.
--- a/src/agent/coordinator.cpp
+++ b/src/agent/coordinator.cpp
@@ -47,7 +47,8 @@
     const std::lock_guard lock(calls_->mutex);
     calls_->open.insert(&open->context);
   }
-  std::function<void(grpc::Status)> done = [stage = &stage_, open, heard, calls = calls_](grpc::Status status) {
+  std::function<void(grpc::Status)> done = [stage = &stage_, open, heard,
+                                            calls = calls_](grpc::Status status) {
     stage->post([open, heard, ok = status.ok()] { heard(ok, open->answer); });
     const std::lock_guard lock(calls->mutex);
     calls->open.erase(&open->context);
@@ -177,11 +178,7 @@
 
 Coordinator::Coordinator(net::Stage& stage, const Charter& charter, store::Store& store,
                          const std::string& trouble)
-    : stage_(stage),
-      charter_(charter),
-      store_(store),
-      trouble_(trouble),
-      calls_(std::make_shared<Calls>()) {
+    : stage_(stage), charter_(charter), store_(store), trouble_(trouble), calls_(std::make_shared<Calls>()) {
   const auto add = [&](const std::string& name, const std::string& place) {
     stubs_[name] = v1::Agent::NewStub(grpc::CreateChannel(place, grpc::InsecureChannelCredentials()));
   };
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -67,7 +67,7 @@
     return on([&] {
       if (ask->lease_ms() > 24 * 3600 * 1000) throw std::invalid_argument("a lease out of bounds");
       to->set_live(warden_.renew(ask->operation(), {ask->instances().begin(), ask->instances().end()},
-                                  milliseconds(ask->lease_ms())));
+                                 milliseconds(ask->lease_ms())));
     });
   }
   grpc::Status Release(grpc::ServerContext*, const v1::Operation* ask, v1::Empty*) override {
--- a/src/ctl/agents.cpp
+++ b/src/ctl/agents.cpp
@@ -275,7 +275,8 @@
     agent::v1::Said said;
     const grpc::Status status = stub_to(*told.place)->Say(&context, ask, &said);
     if (status.ok() && said.fault().empty()) return this->status(id, false), fleet::all_done;
-    std::cerr << told.place->name << ": " << (status.ok() ? said.fault() : status.error_message()) << std::endl;
+    std::cerr << told.place->name << ": " << (status.ok() ? said.fault() : status.error_message())
+              << std::endl;
     return status.ok() ? fleet::was_refused : fleet::some_unreachable;
   }
   std::cerr << "no agent that answers knows rollout " << id << std::endl;
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -33,7 +33,21 @@
 }
 const Call who = question([](Call& call) { call.mutable_who(); });
 const Call status_call = question([](Call& call) { call.mutable_status(); });
-const Call orders_call = question([](Call& call) { call.mutable_orders(); });
+
+Call engines_page(const Rounds::Pages& before) {
+  Call call;
+  call.mutable_engines();
+  if (!before.empty())
+    call.mutable_engines()->set_after(before.back().reply.engines().engines().rbegin()->name());
+  return call;
+}
+Call orders_page(const Rounds::Pages& before) {
+  Call call;
+  std::uint32_t told = 0;
+  for (const Heard& heard : before) told += static_cast<std::uint32_t>(heard.reply.orders().orders_size());
+  call.mutable_orders()->set_orders(told);
+  return call;
+}
 
 std::string fresh_id() {
   std::random_device device;
@@ -157,105 +171,78 @@
   return fleet::status_of_question(each);
 }
 
-int Commands::engines() {
-  std::vector<Done> each(chosen_.size(), Done::yes);
+// Rows of what each tells; where one did not answer, a row with the trouble behind its name.
+int Commands::question(const std::vector<Rounds::Pages>& answers, const std::vector<std::string>& columns,
+                       const std::function<void(const Instance&, const admin::v1::Reply&, Rows&)>& rows_of) {
+  std::vector<Done> each;
   Rows rows;
-  std::vector<std::string> after(chosen_.size());
-  std::vector<std::size_t> open(chosen_.size());
-  for (std::size_t i = 0; i < open.size(); ++i) open[i] = i;
-  // A page of each, as long as there are more.
-  while (!open.empty()) {
-    Rounds::Instances instances;
-    for (const std::size_t i : open) instances.push_back(chosen_[i]);
-    const std::vector<Heard> heard = rounds_.ask(instances, [&](std::size_t at) {
-      Call call;
-      call.mutable_engines()->set_after(after[open[at]]);
-      return call;
-    });
-    std::vector<std::size_t> more;
-    for (std::size_t at = 0; at < heard.size(); ++at) {
-      const std::size_t i = open[at];
-      if (!heard[at].ok()) {
-        each[i] = done_of(heard[at]);
-        json row = base(*chosen_[i]);
-        row["state"] = heard[at].trouble();
-        rows.push_back(std::move(row));
-        continue;
-      }
-      for (const admin::v1::Engine& engine : heard[at].reply.engines().engines()) {
-        json row = base(*chosen_[i]);
-        row["engine"] = engine.name(), row["address"] = engine.address();
-        row["engine_zone"] = engine.zone(), row["kind"] = engine.kind();
-        row["state"] = engine.state(), row["said"] = engine.said();
-        row["live_mb"] = engine.live_mb(), row["capacity_mb"] = engine.capacity_mb();
-        row["threads"] = engine.live_threads(), row["slots"] = engine.slots();
-        row["pace"] = engine.pace(), row["errors"] = engine.error_rate();
-        row["cold"] = engine.cold();
-        if (engine.closed_for_ms() > 0)
-          row["closed"] = age(engine.closed_for_ms()) + " " + engine.closed_why();
-        else if (engine.on_trial()) row["closed"] = "on trial, " + engine.closed_why();
-        row["connections"] = engine.connections(), row["out"] = engine.dispatches();
-        row["kept_back"] = engine.kept_back(), row["oldest"] = age(engine.oldest_ms());
-        for (const auto& order : engine.orders()) row["orders"].push_back(order_row(order));
-        rows.push_back(std::move(row));
-        after[i] = engine.name();
-      }
-      if (heard[at].reply.engines().more() && heard[at].reply.engines().engines_size() > 0) more.push_back(i);
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    for (const Heard& heard : answers[i]) {
+      if (heard.ok()) rows_of(*chosen_[i], heard.reply, rows);
     }
-    open = more;
+    each.push_back(done_of(answers[i].back()));
+    if (answers[i].back().ok()) continue;
+    json row = base(*chosen_[i]);
+    row[columns[1]] = answers[i].back().trouble();
+    rows.push_back(std::move(row));
   }
-  output_.rows(rows, {"instance", "engine", "engine_zone", "state", "said", "live_mb", "threads", "slots",
-                      "pace", "errors", "closed", "connections", "out", "kept_back", "oldest"});
+  output_.rows(rows, columns);
   return fleet::status_of_question(each);
 }
 
+int Commands::engines() {
+  return question(rounds_.ask_pages(chosen_, engines_page),
+                  {"instance", "engine", "engine_zone", "state", "said", "live_mb", "threads", "slots",
+                   "pace", "errors", "closed", "connections", "out", "kept_back", "oldest"},
+                  [](const Instance& instance, const admin::v1::Reply& reply, Rows& rows) {
+                    for (const admin::v1::Engine& engine : reply.engines().engines()) {
+                      json row = base(instance);
+                      row["engine"] = engine.name(), row["address"] = engine.address();
+                      row["engine_zone"] = engine.zone(), row["kind"] = engine.kind();
+                      row["state"] = engine.state(), row["said"] = engine.said();
+                      row["live_mb"] = engine.live_mb(), row["capacity_mb"] = engine.capacity_mb();
+                      row["threads"] = engine.live_threads(), row["slots"] = engine.slots();
+                      row["pace"] = engine.pace(), row["errors"] = engine.error_rate();
+                      row["cold"] = engine.cold();
+                      if (engine.closed_for_ms() > 0)
+                        row["closed"] = age(engine.closed_for_ms()) + " " + engine.closed_why();
+                      else if (engine.on_trial()) row["closed"] = "on trial, " + engine.closed_why();
+                      row["connections"] = engine.connections(), row["out"] = engine.dispatches();
+                      row["kept_back"] = engine.kept_back(), row["oldest"] = age(engine.oldest_ms());
+                      for (const auto& order : engine.orders()) row["orders"].push_back(order_row(order));
+                      rows.push_back(std::move(row));
+                    }
+                  });
+}
+
 int Commands::jobs(std::uint32_t most) {
   Call call;
   call.mutable_jobs()->set_most(most);
-  const std::vector<Heard> heard = rounds_.ask(chosen_, call);
-  std::vector<Done> each;
-  Rows rows;
-  for (std::size_t i = 0; i < heard.size(); ++i) {
-    each.push_back(done_of(heard[i]));
-    if (!heard[i].ok()) {
-      json row = base(*chosen_[i]);
-      row["waits_for"] = heard[i].trouble();
-      rows.push_back(std::move(row));
-      continue;
-    }
-    for (const admin::v1::Job& job : heard[i].reply.jobs().jobs()) {
-      json row = base(*chosen_[i]);
-      row["job"] = job.id(), row["type"] = job.type(), row["age"] = age(job.age_ms());
-      row["left_ms"] = job.left_ms(), row["dispatches"] = job.dispatches();
-      std::string out;
-      for (const std::string& engine : job.out()) out += (out.empty() ? "" : ",") + engine;
-      row["out"] = out, row["waits_for"] = job.waits_for();
-      rows.push_back(std::move(row));
-    }
-  }
-  output_.rows(rows, {"instance", "job", "type", "age", "left_ms", "dispatches", "out", "waits_for"});
-  return fleet::status_of_question(each);
+  return question(rounds_.ask_pages(chosen_, [&](const auto&) { return call; }),
+                  {"instance", "job", "type", "age", "left_ms", "dispatches", "out", "waits_for"},
+                  [](const Instance& instance, const admin::v1::Reply& reply, Rows& rows) {
+                    for (const admin::v1::Job& job : reply.jobs().jobs()) {
+                      json row = base(instance);
+                      row["job"] = job.id(), row["type"] = job.type(), row["age"] = age(job.age_ms());
+                      row["left_ms"] = job.left_ms(), row["dispatches"] = job.dispatches();
+                      std::string out;
+                      for (const std::string& engine : job.out()) out += (out.empty() ? "" : ",") + engine;
+                      row["out"] = out, row["waits_for"] = job.waits_for();
+                      rows.push_back(std::move(row));
+                    }
+                  });
 }
 
 int Commands::orders() {
-  const std::vector<Heard> heard = rounds_.ask(chosen_, orders_call);
-  std::vector<Done> each;
-  Rows rows;
-  for (std::size_t i = 0; i < heard.size(); ++i) {
-    each.push_back(done_of(heard[i]));
-    if (!heard[i].ok()) {
-      json row = base(*chosen_[i]);
-      row["subject"] = heard[i].trouble();
-      rows.push_back(std::move(row));
-    }
-    for (const admin::v1::Order& order : heard[i].reply.orders().orders()) {
-      json row = base(*chosen_[i]);
-      row.update(order_row(order));
-      rows.push_back(std::move(row));
-    }
-  }
-  output_.rows(rows, {"instance", "subject", "holder", "generation", "left", "reason", "id"});
-  return fleet::status_of_question(each);
+  return question(rounds_.ask_pages(chosen_, orders_page),
+                  {"instance", "subject", "holder", "generation", "left", "reason", "id"},
+                  [](const Instance& instance, const admin::v1::Reply& reply, Rows& rows) {
+                    for (const admin::v1::Order& order : reply.orders().orders()) {
+                      json row = base(instance);
+                      row.update(order_row(order));
+                      rows.push_back(std::move(row));
+                    }
+                  });
 }
 
 int Commands::top(milliseconds every, int rounds) {
@@ -319,9 +306,7 @@
 }
 
 int Commands::engine_list() {
-  Call call;
-  call.mutable_engines();
-  const std::vector<Heard> heard = rounds_.ask(chosen_, call);
+  const std::vector<Rounds::Pages> heard = rounds_.ask_pages(chosen_, engines_page);
   std::vector<Done> each;
   struct Seen {
     std::string zone, address;
@@ -330,13 +315,15 @@
   };
   std::map<std::string, Seen> engines;
   Rows rows;
-  for (std::size_t i = 0; i < heard.size(); ++i) {
-    each.push_back(done_of(heard[i]));
-    for (const admin::v1::Engine& engine : heard[i].reply.engines().engines()) {
-      Seen& seen = engines[engine.name()];
-      seen.zone = engine.zone(), seen.address = engine.address();
-      ++seen.states[engine.state() + (engine.closed_for_ms() > 0 ? ", left out" : "")];
-      for (const auto& order : engine.orders()) seen.holders.insert(order.holder());
+  for (const Rounds::Pages& pages : heard) {
+    each.push_back(done_of(pages.back()));
+    for (const Heard& page : pages) {
+      for (const admin::v1::Engine& engine : page.reply.engines().engines()) {
+        Seen& seen = engines[engine.name()];
+        seen.zone = engine.zone(), seen.address = engine.address();
+        ++seen.states[engine.state() + (engine.closed_for_ms() > 0 ? ", left out" : "")];
+        for (const auto& order : engine.orders()) seen.holders.insert(order.holder());
+      }
     }
   }
   for (const auto& [name, seen] : engines) {
@@ -352,7 +339,8 @@
                     {"held_by", holders}});
   }
   for (std::size_t i = 0; i < heard.size(); ++i) {
-    if (each[i] != Done::yes) std::cerr << chosen_[i]->facts.name << ": " << heard[i].trouble() << std::endl;
+    if (each[i] != Done::yes)
+      std::cerr << chosen_[i]->facts.name << ": " << heard[i].back().trouble() << std::endl;
   }
   output_.rows(rows, {"engine", "zone", "address", "states", "held_by"});
   return fleet::status_of_question(each);
@@ -432,7 +420,7 @@
 
 Commands::Told Commands::give(const std::string& subject, bool drains, const Manner& manner) {
   Told told;
-  const std::vector<Heard> known = rounds_.ask(chosen_, orders_call);
+  const std::vector<Heard> known = rounds_.ask(chosen_, orders_page({}));
   std::uint64_t newest = 0;
   for (const Heard& one : known)
     newest = std::max<std::uint64_t>(newest, one.reply.orders().newest_generation());
@@ -545,14 +533,14 @@
 int Commands::engine_orders(const std::vector<std::string>& engines, bool drains, const Manner& manner) {
   if (drains) {
     // What each zone has, by the managers' own lists.
-    Call call;
-    call.mutable_engines();
     std::map<std::string, fleet::Serving> seen;
-    for (const Heard& heard : rounds_.ask(chosen_, call)) {
-      for (const admin::v1::Engine& engine : heard.reply.engines().engines()) {
-        fleet::Serving& one = seen[engine.name()];
-        one.name = engine.name(), one.zone = engine.zone();
-        one.serves = one.serves || engine.state() == "up";
+    for (const Rounds::Pages& pages : rounds_.ask_pages(chosen_, engines_page)) {
+      for (const Heard& page : pages) {
+        for (const admin::v1::Engine& engine : page.reply.engines().engines()) {
+          fleet::Serving& one = seen[engine.name()];
+          one.name = engine.name(), one.zone = engine.zone();
+          one.serves = one.serves || engine.state() == "up";
+        }
       }
     }
     std::vector<fleet::Serving> serving;
@@ -609,9 +597,20 @@
   return {told.started_unix_ms(), told.pid(), told.phase() == "serving", told.build(), told.digest()};
 }
 
-std::set<std::string> ids_in(const admin::v1::Orders& orders) {
+// The open orders of one instance by their ids, or nothing where not all could be read.
+std::optional<std::map<std::string, admin::v1::Order>> orders_at(Rounds& rounds, const Instance& instance) {
+  std::map<std::string, admin::v1::Order> orders;
+  const std::vector<Rounds::Pages> pages = rounds.ask_pages({&instance}, orders_page);
+  for (const Heard& page : pages.front()) {
+    if (!page.ok()) return std::nullopt;
+    for (const auto& order : page.reply.orders().orders()) orders[order.id()] = order;
+  }
+  return orders;
+}
+
+std::set<std::string> ids_of(const std::map<std::string, admin::v1::Order>& orders) {
   std::set<std::string> ids;
-  for (const auto& order : orders.orders()) ids.insert(order.id());
+  for (const auto& [id, order] : orders) ids.insert(id);
   return ids;
 }
 
@@ -634,9 +633,8 @@
     one.give.clear();
   }
   if (std::exchange(one.orders, false)) {
-    const Heard heard = rounds.ask_one(one.instance, orders_call);
-    one.steps.orders_told(steady(), heard.ok() ? std::optional(ids_in(heard.reply.orders())) : std::nullopt);
-    return;
+    const auto orders = orders_at(rounds, one.instance);
+    return one.steps.orders_told(steady(), orders ? std::optional(ids_of(*orders)) : std::nullopt);
   }
   const Heard heard = rounds.ask_one(one.instance, who);
   one.steps.seen(steady(), seen_by(heard),
@@ -663,18 +661,19 @@
     if (interrupted) stopped = true;  // what has begun is seen to its end
     while (!stopped && next < chosen_.size() && open.size() < manner.at_once) {
       const Instance& instance = *chosen_[next];
-      const Heard known = rounds_.ask_one(instance, who), orders = rounds_.ask_one(instance, orders_call);
-      if (!known.ok() || !orders.ok()) {
-        each[next] = done_of(known.ok() ? orders : known);
-        rows[next]["result"] = known.ok() ? orders.trouble() : known.trouble();
+      const Heard known = rounds_.ask_one(instance, who);
+      const auto orders = orders_at(rounds_, instance);
+      if (!known.ok() || !orders) {
+        each[next] = known.ok() ? Done::unreachable : done_of(known);
+        rows[next]["result"] = known.ok() ? "its orders can't be read" : known.trouble();
         stopped = true;
         ++next;
         break;
       }
       auto one = std::make_unique<OneRestart>(
           instance, fleet::Restart::Limits{manner.within, manner.up_within, !instance.start.empty()});
-      for (const auto& order : orders.reply.orders().orders()) one->kept[order.id()] = order;
-      one->steps.begin(steady(), identity_in(known.reply.identity()), ids_in(orders.reply.orders()));
+      one->kept = *orders;
+      one->steps.begin(steady(), identity_in(known.reply.identity()), ids_of(*orders));
       open[next++] = std::move(one);
     }
     std::string progress;
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -46,6 +46,8 @@
     Rows rows;
     std::vector<fleet::Done> each;
   };
+  int question(const std::vector<Rounds::Pages>& answers, const std::vector<std::string>& columns,
+               const std::function<void(const Instance&, const admin::v1::Reply&, Rows&)>& rows_of);
   Rows status_rows(std::vector<fleet::Done>& each);
   // One order of `subject` to each chosen instance, with a generation over all that they know of.
   Told give(const std::string& subject, bool drains, const Manner& manner);
--- a/src/ctl/output.h
+++ b/src/ctl/output.h
@@ -14,7 +14,7 @@
  public:
   explicit Output(bool json) : json_(json) {}
   bool json() const { return json_; }
-  // Columns are members of the rows; what a row lacks stays blank. `columns` with a trailing * fill up.
+  // Columns are members of the rows; what a row lacks stays blank.
   void rows(const Rows& rows, const std::vector<std::string>& columns) const;
   void line(const std::string& text) const;  // for people only
   void progress(const std::string& text);
--- a/src/ctl/rounds.cpp
+++ b/src/ctl/rounds.cpp
@@ -66,6 +66,29 @@
   return ask({&instance}, call).front();
 }
 
+std::vector<Rounds::Pages> Rounds::ask_pages(const Instances& instances,
+                                             const std::function<admin::v1::Call(const Pages&)>& call_for) {
+  std::vector<Pages> pages(instances.size());
+  std::vector<std::size_t> open(instances.size());
+  for (std::size_t i = 0; i < open.size(); ++i) open[i] = i;
+  while (!open.empty()) {
+    Instances asked;
+    for (const std::size_t i : open) asked.push_back(instances[i]);
+    const std::vector<Heard> heard = ask(asked, [&](std::size_t at) { return call_for(pages[open[at]]); });
+    std::vector<std::size_t> more;
+    for (std::size_t at = 0; at < heard.size(); ++at) {
+      const admin::v1::Reply& reply = heard[at].reply;
+      pages[open[at]].push_back(heard[at]);
+      // An empty page has no next one, whatever it says.
+      const bool next = (reply.engines().more() && reply.engines().engines_size() > 0) ||
+                        (reply.orders().more() && reply.orders().orders_size() > 0);
+      if (heard[at].ok() && next) more.push_back(open[at]);
+    }
+    open = more;
+  }
+  return pages;
+}
+
 void Rounds::watch(const Instances& instances, std::chrono::milliseconds time,
                    const std::function<void(const Instance&, const admin::v1::Event&)>& event,
                    const std::function<void(const Instance&, const std::string&)>& ended,
--- a/src/ctl/rounds.h
+++ b/src/ctl/rounds.h
@@ -28,6 +28,11 @@
                          const std::function<admin::v1::Call(std::size_t)>& call_for);
   std::vector<Heard> ask(const Instances& instances, const admin::v1::Call& call);
   Heard ask_one(const Instance& instance, const admin::v1::Call& call);
+  // Answers that may take several pages, of engines or orders: `call_for` is given what has come so far. The
+  // last of each tells how it ended.
+  using Pages = std::vector<Heard>;
+  std::vector<Pages> ask_pages(const Instances& instances,
+                               const std::function<admin::v1::Call(const Pages&)>& call_for);
   // Events of all, as they come, until `time` is over (0: for good) or `done` says so.
   void watch(const Instances& instances, std::chrono::milliseconds time,
              const std::function<void(const Instance&, const admin::v1::Event&)>& event,
--- a/src/lab/fleet_model.cpp
+++ b/src/lab/fleet_model.cpp
@@ -374,17 +374,17 @@
   m.pass("claims asked", at);
 }
 
-void FleetModel::Impl::Coordinator::renew(const std::string& agent,
-                                           const std::vector<std::string>& wanted) {
+void FleetModel::Impl::Coordinator::renew(const std::string& agent, const std::vector<std::string>& wanted) {
   Impl& m = model;
   const std::size_t to = m.number_of(agent), from = at;
   const Span sent = m.now;
-  m.send(from, to, [&m, this, from, to, agent, wanted, sent, id = rollout.plan().id, lease = rollout.plan().lease] {
-    const bool live = m.agents[to]->keeper->renew(m.now, id, wanted, lease);
-    m.send(to, from, [&m, this, agent, sent, live] {
-      if (m.current(this)) rollout.renewed(m.now, sent, agent, live);
-    });
-  });
+  m.send(from, to,
+         [&m, this, from, to, agent, wanted, sent, id = rollout.plan().id, lease = rollout.plan().lease] {
+           const bool live = m.agents[to]->keeper->renew(m.now, id, wanted, lease);
+           m.send(to, from, [&m, this, agent, sent, live] {
+             if (m.current(this)) rollout.renewed(m.now, sent, agent, live);
+           });
+         });
   m.pass("claims renewed", at);
 }
 
--- a/src/lab/fleet_model.h
+++ b/src/lab/fleet_model.h
@@ -24,11 +24,11 @@
     double loss = 0, doubled = 0;  // of messages
     std::string kill_at = "";      // a named point, or "random" for one of those that are passed; empty: none
     std::string kill_whom = "passer";  // who passes the point, "coordinator" instead, or "both"
-    int kill_pass = 1;             // at which passing of the point
-    bool comes_back = true;        // those that were killed start again
-    double cut_off = 0, stopped = 0;  // shares of seeds in which an agent is cut off or stopped for a while
-    double falls = 0, hangs = 0;      // of instances: fall after their new start, do not end when asked
-    bool rival = false;               // a second operator takes over partway
+    int kill_pass = 1;                 // at which passing of the point
+    bool comes_back = true;            // those that were killed start again
+    double cut_off = 0, stopped = 0;   // shares of seeds in which an agent is cut off or stopped for a while
+    double falls = 0, hangs = 0;       // of instances: fall after their new start, do not end when asked
+    bool rival = false;                // a second operator takes over partway
   };
   struct Result {
     bool over = false;
--- a/tests/test_admin.cpp
+++ b/tests/test_admin.cpp
@@ -140,7 +140,8 @@
     assert(out.empty() && session.feed(framed(watch)));
     session.turn(0, out);
     const auto first = replies_in(out);  // what it missed comes right behind the answer, and to this one only
-    assert(session.watches() && first.size() == 3 && first[1].event().number() == 41 && first[2].number() == 9);
+    assert(session.watches() && first.size() == 3 && first[1].event().number() == 41 &&
+           first[2].number() == 9);
     out.clear();
     for (std::uint64_t number = 1; number <= 5; ++number) {
       event.set_number(number);
--- a/tests/test_rollouts.cpp
+++ b/tests/test_rollouts.cpp
@@ -49,7 +49,8 @@
   assert(host.ended == std::vector<std::string>{"b one taken over"});
   // What is left of the older operation can be renewed, and it hears that it has lost the rest.
   assert(!claims.renew(seconds(5), "one", {"a", "b"}, seconds(10)) && claims.live(seconds(14), "a", 5));
-  assert(claims.renew(seconds(5), "one", {"a"}, seconds(10)) && claims.renew(seconds(5), "two", {"b", "c"}, seconds(10)));
+  assert(claims.renew(seconds(5), "one", {"a"}, seconds(10)) &&
+         claims.renew(seconds(5), "two", {"b", "c"}, seconds(10)));
   // Run out by the clock alone, whoever was woken or not; then free for others under a newer fence.
   assert(!claims.live(seconds(15), "a", 5) && !claims.claim_on(seconds(15), "a"));
   assert(claims.ask(seconds(15), ask("three", {"a"})).fences["a"] == 6 &&
@@ -269,13 +270,17 @@
   }
   for (const std::string& point : FleetModel::all_points()) {
     for (const std::string& whom : kinds) {
-      if (!killed[point].contains(whom)) std::fprintf(stderr, "nobody (%s) was killed at: %s\n", whom.c_str(), point.c_str());
+      if (!killed[point].contains(whom))
+        std::fprintf(stderr, "nobody (%s) was killed at: %s\n", whom.c_str(), point.c_str());
       assert(killed[point].contains(whom));
     }
   }
   for (std::uint64_t seed = 1; seed <= 400; ++seed) {
-    FleetModel::Shape shape{
-        .seed = seed, .loss = 0.1, .doubled = 0.1, .kill_at = seed % 3 ? "random" : "", .kill_whom = "passer"};
+    FleetModel::Shape shape{.seed = seed,
+                            .loss = 0.1,
+                            .doubled = 0.1,
+                            .kill_at = seed % 3 ? "random" : "",
+                            .kill_whom = "passer"};
     shape.cut_off = 0.4, shape.stopped = 0.3;
     shape.hangs = seed % 5 == 0 ? 0.3 : 0, shape.falls = seed % 7 == 0 ? 0.3 : 0;
     shape.rival = seed % 4 == 0;
