Mutual TLS between pearchutectl and agents, with roles, pearchutectl keys and revocation

Cause: agents could only be reached on their own host, and whoever reached one could do all.

Change: src/keys (an authority on OpenSSL: init, issue, revoke, show), roles as decisions (src/fleet/roles), agents listen at tls:host:port and know callers by their certificates; revocations are read again when their file changes, if the authority has signed them; the Unix socket stays for the host's own user, loopback without certificates is gone. The driver's test keeps its reader open to the end.

--- a/src/agent/charter.cpp
+++ b/src/agent/charter.cpp
@@ -14,18 +14,25 @@
     if (section == "agent") {
       if (name == "name") charter.name = text;
       else if (name == "state") charter.state = text;
-      else if (name == "control") charter.control = admin::place_in(text);
+      else if (name == "control") charter.control = keys::reach_in(text);
+      else if (name == "listen") charter.listen = keys::reach_in(text);
       else throw ini::Fault("'" + name + "' is not known in [agent]");
+      if (name == "control" && charter.control.tls) throw ini::Fault("'control' is a Unix socket");
+      if (name == "listen" && !charter.listen.tls) throw ini::Fault("'listen' is tls:host:port");
       if (name == "state" && !text.starts_with("/")) throw ini::Fault("'state' is no absolute path");
       return;
     }
     if (section.starts_with("peer ") && section.size() > 5 && section.find(' ', 5) == std::string::npos) {
       if (name != "control") throw ini::Fault("'" + name + "' is not known in [peer NAME]");
-      charter.peers[section.substr(5)] = admin::place_in(text).text;
+      charter.peers[section.substr(5)] = keys::reach_in(text);
+      return;
+    }
+    if (section == "tls") {
+      if (!keys::take(charter.tls, name, text)) throw ini::Fault("'" + name + "' is not known in [tls]");
       return;
     }
     if (!section.starts_with("instance ") || section.size() == 9 || section.find(' ', 9) != std::string::npos)
-      throw ini::Fault("[" + section + "] is not known; [agent], [peer NAME] and [instance NAME] are");
+      throw ini::Fault("[" + section + "] is not known; [agent], [tls], [peer NAME] and [instance NAME] are");
     Owned& owned = charter.instances[section.substr(9)];
     if (charter.instances.size() > most_instances)
       throw ini::Fault("more than " + std::to_string(most_instances) + " instances");
@@ -51,6 +58,10 @@
   if (charter.name.empty()) throw ini::Fault(file + ": 'name' is missing in [agent]");
   if (charter.state.empty()) throw ini::Fault(file + ": 'state' is missing in [agent]");
   if (charter.control.text.empty()) throw ini::Fault(file + ": 'control' is missing in [agent]");
+  bool tls = !charter.listen.target.empty();
+  for (const auto& [name, reach] : charter.peers) tls = tls || reach.tls;
+  if (const std::string lacks = keys::missing(charter.tls); tls && !lacks.empty())
+    throw ini::Fault(file + ": '" + lacks + "' is missing in [tls]");
   if (charter.peers.contains(charter.name)) throw ini::Fault(file + ": this agent is its own peer");
   if (charter.instances.empty()) throw ini::Fault(file + ": no instance is named");
   for (const auto& [name, owned] : charter.instances) {
--- a/src/agent/charter.h
+++ b/src/agent/charter.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "admin/place.h"
+#include "keys/reach.h"
 
 namespace pearchute::agent {
 
@@ -18,9 +19,11 @@
 
 struct Charter {
   std::string name, state;
-  admin::Place control;  // where its own operators reach it
+  keys::Reach control;  // a Unix socket: whoever may open it may do all
+  keys::Reach listen;   // besides, for others, by their certificates; empty: nobody else
+  keys::Files tls;
   std::map<std::string, Owned> instances;
-  std::map<std::string, std::string> peers;  // other agents' control places, by name
+  std::map<std::string, keys::Reach> peers;  // other agents, by name
 };
 
 // Throws ini::Fault with file, line and what is wrong.
--- a/src/agent/coordinator.cpp
+++ b/src/agent/coordinator.cpp
@@ -5,6 +5,7 @@
 #include <mutex>
 #include <set>
 
+#include "agent/doors.h"
 #include "agent/wire.h"
 #include "net/log.h"
 
@@ -179,11 +180,9 @@
 Coordinator::Coordinator(net::Stage& stage, const Charter& charter, store::Store& store,
                          const std::string& trouble)
     : stage_(stage), charter_(charter), store_(store), trouble_(trouble), calls_(std::make_shared<Calls>()) {
-  const auto add = [&](const std::string& name, const std::string& place) {
-    stubs_[name] = v1::Agent::NewStub(grpc::CreateChannel(place, grpc::InsecureChannelCredentials()));
-  };
-  add(charter_.name, charter_.control.text);
-  for (const auto& [name, place] : charter_.peers) add(name, place);
+  stubs_[charter_.name] = v1::Agent::NewStub(channel_to(charter_.control, charter_.name, charter_.tls));
+  for (const auto& [name, reach] : charter_.peers)
+    stubs_[name] = v1::Agent::NewStub(channel_to(reach, name, charter_.tls));
   if (trouble_.empty()) {
     for (const store::KeptRollout& kept : store_.rollouts(50)) {
       if (fleet::is_over(kept.state)) {
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 
 #include "agent/coordinator.h"
+#include "agent/doors.h"
 #include "agent/warden.h"
 #include "agent/wire.h"
 #include "ini/reader.h"
@@ -27,11 +28,15 @@
 // Each call runs on the loop, where all else does; its own thread waits.
 class Service final : public v1::Agent::Service {
  public:
-  Service(net::Stage& stage, Warden& warden, Coordinator& coordinator, std::string name)
-      : stage_(stage), warden_(warden), coordinator_(coordinator), name_(std::move(name)) {}
+  Service(net::Stage& stage, Warden& warden, Coordinator& coordinator, const Charter& charter)
+      : stage_(stage),
+        warden_(warden),
+        coordinator_(coordinator),
+        name_(charter.name),
+        revocations_(charter.tls) {}
 
-  grpc::Status Show(grpc::ServerContext*, const v1::Empty*, v1::Shown* shown) override {
-    return on([&] {
+  grpc::Status Show(grpc::ServerContext* context, const v1::Empty*, v1::Shown* shown) override {
+    return on(*context, Act::look, "", [&] {
       shown->set_name(name_), shown->set_build(PEARCHUTE_VERSION), shown->set_trouble(warden_.trouble());
       for (const Warden::Seen& seen : warden_.seen()) {
         v1::Instance& to = *shown->add_instances();
@@ -46,8 +51,8 @@
       }
     });
   }
-  grpc::Status Claim(grpc::ServerContext*, const v1::ClaimAsk* ask, v1::ClaimAnswer* to) override {
-    return on([&] {
+  grpc::Status Claim(grpc::ServerContext* context, const v1::ClaimAsk* ask, v1::ClaimAnswer* to) override {
+    return on(*context, ask->take_over() ? Act::take_over : Act::change, ask->who(), [&] {
       if (ask->lease_ms() > 24 * 3600 * 1000) throw std::invalid_argument("a lease out of bounds");
       const fleet::Claims::Answer answer = warden_.ask({ask->operation(),
                                                         ask->who(),
@@ -63,36 +68,50 @@
       }
     });
   }
-  grpc::Status Renew(grpc::ServerContext*, const v1::Renewal* ask, v1::Renewed* to) override {
-    return on([&] {
+  grpc::Status Renew(grpc::ServerContext* context, const v1::Renewal* ask, v1::Renewed* to) override {
+    return on(*context, Act::change, holder_of(ask->operation()), [&] {
       if (ask->lease_ms() > 24 * 3600 * 1000) throw std::invalid_argument("a lease out of bounds");
       to->set_live(warden_.renew(ask->operation(), {ask->instances().begin(), ask->instances().end()},
                                  milliseconds(ask->lease_ms())));
     });
   }
-  grpc::Status Release(grpc::ServerContext*, const v1::Operation* ask, v1::Empty*) override {
-    return on([&] { warden_.release(ask->id()); });
+  grpc::Status Release(grpc::ServerContext* context, const v1::Operation* ask, v1::Empty*) override {
+    return on(*context, Act::change, holder_of(ask->id()), [&] { warden_.release(ask->id()); });
   }
-  grpc::Status DoStep(grpc::ServerContext*, const v1::StepAsk* ask, v1::StepAnswer* to) override {
-    return on([&] {
+  grpc::Status DoStep(grpc::ServerContext* context, const v1::StepAsk* ask, v1::StepAnswer* to) override {
+    return on(*context, Act::change, holder_of(ask->step().operation()), [&] {
       std::string fault;
       to->set_accepted(warden_.step(ask->instance(), from_wire(ask->step()), fault));
       to->set_fault(fault);
     });
   }
-  grpc::Status StartRollout(grpc::ServerContext*, const v1::Plan* plan, v1::Said* said) override {
-    return on([&] { said->set_fault(coordinator_.start(from_wire(*plan))); });
+  grpc::Status StartRollout(grpc::ServerContext* context, const v1::Plan* plan, v1::Said* said) override {
+    return on(*context, plan->take_over() ? Act::take_over : Act::change, plan->who(),
+              [&] { said->set_fault(coordinator_.start(from_wire(*plan))); });
   }
-  grpc::Status Rollouts(grpc::ServerContext*, const v1::Operation* one, v1::RolloutList* list) override {
-    return on([&] { coordinator_.tell(one->id(), *list); });
+  grpc::Status Rollouts(grpc::ServerContext* context, const v1::Operation* one,
+                        v1::RolloutList* list) override {
+    return on(*context, Act::look, "", [&] { coordinator_.tell(one->id(), *list); });
   }
-  grpc::Status Say(grpc::ServerContext*, const v1::Word* word, v1::Said* said) override {
-    return on([&] { said->set_fault(coordinator_.say(word->id(), word->word())); });
+  // Whoever may change anything may hold a rollout up, whose it is.
+  grpc::Status Say(grpc::ServerContext* context, const v1::Word* word, v1::Said* said) override {
+    return on(*context, Act::change, "",
+              [&] { said->set_fault(coordinator_.say(word->id(), word->word())); });
   }
 
  private:
+  using Act = fleet::Act;
   template <class What>
-  grpc::Status on(What what) {
+  grpc::Status on(const grpc::ServerContext& context, Act act, const std::string& as, What what) {
+    const Caller caller = caller_of(context);
+    std::optional<std::string> refusal;
+    if (!caller.role) refusal = "a certificate without a role";
+    else if (revocations_.hold(caller.serial)) refusal = "the certificate is revoked";
+    else refusal = fleet::refusal(*caller.role, act, caller.name, as);
+    if (refusal) {
+      PEARCHUTE_LOG(spdlog::level::warn, "{} at {} is refused: {}", caller.name, context.peer(), *refusal);
+      return {grpc::StatusCode::PERMISSION_DENIED, *refusal};
+    }
     try {
       stage_.on(what);
       return grpc::Status::OK;
@@ -100,6 +119,15 @@
       return {grpc::StatusCode::INVALID_ARGUMENT, fault.what()};
     }
   }
+  // Under whose name an operation has its claims here.
+  std::string holder_of(const std::string& operation) {
+    return stage_.on([&]() -> std::string {
+      for (const Warden::Seen& seen : warden_.seen()) {
+        if (seen.claim && seen.claim->operation == operation) return seen.claim->who;
+      }
+      return "";
+    });
+  }
   void fill(v1::Claim& to, const fleet::Claim& claim) const {
     const Span now = stage_.loop().now();
     const auto in_ms = [](Span span) {
@@ -113,6 +141,7 @@
   Warden& warden_;
   Coordinator& coordinator_;
   const std::string name_;
+  Revocations revocations_;
 };
 
 int run(const Charter& charter) {
@@ -126,7 +155,7 @@
     warden = std::make_unique<Warden>(stage.loop(), charter);
     coordinator = std::make_unique<Coordinator>(stage, charter, warden->store(), warden->trouble());
   });
-  Service service(stage, *warden, *coordinator, charter.name);
+  Service service(stage, *warden, *coordinator, charter);
   grpc::ServerBuilder builder;
   // Bounds: of threads, of a message (the largest is a plan of some thousand instances), and of idle
   // connections.
@@ -135,12 +164,15 @@
   builder.SetResourceQuota(quota);
   builder.SetMaxReceiveMessageSize(1 << 20);
   builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS, 60'000);
-  builder.AddListeningPort(charter.control.text, grpc::InsecureServerCredentials());
+  builder.AddListeningPort(charter.control.target, grpc::InsecureServerCredentials());
+  int port = -1;
+  if (charter.listen.tls) builder.AddListeningPort(charter.listen.target, credentials_by(charter.tls), &port);
   builder.RegisterService(&service);
   const mode_t before = ::umask(0177);
   const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
   ::umask(before);
-  if (!server) throw std::runtime_error("can't listen at " + charter.control.text);
+  if (!server || port == 0)
+    throw std::runtime_error("can't listen at " + charter.control.text + " " + charter.listen.text);
   spdlog::info("agent {} at {}, {} instances", charter.name, charter.control.text, charter.instances.size());
   while (!asked_to_end) ::usleep(50'000);
   server->Shutdown(std::chrono::system_clock::now() + milliseconds(500));
--- a/src/ctl/agents.cpp
+++ b/src/ctl/agents.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "agent.grpc.pb.h"
+#include "agent/doors.h"
 #include "agent/wire.h"
 #include "fleet/caution.h"
 
@@ -21,22 +22,26 @@
 
 struct AgentCommands::Seen {
   std::string agent, trouble;
-  bool answered = false;
+  Done end = Done::unreachable;
+  bool answered() const { return end == Done::yes; }
   agent::v1::Shown shown;
 };
 
 namespace {
 
-std::unique_ptr<Agent::Stub> stub_to(const AgentPlace& place) {
-  return Agent::NewStub(grpc::CreateChannel(place.control, grpc::InsecureChannelCredentials()));
-}
-
 void set_deadline(grpc::ClientContext& context, milliseconds within) {
   context.set_deadline(std::chrono::system_clock::now() + within);
 }
 
 std::string in_seconds(std::uint64_t ms) { return std::to_string(ms / 1000) + "s"; }
 
+Done done_of(const grpc::Status& status) {
+  if (status.ok()) return Done::yes;
+  const bool said_no = status.error_code() == grpc::StatusCode::PERMISSION_DENIED ||
+                       status.error_code() == grpc::StatusCode::INVALID_ARGUMENT;
+  return said_no ? Done::refused : Done::unreachable;
+}
+
 std::string fresh_id() {
   std::random_device device;
   char text[16];
@@ -61,6 +66,10 @@
 
 }  // namespace
 
+std::unique_ptr<Agent::Stub> AgentCommands::stub_to(const AgentPlace& place) const {
+  return Agent::NewStub(agent::channel_to(place.control, place.name, fleet_.tls));
+}
+
 AgentCommands::AgentCommands(const Fleet& fleet, std::vector<const Instance*> chosen, Output& output)
     : fleet_(fleet), chosen_(std::move(chosen)), output_(output) {}
 
@@ -68,14 +77,14 @@
 std::vector<AgentCommands::Seen> AgentCommands::look() {
   std::vector<std::future<Seen>> asked;
   for (const AgentPlace& place : fleet_.agents) {
-    asked.push_back(std::async(std::launch::async, [&place, within = fleet_.answers_within] {
+    asked.push_back(std::async(std::launch::async, [this, &place, within = fleet_.answers_within] {
       Seen seen;
       seen.agent = place.name;
       const auto stub = stub_to(place);
       grpc::ClientContext context;
       set_deadline(context, within);
       const grpc::Status status = stub->Show(&context, {}, &seen.shown);
-      seen.answered = status.ok();
+      seen.end = done_of(status);
       seen.trouble = status.ok() ? seen.shown.trouble() : status.error_message();
       return seen;
     }));
@@ -89,9 +98,9 @@
   std::vector<Done> each;
   Rows rows;
   for (const Seen& seen : look()) {
-    each.push_back(seen.answered ? Done::yes : Done::unreachable);
-    if (!seen.answered || !seen.trouble.empty())
-      rows.push_back({{"agent", seen.agent}, {"trouble", seen.trouble}, {"answers", seen.answered}});
+    each.push_back(seen.end);
+    if (!seen.answered() || !seen.trouble.empty())
+      rows.push_back({{"agent", seen.agent}, {"trouble", seen.trouble}, {"answers", seen.answered()}});
     for (const auto& instance : seen.shown.instances()) {
       json row = {{"agent", seen.agent},           {"instance", instance.name()},
                   {"zone", instance.zone()},       {"condition", instance.condition()},
@@ -115,8 +124,8 @@
   std::vector<Done> each;
   Rows rows;
   for (const Seen& seen : look()) {
-    each.push_back(seen.answered ? Done::yes : Done::unreachable);
-    if (!seen.answered) std::cerr << seen.agent << ": " << seen.trouble << std::endl;
+    each.push_back(seen.end);
+    if (!seen.answered()) std::cerr << seen.agent << ": " << seen.trouble << std::endl;
     for (const auto& instance : seen.shown.instances()) {
       if (!instance.has_claim()) continue;
       const auto& claim = instance.claim();
@@ -137,7 +146,7 @@
   if (plan.id.empty()) plan.id = fresh_id();
   std::map<std::string, std::pair<std::string, agent::v1::Instance>> owned;  // by instance: agent, as seen
   for (const Seen& seen : look()) {
-    if (!seen.answered) std::cerr << seen.agent << ": " << seen.trouble << std::endl;
+    if (!seen.answered()) std::cerr << seen.agent << ": " << seen.trouble << std::endl;
     for (const auto& instance : seen.shown.instances()) owned[instance.name()] = {seen.agent, instance};
   }
   std::map<std::string, int> serving;
@@ -178,12 +187,11 @@
   agent::v1::Said said;
   const grpc::Status status = stub_to(*place)->StartRollout(&context, agent::to_wire(plan), &said);
   if (!status.ok()) {
+    const bool refused = done_of(status) == Done::refused;
     std::cerr << place->name << ": " << status.error_message()
-              << (status.error_code() == grpc::StatusCode::INVALID_ARGUMENT
-                      ? ""
-                      : "; whether it was started tells: pearchutectl rollout status " + plan.id)
+              << (refused ? "" : "; whether it was started tells: pearchutectl rollout status " + plan.id)
               << std::endl;
-    return status.error_code() == grpc::StatusCode::INVALID_ARGUMENT ? fleet::usage : fleet::some_unreachable;
+    return refused ? fleet::was_refused : fleet::some_unreachable;
   }
   if (!said.fault().empty()) {
     std::cerr << place->name << ": " << said.fault() << std::endl;
@@ -197,7 +205,7 @@
 std::vector<AgentCommands::Told> AgentCommands::ask_rollouts(const std::string& id) {
   std::vector<std::future<Told>> asked;
   for (const AgentPlace& place : fleet_.agents) {
-    asked.push_back(std::async(std::launch::async, [&place, id, within = fleet_.answers_within] {
+    asked.push_back(std::async(std::launch::async, [this, &place, id, within = fleet_.answers_within] {
       Told told{&place, false, {}};
       grpc::ClientContext context;
       set_deadline(context, within);
@@ -277,7 +285,7 @@
     if (status.ok() && said.fault().empty()) return this->status(id, false), fleet::all_done;
     std::cerr << told.place->name << ": " << (status.ok() ? said.fault() : status.error_message())
               << std::endl;
-    return status.ok() ? fleet::was_refused : fleet::some_unreachable;
+    return status.ok() || done_of(status) == Done::refused ? fleet::was_refused : fleet::some_unreachable;
   }
   std::cerr << "no agent that answers knows rollout " << id << std::endl;
   return fleet::some_unreachable;
--- a/src/ctl/agents.h
+++ b/src/ctl/agents.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "agent.pb.h"
+#include "agent.grpc.pb.h"
 #include "ctl/fleet_file.h"
 #include "ctl/output.h"
 #include "fleet/rollout.h"
@@ -25,6 +25,7 @@
   int say(const std::string& id, const std::string& word);
 
  private:
+  std::unique_ptr<agent::v1::Agent::Stub> stub_to(const AgentPlace& place) const;
   struct Seen;
   std::vector<Seen> look();
   struct Told {
--- a/src/ctl/fleet_file.cpp
+++ b/src/ctl/fleet_file.cpp
@@ -22,11 +22,16 @@
     }
     if (section.starts_with("agent ") && section.size() > 6 && section.find(' ', 6) == std::string::npos) {
       if (name != "control") throw ini::Fault("'" + name + "' is not known in [agent NAME]");
-      fleet.agents.push_back({section.substr(6), admin::place_in(text).text});
+      fleet.agents.push_back({section.substr(6), keys::reach_in(text)});
+      return;
+    }
+    if (section == "tls") {
+      if (!keys::take(fleet.tls, name, text)) throw ini::Fault("'" + name + "' is not known in [tls]");
       return;
     }
     if (!section.starts_with("instance "))
-      throw ini::Fault("[" + section + "] is not known; [fleet], [agent NAME] and [instance NAME] are");
+      throw ini::Fault("[" + section +
+                       "] is not known; [fleet], [tls], [agent NAME] and [instance NAME] are");
     const std::string who = section.substr(9);
     if (who.empty() || who.find_first_of(" \t") != std::string::npos)
       throw ini::Fault("'" + who + "' is no name for an instance");
@@ -62,6 +67,10 @@
   for (const Instance& one : fleet.instances) {
     if (one.place.text.empty()) throw ini::Fault(file + ": instance " + one.facts.name + " has no 'admin'");
   }
+  for (const AgentPlace& one : fleet.agents) {
+    if (const std::string lacks = keys::missing(fleet.tls); one.control.tls && !lacks.empty())
+      throw ini::Fault(file + ": agent " + one.name + " needs '" + lacks + "' in [tls]");
+  }
   if (fleet.instances.empty()) throw ini::Fault(file + ": no instance is named");
   return fleet;
 }
--- a/src/ctl/fleet_file.h
+++ b/src/ctl/fleet_file.h
@@ -7,6 +7,7 @@
 
 #include "admin/place.h"
 #include "ctl/selector.h"
+#include "keys/reach.h"
 
 namespace pearchute::ctl {
 
@@ -17,11 +18,13 @@
 };
 
 struct AgentPlace {
-  std::string name, control;
+  std::string name;
+  keys::Reach control;
 };
 
 struct Fleet {
   std::vector<AgentPlace> agents;
+  keys::Files tls;
   std::vector<Instance> instances;  // in the file's order
   std::chrono::milliseconds answers_within{2000};
   std::size_t at_once = 128;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -5,6 +5,7 @@
 
 #include "ctl/agents.h"
 #include "ctl/commands.h"
+#include "ctl/keys.h"
 #include "ini/reader.h"
 #include "net/log.h"
 
@@ -163,6 +164,22 @@
         rollout->add_subcommand(word, std::string(word) == "back" ? "what was changed goes back" : "");
     words[word]->add_option("id", id)->required();
   }
+  CLI::App* key_commands = app.add_subcommand("keys", "the certificates of agents and operators");
+  key_commands->require_subcommand(1);
+  KeyAsk key;
+  key_commands->add_option("--folder", key.folder, "of the authority")->type_name("FOLDER");
+  CLI::App* key_init = key_commands->add_subcommand("init", "makes the authority of a site");
+  key_init->add_option("site", key.name)->required();
+  CLI::App* key_issue = key_commands->add_subcommand("issue", "a key and a certificate; again renews it");
+  key_issue->add_option("name", key.name, "an agent's as in its charter, or an operator's")->required();
+  key_issue->add_option("--role", key.role)
+      ->required()
+      ->check(CLI::IsMember({"read", "operate", "admin", "agent"}));
+  key_issue->add_option("--days", key.days)->check(CLI::Range(1, 3650));
+  CLI::App* key_revoke = key_commands->add_subcommand("revoke", "the certificate in the folder");
+  key_revoke->add_option("name", key.name)->required();
+  CLI::App* key_show = key_commands->add_subcommand("show", "one file, or all of the folder");
+  key_show->add_option("file", key.file);
   CLI::App* completions = app.add_subcommand("completion", "a completion script for bash");
   try {
     app.parse(argc, argv);
@@ -176,6 +193,12 @@
   manner.lease = std::chrono::seconds(lease), manner.within = std::chrono::seconds(within);
   manner.up_within = std::chrono::seconds(up_within), manner.at_once = static_cast<std::size_t>(at_once);
 
+  Output output(form == "json");
+  if (key_init->parsed()) return keys_init(key, output);
+  if (key_issue->parsed()) return keys_issue(key, output);
+  if (key_revoke->parsed()) return keys_revoke(key, output);
+  if (key_show->parsed()) return keys_show(key, output);
+
   Fleet known;
   std::vector<const Instance*> chosen;
   try {
@@ -198,7 +221,6 @@
   }
   if (timeout > 0) known.answers_within = std::chrono::milliseconds(timeout);
   if (parallel > 0) known.at_once = static_cast<std::size_t>(parallel);
-  Output output(form == "json");
   if (agents->parsed() || claims->parsed() || rollout->parsed()) {
     if (known.agents.empty()) {
       std::cerr << "pearchutectl: " << file << " names no [agent NAME]\n";
--- a/tests/test_agents.cpp
+++ b/tests/test_agents.cpp
@@ -4,6 +4,7 @@
 #include <grpcpp/grpcpp.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -13,7 +14,9 @@
 
 #include "agent.grpc.pb.h"
 #include "agent/charter.h"
+#include "agent/doors.h"
 #include "agent/processes.h"
+#include "keys/authority.h"
 #include "lab/managers.h"
 #include "lab/world.h"
 
@@ -54,7 +57,7 @@
 }
 
 struct Agent {
-  std::string name, charter, control;
+  std::string name, charter, control, listen;
   pid_t process = -1;
   std::unique_ptr<agent::v1::Agent::Stub> stub;
   void start() {
@@ -118,6 +121,88 @@
   }
 };
 
+std::string free_place() {
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
+  return socket.address().toString();
+}
+
+// Certificates and roles at an agent's door.
+void doors(keys::Authority& authority, const std::string& folder, const std::string& listen) {
+  using Code = grpc::StatusCode;
+  keys::Authority stranger(folder + "/other");
+  stranger.init("other", std::chrono::hours(24));
+  const auto hour = std::chrono::hours(1);
+  authority.issue("ann", fleet::Role::operate, hour), authority.issue("eve", fleet::Role::read, hour);
+  authority.issue("adm", fleet::Role::admin, hour), authority.issue("none", std::nullopt, hour);
+  authority.issue("old", fleet::Role::admin, seconds(-5)), stranger.issue("mal", fleet::Role::admin, hour);
+  const auto stub_as = [&](const keys::Authority& from, const std::string& name, const std::string& agent) {
+    const keys::Files files{authority.path("ca.pem"), from.path(name + ".pem"), from.path(name + ".key"), ""};
+    return agent::v1::Agent::NewStub(agent::channel_to(keys::reach_in("tls:" + listen), agent, files));
+  };
+  const auto show = [&](agent::v1::Agent::Stub& stub) {
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + seconds(5));
+    agent::v1::Shown shown;
+    return stub.Show(&context, {}, &shown).error_code();
+  };
+  const auto claim = [&](agent::v1::Agent::Stub& stub, const std::string& who, bool take_over) {
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + seconds(5));
+    agent::v1::ClaimAsk ask;  // of an instance that is not there: what is looked at is who may ask
+    ask.set_operation("op"), ask.set_who(who), ask.add_instances("nx"), ask.set_lease_ms(1000);
+    ask.set_take_over(take_over);
+    agent::v1::ClaimAnswer answer;
+    return stub.Claim(&context, ask, &answer).error_code();
+  };
+  struct Case {
+    const char *name, *who;
+    bool take_over;
+    Code shown, claimed;
+  };
+  const Case cases[] = {{"ann", "ann", false, Code::OK, Code::OK},
+                        {"ann", "bob", false, Code::OK, Code::PERMISSION_DENIED},
+                        {"ann", "ann", true, Code::OK, Code::PERMISSION_DENIED},
+                        {"adm", "adm", true, Code::OK, Code::OK},
+                        {"eve", "eve", false, Code::OK, Code::PERMISSION_DENIED},
+                        {"none", "none", false, Code::PERMISSION_DENIED, Code::PERMISSION_DENIED},
+                        {"a2", "bob", true, Code::OK, Code::OK},
+                        {"old", "old", false, Code::UNAVAILABLE, Code::UNAVAILABLE}};
+  for (const Case& c : cases) {
+    const auto stub = stub_as(authority, c.name, "a1");
+    const Code shown = show(*stub), claimed = claim(*stub, c.who, c.take_over);
+    if (shown != c.shown || claimed != c.claimed) std::fprintf(stderr, "%s: %d %d\n", c.name, shown, claimed);
+    assert(shown == c.shown && claimed == c.claimed);
+  }
+  // Of another authority; one that shows none; and an agent that is not the one that is meant.
+  assert(show(*stub_as(stranger, "mal", "a1")) == Code::UNAVAILABLE);
+  assert(show(*stub_as(authority, "ann", "a2")) == Code::UNAVAILABLE);
+  grpc::SslCredentialsOptions nobody;
+  nobody.pem_root_certs = keys::text_of(authority.path("ca.pem"));
+  grpc::ChannelArguments arguments;
+  arguments.SetSslTargetNameOverride("a1");
+  assert(show(*agent::v1::Agent::NewStub(grpc::CreateCustomChannel(listen, grpc::SslCredentials(nobody),
+                                                                   arguments))) == Code::UNAVAILABLE);
+  // Revoked while its connection is open: the next call is refused, others' go on. Renewed, it may again.
+  const auto open = stub_as(authority, "ann", "a1");
+  assert(show(*open) == Code::OK);
+  const keys::Certificate gone = keys::read_certificate(authority.path("ann.pem"));
+  authority.revoke(gone);
+  assert(show(*open) == Code::PERMISSION_DENIED && show(*stub_as(authority, "eve", "a1")) == Code::OK);
+  authority.issue("ann", fleet::Role::operate, hour);
+  assert(show(*stub_as(authority, "ann", "a1")) == Code::OK);
+  // A list that the authority has not signed changes nothing.
+  const std::string list = keys::text_of(authority.path("ca.crl"));
+  std::ofstream(authority.path("ca.crl")) << keys::text_of(stranger.path("ca.crl"));
+  assert(show(*open) == Code::PERMISSION_DENIED);
+  std::ofstream(authority.path("ca.crl")) << list;
+  // Connections that say nothing hold nobody up.
+  std::vector<Poco::Net::StreamSocket> silent;
+  for (int n = 0; n < 60; ++n) silent.emplace_back(Poco::Net::SocketAddress(listen));
+  const Time before = steady_now();
+  assert(show(*stub_as(authority, "eve", "a1")) == Code::OK && steady_now() - before < seconds(3));
+}
+
 template <class Condition>
 bool wait_for(Condition condition, seconds at_most = seconds(40)) {
   const Time end = steady_now() + at_most;
@@ -134,19 +219,27 @@
   site.managers = 5, site.engines = 4, site.pearchuted = PEARCHUTED, site.starts_managers = false;
   World world(site);
   std::vector<Agent> agents(3);
+  keys::Authority authority(world.folder() + "/keys");
+  authority.init("site", std::chrono::hours(24));
   const std::size_t owner_of[] = {0, 0, 1, 1, 2};
   for (std::size_t a = 0; a < agents.size(); ++a) {
     agents[a].name = "a" + std::to_string(a + 1);
     agents[a].charter = world.folder() + "/" + agents[a].name + ".ini";
     agents[a].control = "unix:" + world.folder() + "/" + agents[a].name + ".sock";
+    agents[a].listen = free_place();
+    authority.issue(agents[a].name, fleet::Role::agent, std::chrono::hours(1));
   }
   for (std::size_t a = 0; a < agents.size(); ++a) {
     std::ofstream charter(agents[a].charter);
     charter << "[agent]\nname = " << agents[a].name << "\nstate = " << world.folder() << "/" << agents[a].name
-            << ".db\ncontrol = " << agents[a].control << "\n";
+            << ".db\ncontrol = " << agents[a].control << "\nlisten = tls:" << agents[a].listen
+            << "\n[tls]\nauthority = " << authority.path("ca.pem")
+            << "\ncertificate = " << authority.path(agents[a].name + ".pem")
+            << "\nkey = " << authority.path(agents[a].name + ".key")
+            << "\nrevoked = " << authority.path("ca.crl") << "\n";
     for (const Agent& peer : agents) {
       if (peer.name != agents[a].name)
-        charter << "[peer " << peer.name << "]\ncontrol = " << peer.control << "\n";
+        charter << "[peer " << peer.name << "]\ncontrol = tls:" << peer.listen << "\n";
     }
     for (std::size_t m = 0; m < 5; ++m) {
       if (owner_of[m] != a) continue;
@@ -190,6 +283,7 @@
   };
   assert(wait_for(all_serve));
   assert(world.all_serving(4));
+  doors(authority, world.folder(), agents[0].listen);
   world.on([&] {
     world.crowd().offer(200, {{"quick", "SELECT work=5 FROM a_1.t", milliseconds(2000), 0, 5, 8},
                               {"once", "UPDATE work=8 a_4.t", milliseconds(2000), 0, 8, 8},
@@ -287,7 +381,12 @@
   const std::string fleet = world.write_fleet();
   {
     std::ofstream file(fleet, std::ios::app);
-    for (const Agent& one : agents) file << "[agent " << one.name << "]\ncontrol = " << one.control << "\n";
+    for (const Agent& one : agents)
+      file << "[agent " << one.name << "]\ncontrol = tls:" << one.listen << "\n";
+    authority.issue("oper", fleet::Role::operate, std::chrono::hours(1));
+    file << "[tls]\nauthority = " << authority.path("ca.pem")
+         << "\ncertificate = " << authority.path("oper.pem") << "\nkey = " << authority.path("oper.key")
+         << "\n";
   }
   const auto ctl = [&](std::vector<std::string> words) {
     words.insert(words.begin(), {"--fleet", fleet});
@@ -298,9 +397,21 @@
          std::string::npos);
   const auto old = seen("n5").pid();
   assert(ctl({"rollout", "start", "--on", "name = n5", "--id", "r3", "--warm", "0", "--coordinator", "a2",
-              "--follow"})
+              "--as", "oper", "--follow"})
              .status == 0);
   assert(seen("n5").pid() != old);
+  assert(ctl({"rollout", "start", "--on", "name = n5", "--as", "ann"}).status == 4);
+  assert(ctl({"rollout", "start", "--on", "name = n5", "--as", "oper", "--take-over"}).status == 4);
+  const std::string folder = world.folder() + "/made";
+  assert(ctl({"keys", "--folder", folder, "init", "there"}).status == 0);
+  assert(ctl({"keys", "--folder", folder, "init", "there"}).status == 1);
+  assert(ctl({"keys", "--folder", folder, "issue", "a9", "--role", "agent"}).status == 0);
+  assert(ctl({"keys", "--folder", folder, "issue", "../a9", "--role", "agent"}).status == 1);
+  assert(ctl({"keys", "--folder", folder, "issue", "a9", "--role", "king"}).status == 2);
+  assert(ctl({"keys", "--folder", folder, "revoke", "a9"}).status == 0);
+  assert(ctl({"keys", "--folder", folder, "show"}).out.find("revoked") != std::string::npos);
+  struct stat what {};
+  assert(::stat((folder + "/a9.key").c_str(), &what) == 0 && (what.st_mode & 0777) == 0600);
   assert(ctl({"rollout", "history"}).out.find("r3") != std::string::npos);
   assert(ctl({"rollout", "status", "r3"}).status == 0 && ctl({"rollout", "status", "r9"}).status == 2);
   assert(ctl({"rollout", "pause", "r3"}).status == 4 &&
--- a/tests/test_daemon.cpp
+++ b/tests/test_daemon.cpp
@@ -108,9 +108,10 @@
   const int fd = listen_on(port);
   const std::string text(32 << 20, 'x');
   std::size_t got = 0;
+  int peer = -1;
   Loop loop;
   std::thread reader([&] {
-    const int peer = accept(fd, nullptr, nullptr);
+    peer = accept(fd, nullptr, nullptr);
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     std::string buffer(1 << 16, ' ');
     while (got < text.size()) {
@@ -118,7 +119,6 @@
       if (part <= 0) break;
       got += static_cast<std::size_t>(part);
     }
-    close(peer);
   });
   auto wire = std::make_unique<Wire>(
       loop, Poco::Net::SocketAddress("127.0.0.1", static_cast<std::uint16_t>(port)), nothing);
@@ -133,7 +133,7 @@
   loop.settle();
   reader.join();
   assert(got == text.size() && loop.buffers().out() == 0);
-  close(fd);
+  close(peer), close(fd);  // not before: the loop may see the end sooner than that all is written
 }
 
 // What becomes of a dispatch and of its connection when the engine errs in each way, and that engines that
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -267,12 +267,15 @@
   const std::string holder(128, 'h');
   const auto far = [](int number) { return std::string(124, 'e') + std::to_string(1000 + number); };
   for (int number = 0; number < 200; ++number)
-    assert(world.order(1, far(number), true, 15, holder, "d" + std::to_string(number)).ordered().verdict() == "done");
+    assert(world.order(1, far(number), true, 15, holder, "d" + std::to_string(number)).ordered().verdict() ==
+           "done");
   const Ran listed =
       run_program(PEARCHUTECTL, {"--fleet", world.write_fleet(), "--output", "json", "orders"});
   assert(listed.status == 0 && nlohmann::json::parse(listed.out).size() == 200);
   for (int number = 0; number < 200; ++number)
-    assert(world.order(1, far(number), false, 16, holder, "r" + std::to_string(number)).ordered().in_force_size() == 0);
+    assert(world.order(1, far(number), false, 16, holder, "r" + std::to_string(number))
+               .ordered()
+               .in_force_size() == 0);
   assert(world.order(1, "e2", true, 20, "ann", "", milliseconds(300)).ordered().standing() == "draining");
   world.on([&] { world.managers()[1].caller.reset(); });
   world.rest(milliseconds(320));
