A change that fails goes back by itself; back also takes claims anew where they ran out

Cause: a failed change ended the rollout, and the way back was another rollout by hand; told to go back while paused, a rollout would have waited for ever under claims that had run out.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -143,6 +143,7 @@
     command->add_option("--up-within", up_within, "until one serves again")
         ->type_name("S")
         ->check(CLI::Range(1, 3600));
+    command->add_flag("--revert", plan.reverts, "a change that fails goes back by itself");
     command->add_flag("--take-over", plan.take_over, "ends other operations' claims");
     command->add_option("--as", manner.holder, "who answers for it")->type_name("NAME");
     return command;
--- a/src/fleet/rollout.cpp
+++ b/src/fleet/rollout.cpp
@@ -196,12 +196,12 @@
   }
 }
 
-void Rollout::step_answered(Span, const std::string& instance, bool accepted, const std::string& fault) {
+void Rollout::step_answered(Span now, const std::string& instance, bool accepted, const std::string& fault) {
   One* one = find(instance);
   if (!one || one->stage != Stage::asked || accepted) return;
   one->stage = Stage::failed, one->word = fault;
   failed_ += 1;
-  settle();
+  settle(now);
 }
 
 void Rollout::step_ended(Span now, const std::string& instance, const Step& step, StepEnd how,
@@ -222,7 +222,7 @@
     one->stage = Stage::failed;
     failed_ += 1;
   }
-  settle();
+  settle(now);
 }
 
 void Rollout::seen(Span now, const std::string& instance, const std::string& zone, Condition condition) {
@@ -253,34 +253,38 @@
   for (One& one : all_) {
     if (one.stage == Stage::unknown) one.stage = Stage::waiting;
   }
-  const bool all = std::ranges::all_of(agents_, [&](const auto& one) {
-    return one.second.granted && now + least_left < one.second.lease_until;
-  });
-  if (all) return enter(resumed_to_, "resumed");
-  for (auto& [name, agent] : agents_) agent.granted = false;
-  enter(State::claiming, "resumed");
-  claim_next(now);
+  run_or_claim(now, resumed_to_, "resumed");
 }
 
-void Rollout::abort(Span) {
+void Rollout::abort(Span now) {
   if (over()) return;
   enter(State::aborting, "by an operator");
-  settle();
+  settle(now);
 }
 
-void Rollout::roll_back(Span) {
-  if (plan_.kind != StepKind::change || going_back_ || over()) return;
+void Rollout::roll_back(Span now) {
+  const bool begun = state_ != State::planned && state_ != State::claiming;
+  if (plan_.kind != StepKind::change || going_back_ || over() || !begun) return;
   going_back_ = true;
   failed_ = 0, since_gate_ = 0;
-  // What was begun is waited for; what is through, or failed on its way, goes back; what waits has not
-  // changed.
+  // What is under way is waited for; what is through, failed on its way or is not known goes back; what waits
+  // has not changed.
   for (One& one : all_) {
     if (one.stage == Stage::waiting) one.stage = Stage::done, one.word = "not changed";
-    else if (one.stage == Stage::done || one.stage == Stage::failed || one.stage == Stage::warming)
-      one.stage = Stage::waiting, one.word = "goes back";
+    else if (one.stage != Stage::asked) one.stage = Stage::waiting, one.word = "goes back";
   }
-  if (state_ == State::gate || state_ == State::paused || state_ == State::aborting)
-    enter(State::running, "rolls back");
+  run_or_claim(now, State::running, "rolls back");
+}
+
+// On with it, under the claims that are there; where some are not, all are taken anew.
+void Rollout::run_or_claim(Span now, State state, const std::string& word) {
+  const bool all = std::ranges::all_of(agents_, [&](const auto& one) {
+    return one.second.granted && now + least_left < one.second.lease_until;
+  });
+  if (all) return enter(state, word);
+  for (auto& [name, agent] : agents_) agent.granted = false;
+  enter(State::claiming, word);
+  claim_next(now);
 }
 
 void Rollout::remembered(Span, const std::map<std::string, Stage>& stages) {
@@ -298,10 +302,11 @@
 
 // ---- Time
 
-void Rollout::settle() {
+void Rollout::settle(Span now) {
   if (over()) return;
-  if (failed_ > plan_.failures && state_ != State::aborting && state_ != State::paused)
-    enter(State::aborting, std::to_string(failed_) + " instances failed");
+  const bool too_many = failed_ > plan_.failures && state_ != State::aborting && state_ != State::paused;
+  if (too_many && plan_.reverts && plan_.kind == StepKind::change && !going_back_) return roll_back(now);
+  if (too_many) enter(State::aborting, std::to_string(failed_) + " instances failed");
   const bool open = under_way() > 0;
   if (state_ == State::aborting && !open)
     return end(failed_ > plan_.failures ? State::failed : State::aborted, word_);
@@ -357,7 +362,7 @@
       enter(State::running, "through the gate");
     }
   }
-  settle();
+  settle(now);
   go_on(now);
 }
 
--- a/src/fleet/rollout.h
+++ b/src/fleet/rollout.h
@@ -34,6 +34,7 @@
   Span gate{};                               // how long service is looked at between batches
   double margin = 0.02;                      // how far the share done on time may fall
   int failures = 0;                          // that are borne before the rollout stops
+  bool reverts = false;                        // a change that fails more often goes back by itself
   bool take_over = false;
   Span lease = std::chrono::seconds(30);
   Span drain_within = std::chrono::seconds(30), up_within = std::chrono::seconds(30);
@@ -131,7 +132,8 @@
   bool may_step(Span now, const One& one) const;
   int serving_in(Span now, const std::string& zone) const;
   int under_way() const;
-  void settle();
+  void settle(Span now);
+  void run_or_claim(Span now, State state, const std::string& word);
   void end(State state, const std::string& word);
   One* find(const std::string& instance);
 
--- a/src/lab/fleet_model.cpp
+++ b/src/lab/fleet_model.cpp
@@ -536,6 +536,8 @@
                 (one.process ? ", runs " + std::to_string(one.process->version) : ", no process") +
                 (life.under_way() ? ", a step is under way" : ""));
   }
+  result.going_back = coordinators.front()->rollout.going_back();
+  for (const Instance& one : instances) result.versions[one.name] = one.process ? one.process->version : 0;
   // What the rollout calls done is so.
   if (!shape.rival && plan.kind == StepKind::change && shape.falls == 0) {
     const Rollout& rollout = coordinators.front()->rollout;
--- a/src/lab/fleet_model.h
+++ b/src/lab/fleet_model.h
@@ -39,6 +39,8 @@
     fleet::Span lasted{}, recovery{};  // of the rollout; from the kill until all is known and settled
     double decision_us = 0;            // on average, on this machine
     std::set<std::string> points;      // that were passed
+    bool going_back = false;
+    std::map<std::string, int> versions;  // that run at the end, by instance; 0: none
     std::vector<std::string> faults;
   };
   explicit FleetModel(const Shape& shape);
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -54,6 +54,7 @@
           {"gate_us", plan.gate.count()},
           {"margin", plan.margin},
           {"failures", plan.failures},
+          {"reverts", plan.reverts},
           {"take_over", plan.take_over},
           {"lease_us", plan.lease.count()},
           {"drain_within_us", plan.drain_within.count()},
@@ -72,7 +73,7 @@
   plan.least_serving = from.at("least_serving").get<std::map<std::string, int>>();
   plan.warm = Span(from.at("warm_us").get<Span::rep>()),
   plan.gate = Span(from.at("gate_us").get<Span::rep>());
-  plan.margin = from.at("margin"), plan.failures = from.at("failures"), plan.take_over = from.at("take_over");
+  plan.margin = from.at("margin"), plan.failures = from.at("failures"), plan.reverts = from.value("reverts", false), plan.take_over = from.at("take_over");
   plan.lease = Span(from.at("lease_us").get<Span::rep>());
   plan.drain_within = Span(from.at("drain_within_us").get<Span::rep>());
   plan.up_within = Span(from.at("up_within_us").get<Span::rep>());
--- a/tests/test_rollouts.cpp
+++ b/tests/test_rollouts.cpp
@@ -295,8 +295,31 @@
   }
 }
 
+// A new command that falls at once: the change goes back by itself, and all serve as before.
+void reverts() {
+  int went_back = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    FleetModel::Shape shape{.seed = seed, .kill_at = seed % 3 ? "" : "random"};
+    shape.falls = 1;
+    shape.loss = 0.05;
+    RolloutPlan plan = plan_of(StepKind::change);
+    plan.reverts = true, plan.failures = 0;
+    FleetModel model(shape);
+    const auto result = model.play(plan);
+    if (result.state != Rollout::State::done || !result.going_back) continue;
+    ++went_back;
+    for (const auto& [instance, version] : result.versions) {
+      if (version != 1) std::fprintf(stderr, "seed %d: %s\n", static_cast<int>(seed), instance.c_str());
+      assert(version == 1);
+    }
+    assert(result.unknown_states + result.fence_breaks + result.below_floor == 0);
+  }
+  assert(went_back > 20);
+}
+
 int main() {
   claims();
   lives();
   histories();
+  reverts();
 }
