Agents read their charter again on SIGHUP; hard cases with real processes

Cause: a new version's command could only come with the agent's restart, and some troubles were shown in the simulated fleet only.

--- a/src/agent/coordinator.cpp
+++ b/src/agent/coordinator.cpp
@@ -213,6 +213,15 @@
   });
 }
 
+void Coordinator::change(const Charter& next) {
+  for (const auto& [name, reach] : next.peers) {
+    const auto known = charter_.peers.find(name);
+    if (known != charter_.peers.end() && known->second.text == reach.text) continue;
+    stubs_[name] = v1::Agent::NewStub(channel_to(reach, name, charter_.tls));
+    charter_.peers[name] = reach;
+  }
+}
+
 std::string Coordinator::start(const fleet::RolloutPlan& plan) {
   if (!trouble_.empty()) return trouble_;
   if (rollouts_.contains(plan.id)) return "";  // the same ask again
--- a/src/agent/coordinator.h
+++ b/src/agent/coordinator.h
@@ -21,6 +21,9 @@
   // Lives on the stage's loop. `trouble` says why the store can't be used, where it can't.
   Coordinator(net::Stage& stage, const Charter& charter, store::Store& store, const std::string& trouble);
   ~Coordinator();
+  // Peers that are new, or are reached elsewhere now; those that are not named any more stay known until the
+  // next start, since rollouts may hold claims there.
+  void change(const Charter& next);
   std::string start(const fleet::RolloutPlan& plan);                // the fault, or nothing
   std::string say(const std::string& id, const std::string& word);  // the same
   void tell(const std::string& id, v1::RolloutList& list) const;  // one whole; without an id a summary of all
@@ -37,7 +40,7 @@
             std::function<void(bool ok, const Answer& answer)> heard);
 
   net::Stage& stage_;
-  const Charter charter_;
+  Charter charter_;
   store::Store& store_;
   const std::string trouble_;
   const std::shared_ptr<Calls> calls_;
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -23,7 +23,7 @@
 
 namespace {
 
-volatile std::sig_atomic_t asked_to_end = 0;
+volatile std::sig_atomic_t asked_to_end = 0, asked_to_read_again = 0;
 
 // Each call runs on the loop, where all else does; its own thread waits.
 class Service final : public v1::Agent::Service {
@@ -144,10 +144,30 @@
   Revocations revocations_;
 };
 
-int run(const Charter& charter) {
+// A file that can't be used leaves all as it was.
+void read_again(const std::string& file, const Charter& charter, net::Stage& stage, Warden& warden,
+                Coordinator& coordinator) {
+  try {
+    const Charter next = read_charter(file);
+    const bool other = next.name != charter.name || next.state != charter.state ||
+                       next.control.text != charter.control.text || next.listen.text != charter.listen.text;
+    if (other) spdlog::warn("the agent's name, state and places take effect at its next start only");
+    const auto told = stage.on([&] {
+      coordinator.change(next);
+      return warden.change(next);
+    });
+    for (const std::string& word : told) spdlog::info("{}", word);
+    spdlog::info("the charter is read again");
+  } catch (const std::exception& fault) {
+    spdlog::warn("the charter stays as it was: {}", fault.what());
+  }
+}
+
+int run(const std::string& file, const Charter& charter) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, [](int) { asked_to_end = 1; });
   std::signal(SIGINT, [](int) { asked_to_end = 1; });
+  std::signal(SIGHUP, [](int) { asked_to_read_again = 1; });
   net::Stage stage;
   std::unique_ptr<Warden> warden;
   std::unique_ptr<Coordinator> coordinator;
@@ -174,7 +194,12 @@
   if (!server || port == 0)
     throw std::runtime_error("can't listen at " + charter.control.text + " " + charter.listen.text);
   spdlog::info("agent {} at {}, {} instances", charter.name, charter.control.text, charter.instances.size());
-  while (!asked_to_end) ::usleep(50'000);
+  while (!asked_to_end) {
+    ::usleep(50'000);
+    if (!asked_to_read_again) continue;
+    asked_to_read_again = 0;
+    read_again(file, charter, stage, *warden, *coordinator);
+  }
   server->Shutdown(std::chrono::system_clock::now() + milliseconds(500));
   stage.on([&] { coordinator.reset(), warden.reset(); });
   spdlog::info("agent {} ends; its instances go on", charter.name);
@@ -203,7 +228,7 @@
       return 0;
     }
     net::start_log(charter.name, log == "json" ? net::json_lines() : nullptr);
-    return run(charter);
+    return run(file, charter);
   } catch (const std::exception& error) {
     std::cerr << "pearchute-agent: " << error.what() << "\n";
     return 1;
--- a/src/agent/processes.h
+++ b/src/agent/processes.h
@@ -27,6 +27,7 @@
   bool adopt(const std::string& instance, const store::Process& process);
   bool alive(const std::string& instance);  // lets it go where it has ended
   bool signal(const std::string& instance, int signal);
+  void let_go(const std::string& instance);  // it runs on, and is not looked after any more
   std::optional<store::Process> process_of(const std::string& instance) const;
 
  private:
@@ -34,7 +35,6 @@
     int pidfd = -1;
     store::Process process;
   };
-  void let_go(const std::string& instance);
 
   const std::string boot_;
   std::map<std::string, Held> held_;
--- a/src/agent/warden.cpp
+++ b/src/agent/warden.cpp
@@ -35,38 +35,65 @@
 
 Warden::Warden(net::Loop& loop, const Charter& charter)
     : loop_(loop), charter_(charter), store_(charter.state) {
-  const auto opened = store_.open(trouble_);
-  for (const auto& [name, owned] : charter_.instances) {
-    auto& eye = eyes_[name] = std::make_unique<Eye>();
-    eye->caller = std::make_unique<admin::Caller>(loop_, owned.admin);
-    eye->version = owned.version;
-  }
-  if (opened != store::Store::Opened::usable) {
-    spdlog::error("{}; this agent observes and takes no orders until its state is mended", trouble_);
-  } else {
-    keeper_ = std::make_unique<fleet::Keeper>(*this);
-    const auto kept = store_.instances();
-    const auto processes = store_.processes();
-    for (const auto& [name, owned] : charter_.instances) {
-      fleet::Keeper::Kept one;
-      one.wanted = owned.wanted, one.version = owned.version;
-      if (const auto at = kept.find(name); at != kept.end()) one = at->second;
-      // A version that the charter names no more can't be started: the charter's own is.
-      if (!owned.commands.contains(one.version)) one.version = owned.version;
-      eyes_[name]->version = one.version;
-      if (const auto at = processes.find(name); at != processes.end()) {
-        const bool ours = processes_.adopt(name, at->second);
-        if (ours && at->second.version > 0) eyes_[name]->version = at->second.version;
-        spdlog::info("instance {}: process {} {}", name, at->second.pid, ours ? "is adopted" : "has ended");
-      }
-      keeper_->owns(loop_.now(), name, one);
-    }
-  }
+  const bool usable = store_.open(trouble_) == store::Store::Opened::usable;
+  if (usable) keeper_ = std::make_unique<fleet::Keeper>(*this);
+  else spdlog::error("{}; this agent observes and takes no orders until its state is mended", trouble_);
+  const auto kept = usable ? store_.instances() : std::map<std::string, fleet::Keeper::Kept>();
+  const auto processes = usable ? store_.processes() : std::map<std::string, store::Process>();
+  for (const auto& [name, owned] : charter_.instances) own(name, owned, kept, processes);
   look();
 }
 
 Warden::~Warden() { *alive_ = false; }
 
+void Warden::own(const std::string& name, const Owned& owned,
+                 const std::map<std::string, fleet::Keeper::Kept>& kept,
+                 const std::map<std::string, store::Process>& processes) {
+  auto& eye = eyes_[name] = std::make_unique<Eye>();
+  eye->caller = std::make_unique<admin::Caller>(loop_, owned.admin);
+  eye->version = owned.version;
+  if (!keeper_) return;
+  fleet::Keeper::Kept one;
+  one.wanted = owned.wanted, one.version = owned.version;
+  if (const auto at = kept.find(name); at != kept.end()) one = at->second;
+  // A version that the charter names no more can't be started: the charter's own is.
+  if (!owned.commands.contains(one.version)) one.version = owned.version;
+  eye->version = one.version;
+  if (const auto at = processes.find(name); at != processes.end()) {
+    const bool ours = processes_.adopt(name, at->second);
+    if (ours && at->second.version > 0) eye->version = at->second.version;
+    spdlog::info("instance {}: process {} {}", name, at->second.pid, ours ? "is adopted" : "has ended");
+  }
+  keeper_->owns(loop_.now(), name, one);
+}
+
+std::vector<std::string> Warden::change(const Charter& next) {
+  std::vector<std::string> told;
+  const Charter before = charter_;
+  charter_.instances = next.instances;
+  for (const auto& [name, owned] : before.instances) {
+    const auto at = next.instances.find(name);
+    // Where it is reached is what makes it this instance: another place is another one.
+    const bool same = at != next.instances.end() && at->second.admin.text == owned.admin.text;
+    if (same) continue;
+    if (keeper_ && !keeper_->disown(loop_.now(), name)) {
+      charter_.instances[name] = owned;
+      told.push_back("instance " + name + " stays as it was: it is claimed");
+      continue;
+    }
+    processes_.let_go(name);
+    eyes_.erase(name);
+    if (keeper_) store_.forget(name);
+    told.push_back("instance " + name + " is not looked after any more; it runs on");
+  }
+  for (const auto& [name, owned] : charter_.instances) {
+    if (eyes_.contains(name)) continue;
+    own(name, owned, {}, {});
+    told.push_back("instance " + name + " is looked after from now on");
+  }
+  return told;
+}
+
 // ---- What operators ask
 
 fleet::Claims::Answer Warden::ask(const fleet::ClaimAsk& ask) {
--- a/src/agent/warden.h
+++ b/src/agent/warden.h
@@ -20,6 +20,10 @@
   Warden(net::Loop& loop, const Charter& charter);
   ~Warden() override;
 
+  // The charter is another: new instances are owned, commands change for the next start, and those that are
+  // not named any more run on with nobody to look after them; what is claimed stays. Tells what was done, in
+  // words.
+  std::vector<std::string> change(const Charter& next);
   // What operators ask; `fault` says why not.
   fleet::Claims::Answer ask(const fleet::ClaimAsk& ask);
   bool renew(const std::string& operation, const std::vector<std::string>& instances, Span lease);
@@ -43,6 +47,9 @@
 
  private:
   struct Eye;
+  void own(const std::string& name, const Owned& owned,
+           const std::map<std::string, fleet::Keeper::Kept>& kept,
+           const std::map<std::string, store::Process>& processes);
   bool write(const std::map<std::string, fleet::Keeper::Kept>& kept, const std::string& why) override;
   void start(const std::string& instance, int version) override;
   void ask_to_end(const std::string& instance, Span within) override;
@@ -58,7 +65,7 @@
   void looked(const std::string& instance);
 
   net::Loop& loop_;
-  const Charter charter_;
+  Charter charter_;
   store::Store store_;
   Processes processes_;
   std::string trouble_;
--- a/src/agent/wire.cpp
+++ b/src/agent/wire.cpp
@@ -87,7 +87,8 @@
   to.set_at_once(plan.at_once), to.set_batch(plan.batch);
   for (const auto& [zone, least] : plan.least_serving) (*to.mutable_least_serving())[zone] = least;
   to.set_warm_ms(ms(plan.warm)), to.set_gate_ms(ms(plan.gate)), to.set_margin(plan.margin);
-  to.set_failures(plan.failures), to.set_reverts(plan.reverts), to.set_take_over(plan.take_over), to.set_lease_ms(ms(plan.lease));
+  to.set_failures(plan.failures), to.set_reverts(plan.reverts), to.set_take_over(plan.take_over),
+      to.set_lease_ms(ms(plan.lease));
   to.set_drain_within_ms(ms(plan.drain_within)), to.set_up_within_ms(ms(plan.up_within));
   return to;
 }
@@ -103,7 +104,8 @@
   to.at_once = plan.at_once(), to.batch = plan.batch();
   for (const auto& [zone, least] : plan.least_serving()) to.least_serving[zone] = least;
   to.warm = span(plan.warm_ms()), to.gate = span(plan.gate_ms()), to.margin = plan.margin();
-  to.failures = plan.failures(), to.reverts = plan.reverts(), to.take_over = plan.take_over(), to.lease = span(plan.lease_ms());
+  to.failures = plan.failures(), to.reverts = plan.reverts(), to.take_over = plan.take_over(),
+  to.lease = span(plan.lease_ms());
   to.drain_within = span(plan.drain_within_ms()), to.up_within = span(plan.up_within_ms());
   if (to.id.empty() || to.id.size() > 64 || to.who.empty() || to.who.size() > 128)
     throw std::invalid_argument("a rollout needs a short id and a name");
--- a/src/fleet/claims.cpp
+++ b/src/fleet/claims.cpp
@@ -16,6 +16,15 @@
   set_wake();
 }
 
+bool Claims::disown(Span now, const std::string& instance) {
+  woken(now);
+  const auto at = owned_.find(instance);
+  if (at == owned_.end()) return true;
+  if (at->second.claim) return false;
+  owned_.erase(at);
+  return true;
+}
+
 Claims::Answer Claims::ask(Span now, const ClaimAsk& ask) {
   Answer answer;
   woken(now);
--- a/src/fleet/claims.h
+++ b/src/fleet/claims.h
@@ -55,6 +55,9 @@
   void owns(Span now, const std::string& instance, std::uint64_t last_fence, const std::optional<Claim>& open,
             Span lease);
 
+  // False where it is claimed: it stays.
+  bool disown(Span now, const std::string& instance);
+
   struct Held {
     std::string instance;
     Claim claim;
--- a/src/fleet/keeper.cpp
+++ b/src/fleet/keeper.cpp
@@ -59,6 +59,15 @@
   claims_.owns(now, instance, kept.last_fence, kept.claim, kept.lease);
 }
 
+bool Keeper::disown(Span now, const std::string& instance) {
+  now_ = now;
+  const auto at = all_.find(instance);
+  if (at == all_.end()) return true;
+  if (at->second->life().under_way() || !claims_.disown(now, instance)) return false;
+  all_.erase(at);
+  return true;
+}
+
 Claims::Answer Keeper::ask(Span now, const ClaimAsk& ask) {
   now_ = now;
   return claims_.ask(now, ask);
--- a/src/fleet/keeper.h
+++ b/src/fleet/keeper.h
@@ -44,6 +44,8 @@
   ~Keeper() override;
 
   void owns(Span now, const std::string& instance, const Kept& kept);
+  // False where it is claimed, or a step is under way: it stays.
+  bool disown(Span now, const std::string& instance);
   Claims::Answer ask(Span now, const ClaimAsk& ask);
   bool renew(Span now, const std::string& operation, const std::vector<std::string>& instances, Span lease);
   void release(Span now, const std::string& operation);
--- a/src/fleet/rollout.h
+++ b/src/fleet/rollout.h
@@ -34,7 +34,7 @@
   Span gate{};                               // how long service is looked at between batches
   double margin = 0.02;                      // how far the share done on time may fall
   int failures = 0;                          // that are borne before the rollout stops
-  bool reverts = false;                        // a change that fails more often goes back by itself
+  bool reverts = false;                      // a change that fails more often goes back by itself
   bool take_over = false;
   Span lease = std::chrono::seconds(30);
   Span drain_within = std::chrono::seconds(30), up_within = std::chrono::seconds(30);
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -19,9 +19,6 @@
 
 Record::Kind kind_of(const std::string& type) { return {type == "once", type == "load"}; }
 
-namespace {
-
-// A port that was free a moment ago, at an address that few others use.
 std::string free_address(std::size_t number) {
   const int pid = ::getpid();
   const std::string host = "127." + std::to_string(1 + pid / 250 % 250) + "." + std::to_string(pid % 250) +
@@ -31,8 +28,6 @@
   return socket.address().toString();
 }
 
-}  // namespace
-
 World::World(const Site& site) : site_(site) {
   ::signal(SIGPIPE, SIG_IGN);
   char folder[] = "/tmp/pearchute-lab-XXXXXX";
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -97,6 +97,10 @@
   std::vector<Manager> managers_;
 };
 
+// A port that was free a moment ago, at a loopback address that few others use; the number sets callers
+// apart.
+std::string free_address(std::size_t number);
+
 // What the rules hold for the site's reservation types: quick, report (restartable), load (keyed, in order),
 // once (run once).
 Record::Kind kind_of(const std::string& type);
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -73,7 +73,8 @@
   plan.least_serving = from.at("least_serving").get<std::map<std::string, int>>();
   plan.warm = Span(from.at("warm_us").get<Span::rep>()),
   plan.gate = Span(from.at("gate_us").get<Span::rep>());
-  plan.margin = from.at("margin"), plan.failures = from.at("failures"), plan.reverts = from.value("reverts", false), plan.take_over = from.at("take_over");
+  plan.margin = from.at("margin"), plan.failures = from.at("failures"),
+  plan.reverts = from.value("reverts", false), plan.take_over = from.at("take_over");
   plan.lease = Span(from.at("lease_us").get<Span::rep>());
   plan.drain_within = Span(from.at("drain_within_us").get<Span::rep>());
   plan.up_within = Span(from.at("up_within_us").get<Span::rep>());
@@ -211,6 +212,17 @@
   });
 }
 
+bool Store::forget(const std::string& instance) {
+  return transact([&] {
+    for (const char* table :
+         {"DELETE FROM instance WHERE name = ?", "DELETE FROM process WHERE instance = ?"}) {
+      SQLite::Statement remove(*database_, table);
+      remove.bind(1, instance);
+      remove.exec();
+    }
+  });
+}
+
 bool Store::write_rollout(const KeptRollout& rollout) {
   // Of the past ones as many are kept as an operator looks back on.
   constexpr int most = 200;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -51,6 +51,7 @@
   // False where it can't be written (see fault()): nothing of it is, then.
   bool write(const std::map<std::string, fleet::Keeper::Kept>& kept);
   bool write_process(const std::string& instance, const std::optional<Process>& process);
+  bool forget(const std::string& instance);
   bool write_rollout(const KeptRollout& rollout);
   const std::string& fault() const { return fault_; }
 
--- /dev/null
+++ b/tests/test_agent_troubles.cpp
@@ -0,0 +1,110 @@
+// What goes wrong round agents, with real processes: one that is stopped beyond its lease and goes on,
+// somebody else on an instance's address, a new command that does not come up, a job that will not end, a
+// charter that changes while they run.
+#include "agents.h"
+
+using namespace pearchute;
+using namespace pearchute::lab;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string state_of(Agent& agent, const std::string& id) { return agent.rollout(id).state(); }
+
+int main() {
+  Site site;
+  site.managers = 5, site.engines = 4, site.pearchuted = PEARCHUTED, site.starts_managers = false;
+  AgentFleet fleet(site);
+  World& world = fleet.world;
+  Agent &first = fleet.agents[0], &second = fleet.agents[1], &third = fleet.agents[2];
+  const auto all_serve = [&] { return fleet.all_serve(); };
+  assert(wait_for(all_serve) && world.all_serving(4));
+  world.on([&] {
+    world.crowd().offer(100, {{"quick", "SELECT work=5 FROM a_1.t", milliseconds(2000), 0, 5, 8},
+                              {"once", "UPDATE work=8 a_4.t", milliseconds(2000), 0, 8, 8}});
+  });
+  std::string fault;
+
+  // Stopped amid a step, beyond its lease: its coordinator gives it up and pauses; going on, it acts no more
+  // for that claim, and what was half done falls back.
+  assert(first.start_rollout(fleet.plan("stopped", "restart"), &fault).ok() && fault.empty());
+  assert(wait_for([&] { return fleet.seen("n3").has_under_way(); }));
+  ::kill(second.process, SIGSTOP);
+  assert(wait_for([&] { return state_of(first, "stopped") == "paused"; }));
+  ::kill(second.process, SIGCONT);
+  assert(wait_for(all_serve));
+  assert(fleet.seen("n3").last().end() == "fell_back");
+  assert(first.say("stopped", "abort").empty());
+  assert(wait_for([&] { return state_of(first, "stopped") == "aborted"; }));
+
+  // A new command that does not come up: the change goes back by itself. It was read from the charter while
+  // the agent ran; a charter that can't be used changes nothing.
+  const auto before = fleet.seen("n5");
+  std::ofstream(third.charter) << "[agent]\nnonsense = 1\n";
+  ::kill(third.process, SIGHUP);
+  std::this_thread::sleep_for(milliseconds(200));
+  fleet.write_charter(third, {{"n5", "command.2 = exit 1\ncommand.3 = " + fleet.command_of(4)}});
+  ::kill(third.process, SIGHUP);
+  agent::v1::Plan change = fleet.plan("broken", "change");
+  const agent::v1::Target target = change.targets(4);
+  change.clear_targets();
+  *change.add_targets() = target;
+  change.set_version(2), change.set_version_before(1), change.set_failures(0), change.set_reverts(true);
+  change.set_up_within_ms(3000), change.clear_least_serving();
+  // Until the charter is read the version is not known: the step is refused, and with it the change.
+  assert(wait_for([&] {
+    change.set_id(change.id() + "+");
+    assert(third.start_rollout(change, &fault).ok() && fault.empty());
+    assert(wait_for([&] { return state_of(third, change.id()) == "done"; }));
+    return third.rollout(change.id()).words().at("n5") == "serves" && fleet.seen("n5").pid() != before.pid();
+  }));
+  assert(third.rollout(change.id()).word() == "rolled back" && fleet.seen("n5").version() == 1);
+  change.set_id("sound"), change.set_version(3), change.set_up_within_ms(8000);
+  assert(third.start_rollout(change, &fault).ok() && fault.empty());
+  assert(wait_for([&] { return state_of(third, "sound") == "done"; }));
+  assert(fleet.seen("n5").version() == 3 && third.rollout("sound").word().empty());
+  assert(wait_for(all_serve));
+
+  // Somebody else on its address while its agent is away: nothing is started there, and nothing of that one's
+  // is ended; when it goes, the instance is started again.
+  const std::int64_t its_own = static_cast<std::int64_t>(fleet.seen("n5").pid());
+  third.end(SIGTERM);
+  ::kill(static_cast<pid_t>(its_own), SIGKILL);
+  assert(wait_for([&] { return !agent::start_time_of(its_own); }));
+  world.start(4);
+  for (int i = 0; world.status(4).identity().phase() != "serving" && i < 500; ++i)
+    world.rest(milliseconds(10));
+  third.start();
+  assert(wait_for([&] { return fleet.seen("n5").condition() == "foreign"; }));
+  std::this_thread::sleep_for(milliseconds(600));
+  assert(world.ended(4) == -1 && fleet.seen("n5").condition() == "foreign");
+  world.signal(4, SIGKILL);
+  assert(wait_for([&] { return world.ended(4) != -1; }));
+  assert(wait_for(all_serve));
+
+  // A job that hangs: the drain waits its time and ends all the same; the job has its one answer.
+  std::optional<Answer> answer;
+  bool heard = false;
+  world.on([&] {
+    world.crowd().ask(0, {"quick", "SELECT fault=hang FROM a_1.t", milliseconds(4000), 0, 5, 8},
+                      [&](std::optional<Answer> what) { answer = what, heard = true; });
+  });
+  agent::v1::Plan hanging = fleet.plan("hanging", "restart");
+  const agent::v1::Target one = hanging.targets(0);
+  hanging.clear_targets();
+  *hanging.add_targets() = one;
+  hanging.set_drain_within_ms(1000);
+  const auto old = fleet.seen("n1").pid();
+  assert(first.start_rollout(hanging, &fault).ok() && fault.empty());
+  assert(wait_for([&] { return state_of(first, "hanging") == "done"; }));
+  assert(fleet.seen("n1").pid() != old && wait_for([&] { return world.on([&] { return heard; }); }));
+  assert(answer && answer != Answer::done);
+
+  world.on([&] { world.crowd().offer(0, {}); });
+  assert(world.quiet());
+  const Record::Verdict verdict = world.verdict();
+  for (const std::string& what : verdict.faults) std::fprintf(stderr, "%s\n", what.c_str());
+  std::printf("%llu jobs: %llu done, %llu lost\n", static_cast<unsigned long long>(verdict.sent),
+              static_cast<unsigned long long>(verdict.done), static_cast<unsigned long long>(verdict.lost));
+  for (Agent& each : fleet.agents) each.end(SIGTERM);
+  assert(verdict.doubled == 0 && verdict.twice_run == 0 && verdict.overlaps == 0 && verdict.disorder == 0);
+}
--- a/tests/test_agents.cpp
+++ b/tests/test_agents.cpp
@@ -1,24 +1,7 @@
-// Agents as processes: they start and adopt their instances, keep claims, and carry a rollout through while
-// one of them is killed, with load on. The users' own test: five managers, three agents, stand-in engines.
-#include <fcntl.h>
-#include <grpcpp/grpcpp.h>
-#include <signal.h>
-#include <sys/prctl.h>
-#include <sys/stat.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
-#include <cassert>
-#include <cstdio>
-#include <fstream>
-
-#include "agent.grpc.pb.h"
-#include "agent/charter.h"
-#include "agent/doors.h"
-#include "agent/processes.h"
-#include "keys/authority.h"
-#include "lab/managers.h"
-#include "lab/world.h"
+// Agents as processes: they start and adopt their instances, keep claims, know callers by their certificates,
+// and carry a rollout through while one of them is killed, with load on. The users' own test: five managers,
+// three agents, stand-in engines.
+#include "agents.h"
 
 using namespace pearchute;
 using namespace pearchute::lab;
@@ -56,77 +39,6 @@
   unlink(begun.c_str()), rmdir(folder);
 }
 
-struct Agent {
-  std::string name, charter, control, listen;
-  pid_t process = -1;
-  std::unique_ptr<agent::v1::Agent::Stub> stub;
-  void start() {
-    process = fork();
-    if (process != 0) return;
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int log = ::open((charter + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-    ::dup2(log, 1), ::dup2(log, 2);
-    for (int fd = 3; fd < 1024; ++fd) ::close(fd);
-    ::execl(PEARCHUTE_AGENT, "pearchute-agent", "--charter", charter.c_str(), static_cast<char*>(nullptr));
-    ::_exit(127);
-  }
-  void end(int signal) {
-    ::kill(process, signal);
-    ::waitpid(process, nullptr, 0);
-  }
-  std::optional<agent::v1::Shown> show() {
-    grpc::ClientContext context;
-    context.set_deadline(std::chrono::system_clock::now() + seconds(1));
-    agent::v1::Shown shown;
-    if (!stub->Show(&context, {}, &shown).ok()) return std::nullopt;
-    return shown;
-  }
-  agent::v1::ClaimAnswer claim(const std::string& operation, std::vector<std::string> instances,
-                               bool take_over) {
-    grpc::ClientContext context;
-    agent::v1::ClaimAsk ask;
-    ask.set_operation(operation), ask.set_who(operation), ask.set_lease_ms(2000),
-        ask.set_take_over(take_over);
-    for (auto& one : instances) ask.add_instances(one);
-    agent::v1::ClaimAnswer answer;
-    stub->Claim(&context, ask, &answer);
-    return answer;
-  }
-  agent::v1::StepAnswer step(const std::string& instance, const std::string& operation, std::uint64_t fence) {
-    grpc::ClientContext context;
-    agent::v1::StepAsk ask;
-    ask.set_instance(instance);
-    ask.mutable_step()->set_operation(operation), ask.mutable_step()->set_fence(fence);
-    ask.mutable_step()->set_kind("resume"), ask.mutable_step()->set_fallback("serve_again");
-    ask.mutable_step()->set_up_within_ms(3000);
-    agent::v1::StepAnswer answer;
-    stub->DoStep(&context, ask, &answer);
-    return answer;
-  }
-  std::string say(const std::string& id, const std::string& word) {
-    grpc::ClientContext context;
-    agent::v1::Word ask;
-    ask.set_id(id), ask.set_word(word);
-    agent::v1::Said said;
-    const grpc::Status status = stub->Say(&context, ask, &said);
-    return status.ok() ? said.fault() : status.error_message();
-  }
-  agent::v1::Rollout rollout(const std::string& id) {
-    grpc::ClientContext context;
-    agent::v1::Operation ask;
-    ask.set_id(id);
-    agent::v1::RolloutList list;
-    stub->Rollouts(&context, ask, &list);
-    return list.rollouts_size() == 1 ? list.rollouts(0) : agent::v1::Rollout();
-  }
-};
-
-std::string free_place() {
-  Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
-  return socket.address().toString();
-}
-
 // Certificates and roles at an agent's door.
 void doors(keys::Authority& authority, const std::string& folder, const std::string& listen) {
   using Code = grpc::StatusCode;
@@ -203,84 +115,17 @@
   assert(show(*stub_as(authority, "eve", "a1")) == Code::OK && steady_now() - before < seconds(3));
 }
 
-template <class Condition>
-bool wait_for(Condition condition, seconds at_most = seconds(40)) {
-  const Time end = steady_now() + at_most;
-  while (!condition()) {
-    if (steady_now() > end) return false;
-    std::this_thread::sleep_for(milliseconds(20));
-  }
-  return true;
-}
-
 int main() {
   processes();
   Site site;
   site.managers = 5, site.engines = 4, site.pearchuted = PEARCHUTED, site.starts_managers = false;
-  World world(site);
-  std::vector<Agent> agents(3);
-  keys::Authority authority(world.folder() + "/keys");
-  authority.init("site", std::chrono::hours(24));
-  const std::size_t owner_of[] = {0, 0, 1, 1, 2};
-  for (std::size_t a = 0; a < agents.size(); ++a) {
-    agents[a].name = "a" + std::to_string(a + 1);
-    agents[a].charter = world.folder() + "/" + agents[a].name + ".ini";
-    agents[a].control = "unix:" + world.folder() + "/" + agents[a].name + ".sock";
-    agents[a].listen = free_place();
-    authority.issue(agents[a].name, fleet::Role::agent, std::chrono::hours(1));
-  }
-  for (std::size_t a = 0; a < agents.size(); ++a) {
-    std::ofstream charter(agents[a].charter);
-    charter << "[agent]\nname = " << agents[a].name << "\nstate = " << world.folder() << "/" << agents[a].name
-            << ".db\ncontrol = " << agents[a].control << "\nlisten = tls:" << agents[a].listen
-            << "\n[tls]\nauthority = " << authority.path("ca.pem")
-            << "\ncertificate = " << authority.path(agents[a].name + ".pem")
-            << "\nkey = " << authority.path(agents[a].name + ".key")
-            << "\nrevoked = " << authority.path("ca.crl") << "\n";
-    for (const Agent& peer : agents) {
-      if (peer.name != agents[a].name)
-        charter << "[peer " << peer.name << "]\ncontrol = tls:" << peer.listen << "\n";
-    }
-    for (std::size_t m = 0; m < 5; ++m) {
-      if (owner_of[m] != a) continue;
-      const auto& manager = world.managers()[m];
-      charter << "[instance " << manager.name << "]\nadmin = unix:" << manager.admin
-              << "\nzone = " << manager.zone << "\ncommand = exec " << PEARCHUTED << " --config "
-              << manager.configuration << " --admin " << manager.admin_file << "\nlog = " << manager.log
-              << "\n";
-    }
-    charter.close();
-    assert(agent::read_charter(agents[a].charter).instances.size() > 0);
-    agents[a].start();
-    agents[a].stub =
-        agent::v1::Agent::NewStub(grpc::CreateChannel(agents[a].control, grpc::InsecureChannelCredentials()));
-  }
-  const auto conditions = [&] {
-    std::map<std::string, agent::v1::Instance> all;
-    for (Agent& one : agents) {
-      const auto shown = one.show();
-      if (!shown) continue;
-      for (const auto& instance : shown->instances()) all[instance.name()] = instance;
-    }
-    return all;
-  };
-  // On a full machine an agent may miss a deadline.
-  const auto seen = [&](const std::string& name) {
-    agent::v1::Instance found;
-    assert(wait_for([&] {
-      const auto all = conditions();
-      const auto at = all.find(name);
-      if (at != all.end()) found = at->second;
-      return at != all.end();
-    }));
-    return found;
-  };
-  const auto all_serve = [&] {
-    const auto all = conditions();
-    return all.size() == 5 && std::ranges::all_of(all, [](const auto& one) {
-             return one.second.condition() == "serving" && !one.second.has_under_way();
-           });
-  };
+  AgentFleet fleet_of(site);
+  World& world = fleet_of.world;
+  std::vector<Agent>& agents = fleet_of.agents;
+  keys::Authority& authority = fleet_of.authority;
+  const auto conditions = [&] { return fleet_of.conditions(); };
+  const auto seen = [&](const std::string& name) { return fleet_of.seen(name); };
+  const auto all_serve = [&] { return fleet_of.all_serve(); };
   assert(wait_for(all_serve));
   assert(world.all_serving(4));
   doors(authority, world.folder(), agents[0].listen);
@@ -312,29 +157,13 @@
   assert(!seen("n5").has_claim());
 
   // A rollout over all, coordinated by a1; a2 is killed while one of its instances restarts, and comes back.
-  agent::v1::Plan plan;
-  plan.set_id("r1"), plan.set_who("ann"), plan.set_kind("restart"), plan.set_fallback("serve_again");
-  for (std::size_t m = 0; m < 5; ++m) {
-    auto& target = *plan.add_targets();
-    target.set_instance(world.managers()[m].name), target.set_agent(agents[owner_of[m]].name);
-    target.set_zone(world.managers()[m].zone);
-  }
-  plan.set_at_once(1), (*plan.mutable_least_serving())["east"] = 2,
-                       (*plan.mutable_least_serving())["west"] = 1;
-  plan.set_warm_ms(200), plan.set_lease_ms(4000), plan.set_drain_within_ms(4000), plan.set_up_within_ms(8000);
-  plan.set_failures(1);
+  agent::v1::Plan plan = fleet_of.plan("r1", "restart");
   const auto pids = conditions();
-  {
-    grpc::ClientContext context;
-    agent::v1::Said said;
-    assert(agents[0].stub->StartRollout(&context, plan, &said).ok() && said.fault().empty());
-    grpc::ClientContext again;
-    assert(agents[0].stub->StartRollout(&again, plan, &said).ok() && said.fault().empty());
-    grpc::ClientContext bad;
-    plan.set_kind("explode");
-    assert(agents[0].stub->StartRollout(&bad, plan, &said).error_code() ==
-           grpc::StatusCode::INVALID_ARGUMENT);
-  }
+  std::string fault;
+  assert(agents[0].start_rollout(plan, &fault).ok() && fault.empty());
+  assert(agents[0].start_rollout(plan, &fault).ok() && fault.empty());  // the same once more
+  plan.set_kind("explode");
+  assert(agents[0].start_rollout(plan, &fault).error_code() == grpc::StatusCode::INVALID_ARGUMENT);
   assert(wait_for([&] { return seen("n3").has_under_way(); }));
   agents[1].end(SIGKILL);
   std::this_thread::sleep_for(milliseconds(300));
@@ -361,11 +190,7 @@
 
   // The coordinator itself is killed amid a second one: it comes back paused, and is aborted.
   plan.set_id("r2"), plan.set_kind("restart");
-  {
-    grpc::ClientContext context;
-    agent::v1::Said said;
-    assert(agents[0].stub->StartRollout(&context, plan, &said).ok() && said.fault().empty());
-  }
+  assert(agents[0].start_rollout(plan, &fault).ok() && fault.empty());
   assert(wait_for([&] { return seen("n1").has_under_way() || seen("n2").has_under_way(); }));
   agents[0].end(SIGKILL);
   agents[0].start();
@@ -431,7 +256,7 @@
   world.on([&] { world.crowd().offer(0, {}); });
   assert(world.quiet());
   const Record::Verdict verdict = world.verdict();
-  for (const std::string& fault : verdict.faults) std::fprintf(stderr, "%s\n", fault.c_str());
+  for (const std::string& what_was : verdict.faults) std::fprintf(stderr, "%s\n", what_was.c_str());
   std::printf("%llu jobs: %llu done, %llu throttled, %llu lost, %llu doubled\n",
               static_cast<unsigned long long>(verdict.sent), static_cast<unsigned long long>(verdict.done),
               static_cast<unsigned long long>(verdict.refused), static_cast<unsigned long long>(verdict.lost),
