Managers take turns at cold engines, which stand outside the pool of slots

From 13 s to 29 s, while 40 engines were cold, the managers together sent 2,500 dispatches a second to warm engines and 0 to 26 to cold ones; stretch rose from 1.1 to 3.5 and slots fell to half.

Checked by a probe in `place` (480,000 calls): jobs that found no room had, on the mean, 10.9 (type 0), 1.4 and 2.8 cold engines that both the cold budget and the ledger allowed, but the pool was full; jobs that found room had 6.7 allowed cold engines and went to a warm one in 53,095 of 53,211 cases. So not the cold budget alone, and not the ledger. Ruled out as first cause: the cut (its refusals begin with the crowd, at 10 s, and follow the stretch), closings (3 in the whole fleet), network errors (13 refused connections).

At fault: `pool_room` counted the slots of cold engines, whose threads all went to the warm ones beside them, and `place` kept what the pool barred from cold engines and ranked them last.

Change: a cold engine of which an even part is less than a job stands outside the pool; managers take turns at it in the order of their numbers, from its listed start; turns not used are lost.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -352,26 +352,60 @@
 }
 
 // Whether a cold engine may be sent this job: any warm one may.
-bool WorkloadManager::cold_allows(Span now, Engine& engine, const HeldJob& held) const {
+bool WorkloadManager::cold_allows(Span now, const Engine& engine, const HeldJob& held) const {
   if (!cold(now, engine)) return true;
-  auto& sends = engine.cold_sends;
-  double sent = 0, sent_ever = 0;
-  for (const auto& [when, work] : sends) {
-    sent_ever += work;
-    if (when >= now - rules_.tip_window - rules_.round) sent += work;
-  }
-  // Four fifths of this manager's even part of the stated budget: speeds and learned means are uncertain, but
-  // not all managers send at once, and an engine soon does more than it starts with.
-  const double window = in_ms(rules_.tip_window) / rules_.managers;
-  double budget = 0.8 * rules_.tip_multiple * rules_.cold_from * kind_of(engine).cores * window;
-  if (now < rules_.tip_window) budget /= 2;  // its last life may have spent some
-  const double work = std::max(usual_work(held), held.work_ms);
-  if (sent + usual_work(held) <= budget) return true;
-  // Exception: where an even part is less than a job, half of it is saved up over windows, from a point that
-  // differs by manager, so that all managers' jobs together come evenly and at half the budget.
-  const double saved = budget / 2 * in_ms(now - engine.told) / in_ms(rules_.tip_window);
-  const std::uint64_t point = shared_hash(DataSetId{rules_.own_number}, engine.listed.id) >> 11;
-  return work > budget && saved >= sent_ever + work * static_cast<double>(point) * 0x1p-53;
+  const auto sent_since = [&](Span when) {
+    double sum = 0;
+    for (const auto& [sent, work] : engine.cold_sends) sum += sent >= when ? work : 0;
+    return sum;
+  };
+  const double sent = sent_since(now - rules_.tip_window - rules_.round), whole = cold_budget(engine);
+  double part = whole / rules_.managers * (by_turns(engine) ? 0.5 : 1.0);
+  if (now < rules_.tip_window) part /= 2;  // its last life may have spent some
+  if (sent + usual_work(held) <= part) return true;
+  if (!by_turns(engine)) return false;
+  // Exception: where an even part is less than a job, managers take turns at the engine: eight new ones in a
+  // window at a sixteenth of the budget, one in two windows at a quarter, each fourth of those at half. One
+  // lasts half a window and is lost if not used. All used to the last come to two thirds of the budget.
+  std::uint64_t number = 0;
+  const auto room = [&](double most, Span began) {
+    return std::max(sent, sent_since(began)) + cold_work(held) <= most;
+  };
+  if (const auto began = own_turn(now, engine, 8, number); began && room(whole / 16, *began)) return true;
+  const auto began = own_turn(now, engine, 0.5, number);
+  return began && room(number % 4 == 0 ? whole / 2 : whole / 4, *began);
+}
+
+// When the own turn began that lasts now, where all managers have theirs in the order of their numbers, so
+// many new ones a window, from the engine's listed start, which all know.
+std::optional<Span> WorkloadManager::own_turn(Span now, const Engine& engine, double a_window,
+                                              std::uint64_t& number) const {
+  const double step = in_ms(rules_.tip_window) / a_window;
+  const double since_start = in_ms(now - *engine.listed.online_since);
+  if (since_start < 0) return std::nullopt;
+  const auto passed = static_cast<std::uint64_t>(since_start / step);
+  const auto all = static_cast<std::uint64_t>(rules_.managers);
+  const DataSetId row{static_cast<std::int64_t>(a_window)};
+  const auto own = shared_hash(row, engine.listed.id) + static_cast<std::uint64_t>(rules_.own_number);
+  const std::uint64_t back = (passed + all - own % all) % all;  // how many turns ago the own one began
+  if (back > passed) return std::nullopt;
+  number = passed - back;
+  const Span began = now - from_ms(since_start - static_cast<double>(number) * step);
+  // A turn that began before this manager did may have been used by its last life.
+  if (began < Span(0) || now - began > rules_.tip_window / 2) return std::nullopt;
+  return began;
+}
+
+// What all managers may send it in a window. Four fifths of the stated budget: speeds and learned means are
+// uncertain, but not all managers send at once, and an engine soon does more than it starts with.
+double WorkloadManager::cold_budget(const Engine& engine) const {
+  return 0.8 * rules_.tip_multiple * rules_.cold_from * kind_of(engine).cores * in_ms(rules_.tip_window);
+}
+
+// Whether an even part of a cold engine's budget is less than a job of some type.
+bool WorkloadManager::by_turns(const Engine& engine) const {
+  const double part = cold_budget(engine) / rules_.managers;
+  return std::ranges::any_of(types_, [&](const TypeFigures& one) { return usual_work(one) > part; });
 }
 
 // Cold counts from the listed start, or from when the list told of it if that came late.
@@ -437,13 +471,14 @@
 }
 
 // Exception: where engines' slots are less than one job of the largest type, such parts make one pool,
-// lest many managers' single jobs add up past what the engines bear.
+// lest many managers' single jobs add up past what the engines bear. Cold engines with turns stand outside: a
+// turn is all that a manager may use of them, else their parts would go to the warm ones beside.
 double WorkloadManager::pool_room(Span now, double part) const {
   double room = 0;
   int live = 0;
   for (const auto& [id, engine] : engines_) {
     const double own = slots(now, engine);
-    if (!engine.known_up || engine.on_trial || own >= largest_threads_) continue;
+    if (!engine.known_up || engine.on_trial || own >= largest_threads_ || in_turn(now, engine)) continue;
     room += part * own - engine.live_threads;
     live += engine.live_threads;
   }
@@ -556,16 +591,18 @@
   std::uint64_t turn = count - 1 - count * static_cast<std::uint64_t>(rules_.own_number) / rules_.managers;
   for (auto& [id, engine] : engines_) {
     turn = (turn + 1) % count;
-    if ((full && slots(now, engine) < largest_threads_) || !may_go_to(now, held, engine)) continue;
+    const bool turned = in_turn(now, engine);
+    if ((full && !turned && slots(now, engine) < largest_threads_) || !may_go_to(now, held, engine)) continue;
     if (!cold_allows(now, engine, held)) continue;
     const std::optional<double> grant = grant_on(now, engine, held);
     if (!grant) continue;
-    // Spare bytes after the grant. Exceptions: a slow engine counts in proportion; the data's homes up to a
-    // quarter more; another zone less, by what crossing costs its work; where a load holds the data, last.
+    // Spare bytes after the grant. Exceptions: a slow engine counts in proportion, a cold one at which this
+    // manager has its turn twice; the data's homes up to a quarter more; another zone less, by what crossing
+    // costs its work; where a load holds the data, last.
     const double whole = capacity(engine);
     double health = std::clamp(fleet_.stretch / engine.pace.stretch, 0.2, 1.1);
     const double warmed = cold(now, engine) ? (now - engine.told) / (1.0 * rules_.cold_lasts) : 1;
-    health *= rules_.cold_from + (1 - rules_.cold_from) * std::min(warmed, 1.0);
+    health *= turned ? 2 : rules_.cold_from + (1 - rules_.cold_from) * std::min(warmed, 1.0);
     double spare = whole * health - engine.live_bytes - *grant;
     const double size = held.work_ms / std::max(mean_work_ms_.value, 1e-6);
     const std::uint64_t hash = shared_hash(held.job.data_set, id);
@@ -599,8 +636,9 @@
   engine.out.insert({now, {held.job.id, number}});
   if (type.type.holds_data) engine.loads[held.job.data_set] += 1;
   if (engine.on_trial) engine.trying = dispatch.trial = true;
-  if (cold(now, engine)) engine.cold_sends.push_back({now, usual_work(held)});
-  else engine.cold_sends.clear();
+  std::erase_if(engine.cold_sends, [&](auto& s) { return s.first < now - 2 * rules_.tip_window; });
+  const double counted = by_turns(engine) ? cold_work(held) : usual_work(held);
+  if (cold(now, engine)) engine.cold_sends.push_back({now, counted});
   held.out += 1, held.dispatches.push_back(dispatch);
   if (rules_.takes_grants || rules_.takes_priority) {
     host_.set_terms(held.job.id, rules_.takes_grants ? grant : 0, priority(held));
@@ -622,12 +660,16 @@
 }
 
 // What the job's type usually needs; until anything is known of it, its whole SLA time on all its threads.
-double WorkloadManager::usual_work(const HeldJob& held) const {
-  const TypeFigures& type = types_[held.job.type.value];
+double WorkloadManager::usual_work(const TypeFigures& type) const {
   const double learned = type.usual_work_ms.value * type.work_bias;
   return learned > 0 ? learned : in_ms(type.type.sla_time) * type.type.threads;
 }
 
+// What counts against a cold engine's budget.
+double WorkloadManager::cold_work(const HeldJob& held) const {
+  return std::max(held.work_ms, ideal_ms(held) * type_of(held).threads);
+}
+
 // Under a quarter of its type's usual work, most of a job's time is not work.
 bool WorkloadManager::tiny(const HeldJob& held) const {
   return ideal_ms(held) <= 0 || ideal_ms(held) * type_of(held).threads < usual_work(held) / 4;
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -103,7 +103,12 @@
   bool may_go_to(Span now, const HeldJob& held, const Engine& engine) const;
   bool within_ration(Span now);
   bool cold(Span now, const Engine& engine) const;
-  bool cold_allows(Span now, Engine& engine, const HeldJob& held) const;
+  bool cold_allows(Span now, const Engine& engine, const HeldJob& held) const;
+  std::optional<Span> own_turn(Span now, const Engine& engine, double a_window, std::uint64_t& number) const;
+  double cold_budget(const Engine& engine) const;
+  bool by_turns(const Engine& engine) const;
+  bool in_turn(Span now, const Engine& engine) const { return cold(now, engine) && by_turns(engine); }
+  double cold_work(const HeldJob& held) const;
   void over(HeldJob& held);
   void forget_if_done(JobId id);
   // The ordinary path
@@ -126,7 +131,8 @@
   void look_after(Span now, Engine& engine);
   void heed(Span now, Engine& engine, const LoadReport& load);
   double weight(const HeldJob& held) const;
-  double usual_work(const HeldJob& held) const;
+  double usual_work(const TypeFigures& type) const;
+  double usual_work(const HeldJob& held) const { return usual_work(types_[held.job.type.value]); }
   void beat(Span now);
   // Giving up
   bool crammed() const;
