The cut spares what is small for its type; a crowded pool falls within the shortest patience

At fault: `job_taken` compared each job with the mean of all types, so a type above it went as a whole; `beat` and `learn` let a pool's slots fall at an engine's pace, a hundredth a beat: seven seconds to half, longer than the shortest patience (4.5 s there).

Change: the cut spares what is small for its type; the pool halves in half of the shortest patience that the settings tell, and by twice the part for each slow answer.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -51,7 +51,14 @@
   for (const MachineKind& kind : kinds_) most_memory_ = std::max(most_memory_, kind.memory_mb);
   if (!rules_.takes_retry_advice) rules_.longest_retry_advice = Span(0);
   rules_.types.clear(), rules_.customers.clear(), rules_.kinds.clear();
-  for (const TypeFigures& type : types_) largest_threads_ = std::max(largest_threads_, type.type.threads);
+  Span shortest = seconds(60);
+  for (const TypeFigures& type : types_) {
+    largest_threads_ = std::max(largest_threads_, type.type.threads);
+    shortest = std::min(shortest, type.type.job_timeout);
+  }
+  // A crowded pool halves its slots in half of the shortest patience: a manager's jobs must not end behind
+  // all others send meanwhile. Never slower than a hundredth a beat, as an engine's own slots fall.
+  pool_fall_ = std::min(0.99, std::exp2(-200.0 / std::max(in_ms(shortest), 1000.0)));
   rules_.managers = std::max(1, rules_.managers), share_ = std::min(1.0, 2.0 / rules_.managers);
   spare_end_ = 2 * service.round + milliseconds(10);  // a wake comes up to one round late
   if (service.list_on_request) host_.subscribe_list();
@@ -118,7 +125,8 @@
   // The queue's bound keeps a scan of it well under a round's processor time.
   constexpr std::size_t longest_queue = 600;
   // Guards against overload of any cause: what asks most engine time for its billed value is not taken on.
-  const bool costly = cost > cut_;
+  // What is small for its type is, lest a type that costs more than others on the mean goes as a whole.
+  const bool costly = cost > cut_ && held.work_ms > type.usual_work_ms.value;
   // Guards against work that would fill an engine and be lost. Where nothing can be called off, half as much
   // again is allowed for, since a time-out leaves it running; the highest priority hardly feels the crowd.
   const double crowd = priority(held) == 3 ? 1 : fleet_.stretch * (rules_.may_stop ? 1.0 : 1.5);
@@ -710,7 +718,7 @@
   // The slot limit follows: up while used and answers come near their best, down from one and a half times
   // that. The least is where all even parts make one thread a core; two in a pool, which is used unevenly.
   const auto follow = [&](Pace& of, double even, int live) {
-    if (of.stretch > 1.5 && slow()) of.open *= 1 - 0.15 * weight(held);
+    if (of.stretch > 1.5 && slow()) of.open *= 1 - (&of == &fleet_ ? 0.3 : 0.15) * weight(held);
     else if (live > 0.7 * even * of.open)
       of.open += weight(held) * std::max(0.15 * of.open, std::min(1 / even, 0.25));
     of.open = std::clamp(of.open, &of == &fleet_ ? 0.5 : 0.25, 1.5);
@@ -832,7 +840,7 @@
   // What is hardly tried is soon believed to be like the rest.
   paces_.far += 0.005 * (1 - paces_.far), paces_.home += 0.005 * (paces_.away - paces_.home);
   if (fleet_live_ < 0.25 * fleet_even_ * fleet_.open) fleet_.stretch += 0.01 * (1 - fleet_.stretch);
-  if (fleet_.stretch > 1.5 && slow()) fleet_.open = std::max(fleet_.open * 0.99, 0.5);
+  if (fleet_.stretch > 1.5 && slow()) fleet_.open = std::max(fleet_.open * pool_fall_, 0.5);
   // Probes where only they tell the load: in turn, as many a job as cost half a point in a hundred by their
   // price, and none to an engine sooner than every half second, which is about how often reports change.
   if (rules_.may_probe && rules_.reports_in_probes && !engines_.empty()) {
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -149,6 +149,7 @@
   double share_ = 1;
   int largest_threads_ = 1;
   double most_memory_ = 1;
+  double pool_fall_ = 1;  // what a crowded pool's slots keep at each beat
   Pace fleet_;
   Paces paces_;
   double fleet_live_ = 0, fleet_even_ = 1e-9;  // threads, over all open engines
