--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -125,8 +125,9 @@
   // The queue's bound keeps a scan of it well under a round's processor time.
   constexpr std::size_t longest_queue = 600;
   // Guards against overload of any cause: what asks most engine time for its billed value is not taken on.
-  // What is small for its type is, lest a type that costs more than others on the mean goes as a whole.
-  const bool costly = cost > cut_ && held.work_ms > type.usual_work_ms.value;
+  // But for what is estimated as small for its type, lest a type that costs more than others goes as a whole.
+  const bool small = job.work_ms && held.work_ms <= type.usual_work_ms.value;
+  const bool costly = cost > cut_ && !small;
   // Guards against work that would fill an engine and be lost. Where nothing can be called off, half as much
   // again is allowed for, since a time-out leaves it running; the highest priority hardly feels the crowd.
   const double crowd = priority(held) == 3 ? 1 : fleet_.stretch * (rules_.may_stop ? 1.0 : 1.5);
@@ -362,47 +363,42 @@
 // Whether a cold engine may be sent this job: any warm one may.
 bool WorkloadManager::cold_allows(Span now, const Engine& engine, const HeldJob& held) const {
   if (!cold(now, engine)) return true;
-  const auto sent_since = [&](Span when) {
-    double sum = 0;
-    for (const auto& [sent, work] : engine.cold_sends) sum += sent >= when ? work : 0;
-    return sum;
+  const Span window = rules_.tip_window;
+  const auto room = [&](double most, Span within, double work) {
+    for (const auto& [sent, counted] : engine.cold_sends)
+      if (sent >= now - within - rules_.round) work += counted;
+    return work <= most;
   };
-  const double sent = sent_since(now - rules_.tip_window - rules_.round), whole = cold_budget(engine);
-  double part = whole / rules_.managers * (by_turns(engine) ? 0.5 : 1.0);
-  if (now < rules_.tip_window) part /= 2;  // its last life may have spent some
-  if (sent + usual_work(held) <= part) return true;
-  if (!by_turns(engine)) return false;
+  const bool turns = by_turns(now, engine);
+  const double whole = cold_budget(engine);
+  const double lost = now < window ? 0.5 : 1;  // its last life may have spent some
+  if (room(whole / rules_.managers * (turns ? 0.5 : 1) * lost, window, usual_work(held))) return true;
+  if (!turns) return false;
   // Exception: where an even part is less than a job, managers take turns at the engine: six new ones in a
   // window at a sixteenth of the budget, which last one, and one at a quarter (each eighth at half), which
   // lasts two; what is not used is lost. All used to the last come to two thirds of the budget.
-  std::uint64_t number = 0;
-  const auto room = [&](double most, Span began) {
-    return std::max(sent, sent_since(began)) + cold_work(held) <= most;
-  };
-  const auto brief = own_turn(now, engine, 6, rules_.tip_window, number);
-  if (brief && room(whole / 16, *brief)) return true;
-  const auto began = own_turn(now, engine, 1, 2 * rules_.tip_window, number);
-  return began && room(number % 8 == 0 ? whole / 2 : whole / 4, *began);
+  if (own_turn(now, engine, 6, window) && room(whole / 16, window, cold_work(held))) return true;
+  const auto turn = own_turn(now, engine, 1, 2 * window);
+  return turn && room(whole / (*turn % 8 == 0 ? 2 : 4), 2 * window, cold_work(held));
 }
 
-// When the own turn began that lasts now, where all managers have theirs in the order of their numbers, so
+// The number of the own turn that lasts now, where all managers have theirs in the order of their numbers, so
 // many new ones a window, from the engine's listed start, which all know.
-std::optional<Span> WorkloadManager::own_turn(Span now, const Engine& engine, double a_window, Span lasts,
-                                              std::uint64_t& number) const {
-  const double step = in_ms(rules_.tip_window) / a_window;
-  const double since_start = in_ms(now - *engine.listed.online_since);
-  if (since_start < 0) return std::nullopt;
-  const auto passed = static_cast<std::uint64_t>(since_start / step);
+std::optional<std::uint64_t> WorkloadManager::own_turn(Span now, const Engine& engine, int a_window,
+                                                       Span lasts) const {
+  const Span since_start = now - *engine.listed.online_since;
+  if (since_start < Span(0)) return std::nullopt;
+  const auto passed = static_cast<std::uint64_t>(since_start * a_window / rules_.tip_window);
   const auto all = static_cast<std::uint64_t>(rules_.managers);
-  const DataSetId row{static_cast<std::int64_t>(a_window)};
-  const auto own = shared_hash(row, engine.listed.id) + static_cast<std::uint64_t>(rules_.own_number);
-  const std::uint64_t back = (passed + all - own % all) % all;  // how many turns ago the own one began
+  const auto first = shared_hash(DataSetId{a_window}, engine.listed.id) % all;  // whose turn is number 0, backwards
+  const auto own = (first + static_cast<std::uint64_t>(rules_.own_number)) % all;
+  const std::uint64_t back = (passed + all - own) % all;  // how many turns ago the own one began
   if (back > passed) return std::nullopt;
-  number = passed - back;
-  const Span began = now - from_ms(since_start - static_cast<double>(number) * step);
+  const auto number = static_cast<Span::rep>(passed - back);
+  const Span began = *engine.listed.online_since + number * rules_.tip_window / a_window;
   // A turn that began before this manager did may have been used by its last life.
   if (began < Span(0) || now - began > lasts) return std::nullopt;
-  return began;
+  return passed - back;
 }
 
 // What all managers may send it in a window. Four fifths of the stated budget: speeds and learned means are
@@ -411,8 +407,9 @@
   return 0.8 * rules_.tip_multiple * rules_.cold_from * kind_of(engine).cores * in_ms(rules_.tip_window);
 }
 
-// Whether an even part of a cold engine's budget is less than a job of some type.
-bool WorkloadManager::by_turns(const Engine& engine) const {
+// Whether an engine is cold, and an even part of its budget less than a job of some type.
+bool WorkloadManager::by_turns(Span now, const Engine& engine) const {
+  if (!cold(now, engine)) return false;
   const double part = cold_budget(engine) / rules_.managers;
   return std::ranges::any_of(types_, [&](const TypeFigures& one) { return usual_work(one) > part; });
 }
@@ -487,7 +484,7 @@
   int live = 0;
   for (const auto& [id, engine] : engines_) {
     const double own = slots(now, engine);
-    if (!engine.known_up || engine.on_trial || own >= largest_threads_ || in_turn(now, engine)) continue;
+    if (!engine.known_up || engine.on_trial || own >= largest_threads_ || by_turns(now, engine)) continue;
     room += part * own - engine.live_threads;
     live += engine.live_threads;
   }
@@ -601,14 +598,16 @@
   const bool anywhere = std::generate_canonical<double, 32>(chance_) < 2 * (crowd - 1);
   Engine* best = nullptr;
   double best_grant = 0;
+  bool best_home = false;
   std::tuple<double, int, double, std::uint64_t> best_rank{};
   // Exception: ties go round from this manager's place in the list, lest fresh ledgers pick the lowest id.
   const std::uint64_t count = engines_.size();
   std::uint64_t turn = count - 1 - count * static_cast<std::uint64_t>(rules_.own_number) / rules_.managers;
   for (auto& [id, engine] : engines_) {
     turn = (turn + 1) % count;
-    const bool turned = in_turn(now, engine);
-    if ((full && !turned && slots(now, engine) < largest_threads_) || !may_go_to(now, held, engine)) continue;
+    const bool by_turn = by_turns(now, engine);
+    const bool barred = full && !by_turn && slots(now, engine) < largest_threads_;
+    if (barred || !may_go_to(now, held, engine)) continue;
     if (!cold_allows(now, engine, held)) continue;
     const std::optional<double> grant = grant_on(now, engine, held);
     if (!grant) continue;
@@ -618,7 +617,7 @@
     const double whole = capacity(engine);
     double health = std::clamp(fleet_.stretch / engine.pace.stretch, 0.2, 1.1);
     const double warmed = cold(now, engine) ? (now - engine.told) / (1.0 * rules_.cold_lasts) : 1;
-    health *= turned ? 2 : rules_.cold_from + (1 - rules_.cold_from) * std::min(warmed, 1.0);
+    health *= by_turn ? 2 : rules_.cold_from + (1 - rules_.cold_from) * std::min(warmed, 1.0);
     double spare = whole * health - engine.live_bytes - *grant;
     const double size = held.work_ms / std::max(mean_work_ms_.value, 1e-6);
     const std::uint64_t hash = shared_hash(held.job.data_set, id);
@@ -636,16 +635,13 @@
     if (part < 1 && pooled(engine) && std::generate_canonical<double, 32>(chance_) > part) spare -= whole;
     const std::tuple rank{-spare, engine.dispatches, engine.live_bytes, turn};
     if (best && rank >= best_rank) continue;
-    best = &engine, best_grant = *grant, best_rank = rank;
+    best = &engine, best_grant = *grant, best_home = home, best_rank = rank;
   }
-  if (!best) return false;
-  const std::uint64_t hash = shared_hash(held.job.data_set, best->listed.id);
-  send(now, held, *best, best_grant);
-  if (!held.dispatches.empty()) held.dispatches.back().home = hash >= least_home || hash == near_home;
-  return true;
+  if (best) send(now, held, *best, best_grant, best_home);
+  return best != nullptr;
 }
 
-void WorkloadManager::send(Span now, HeldJob& held, Engine& engine, double grant) {
+void WorkloadManager::send(Span now, HeldJob& held, Engine& engine, double grant, bool home) {
   const TypeFigures& type = types_[held.job.type.value];
   held_.erase(held.turn), held.held = false, held.overtaken = 0;
   if (engine.protecting && engine.protected_for == held.job.id) engine.protecting = false;
@@ -656,8 +652,10 @@
   engine.out.insert({now, {held.job.id, number}});
   if (type.type.holds_data) engine.loads[held.job.data_set] += 1;
   if (engine.on_trial) engine.trying = dispatch.trial = true;
-  std::erase_if(engine.cold_sends, [&](auto& s) { return s.first < now - 2 * rules_.tip_window; });
-  const double counted = by_turns(engine) ? cold_work(held) : usual_work(held);
+  dispatch.home = home;
+  // No turn looks back further.
+  std::erase_if(engine.cold_sends, [&](auto& s) { return s.first < now - 3 * rules_.tip_window; });
+  const double counted = by_turns(now, engine) ? cold_work(held) : usual_work(held);
   if (cold(now, engine)) engine.cold_sends.push_back({now, counted});
   held.out += 1, held.dispatches.push_back(dispatch);
   if (rules_.takes_grants || rules_.takes_priority) {
@@ -685,9 +683,10 @@
   return learned > 0 ? learned : in_ms(type.type.sla_time) * type.type.threads;
 }
 
-// What counts against a cold engine's budget.
+// What counts against a turn at a cold engine: the estimate, or without one what its type usually needs.
 double WorkloadManager::cold_work(const HeldJob& held) const {
-  return std::max(held.work_ms, ideal_ms(held) * type_of(held).threads);
+  const double estimate = held.work_ms * std::max(1.0, types_[held.job.type.value].work_bias);
+  return held.job.work_ms ? estimate : std::max(estimate, usual_work(held));
 }
 
 // Under a quarter of its type's usual work, most of a job's time is not work.
@@ -695,7 +694,7 @@
   return ideal_ms(held) <= 0 || ideal_ms(held) * type_of(held).threads < usual_work(held) / 4;
 }
 
-// Answers by where their engine stands for the job: how much of its time was not the engine's choice.
+// Answers from homes beside others, and from the own zone beside others.
 void WorkloadManager::compare(const Engine& engine, const Dispatch& dispatch, double sample, double part) {
   double& by_home = dispatch.home ? paces_.home : paces_.away;
   double& by_zone = engine.listed.zone == rules_.zone ? paces_.near : paces_.far;
@@ -718,7 +717,7 @@
   // The slot limit follows: up while used and answers come near their best, down from one and a half times
   // that. The least is where all even parts make one thread a core; two in a pool, which is used unevenly.
   const auto follow = [&](Pace& of, double even, int live) {
-    if (of.stretch > 1.5 && slow()) of.open *= 1 - (&of == &fleet_ ? 0.3 : 0.15) * weight(held);
+    if (of.stretch > 1.5 && slow()) of.open *= 1 - 0.15 * weight(held);
     else if (live > 0.7 * even * of.open)
       of.open += weight(held) * std::max(0.15 * of.open, std::min(1 / even, 0.25));
     of.open = std::clamp(of.open, &of == &fleet_ ? 0.5 : 0.25, 1.5);
@@ -837,7 +836,7 @@
     if (!engine.known_up || engine.on_trial) continue;
     fleet_live_ += engine.live_threads, fleet_even_ += engine.even_slots;
   }
-  // What is hardly tried is soon believed to be like the rest.
+  // Other zones are believed better with time and homes like the rest, so that both are tried again.
   paces_.far += 0.005 * (1 - paces_.far), paces_.home += 0.005 * (paces_.away - paces_.home);
   if (fleet_live_ < 0.25 * fleet_even_ * fleet_.open) fleet_.stretch += 0.01 * (1 - fleet_.stretch);
   if (fleet_.stretch > 1.5 && slow()) fleet_.open = std::max(fleet_.open * pool_fall_, 0.5);
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -104,18 +104,16 @@
   bool within_ration(Span now);
   bool cold(Span now, const Engine& engine) const;
   bool cold_allows(Span now, const Engine& engine, const HeldJob& held) const;
-  std::optional<Span> own_turn(Span now, const Engine& engine, double a_window, Span lasts,
-                               std::uint64_t& number) const;
+  std::optional<std::uint64_t> own_turn(Span now, const Engine& engine, int a_window, Span lasts) const;
   double cold_budget(const Engine& engine) const;
-  bool by_turns(const Engine& engine) const;
-  bool in_turn(Span now, const Engine& engine) const { return cold(now, engine) && by_turns(engine); }
+  bool by_turns(Span now, const Engine& engine) const;
   double cold_work(const HeldJob& held) const;
   void over(HeldJob& held);
   void forget_if_done(JobId id);
   // The ordinary path
   void release(Span now);
   bool place(Span now, HeldJob& held);
-  void send(Span now, HeldJob& held, Engine& engine, double grant);
+  void send(Span now, HeldJob& held, Engine& engine, double grant, bool home);
   double capacity(const Engine& engine) const;
   double slots(Span now, const Engine& engine) const;
   bool pooled(const Engine& engine) const { return engine.even_slots < largest_threads_; }
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -102,7 +102,8 @@
   Bench bench;
   bench.programs = std::filesystem::read_symlink("/proc/self/exe").parent_path();
   const std::map<std::string, int (*)(const Bench&)> measurements = {
-      {"drain", measure_drain}, {"fleet-status", measure_fleet_status}, {"rollout", measure_rollout}};
+      {"drain", measure_drain}, {"fleet-status", measure_fleet_status}, {"rollout", measure_rollout},
+      {"managers", measure_managers}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
   std::vector<std::string> names;
@@ -115,8 +116,8 @@
   double rate = 50;
   CLI::App* site =
       app.add_subcommand("up", "a small site on loopback until interrupted; prints how to reach it");
-  site->add_option("--managers", managers)->check(CLI::Range(1, 50));
-  site->add_option("--engines", engines)->check(CLI::Range(1, 200));
+  site->add_option("--managers", managers)->check(CLI::Range(1, 1024));
+  site->add_option("--engines", engines)->check(CLI::Range(1, 1024));
   site->add_option("--rate", rate, "jobs a second")->check(CLI::Range(0.0, 5000.0));
   site->add_option("--for", seconds, "0: until interrupted")->type_name("S");
   CLI::App* shown = app.add_subcommand("demo", "shows the main job in a few seconds");
--- a/src/lab/measure.h
+++ b/src/lab/measure.h
@@ -16,5 +16,6 @@
 int measure_drain(const Bench& bench);
 int measure_fleet_status(const Bench& bench);
 int measure_rollout(const Bench& bench);
+int measure_managers(const Bench& bench);
 
 }  // namespace pearchute::lab
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -84,8 +84,7 @@
   void list(ListNews news, const std::vector<ListedEngine>& engines) {
     manager.list_came(now, news, engines);
   }
-  void take(int id, int type, double work_ms, std::optional<int> key = std::nullopt, double need = 500,
-            std::optional<int> data_set = std::nullopt) {
+  void take(int id, int type, double work_ms, std::optional<int> key = std::nullopt, double need = 500) {
     Job job{.id = JobId{static_cast<std::uint64_t>(id)},
             .type = TypeId{type},
             .customer = CustomerId{-1},
@@ -93,7 +92,7 @@
             .time_left = type == 0 ? ms(2000) : ms(20000),
             .work_ms = work_ms,
             .memory_mb = need,
-            .data_set = DataSetId{data_set.value_or(id % 5)}};
+            .data_set = DataSetId{id % 5}};
     if (key) job.key = OrderKey{static_cast<std::uint64_t>(*key)};
     manager.job_taken(now, job);
   }
