Tables of orders hold 1,024 engines twice, an agent 1,024 instances; pages on a full fleet

Need: no list of engines or of the program's processes is capped under 1,024, in any program.

A page of 200 engines copied all orders once for each engine; `in_force` looks up its own.

Looked at and left: pages of engines and orders are read to the last; an event of the list may take a megabyte, five times what 1,024 engines take; jobs are shown up to 200, which is no list of engines; 50 rollouts are kept in memory.

Measured: tests drains (2,047 of 3,000 orders taken, then `full`) and admin (2,048 orders at their longest come back from disk).

--- a/src/admin/orders_file.cpp
+++ b/src/admin/orders_file.cpp
@@ -20,7 +20,9 @@
 namespace {
 
 constexpr std::string_view mark = "pearchute orders 1\n";
-constexpr std::size_t largest = 1 << 20;  // of the most orders at their longest, twice
+// Twice the most orders at their longest: id, subject and holder, the reason, and what frames them.
+constexpr std::size_t largest =
+    2 * fleet::Drains::most_orders * (3 * fleet::Drains::longest_name + fleet::Drains::longest_reason + 64);
 
 std::string checksum_of(std::string_view text) {
   Poco::Checksum sum(Poco::Checksum::TYPE_CRC32);
--- a/src/agent/charter.cpp
+++ b/src/agent/charter.cpp
@@ -7,7 +7,7 @@
 namespace pearchute::agent {
 
 Charter read_charter(const std::string& file) {
-  constexpr std::size_t most_instances = 200;  // of one host
+  constexpr std::size_t most_instances = 1024;  // as many as a large fleet has in all
   Charter charter;
   std::set<std::string> admins;
   ini::read(file, [&](const std::string& section, const std::string& name, const std::string& text) {
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -123,7 +123,7 @@
         ->check(CLI::IsMember({"serve_again", "finish"}));
     command->add_option("--version-to", plan.version, "of the command, for a change");
     command->add_option("--version-from", plan.version_before, "to which a rollback goes");
-    command->add_option("--at-once", plan.at_once, "so many under way at a time")->check(CLI::Range(1, 1000));
+    command->add_option("--at-once", plan.at_once, "so many under way at a time")->check(CLI::Range(1, 5000));
     command->add_option("--batch", batch, "so many between two gates; 0: no gate")
         ->check(CLI::Range(0, 5000));
     command->add_option("--gate", gate, "how long service is looked at")
@@ -135,7 +135,7 @@
     command->add_option("--warm", warm, "one that came back counts after this")
         ->type_name("S")
         ->check(CLI::Range(0, 3600));
-    command->add_option("--failures", plan.failures, "that are borne")->check(CLI::Range(0, 1000));
+    command->add_option("--failures", plan.failures, "that are borne")->check(CLI::Range(0, 5000));
     command->add_option("--lease", roll_lease, "of the claims")->type_name("S")->check(CLI::Range(1, 3600));
     command->add_option("--within", within, "until what is open has ended")
         ->type_name("S")
--- a/src/fleet/drains.cpp
+++ b/src/fleet/drains.cpp
@@ -189,10 +189,15 @@
 std::vector<Held> Drains::in_force(const std::string& engine) const {
   std::vector<Held> result;
   const auto at = engines_.find(engine);
-  const std::string there = at == engines_.end() ? "" : "@" + at->second.address;
-  for (const Held& one : in_force()) {
-    if (one.order.subject == engine || (!there.empty() && one.order.subject == there)) result.push_back(one);
-  }
+  const auto add = [&](const std::string& subject) {
+    const auto holders = subjects_.find(subject);
+    if (holders == subjects_.end()) return;
+    for (const auto& [holder, one] : holders->second)
+      if (one.order.drains) result.push_back(one);
+  };
+  // In the order of subjects, as all orders are told.
+  if (at != engines_.end()) add("@" + at->second.address);
+  add(engine);
   return result;
 }
 
--- a/src/fleet/drains.h
+++ b/src/fleet/drains.h
@@ -63,7 +63,7 @@
   };
   static constexpr Span longest_lease =
       std::chrono::hours(7 * 24);                   // the longest works on a machine take days
-  static constexpr std::size_t most_orders = 512;   // a fleet's engines, each twice; under 300 kB
+  static constexpr std::size_t most_orders = 2048;  // 1,024 engines, each twice; at their longest 1.4 MB
   static constexpr std::size_t longest_name = 128;  // as the protocol's own tokens
   static constexpr std::size_t longest_reason = 256;
 
--- a/tests/test_admin.cpp
+++ b/tests/test_admin.cpp
@@ -182,6 +182,15 @@
          found.orders[1].first.subject.empty() && !found.orders[2].first.drains);
   assert(file.read(now + seconds(61)).orders[0].second < fleet::Span(0));
 
+  // As many orders as are taken, at their longest, come back.
+  std::vector<fleet::Held> most(fleet::Drains::most_orders, held("1", "a", 3));
+  for (auto& one : most) {
+    one.order.id = one.order.subject = one.order.holder = std::string(fleet::Drains::longest_name, 'x');
+    one.order.reason = std::string(fleet::Drains::longest_reason, 'x');
+  }
+  assert(file.write(most, fleet::Span(0), now, fault));
+  assert(file.read(now).orders.size() == fleet::Drains::most_orders);
+
   // A kill at each point leaves the orders of before or of after.
   for (const char* point : OrdersFile::points()) {
     assert(file.write({held("old", "a", 1)}, fleet::Span(0), now, fault));
--- a/tests/test_drains.cpp
+++ b/tests/test_drains.cpp
@@ -134,10 +134,10 @@
   // An order on the manager itself; the table's bound; what was taken for nobody leaves nothing.
   assert(after.ordered(seconds(3), drain("6", "", "ann", 10)) == Verdict::done && second.manager);
   std::size_t taken = 0;
-  for (int i = 0; i < 1000; ++i)
+  for (int i = 0; i < 3000; ++i)
     taken += after.ordered(seconds(3), drain("x" + std::to_string(i), "e" + std::to_string(i), "ann", 11)) ==
              Verdict::done;
-  assert(taken == Drains::most_orders - 1);
+  assert(taken == Drains::most_orders - 1 && taken >= 2 * 1023 && after.in_force("e7").size() == 1);
   after.woken(seconds(200));
   assert(after.all().empty() && !second.manager);
 }
