A list of 1,024 engines shown at the least limits; an agent takes the descriptors it may have

Need: no list under 1,024, shown with 32 MB and 256 descriptors; an agent of 1,024 instances holds a pidfd for each. Seen: under a soft limit of 512 descriptors such an agent aborted at its start; with its instances started from a soft limit that its own start had raised, they would have inherited that.

--- a/src/agent/processes.cpp
+++ b/src/agent/processes.cpp
@@ -44,7 +44,13 @@
   return std::nullopt;
 }
 
-Processes::Processes() : boot_(read_boot()) {}
+// Each instance costs a descriptor here and one of its admin channel, so the agent takes all that it may have.
+Processes::Processes() : boot_(read_boot()) {
+  if (::getrlimit(RLIMIT_NOFILE, &given_) != 0) return;
+  rlimit most = given_;
+  most.rlim_cur = most.rlim_max;
+  ::setrlimit(RLIMIT_NOFILE, &most);
+}
 
 Processes::~Processes() {
   for (const auto& [instance, held] : held_) ::close(held.pidfd);
@@ -71,7 +77,8 @@
     const int in = ::open("/dev/null", O_RDONLY);
     const int out = ::open(log.empty() ? "/dev/null" : log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(in, 0), ::dup2(out, 1), ::dup2(out, 2);
-    for (int fd = 3; fd < 1024; ++fd) ::close(fd);
+    ::close_range(3, ~0U, 0);
+    if (given_.rlim_max > 0) ::setrlimit(RLIMIT_NOFILE, &given_);
     ::execl("/bin/sh", "sh", "-c", command.c_str(), static_cast<char*>(nullptr));
     ::_exit(127);
   }
--- a/src/agent/processes.h
+++ b/src/agent/processes.h
@@ -3,6 +3,8 @@
 // signal never reaches another process that has the number by then. It decides nothing.
 #pragma once
 
+#include <sys/resource.h>
+
 #include <functional>
 #include <map>
 #include <optional>
@@ -37,6 +39,7 @@
   };
 
   const std::string boot_;
+  rlimit given_{};  // of descriptors, as the agent was started; instances get the same
   std::map<std::string, Held> held_;
 };
 
--- a/src/lab/channel.cpp
+++ b/src/lab/channel.cpp
@@ -56,10 +56,10 @@
 
 StandInChannel::~StandInChannel() { *alive_ = false; }
 
-void StandInChannel::tell(const std::vector<Member>& members, bool complete) {
+nlohmann::json StandInChannel::event(std::size_t number, const std::vector<Member>& members, bool complete) {
   nlohmann::json event;
-  event["cursor"] = events_.size() + 1;
-  event["nodes"]["revision"] = events_.size() + 1;
+  event["cursor"] = number;
+  event["nodes"]["revision"] = number;
   event["nodes"]["complete"] = complete;
   event["nodes"]["members"] = nlohmann::json::array();
   for (const Member& member : members) {
@@ -71,7 +71,11 @@
                                          {"phase", member.phase},
                                          {"up_since_ms", 0}});
   }
-  events_.push_back(event.dump());
+  return event;
+}
+
+void StandInChannel::tell(const std::vector<Member>& members, bool complete) {
+  events_.push_back(event(events_.size() + 1, members, complete).dump());
   for (const auto& [line, owned] : lines_) line->send();
 }
 
--- a/src/lab/channel.h
+++ b/src/lab/channel.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
   struct Member {
     std::string name, address, zone, kind, phase;  // active, leaving, left
   };
+  static nlohmann::json event(std::size_t number, const std::vector<Member>& members, bool complete);
   explicit StandInChannel(net::Loop& loop);
   ~StandInChannel();
   std::string address() const { return door_.address().toString(); }
--- a/src/lab/crowd.cpp
+++ b/src/lab/crowd.cpp
@@ -180,6 +180,8 @@
 
 Crowd::~Crowd() { *alive_ = false; }
 
+bool Crowd::up(int manager) const { return checks_[static_cast<std::size_t>(manager)]->up(); }
+
 int Crowd::add_manager(const std::string& address) {
   managers_.push_back({address, {}});
   checks_.push_back(std::make_unique<Check>(loop_, address));
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -103,7 +103,7 @@
   bench.programs = std::filesystem::read_symlink("/proc/self/exe").parent_path();
   const std::map<std::string, int (*)(const Bench&)> measurements = {
       {"drain", measure_drain}, {"fleet-status", measure_fleet_status}, {"rollout", measure_rollout},
-      {"managers", measure_managers}};
+      {"managers", measure_managers}, {"list", measure_list}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
   std::vector<std::string> names;
--- a/src/lab/measure.h
+++ b/src/lab/measure.h
@@ -17,5 +17,6 @@
 int measure_fleet_status(const Bench& bench);
 int measure_rollout(const Bench& bench);
 int measure_managers(const Bench& bench);
+int measure_list(const Bench& bench);
 
 }  // namespace pearchute::lab
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -39,14 +39,12 @@
 
 void World::raise() {
   channel_ = std::make_unique<StandInChannel>(loop());
-  std::vector<StandInChannel::Member> members;
   for (int i = 0; i < site_.engines; ++i) {
     engines_.push_back(std::make_unique<StandInEngine>(loop(), "e" + std::to_string(i + 1), site_.cores,
                                                        site_.memory_mb, site_.seed + static_cast<unsigned>(i),
                                                        &record_));
-    members.push_back(member(static_cast<std::size_t>(i)));
   }
-  channel_->tell(members, true);
+  channel_->tell(members_now(), true);
   crowd_ = std::make_unique<Crowd>(loop(), site_.seed, record_, kind_of);
   for (int i = 0; i < site_.managers; ++i) {
     Manager& manager = managers_.emplace_back();
@@ -99,6 +97,12 @@
   }
 }
 
+std::vector<StandInChannel::Member> World::members_now() const {
+  std::vector<StandInChannel::Member> members;
+  for (std::size_t i = 0; i < engines_.size(); ++i) members.push_back(member(i));
+  return members;
+}
+
 StandInChannel::Member World::member(std::size_t engine, const std::string& phase) const {
   return {engines_[engine]->name(), engines_[engine]->address(), site_.zones[engine % site_.zones.size()],
           "std", phase};
@@ -111,12 +115,14 @@
     return json{{"name", name},   {"repeat", repeat},  {"keyScope", "all"}, {"window", 9'000'000},
                 {"slo", 600'000}, {"giveUp", slowest}, {"worth", worth},    {"byArrival", in_order}};
   };
+  json known = json::array();
+  if (site_.knows_list) known.push_back(StandInChannel::event(1, members_now(), true));
   json configuration = {{"name", manager.name},
                         {"listen", manager.listen},
                         {"seed", "1"},
-                        {"limits", {{"sockets", 512}}},
+                        {"limits", {{"sockets", site_.sockets}, {"memory_mb", site_.manager_memory_mb}}},
                         {"channel", channel},
-                        {"known", {{"cursor", 0}, {"cmds", json::array()}}},
+                        {"known", {{"cursor", site_.knows_list ? 1 : 0}, {"cmds", known}}},
                         {"settings",
                          {{"classes",
                            {type("quick", "pure", false, 1), type("report", "pure", false, 5),
@@ -169,7 +175,7 @@
   if (::getppid() != parent) ::_exit(127);
   const int log = ::open(manager.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   ::dup2(log, STDERR_FILENO), ::dup2(log, STDOUT_FILENO);
-  for (int fd = 3; fd < 1024; ++fd) ::close(fd);
+  ::close_range(3, ~0U, 0);
   ::execl(site_.pearchuted.c_str(), "pearchuted", "--config", manager.configuration.c_str(), "--admin",
           manager.admin_file.c_str(), static_cast<char*>(nullptr));
   ::_exit(127);
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -26,6 +26,8 @@
   std::string pearchuted;                   // the program
   bool starts_managers = true;              // else agents do
   std::chrono::milliseconds slowest{4000};  // the longest job timeout
+  int sockets = 512, manager_memory_mb = 48;  // what a manager is told that it may have
+  bool knows_list = false;                    // the whole list stands in its configuration, too
 };
 
 class World {
@@ -52,6 +54,7 @@
   std::vector<Manager>& managers() { return managers_; }
   std::vector<std::unique_ptr<StandInEngine>>& engines() { return engines_; }
   StandInChannel::Member member(std::size_t engine, const std::string& phase = "active") const;
+  std::vector<StandInChannel::Member> members_now() const;
   const std::string& folder() const { return folder_; }
   // A fleet file for pearchutectl over the managers, which starts them again as they were started. Its name.
   std::string write_fleet() const;
