Errors have types of their own, each with what an operator can do

Need: what ends a start or a command was a plain runtime error; the pager's holder had to guess the way out. A stand-in site over the platform's pearchuted ended with no more than that the managers don't serve. A laboratory's site names the manager that ended, and says which build to run.

--- a/src/admin/office.cpp
+++ b/src/admin/office.cpp
@@ -7,9 +7,9 @@
 
 #include <algorithm>
 #include <cstring>
-#include <stdexcept>
 
 #include "admin.pb.h"
+#include "faults/fault.h"
 #include "net/log.h"
 
 namespace pearchute::admin {
@@ -27,10 +27,12 @@
   std::strncpy(at.sun_path, path.c_str(), sizeof at.sun_path - 1);
   const bool alive = probe >= 0 && ::connect(probe, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
   if (probe >= 0) ::close(probe);
-  if (alive) throw std::runtime_error("the admin socket " + path + " is in use");
+  if (alive) throw ListeningFault("the admin socket is in use", path);
   struct stat what {};
   if (::lstat(path.c_str(), &what) != 0) return;
-  if (!S_ISSOCK(what.st_mode)) throw std::runtime_error(path + " is there and no socket");
+  if (!S_ISSOCK(what.st_mode))
+    throw ListeningFault("is there and no socket", path,
+                         "look at what it is; move it away or name another place");
   ::unlink(path.c_str());
 }
 
--- a/src/admin/place.cpp
+++ b/src/admin/place.cpp
@@ -3,7 +3,7 @@
 #include <Poco/Exception.h>
 #include <sys/un.h>
 
-#include <stdexcept>
+#include "faults/fault.h"
 
 namespace pearchute::admin {
 
@@ -12,21 +12,21 @@
   place.text = text;
   if (text.starts_with("unix:")) {
     place.path = text.substr(5);
-    if (!place.path.starts_with("/"))
-      throw std::invalid_argument("the path of '" + text + "' is not absolute");
+    if (!place.path.starts_with("/")) throw AddressFault("the path of '" + text + "' is not absolute");
     if (place.path.size() >= sizeof(sockaddr_un::sun_path))
-      throw std::invalid_argument("the path of '" + text + "' is too long for a socket");
+      throw AddressFault("the path of '" + text + "' is too long for a socket");
     place.address = Poco::Net::SocketAddress(Poco::Net::SocketAddress::UNIX_LOCAL, place.path);
     return place;
   }
   try {
     place.address = Poco::Net::SocketAddress(text);
   } catch (const Poco::Exception&) {
-    throw std::invalid_argument("'" + text + "' is neither unix:/path nor address:port");
+    throw AddressFault("'" + text + "' is neither unix:/path nor address:port");
   }
   if (!place.address.host().isLoopback())
-    throw std::invalid_argument("'" + text + "' is no loopback address");
-  if (place.address.port() == 0) throw std::invalid_argument("'" + text + "' names no port");
+    throw AddressFault("'" + text + "' is no loopback address", "",
+                       "whoever reaches it governs the manager: take 127.0.0.1, or a Unix socket");
+  if (place.address.port() == 0) throw AddressFault("'" + text + "' names no port");
   return place;
 }
 
--- a/src/admin/place.h
+++ b/src/admin/place.h
@@ -14,7 +14,7 @@
   Poco::Net::SocketAddress address;
 };
 
-// Throws std::invalid_argument with what is wrong. The path of a Unix socket has to be absolute and short.
+// Throws AddressFault. The path of a Unix socket has to be absolute and short.
 Place place_in(const std::string& text);
 
 }  // namespace pearchute::admin
--- a/src/admin/terms.cpp
+++ b/src/admin/terms.cpp
@@ -21,9 +21,8 @@
     if (name == "orders_file" && !text.starts_with("/"))
       throw ini::Fault("'orders_file' is no absolute path");
   });
-  if (terms.listen.text.empty()) throw ini::Fault(file + ": 'listen' is missing in [admin]");
-  if (terms.most_watchers > terms.most_connections)
-    throw ini::Fault(file + ": more watchers than connections");
+  if (terms.listen.text.empty()) throw ini::Fault("'listen' is missing in [admin]", file);
+  if (terms.most_watchers > terms.most_connections) throw ini::Fault("more watchers than connections", file);
   return terms;
 }
 
--- a/src/agent/charter.cpp
+++ b/src/agent/charter.cpp
@@ -55,20 +55,20 @@
       throw ini::Fault("'" + name + "' is not known in [instance NAME]");
     }
   });
-  if (charter.name.empty()) throw ini::Fault(file + ": 'name' is missing in [agent]");
-  if (charter.state.empty()) throw ini::Fault(file + ": 'state' is missing in [agent]");
-  if (charter.control.text.empty()) throw ini::Fault(file + ": 'control' is missing in [agent]");
+  if (charter.name.empty()) throw ini::Fault("'name' is missing in [agent]", file);
+  if (charter.state.empty()) throw ini::Fault("'state' is missing in [agent]", file);
+  if (charter.control.text.empty()) throw ini::Fault("'control' is missing in [agent]", file);
   bool tls = !charter.listen.target.empty();
   for (const auto& [name, reach] : charter.peers) tls = tls || reach.tls;
   if (const std::string lacks = keys::missing(charter.tls); tls && !lacks.empty())
-    throw ini::Fault(file + ": '" + lacks + "' is missing in [tls]");
-  if (charter.peers.contains(charter.name)) throw ini::Fault(file + ": this agent is its own peer");
-  if (charter.instances.empty()) throw ini::Fault(file + ": no instance is named");
+    throw ini::Fault("'" + lacks + "' is missing in [tls]", file);
+  if (charter.peers.contains(charter.name)) throw ini::Fault("this agent is its own peer", file);
+  if (charter.instances.empty()) throw ini::Fault("no instance is named", file);
   for (const auto& [name, owned] : charter.instances) {
-    if (owned.admin.text.empty()) throw ini::Fault(file + ": instance " + name + " has no 'admin'");
+    if (owned.admin.text.empty()) throw ini::Fault("instance " + name + " has no 'admin'", file);
     if (!owned.commands.contains(owned.version))
-      throw ini::Fault(file + ": instance " + name + " has no command of version " +
-                       std::to_string(owned.version));
+      throw ini::Fault("instance " + name + " has no command of version " + std::to_string(owned.version),
+                       file);
   }
   return charter;
 }
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -11,6 +11,7 @@
 #include "agent/doors.h"
 #include "agent/warden.h"
 #include "agent/wire.h"
+#include "faults/fault.h"
 #include "ini/reader.h"
 #include "net/json_lines.h"
 #include "net/log.h"
@@ -53,7 +54,7 @@
   }
   grpc::Status Claim(grpc::ServerContext* context, const v1::ClaimAsk* ask, v1::ClaimAnswer* to) override {
     return on(*context, ask->take_over() ? Act::take_over : Act::change, ask->who(), [&] {
-      if (ask->lease_ms() > 24 * 3600 * 1000) throw std::invalid_argument("a lease out of bounds");
+      if (ask->lease_ms() > 24 * 3600 * 1000) throw MessageFault("a lease out of bounds");
       const fleet::Claims::Answer answer = warden_.ask({ask->operation(),
                                                         ask->who(),
                                                         {ask->instances().begin(), ask->instances().end()},
@@ -70,7 +71,7 @@
   }
   grpc::Status Renew(grpc::ServerContext* context, const v1::Renewal* ask, v1::Renewed* to) override {
     return on(*context, Act::change, holder_of(ask->operation()), [&] {
-      if (ask->lease_ms() > 24 * 3600 * 1000) throw std::invalid_argument("a lease out of bounds");
+      if (ask->lease_ms() > 24 * 3600 * 1000) throw MessageFault("a lease out of bounds");
       to->set_live(warden_.renew(ask->operation(), {ask->instances().begin(), ask->instances().end()},
                                  milliseconds(ask->lease_ms())));
     });
@@ -115,7 +116,7 @@
     try {
       stage_.on(what);
       return grpc::Status::OK;
-    } catch (const std::invalid_argument& fault) {
+    } catch (const MessageFault& fault) {
       return {grpc::StatusCode::INVALID_ARGUMENT, fault.what()};
     }
   }
@@ -192,7 +193,7 @@
   const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
   ::umask(before);
   if (!server || port == 0)
-    throw std::runtime_error("can't listen at " + charter.control.text + " " + charter.listen.text);
+    throw ListeningFault("can't listen", charter.control.text + " " + charter.listen.text);
   spdlog::info("agent {} at {}, {} instances", charter.name, charter.control.text, charter.instances.size());
   while (!asked_to_end) {
     ::usleep(50'000);
@@ -230,7 +231,7 @@
     net::start_log(charter.name, log == "json" ? net::json_lines() : nullptr);
     return run(file, charter);
   } catch (const std::exception& error) {
-    std::cerr << "pearchute-agent: " << error.what() << "\n";
+    tell_fault(std::cerr, "pearchute-agent", error);
     return 1;
   }
 }
--- a/src/agent/wire.cpp
+++ b/src/agent/wire.cpp
@@ -19,7 +19,7 @@
   for (std::size_t i = 0; i < size; ++i) {
     if (words[i] == word) return static_cast<Enum>(i);
   }
-  throw std::invalid_argument("'" + word + "' is not known");
+  throw MessageFault("'" + word + "' is not known");
 }
 
 std::uint64_t ms(fleet::Span span) {
@@ -28,7 +28,7 @@
 
 // A day is longer than anything that is waited for here.
 fleet::Span span(std::uint64_t from) {
-  if (from > 24 * 3600 * 1000) throw std::invalid_argument("a span of over a day");
+  if (from > 24 * 3600 * 1000) throw MessageFault("a span of over a day");
   return milliseconds(from);
 }
 
@@ -108,11 +108,11 @@
   to.lease = span(plan.lease_ms());
   to.drain_within = span(plan.drain_within_ms()), to.up_within = span(plan.up_within_ms());
   if (to.id.empty() || to.id.size() > 64 || to.who.empty() || to.who.size() > 128)
-    throw std::invalid_argument("a rollout needs a short id and a name");
-  if (to.at_once < 1 || to.batch < 0 || to.failures < 0) throw std::invalid_argument("a limit out of bounds");
-  if (to.targets.empty() || to.targets.size() > 5000) throw std::invalid_argument("no target, or too many");
+    throw MessageFault("a rollout needs a short id and a name");
+  if (to.at_once < 1 || to.batch < 0 || to.failures < 0) throw MessageFault("a limit out of bounds");
+  if (to.targets.empty() || to.targets.size() > 5000) throw MessageFault("no target, or too many");
   if (to.lease < fleet::Claims::shortest_lease || to.lease > fleet::Claims::longest_lease)
-    throw std::invalid_argument("a lease out of bounds");
+    throw MessageFault("a lease out of bounds");
   return to;
 }
 
--- a/src/agent/wire.h
+++ b/src/agent/wire.h
@@ -1,8 +1,9 @@
 // Between the agents' messages and the decisions' terms, both ways. A word that is not known throws
-// std::invalid_argument.
+// MessageFault.
 #pragma once
 
 #include "agent.pb.h"
+#include "faults/fault.h"
 #include "fleet/keeper.h"
 #include "fleet/rollout.h"
 
--- a/src/ctl/fleet_file.cpp
+++ b/src/ctl/fleet_file.cpp
@@ -65,13 +65,13 @@
     }
   });
   for (const Instance& one : fleet.instances) {
-    if (one.place.text.empty()) throw ini::Fault(file + ": instance " + one.facts.name + " has no 'admin'");
+    if (one.place.text.empty()) throw ini::Fault("instance " + one.facts.name + " has no 'admin'", file);
   }
   for (const AgentPlace& one : fleet.agents) {
     if (const std::string lacks = keys::missing(fleet.tls); one.control.tls && !lacks.empty())
-      throw ini::Fault(file + ": agent " + one.name + " needs '" + lacks + "' in [tls]");
+      throw ini::Fault("agent " + one.name + " needs '" + lacks + "' in [tls]", file);
   }
-  if (fleet.instances.empty()) throw ini::Fault(file + ": no instance is named");
+  if (fleet.instances.empty()) throw ini::Fault("no instance is named", file);
   return fleet;
 }
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -208,25 +208,17 @@
     for (const Instance& one : known.instances) {
       if (selector(one.facts)) chosen.push_back(&one);
     }
-  } catch (const ini::Fault& fault) {
-    std::cerr << "pearchutectl: " << fault.what() << "\n";
-    return fleet::usage;
   } catch (const SelectorFault& fault) {
-    std::cerr << "pearchutectl: --on, column " << fault.column << ": " << fault.what() << "\n  " << on
-              << "\n  " << std::string(fault.column - 1, ' ') << "^\n";
-    return fleet::usage;
-  }
-  if (chosen.empty()) {
-    std::cerr << "pearchutectl: no instance of " << file << " is chosen\n";
-    return fleet::usage;
+    std::cerr << "  " << on << "\n  " << std::string(fault.column - 1, ' ') << "^\n";
+    throw;
   }
+  if (chosen.empty())
+    throw UsageFault("no instance is chosen", file, "see what --on picks: pearchutectl status");
   if (timeout > 0) known.answers_within = std::chrono::milliseconds(timeout);
   if (parallel > 0) known.at_once = static_cast<std::size_t>(parallel);
   if (agents->parsed() || claims->parsed() || rollout->parsed()) {
-    if (known.agents.empty()) {
-      std::cerr << "pearchutectl: " << file << " names no [agent NAME]\n";
-      return fleet::usage;
-    }
+    if (known.agents.empty())
+      throw SettingsFault("names no [agent NAME]", file, "add one for each agent: docs/operating.md");
     AgentCommands of_agents(known, chosen, output);
     if (agents->parsed()) return of_agents.agents();
     if (claims->parsed()) return of_agents.claims();
@@ -244,20 +236,13 @@
     plan.batch = batch, plan.warm = std::chrono::seconds(warm), plan.gate = std::chrono::seconds(gate);
     plan.lease = std::chrono::seconds(roll_lease);
     plan.drain_within = std::chrono::seconds(within), plan.up_within = std::chrono::seconds(up_within);
-    if (plan.kind == fleet::StepKind::change && (plan.version < 1 || plan.version_before < 1)) {
-      std::cerr << "pearchutectl: a change needs --version-to and --version-from\n";
-      return fleet::usage;
-    }
+    if (plan.kind == fleet::StepKind::change && (plan.version < 1 || plan.version_before < 1))
+      throw UsageFault("a change needs --version-to and --version-from");
     for (const std::string& one : least) {
       const std::size_t equal = one.find('=');
-      try {
-        if (equal == std::string::npos) throw ini::Fault("--least is ZONE=N, not " + one);
-        plan.least_serving[one.substr(0, equal)] =
-            static_cast<int>(ini::whole("--least", one.substr(equal + 1), 0, 5000));
-      } catch (const ini::Fault& fault) {
-        std::cerr << "pearchutectl: " << fault.what() << "\n";
-        return fleet::usage;
-      }
+      if (equal == std::string::npos) throw UsageFault("--least is ZONE=N, not " + one);
+      plan.least_serving[one.substr(0, equal)] =
+          static_cast<int>(ini::whole("--least", one.substr(equal + 1), 0, 5000));
     }
     return of_agents.rollout(plan, coordinator, roll_start->parsed(), follow);
   }
@@ -287,7 +272,11 @@
   try {
     return run(argc, argv);
   } catch (const std::exception& error) {
-    std::cerr << "pearchutectl: " << error.what() << "\n";
-    return 1;
+    tell_fault(std::cerr, "pearchutectl", error);
+    // What was asked can't be done as it stands in the words or the files: nothing was tried.
+    const auto* fault = dynamic_cast<const Fault*>(&error);
+    constexpr FaultKind of_the_asker[] = {FaultKind::usage, FaultKind::settings, FaultKind::selector};
+    return fault && std::ranges::find(of_the_asker, fault->kind()) != std::end(of_the_asker) ? fleet::usage
+                                                                                             : 1;
   }
 }
--- a/src/ctl/selector.h
+++ b/src/ctl/selector.h
@@ -12,9 +12,10 @@
 #include <cstddef>
 #include <functional>
 #include <map>
-#include <stdexcept>
 #include <string>
 
+#include "faults/fault.h"
+
 namespace pearchute::ctl {
 
 struct Facts {
@@ -22,8 +23,9 @@
   std::map<std::string, std::string> labels;
 };
 
-struct SelectorFault : std::runtime_error {
-  SelectorFault(std::size_t at, const std::string& what) : std::runtime_error(what), column(at) {}
+struct SelectorFault : FaultOf<FaultKind::selector> {
+  SelectorFault(std::size_t at, const std::string& what)
+      : FaultOf(what, "column " + std::to_string(at)), column(at) {}
   std::size_t column;  // from 1
 };
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,6 @@
 // The daemon's entry. The platform's build takes the configuration's name from the environment and nothing
-// else; other builds have a command line and an admin channel. What can't be started is one plain line on
-// standard error and a status of 1.
+// else; other builds have a command line and an admin channel. What can't be started is said on standard
+// error, what is wrong and what to do, with a status of 1.
 #include <Poco/Exception.h>
 
 #include <cstdlib>
@@ -8,6 +8,7 @@
 #include <iostream>
 
 #include "daemon/program.h"
+#include "faults/fault.h"
 
 #ifdef PEARCHUTE_FLEET
 #include <CLI/CLI.hpp>
@@ -49,7 +50,9 @@
   }
   return Program(file, log == "json" ? pearchute::net::json_lines() : nullptr, annex).run();
 #else
-  if (argc > 1) throw std::runtime_error(std::string("this build takes no arguments: ") + argv[1]);
+  if (argc > 1)
+    throw pearchute::UsageFault(std::string("this build takes no arguments: ") + argv[1], "",
+                                "set PROXY_CONFIG; a build with PEARCHUTE_FLEET=ON has a command line");
   return Program(file).run();
 #endif
 }
@@ -60,9 +63,9 @@
   try {
     return start(argc, argv);
   } catch (const Poco::Exception& error) {
-    std::cerr << "pearchuted: " << error.displayText() << "\n";
+    pearchute::tell_fault(std::cerr, "pearchuted", pearchute::SystemFault(error.displayText()));
   } catch (const std::exception& error) {
-    std::cerr << "pearchuted: " << error.what() << "\n";
+    pearchute::tell_fault(std::cerr, "pearchuted", error);
   }
   return 1;
 }
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -11,8 +11,8 @@
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 
+#include "faults/fault.h"
 #include "service/flatten.h"
 
 namespace pearchute::net {
@@ -33,9 +33,12 @@
 }
 
 json read_configuration(const std::string& path) {
-  if (path.empty()) throw std::runtime_error("no configuration is named");
+  if (path.empty())
+    throw ConfigurationFault("no configuration is named", "", "name one: --config FILE, or PROXY_CONFIG");
   std::ifstream file(path);
-  if (!file) throw std::runtime_error("the configuration '" + path + "' can't be read");
+  if (!file)
+    throw ConfigurationFault("the configuration can't be read", path,
+                             "see that it is there and that this user may read it");
   const std::string text{std::istreambuf_iterator<char>(file), {}};
   json configuration;
   try {
@@ -44,31 +47,41 @@
     const std::string_view before = std::string_view(text).substr(0, error.byte > 0 ? error.byte - 1 : 0);
     const auto line = 1 + std::ranges::count(before, '\n');
     const std::size_t start = before.rfind('\n') == std::string_view::npos ? 0 : before.rfind('\n') + 1;
-    throw std::runtime_error("the configuration '" + path + "' is not JSON: line " + std::to_string(line) +
-                             ", column " + std::to_string(before.size() - start + 1));
+    throw ConfigurationFault("the configuration is not JSON: line " + std::to_string(line) + ", column " +
+                                 std::to_string(before.size() - start + 1),
+                             path);
   }
-  if (!configuration.is_object())
-    throw std::runtime_error("the configuration '" + path + "' is not a JSON object");
+  if (!configuration.is_object()) throw ConfigurationFault("the configuration is not a JSON object", path);
   return configuration;
 }
 
 // Each name that has a value of another kind is said by its name.
 service::Deployment decode_settings(const json& configuration) {
-  if (!configuration.contains("settings")) throw std::runtime_error("the configuration holds no settings");
+  if (!configuration.contains("settings")) throw ConfigurationFault("the configuration holds no settings");
   try {
     const service::FlatValues settings(configuration.at("settings"));
     return service::decode(settings.values());
   } catch (const std::exception& error) {
-    throw std::runtime_error(std::string("settings: ") + error.what());
+    throw ConfigurationFault::within("settings", error);
   }
 }
 
 std::string address_in(const json& configuration) {
   const std::string address = configuration.value("listen", told("PROXY_LISTEN"));
-  if (address.empty()) throw std::runtime_error("no address to listen at is told");
+  if (address.empty())
+    throw ConfigurationFault("no address to listen at is told", "",
+                             "name it as 'listen', or by PROXY_LISTEN");
   return address;
 }
 
+Poco::Net::SocketAddress place_in(const std::string& text, const std::string& name) {
+  try {
+    return Poco::Net::SocketAddress(text);
+  } catch (const Poco::Exception&) {
+    throw AddressFault("'" + text + "' is no address with a port", name);
+  }
+}
+
 std::string digest_of(const json& configuration) {
   Poco::SHA1Engine engine;
   engine.update(configuration.dump());
@@ -97,13 +110,13 @@
 
 void Program::check(const std::string& file) {
   const json configuration = read_configuration(file);
-  const Poco::Net::SocketAddress usable(address_in(configuration));
+  place_in(address_in(configuration), "listen");
   const service::Deployment deployment = decode_settings(configuration);
   if (const std::string channel = configuration.value("channel", ""); !channel.empty())
-    const Poco::Net::SocketAddress channel_usable(channel);
+    place_in(channel, "channel");
   if (const auto known = configuration.find("known"); known != configuration.end()) {
     const EngineList::Change change = EngineList(deployment, milliseconds(0)).known(*known);
-    if (change.taken != EngineList::Taken::applied) throw std::runtime_error("known: " + change.fault);
+    if (change.taken != EngineList::Taken::applied) throw ConfigurationFault(change.fault, "known");
   }
 }
 
@@ -150,9 +163,13 @@
     if (change.taken == EngineList::Taken::applied) list_listener().list_changed(change.news, change.members);
     else spdlog::warn("what is known of the engines can't be read: {}", change.fault);
   }
-  door_ =
-      std::make_unique<Door>(loop_, Poco::Net::SocketAddress(address),
-                             [this](const Poco::Net::StreamSocket& socket) { front_->client_came(socket); });
+  try {
+    door_ = std::make_unique<Door>(
+        loop_, place_in(address, "listen"),
+        [this](const Poco::Net::StreamSocket& socket) { front_->client_came(socket); });
+  } catch (const Poco::Exception& error) {
+    throw ListeningFault(error.displayText(), address);
+  }
   if (const std::string channel = configuration.value("channel", ""); !channel.empty()) {
     feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, list_listener(), counters_);
     feed_->open();
@@ -182,16 +199,14 @@
   try {
     const json configuration = read_configuration(file_);
     const std::string channel = configuration.value("channel", "");
-    if (channel.empty()) throw std::runtime_error("the configuration names no channel");
-    const Poco::Net::SocketAddress usable(channel);
-    spdlog::info("the configuration is read again; the channel is at {}", usable.toString());
+    if (channel.empty()) throw ConfigurationFault("the configuration names no channel");
+    spdlog::info("the configuration is read again; the channel is at {}",
+                 place_in(channel, "channel").toString());
     if (fixed_part(configuration) != before_)
       spdlog::warn("what else has changed in the configuration takes effect at the next start only");
     if (feed_) return feed_->move_to(channel);
     feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, list_listener(), counters_);
     feed_->open();
-  } catch (const Poco::Exception& error) {
-    spdlog::warn("the configuration stays as it was: {}", error.displayText());
   } catch (const std::exception& error) {
     spdlog::warn("the configuration stays as it was: {}", error.what());
   }
--- a/src/drill/session.cpp
+++ b/src/drill/session.cpp
@@ -158,14 +158,14 @@
         reply_.append("ACK\n");
         out_.write(reply_.data(), static_cast<std::streamsize>(reply_.size()));
         out_.flush();
-        if (!out_) throw std::runtime_error("the reply could not be written");
+        if (!out_) throw SystemFault("the reply could not be written");
       } else {
         serve_line();
       }
     }
     if (in_batch) throw Malformed("the input ended within a batch");
   } catch (const Malformed& error) {
-    throw Malformed("line " + std::to_string(line_number_) + ": " + error.what());
+    throw Malformed::within("line " + std::to_string(line_number_), error);
   }
 }
 
--- a/src/ini/reader.cpp
+++ b/src/ini/reader.cpp
@@ -3,6 +3,7 @@
 #include <ini.h>
 
 #include <charconv>
+#include <exception>
 #include <set>
 #include <utility>
 
@@ -13,20 +14,20 @@
 struct Reading {
   const Value& value;
   std::set<std::pair<std::string, std::string>> seen;
-  std::string fault;
+  std::exception_ptr fault = nullptr;
 };
 
 // The library tells the first line whose value is not taken.
 int take(void* user, const char* section, const char* name, const char* text) {
   Reading& reading = *static_cast<Reading*>(user);
-  if (!reading.fault.empty()) return 0;
+  if (reading.fault) return 0;
   try {
     if (!reading.seen.emplace(section, name).second)
       throw Fault("'" + std::string(name) + "' comes twice in [" + section + "]");
     reading.value(section, name, text);
     return 1;
-  } catch (const std::exception& fault) {
-    reading.fault = fault.what();
+  } catch (const std::exception&) {
+    reading.fault = std::current_exception();
     return 0;
   }
 }
@@ -40,12 +41,17 @@
 }  // namespace
 
 void read(const std::string& file, const Value& value) {
-  Reading reading{value, {}, {}};
+  Reading reading{value, {}, nullptr};
   const int line = ini_parse(file.c_str(), take, &reading);
   if (line == 0) return;
-  if (line < 0) throw Fault(file + ": can't be read");
-  const std::string what = reading.fault.empty() ? "neither [section] nor name = value" : reading.fault;
-  throw Fault(file + ":" + std::to_string(line) + ": " + what);
+  if (line < 0) throw Fault("can't be read", file, "see that it is there and that this user may read it");
+  const std::string where = file + ":" + std::to_string(line);
+  if (!reading.fault) throw Fault("neither [section] nor name = value", where);
+  try {
+    std::rethrow_exception(reading.fault);
+  } catch (const std::exception& fault) {
+    throw Fault::within(where, fault);
+  }
 }
 
 std::int64_t whole(std::string_view name, std::string_view text, std::int64_t least, std::int64_t most) {
--- a/src/ini/reader.h
+++ b/src/ini/reader.h
@@ -4,19 +4,18 @@
 
 #include <cstdint>
 #include <functional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "faults/fault.h"
+
 namespace pearchute::ini {
 
-// "file:line: what is wrong", or "file: what is wrong" where no line is to blame.
-struct Fault : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+// Of a file: it says where, "file:line", or the file alone where no line is to blame.
+using Fault = SettingsFault;
 
-// Calls `value` for each line `name = value` in order. What it throws as a Fault is given the file and line.
+// Calls `value` for each line `name = value` in order. What it throws is given the file and line.
 // A name that comes twice in a section is a fault, and so is a file that can't be read.
 using Value =
     std::function<void(const std::string& section, const std::string& name, const std::string& text)>;
--- a/src/keys/authority.cpp
+++ b/src/keys/authority.cpp
@@ -63,7 +63,8 @@
   if (fd >= 0) ::close(fd);
   if (!written || std::rename(beside.c_str(), file.c_str()) != 0) {
     ::unlink(beside.c_str());
-    throw Fault(file + " can't be written: " + std::strerror(why));
+    throw Fault(std::string("can't be written: ") + std::strerror(why), file,
+                "see the disk and who may write there");
   }
 }
 
@@ -164,7 +165,7 @@
 
 std::string text_of(const std::string& file) {
   std::ifstream stream(file, std::ios::binary);
-  if (!stream) throw Fault(file + " can't be read");
+  if (!stream) throw Fault("can't be read", file, "see that it is there and that this user may read it");
   return {std::istreambuf_iterator<char>(stream), {}};
 }
 
@@ -172,7 +173,8 @@
   if (!name_fits(site)) throw Fault("'" + site + "' is no name for a site");
   std::error_code error;
   std::filesystem::create_directories(folder_, error);
-  if (std::filesystem::exists(path("ca.key"))) throw Fault(folder_ + " holds an authority already");
+  if (std::filesystem::exists(path("ca.key")))
+    throw Fault("holds an authority already", folder_, "use it, or name another folder");
   const Key key(need(EVP_EC_gen("P-256"), "a key"));
   const Cert certificate = make(site, key.get(), nullptr, lasts);
   extend(certificate.get(), certificate.get(), NID_basic_constraints, "critical,CA:TRUE,pathlen:0");
@@ -217,7 +219,7 @@
   const std::string text = text_of(path("ca.crl"));
   const Memory memory(BIO_new_mem_buf(text.data(), static_cast<int>(text.size())));
   const List list(PEM_read_bio_X509_CRL(memory.get(), nullptr, nullptr, nullptr));
-  if (!list) throw Fault(path("ca.crl") + " is no list of revocations");
+  if (!list) throw Fault("no list of revocations", path("ca.crl"));
   const auto known = revoked_by(path("ca.crl"), path("ca.pem"));
   if (std::ranges::find(known, certificate.serial) != known.end()) return;
   BIGNUM* number = nullptr;
@@ -250,7 +252,7 @@
   try {
     return certificate_in(text);
   } catch (const Fault& fault) {
-    throw Fault(file + ": " + fault.what());
+    throw Fault::within(file, fault);
   }
 }
 
@@ -258,10 +260,10 @@
   const std::string text = text_of(list_file);
   const Memory memory(BIO_new_mem_buf(text.data(), static_cast<int>(text.size())));
   const List list(PEM_read_bio_X509_CRL(memory.get(), nullptr, nullptr, nullptr));
-  if (!list) throw Fault(list_file + " is no list of revocations");
+  if (!list) throw Fault("no list of revocations", list_file);
   const Cert authority = certificate_from(text_of(authority_file));
   if (X509_CRL_verify(list.get(), X509_get0_pubkey(authority.get())) != 1)
-    throw Fault(list_file + " is not signed by " + authority_file);
+    throw Fault("not signed by " + authority_file, list_file, "take the list that this authority wrote last");
   std::vector<std::string> serials;
   STACK_OF(X509_REVOKED)* revoked = X509_CRL_get_REVOKED(list.get());
   for (int i = 0; revoked && i < sk_X509_REVOKED_num(revoked); ++i)
--- a/src/keys/authority.h
+++ b/src/keys/authority.h
@@ -5,18 +5,16 @@
 
 #include <chrono>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "faults/fault.h"
 #include "fleet/roles.h"
 
 namespace pearchute::keys {
 
 // What is wrong, in plain words; nothing was changed.
-struct Fault : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using Fault = KeysFault;
 
 struct Certificate {
   std::string name, serial;  // the serial in hex
--- a/src/keys/reach.cpp
+++ b/src/keys/reach.cpp
@@ -3,14 +3,15 @@
 #include <sys/un.h>
 
 #include <charconv>
-#include <stdexcept>
+
+#include "faults/fault.h"
 
 namespace pearchute::keys {
 
 Reach reach_in(const std::string& text) {
   if (text.starts_with("unix:/")) {
     if (text.size() - 5 >= sizeof(sockaddr_un::sun_path))
-      throw std::invalid_argument("the path of '" + text + "' is too long for a socket");
+      throw AddressFault("the path of '" + text + "' is too long for a socket");
     return {text, text, false};
   }
   const std::size_t colon = text.rfind(':');
@@ -20,7 +21,7 @@
     if (error == std::errc{} && stop == text.data() + text.size() && port > 0 && port < 65536)
       return {text, text.substr(4), true};
   }
-  throw std::invalid_argument("'" + text + "' is neither unix:/path nor tls:host:port");
+  throw AddressFault("'" + text + "' is neither unix:/path nor tls:host:port");
 }
 
 bool take(Files& files, const std::string& name, const std::string& text) {
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <map>
 
+#include "faults/fault.h"
 #include "lab/managers.h"
 #include "lab/measure.h"
 #include "lab/world.h"
@@ -27,8 +28,7 @@
   site.managers = managers, site.engines = engines, site.seed = bench.seed;
   site.pearchuted = bench.programs + "/pearchuted";
   World world(site);
-  if (!world.all_serving(static_cast<std::uint64_t>(engines)))
-    throw std::runtime_error("the managers don't serve");
+  world.must_serve(static_cast<std::uint64_t>(engines));
   std::cout << "export PEARCHUTE_FLEET=" << world.write_fleet() << std::endl;
   for (auto& manager : world.managers())
     std::cerr << manager.name << " listens at " << manager.listen << "\n";
@@ -54,7 +54,7 @@
   site.managers = 2, site.engines = 3, site.seed = bench.seed,
   site.pearchuted = bench.programs + "/pearchuted";
   World world(site);
-  if (!world.all_serving(3)) throw std::runtime_error("the managers don't serve");
+  world.must_serve(3);
   std::cout << "Two managers, three stand-in engines and a command channel are up on loopback.\n"
             << std::flush;
   const auto show = [&](const std::vector<std::string>& words) {
@@ -101,9 +101,11 @@
   app.require_subcommand(1);
   Bench bench;
   bench.programs = std::filesystem::read_symlink("/proc/self/exe").parent_path();
-  const std::map<std::string, int (*)(const Bench&)> measurements = {
-      {"drain", measure_drain}, {"fleet-status", measure_fleet_status}, {"rollout", measure_rollout},
-      {"managers", measure_managers}, {"list", measure_list}};
+  const std::map<std::string, int (*)(const Bench&)> measurements = {{"drain", measure_drain},
+                                                                     {"fleet-status", measure_fleet_status},
+                                                                     {"rollout", measure_rollout},
+                                                                     {"managers", measure_managers},
+                                                                     {"list", measure_list}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
   std::vector<std::string> names;
@@ -130,7 +132,7 @@
     if (site->parsed()) return up(bench, managers, engines, rate, seconds);
     return measurements.at(name)(bench);
   } catch (const std::exception& error) {
-    std::cerr << "pearchute-lab: " << error.what() << "\n";
+    pearchute::tell_fault(std::cerr, "pearchute-lab", error);
     return 3;
   }
 }
--- a/src/lab/measure_drain.cpp
+++ b/src/lab/measure_drain.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 
+#include "faults/fault.h"
 #include "lab/measure.h"
 #include "lab/world.h"
 
@@ -19,7 +20,7 @@
   site.managers = 5, site.engines = 8, site.seed = bench.seed,
   site.pearchuted = bench.programs + "/pearchuted";
   World world(site);
-  if (!world.all_serving(8)) throw std::runtime_error("the managers don't serve");
+  world.must_serve(8);
   std::vector<Ask> mix = {{"quick", "SELECT work=4 FROM a_1.t", milliseconds(2000), 0, 4, 8},
                           {"quick", "SELECT work=12 FROM a_2.t", milliseconds(2000), 0, 12, 16},
                           {"report", "SELECT work=60 pages=2 FROM a_3.t", milliseconds(3500), 0, 60, 64},
@@ -42,7 +43,7 @@
       if (!drain) world.on([&] { world.record().drain_over(name, static_cast<int>(m)); });
       const admin::v1::Reply reply = world.order(m, name, drain, generation);
       if (reply.ordered().verdict() != "done")
-        throw std::runtime_error("an order is not done: " + reply.fault());
+        throw SiteFault("an order is not done: " + reply.fault(), world.folder());
       const Time came(reply.ordered().came_monotonic_us());
       if (drain) world.on([&] { world.record().drain_came(name, static_cast<int>(m), came); });
     }
--- a/src/lab/measure_fleet_status.cpp
+++ b/src/lab/measure_fleet_status.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "faults/fault.h"
 #include "lab/managers.h"
 #include "lab/measure.h"
 #include "net/stage.h"
@@ -17,7 +18,7 @@
   const int endpoints = bench.size > 0 ? bench.size : 200, silent = endpoints / 20;
   constexpr double limit_s = 1;
   char folder[] = "/tmp/pearchute-lab-XXXXXX";
-  if (!::mkdtemp(folder)) throw std::runtime_error("no folder");
+  if (!::mkdtemp(folder)) throw SystemFault("no folder for the laboratory's files", "/tmp");
   std::ofstream file(std::string(folder) + "/fleet.ini");
   file << "[fleet]\ntimeout_ms = 1000\n";
   net::Stage stage;
--- a/src/lab/measure_list.cpp
+++ b/src/lab/measure_list.cpp
@@ -1,6 +1,6 @@
-// One manager with as little as the platform gives, 256 descriptors and 32 MB, and a list of a thousand engines:
-// in its configuration, in one event, and changed again under load. How long until it serves, what it holds, and
-// whether every job gets its answer.
+// One manager with as little as the platform gives, 256 descriptors and 32 MB, and a list of a thousand
+// engines: in its configuration, in one event, and changed again under load. How long until it serves, what
+// it holds, and whether every job gets its answer.
 #include <dirent.h>
 #include <unistd.h>
 
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "faults/fault.h"
 #include "lab/measure.h"
 #include "lab/world.h"
 
@@ -35,7 +36,8 @@
   }
   std::ifstream stat(folder + "/stat");
   std::string text{std::istreambuf_iterator<char>(stat), {}};
-  std::istringstream fields(text.substr(text.rfind(')') + 2));  // from the third on; user and system time are 14, 15
+  std::istringstream fields(
+      text.substr(text.rfind(')') + 2));  // from the third on; user and system time are 14, 15
   std::string skipped;
   for (int n = 3; n < 14; ++n) fields >> skipped;
   std::uint64_t user = 0, system = 0;
@@ -62,9 +64,9 @@
     World world(site);
     const Time begun = steady_now();
     if (!world.until([&] { return world.crowd().up(0); }, milliseconds(10000)))
-      throw std::runtime_error("the manager does not serve; its log is in " + world.folder());
+      throw SiteFault("the manager does not serve", world.folder());
     const Time up = steady_now();
-    if (!world.all_serving(static_cast<std::uint64_t>(engines))) throw std::runtime_error("engines are missing");
+    world.must_serve(static_cast<std::uint64_t>(engines));
     std::vector<Ask> mix = {{"quick", "SELECT work=10 FROM a_1.t", milliseconds(2000), 0, 10, 8},
                             {"report", "SELECT work=80 FROM a_2.t", milliseconds(3500), 0, 80, 64}};
     world.on([&] { world.crowd().offer(300, mix); });
@@ -76,7 +78,8 @@
         world.on([&] {
           std::vector<StandInChannel::Member> list;
           for (int e = 0; e < engines; ++e)
-            list.push_back(world.member(static_cast<std::size_t>(e), e % 10 == i / 20 ? "leaving" : "active"));
+            list.push_back(
+                world.member(static_cast<std::size_t>(e), e % 10 == i / 20 ? "leaving" : "active"));
           world.channel().tell(list, true);
         });
       }
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -10,7 +10,8 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
+
+#include "faults/fault.h"
 
 namespace pearchute::lab {
 
@@ -31,7 +32,7 @@
 World::World(const Site& site) : site_(site) {
   ::signal(SIGPIPE, SIG_IGN);
   char folder[] = "/tmp/pearchute-lab-XXXXXX";
-  if (!::mkdtemp(folder)) throw std::runtime_error("no folder for the laboratory's files");
+  if (!::mkdtemp(folder)) throw SystemFault("no folder for the laboratory's files", "/tmp");
   folder_ = folder;
   on([this] { raise(); });
   for (std::size_t i = 0; i < managers_.size() && site_.starts_managers; ++i) start(i);
@@ -236,11 +237,35 @@
   return call(manager, what).status();
 }
 
+std::string World::last_line(std::size_t manager) const {
+  std::ifstream log(managers_[manager].log);
+  std::string last;
+  for (std::string line; std::getline(log, line);) last = line;
+  return last;
+}
+
+void World::must_serve(std::uint64_t engines_up) {
+  if (all_serving(engines_up)) return;
+  for (std::size_t i = 0; i < managers_.size(); ++i) {
+    if (ended(i) == -1) continue;
+    std::ifstream log(managers_[i].log);
+    const std::string told{std::istreambuf_iterator<char>(log), {}};
+    // The platform's build knows neither --config nor --admin.
+    const bool other_build = told.find("takes no arguments") != std::string::npos;
+    throw SiteFault(managers_[i].name + " has ended: " + last_line(i), site_.pearchuted,
+                    other_build
+                        ? "this pearchuted has no admin channel; run 'make build' and take the programs "
+                          "of that folder (--programs)"
+                        : "see whether that program starts by hand");
+  }
+  throw SiteFault("the managers don't serve all engines; last said: " + last_line(0), folder_);
+}
+
 bool World::all_serving(std::uint64_t engines_up) {
   const Time end = steady_now() + std::chrono::seconds(20);
   for (std::size_t i = 0; i < managers_.size(); ++i) {
     while (status(i).engines_up() != engines_up || status(i).identity().phase() != "serving") {
-      if (steady_now() > end) return false;
+      if (steady_now() > end || (site_.starts_managers && ended(i) != -1)) return false;
       rest(milliseconds(10));
     }
   }
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -23,9 +23,9 @@
   int cores = 8;
   double memory_mb = 8000;
   std::uint64_t seed = 1;
-  std::string pearchuted;                   // the program
-  bool starts_managers = true;              // else agents do
-  std::chrono::milliseconds slowest{4000};  // the longest job timeout
+  std::string pearchuted;                     // the program
+  bool starts_managers = true;                // else agents do
+  std::chrono::milliseconds slowest{4000};    // the longest job timeout
   int sockets = 512, manager_memory_mb = 48;  // what a manager is told that it may have
   bool knows_list = false;                    // the whole list stands in its configuration, too
 };
@@ -84,9 +84,11 @@
                          std::chrono::milliseconds lease = std::chrono::seconds(60));
   admin::v1::Status status(std::size_t manager);
   bool all_serving(std::uint64_t engines_up);  // waits for it
+  void must_serve(std::uint64_t engines_up);   // the same; throws SiteFault with what the managers' logs tell
 
  private:
   void raise();
+  std::string last_line(std::size_t manager) const;  // of its log
   void end_successor(std::size_t manager);
   void write_configuration(std::size_t manager, const std::string& channel);
 
--- a/src/service/named_values.h
+++ b/src/service/named_values.h
@@ -4,18 +4,17 @@
 
 #include <cstdint>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "faults/fault.h"
+
 namespace pearchute::service {
 
 // Says what is wrong with a value, in plain words; the caller adds where it stands.
-struct Malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using Malformed = MessageFault;
 
 std::vector<std::string_view> split(std::string_view text, char by);
 std::int64_t whole_in(std::string_view name, std::string_view value);
--- a/tests/test_admin.cpp
+++ b/tests/test_admin.cpp
@@ -330,7 +330,7 @@
       assert(selector(one) == c.picks_one && selector(other) == c.picks_other);
     } catch (const ctl::SelectorFault& fault) {
       column = fault.column;
-      assert(std::string(fault.what()).starts_with("expected "));
+      assert(fault.wrong().starts_with("expected "));
     }
     if (column != c.column) std::fprintf(stderr, "%s: column %zu\n", c.text, column);
     assert(column == c.column);
