Agents exchange word of their instances by a bulletin; relays between processes

Need: what each process knows of the others, before anything is lent or judged over the fleet: one writer for each statement, no election, and not knowing as a state of its own. Change: fleet/bulletin (statements by agent, incarnation and number; merging; ages by the receiver's clock from when it asked; parts of an answer that is too large; a restarted agent goes beyond its own past, also with its disk lost), fleet/asking (whom to ask when), agent/herald and agent/peers (the coordinator's calls, now shared), one added call and fields of Show; off unless the charter says exchange = yes. lab/relay: delays, trickles, holds, cuts in one or both directions, half-closes, resets, by script and seed. The agents' fleet of the tests moves to lab/agent_fleet. Found by histories: word taken for whole by way of a part of a later answer; a new incarnation that had said nothing yet passed for one that owns nothing; two lives that drew one number after a lost disk.

--- a/src/agent/charter.cpp
+++ b/src/agent/charter.cpp
@@ -16,6 +16,7 @@
       else if (name == "state") charter.state = text;
       else if (name == "control") charter.control = keys::reach_in(text);
       else if (name == "listen") charter.listen = keys::reach_in(text);
+      else if (name == "exchange") charter.exchanges = ini::yes(name, text);
       else throw ini::Fault("'" + name + "' is not known in [agent]");
       if (name == "control" && charter.control.tls) throw ini::Fault("'control' is a Unix socket");
       if (name == "listen" && !charter.listen.tls) throw ini::Fault("'listen' is tls:host:port");
@@ -33,6 +34,10 @@
     }
     if (!section.starts_with("instance ") || section.size() == 9 || section.find(' ', 9) != std::string::npos)
       throw ini::Fault("[" + section + "] is not known; [agent], [tls], [peer NAME] and [instance NAME] are");
+    // As the agents pass names on, and keep them.
+    constexpr std::size_t longest = 128;
+    if (section.size() - 9 > longest || (name == "zone" && text.size() > longest))
+      throw ini::Fault("a name or zone is longer than " + std::to_string(longest) + " characters");
     Owned& owned = charter.instances[section.substr(9)];
     if (charter.instances.size() > most_instances)
       throw ini::Fault("more than " + std::to_string(most_instances) + " instances");
--- a/src/agent/charter.h
+++ b/src/agent/charter.h
@@ -19,8 +19,9 @@
 
 struct Charter {
   std::string name, state;
-  keys::Reach control;  // a Unix socket: whoever may open it may do all
-  keys::Reach listen;   // besides, for others, by their certificates; empty: nobody else
+  bool exchanges = false;  // word of the instances with its peers
+  keys::Reach control;     // a Unix socket: whoever may open it may do all
+  keys::Reach listen;      // besides, for others, by their certificates; empty: nobody else
   keys::Files tls;
   std::map<std::string, Owned> instances;
   std::map<std::string, keys::Reach> peers;  // other agents, by name
--- a/src/agent/coordinator.cpp
+++ b/src/agent/coordinator.cpp
@@ -1,11 +1,7 @@
 #include "agent/coordinator.h"
 
 #include <algorithm>
-#include <condition_variable>
-#include <mutex>
-#include <set>
 
-#include "agent/doors.h"
 #include "agent/wire.h"
 #include "net/log.h"
 
@@ -26,38 +22,6 @@
 
 }  // namespace
 
-// The calls that are under way, told of by gRPC's own threads.
-struct Coordinator::Calls {
-  std::mutex mutex;
-  std::condition_variable ended;
-  std::set<grpc::ClientContext*> open;
-};
-
-template <class Ask, class Answer, class Method>
-void Coordinator::call(const std::string& agent, Method method, const Ask& ask,
-                       std::function<void(bool, const Answer&)> heard) {
-  struct Open {
-    grpc::ClientContext context;
-    Ask ask;
-    Answer answer;
-  };
-  const auto open = std::make_shared<Open>();
-  open->ask = ask;
-  open->context.set_deadline(std::chrono::system_clock::now() + answers_within);
-  {
-    const std::lock_guard lock(calls_->mutex);
-    calls_->open.insert(&open->context);
-  }
-  std::function<void(grpc::Status)> done = [stage = &stage_, open, heard,
-                                            calls = calls_](grpc::Status status) {
-    stage->post([open, heard, ok = status.ok()] { heard(ok, open->answer); });
-    const std::lock_guard lock(calls->mutex);
-    calls->open.erase(&open->context);
-    calls->ended.notify_all();
-  };
-  method(stub(agent).async(), &open->context, &open->ask, &open->answer, done);
-}
-
 struct Coordinator::One final : Rollout::Host {
   One(Coordinator& c, const fleet::RolloutPlan& plan, std::int64_t begun)
       : owner(c), begun_unix_ms(begun), rollout(*this, plan) {}
@@ -83,8 +47,8 @@
     ask.set_lease_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(rollout.plan().lease).count()));
     ask.set_take_over(rollout.plan().take_over);
     const Span sent = now();
-    owner.call<v1::ClaimAsk, v1::ClaimAnswer>(
-        agent, [](auto* to, auto... what) { to->Claim(what...); }, ask,
+    owner.peers_.call<v1::ClaimAsk, v1::ClaimAnswer>(
+        agent, answers_within, [](auto* to, auto... what) { to->Claim(what...); }, ask,
         while_here([this, agent, instances, sent](bool ok, const v1::ClaimAnswer& answer) {
           if (!ok) {
             if (rollout.state() == Rollout::State::claiming)
@@ -108,8 +72,8 @@
     for (const std::string& instance : instances) ask.add_instances(instance);
     ask.set_lease_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(rollout.plan().lease).count()));
     const Span sent = now();
-    owner.call<v1::Renewal, v1::Renewed>(
-        agent, [](auto* to, auto... what) { to->Renew(what...); }, ask,
+    owner.peers_.call<v1::Renewal, v1::Renewed>(
+        agent, answers_within, [](auto* to, auto... what) { to->Renew(what...); }, ask,
         while_here([this, agent, sent](bool ok, const v1::Renewed& answer) {
           if (ok) rollout.renewed(now(), sent, agent, answer.live());
         }));
@@ -117,16 +81,16 @@
   void release(const std::string& agent) override {
     v1::Operation ask;
     ask.set_id(rollout.plan().id);
-    owner.call<v1::Operation, v1::Empty>(
-        agent, [](auto* to, auto... what) { to->Release(what...); }, ask,
+    owner.peers_.call<v1::Operation, v1::Empty>(
+        agent, answers_within, [](auto* to, auto... what) { to->Release(what...); }, ask,
         [](bool, const v1::Empty&) {});  // where it is lost, the lease runs out
   }
   void step(const std::string& agent, const std::string& instance, const fleet::Step& step) override {
     v1::StepAsk ask;
     ask.set_instance(instance);
     *ask.mutable_step() = to_wire(step);
-    owner.call<v1::StepAsk, v1::StepAnswer>(
-        agent, [](auto* to, auto... what) { to->DoStep(what...); }, ask,
+    owner.peers_.call<v1::StepAsk, v1::StepAnswer>(
+        agent, answers_within, [](auto* to, auto... what) { to->DoStep(what...); }, ask,
         while_here([this, agent, instance, step](bool ok, const v1::StepAnswer& answer) {
           if (ok) return rollout.step_answered(now(), instance, answer.accepted(), answer.fault());
           // Only while its own claim lasts: later it would be refused.
@@ -137,9 +101,9 @@
         }));
   }
   void ask_fleet() override {
-    for (const auto& [agent, stub] : owner.stubs_) {
-      owner.call<v1::Empty, v1::Shown>(
-          agent, [](auto* to, auto... what) { to->Show(what...); }, {},
+    for (const std::string& agent : owner.peers_.names()) {
+      owner.peers_.call<v1::Empty, v1::Shown>(
+          agent, answers_within, [](auto* to, auto... what) { to->Show(what...); }, {},
           while_here([this](bool ok, const v1::Shown& shown) {
             if (ok) heard(shown);
           }));
@@ -177,12 +141,8 @@
   const std::shared_ptr<bool> here = std::make_shared<bool>(true);
 };
 
-Coordinator::Coordinator(net::Stage& stage, const Charter& charter, store::Store& store,
-                         const std::string& trouble)
-    : stage_(stage), charter_(charter), store_(store), trouble_(trouble), calls_(std::make_shared<Calls>()) {
-  stubs_[charter_.name] = v1::Agent::NewStub(channel_to(charter_.control, charter_.name, charter_.tls));
-  for (const auto& [name, reach] : charter_.peers)
-    stubs_[name] = v1::Agent::NewStub(channel_to(reach, name, charter_.tls));
+Coordinator::Coordinator(net::Stage& stage, Peers& peers, store::Store& store, const std::string& trouble)
+    : stage_(stage), peers_(peers), store_(store), trouble_(trouble) {
   if (trouble_.empty()) {
     for (const store::KeptRollout& kept : store_.rollouts(50)) {
       if (fleet::is_over(kept.state)) {
@@ -196,15 +156,7 @@
   wake();
 }
 
-// No call's end may reach a stage that has gone.
-Coordinator::~Coordinator() {
-  *alive_ = false;
-  std::unique_lock lock(calls_->mutex);
-  for (grpc::ClientContext* context : calls_->open) context->TryCancel();
-  calls_->ended.wait(lock, [this] { return calls_->open.empty(); });
-}
-
-v1::Agent::Stub& Coordinator::stub(const std::string& agent) { return *stubs_.at(agent); }
+Coordinator::~Coordinator() { *alive_ = false; }
 
 void Coordinator::wake() {
   for (const auto& [id, one] : rollouts_) one->rollout.woken(stage_.loop().now());
@@ -213,20 +165,11 @@
   });
 }
 
-void Coordinator::change(const Charter& next) {
-  for (const auto& [name, reach] : next.peers) {
-    const auto known = charter_.peers.find(name);
-    if (known != charter_.peers.end() && known->second.text == reach.text) continue;
-    stubs_[name] = v1::Agent::NewStub(channel_to(reach, name, charter_.tls));
-    charter_.peers[name] = reach;
-  }
-}
-
 std::string Coordinator::start(const fleet::RolloutPlan& plan) {
   if (!trouble_.empty()) return trouble_;
   if (rollouts_.contains(plan.id)) return "";  // the same ask again
   for (const fleet::Target& target : plan.targets) {
-    if (!stubs_.contains(target.agent)) return "agent " + target.agent + " is not known here";
+    if (!peers_.know(target.agent)) return "agent " + target.agent + " is not known here";
   }
   // Those that are over stay to be looked at; so many, and the oldest go.
   constexpr std::size_t most = 50;
--- /dev/null
+++ b/src/agent/herald.h
@@ -0,0 +1,48 @@
+// An agent's part in the bulletin: says how its own instances are, asks the others when fleet/asking is due,
+// and answers them. What it says and believes, fleet/bulletin decides. Where its disk can't be used it
+// listens only.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "agent/peers.h"
+#include "agent/warden.h"
+#include "fleet/asking.h"
+#include "fleet/bulletin.h"
+
+namespace pearchute::agent {
+
+class Herald final : public fleet::Bulletin::Host {
+ public:
+  // Lives on the stage's loop. The seed has to be another at each start.
+  Herald(net::Stage& stage, const Charter& charter, Warden& warden, Peers& peers, std::uint64_t seed);
+  ~Herald() override { *alive_ = false; }
+  void change(const Charter& next);
+  void answer(const v1::Question& question, v1::Bulletin& bulletin);
+  void tell(v1::Shown& shown) const;  // of whom how much is known
+
+ private:
+  // An instance as it was at the last beat.
+  struct Before {
+    fleet::Condition condition{};
+    std::uint64_t life = 0, done = 0, answered = 0;
+    Span since{}, looked{};
+    double traffic = 0, share = 1;
+  };
+  bool keep_incarnation(std::uint64_t incarnation) override;
+  void told(const std::string& agent, std::string_view what) override;
+  void beat();
+  void ask(const std::string& peer);
+  std::vector<fleet::Word> own_words();
+
+  net::Stage& stage_;
+  Warden& warden_;
+  Peers& peers_;
+  fleet::Bulletin bulletin_;
+  fleet::Asking asking_;
+  std::map<std::string, Before> before_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace pearchute::agent
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -6,9 +6,11 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <iostream>
+#include <random>
 
 #include "agent/coordinator.h"
 #include "agent/doors.h"
+#include "agent/herald.h"
 #include "agent/warden.h"
 #include "agent/wire.h"
 #include "faults/fault.h"
@@ -29,10 +31,11 @@
 // Each call runs on the loop, where all else does; its own thread waits.
 class Service final : public v1::Agent::Service {
  public:
-  Service(net::Stage& stage, Warden& warden, Coordinator& coordinator, const Charter& charter)
+  Service(net::Stage& stage, Warden& warden, Coordinator& coordinator, Herald* herald, const Charter& charter)
       : stage_(stage),
         warden_(warden),
         coordinator_(coordinator),
+        herald_(herald),
         name_(charter.name),
         revocations_(charter.tls) {}
 
@@ -50,8 +53,14 @@
         if (seen.under_way) *to.mutable_under_way() = to_wire(*seen.under_way);
         if (seen.last) *to.mutable_last() = to_wire(*seen.last);
       }
+      if (herald_) herald_->tell(*shown);
     });
   }
+  grpc::Status Exchange(grpc::ServerContext* context, const v1::Question* question,
+                        v1::Bulletin* bulletin) override {
+    if (!herald_) return {grpc::StatusCode::FAILED_PRECONDITION, "this agent exchanges no word"};
+    return on(*context, Act::look, "", [&] { herald_->answer(*question, *bulletin); });
+  }
   grpc::Status Claim(grpc::ServerContext* context, const v1::ClaimAsk* ask, v1::ClaimAnswer* to) override {
     return on(*context, ask->take_over() ? Act::take_over : Act::change, ask->who(), [&] {
       if (ask->lease_ms() > 24 * 3600 * 1000) throw MessageFault("a lease out of bounds");
@@ -141,20 +150,24 @@
   net::Stage& stage_;
   Warden& warden_;
   Coordinator& coordinator_;
+  Herald* const herald_;
   const std::string name_;
   Revocations revocations_;
 };
 
 // A file that can't be used leaves all as it was.
 void read_again(const std::string& file, const Charter& charter, net::Stage& stage, Warden& warden,
-                Coordinator& coordinator) {
+                Peers& peers, Herald* herald) {
   try {
     const Charter next = read_charter(file);
     const bool other = next.name != charter.name || next.state != charter.state ||
-                       next.control.text != charter.control.text || next.listen.text != charter.listen.text;
-    if (other) spdlog::warn("the agent's name, state and places take effect at its next start only");
+                       next.control.text != charter.control.text || next.listen.text != charter.listen.text ||
+                       next.exchanges != charter.exchanges;
+    if (other)
+      spdlog::warn("the agent's name, state, places and exchange take effect at its next start only");
     const auto told = stage.on([&] {
-      coordinator.change(next);
+      peers.change(next);
+      if (herald) herald->change(next);
       return warden.change(next);
     });
     for (const std::string& word : told) spdlog::info("{}", word);
@@ -171,12 +184,18 @@
   std::signal(SIGHUP, [](int) { asked_to_read_again = 1; });
   net::Stage stage;
   std::unique_ptr<Warden> warden;
+  std::unique_ptr<Peers> peers;
   std::unique_ptr<Coordinator> coordinator;
+  std::unique_ptr<Herald> herald;
   stage.on([&] {
     warden = std::make_unique<Warden>(stage.loop(), charter);
-    coordinator = std::make_unique<Coordinator>(stage, charter, warden->store(), warden->trouble());
+    peers = std::make_unique<Peers>(stage, charter);
+    coordinator = std::make_unique<Coordinator>(stage, *peers, warden->store(), warden->trouble());
+    std::random_device chance;
+    const std::uint64_t seed = static_cast<std::uint64_t>(chance()) << 32 | chance();
+    if (charter.exchanges) herald = std::make_unique<Herald>(stage, charter, *warden, *peers, seed);
   });
-  Service service(stage, *warden, *coordinator, charter);
+  Service service(stage, *warden, *coordinator, herald.get(), charter);
   grpc::ServerBuilder builder;
   // Bounds: of threads, of a message (the largest is a plan of some thousand instances), and of idle
   // connections.
@@ -199,10 +218,10 @@
     ::usleep(50'000);
     if (!asked_to_read_again) continue;
     asked_to_read_again = 0;
-    read_again(file, charter, stage, *warden, *coordinator);
+    read_again(file, charter, stage, *warden, *peers, herald.get());
   }
   server->Shutdown(std::chrono::system_clock::now() + milliseconds(500));
-  stage.on([&] { coordinator.reset(), warden.reset(); });
+  stage.on([&] { herald.reset(), coordinator.reset(), peers.reset(), warden.reset(); });
   spdlog::info("agent {} ends; its instances go on", charter.name);
   return 0;
 }
--- a/src/agent/warden.cpp
+++ b/src/agent/warden.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <nlohmann/json.hpp>
 
@@ -26,11 +27,11 @@
 // What was last seen of one instance.
 struct Warden::Eye {
   std::unique_ptr<admin::Caller> caller;
-  bool looking = false, answers = false;
+  bool looking = false, answers = false, looked = false;
   std::string phase, rest;
   std::int64_t pid = 0;
   int version = 0;  // by which its process was started
-  std::uint64_t done = 0, answered = 0;
+  std::uint64_t done = 0, answered = 0, open = 0, life = 0;
 };
 
 Warden::Warden(net::Loop& loop, const Charter& charter)
@@ -127,6 +128,7 @@
     one.instance = name, one.zone = owned.zone;
     const Eye& eye = *eyes_.at(name);
     one.pid = eye.pid, one.done = eye.done, one.answered = eye.answered;
+    one.open = eye.open, one.life = eye.life;
     if (!keeper_) {
       one.condition = !eye.answers             ? fleet::Condition::unseen
                       : eye.rest == "drained"  ? fleet::Condition::drained
@@ -154,11 +156,12 @@
     call.mutable_status();
     eye->caller->call(call, answers_within, [this, name = name](CallEnd end, const admin::v1::Reply& reply) {
       Eye& seen = *eyes_.at(name);
-      seen.looking = false;
+      seen.looking = false, seen.looked = true;
       seen.answers = end == CallEnd::answered && reply.outcome() == admin::v1::ok;
       const admin::v1::Identity& identity = reply.status().identity();
       seen.phase = identity.phase(), seen.rest = identity.rest();
       seen.pid = static_cast<std::int64_t>(identity.pid());
+      seen.life = identity.started_unix_ms(), seen.open = reply.status().open_jobs();
       const auto counters = nlohmann::json::parse(reply.status().counters(), nullptr, false);
       if (counters.is_object() && counters.contains("answered")) {
         const auto& answers = counters["answered"];
@@ -174,6 +177,10 @@
   });
 }
 
+bool Warden::looked_at_all() const {
+  return std::ranges::all_of(eyes_, [](const auto& one) { return one.second->looked; });
+}
+
 void Warden::looked(const std::string& name) {
   if (!keeper_) return;
   const Eye& eye = *eyes_.at(name);
--- a/src/agent/warden.h
+++ b/src/agent/warden.h
@@ -37,12 +37,14 @@
     int version = 0, falls = 0;
     std::int64_t pid = 0;
     std::uint64_t done = 0, answered = 0;  // jobs, since its process started
+    std::uint64_t open = 0, life = 0;      // jobs now; which process it is, by when it says that it started
     std::optional<fleet::Claim> claim;     // `until` as on this agent's clock
     std::optional<fleet::Step> under_way;
     std::optional<fleet::Life::Past> last;
   };
   std::vector<Seen> seen() const;
   const std::string& trouble() const { return trouble_; }  // empty: it takes orders
+  bool looked_at_all() const;                              // since the start
   bool settled() const { return !keeper_ || keeper_->settled(); }
 
  private:
--- a/src/agent/wire.cpp
+++ b/src/agent/wire.cpp
@@ -1,7 +1,7 @@
 #include "agent/wire.h"
 
 #include <array>
-#include <stdexcept>
+#include <cmath>
 
 namespace pearchute::agent {
 
@@ -64,6 +64,56 @@
   return to;
 }
 
+v1::InstanceWord to_wire(const fleet::Word& word) {
+  v1::InstanceWord to;
+  to.set_instance(word.instance), to.set_zone(word.zone);
+  to.set_condition(std::string(word_for(word.condition)));
+  to.set_life(word.life), to.set_lived_us(static_cast<std::uint64_t>(word.lived.count()));
+  to.set_traffic(word.traffic), to.set_done(word.done), to.set_open(word.open);
+  return to;
+}
+
+v1::News to_wire(const fleet::News& news) {
+  v1::News to;
+  to.set_agent(news.agent), to.set_incarnation(news.upto.incarnation), to.set_upto(news.upto.through);
+  to.set_age_us(static_cast<std::uint64_t>(std::max<fleet::Span::rep>(news.age.count(), 0)));
+  to.set_age_known(news.age_known), to.set_since(news.since), to.set_through(news.through);
+  for (const fleet::Entry& entry : news.entries) {
+    v1::Entry& one = *to.add_entries();
+    one.set_number(entry.number), one.set_instance(entry.instance);
+    if (entry.word) *one.mutable_word() = to_wire(*entry.word);
+  }
+  return to;
+}
+
+std::optional<fleet::News> from_wire(const v1::News& news) {
+  // A month: beyond it nothing is worth an age, and sums of spans stay far from their end.
+  constexpr std::uint64_t longest_us = 30ULL * 24 * 3600 * 1'000'000;
+  fleet::News to;
+  to.agent = news.agent(), to.upto = {news.incarnation(), news.upto()};
+  if (news.age_us() > longest_us) return std::nullopt;
+  to.age = fleet::Span(static_cast<fleet::Span::rep>(news.age_us())), to.age_known = news.age_known();
+  to.since = news.since(), to.through = news.through();
+  for (const v1::Entry& entry : news.entries()) {
+    fleet::Entry& one = to.entries.emplace_back();
+    one.number = entry.number(), one.instance = entry.instance();
+    if (!entry.has_word()) continue;
+    const v1::InstanceWord& word = entry.word();
+    if (word.instance() != entry.instance() || word.lived_us() > longest_us ||
+        !std::isfinite(word.traffic()) || !std::isfinite(word.done()))
+      return std::nullopt;
+    one.word = {word.instance(),
+                word.zone(),
+                condition_in(word.condition()),
+                word.life(),
+                fleet::Span(static_cast<fleet::Span::rep>(word.lived_us())),
+                word.traffic(),
+                word.done(),
+                word.open()};
+  }
+  return to;
+}
+
 v1::Ended to_wire(const fleet::Life::Past& past) {
   v1::Ended to;
   *to.mutable_step() = to_wire(past.step);
--- a/src/agent/wire.h
+++ b/src/agent/wire.h
@@ -4,6 +4,7 @@
 
 #include "agent.pb.h"
 #include "faults/fault.h"
+#include "fleet/bulletin.h"
 #include "fleet/keeper.h"
 #include "fleet/rollout.h"
 
@@ -14,6 +15,9 @@
 fleet::Condition condition_in(const std::string& word);
 v1::Step to_wire(const fleet::Step& step);
 fleet::Step from_wire(const v1::Step& step);
+v1::InstanceWord to_wire(const fleet::Word& word);
+v1::News to_wire(const fleet::News& news);
+std::optional<fleet::News> from_wire(const v1::News& news);  // none where it holds what can't be
 v1::Ended to_wire(const fleet::Life::Past& past);
 fleet::Life::Past from_wire(const v1::Ended& ended);
 v1::Plan to_wire(const fleet::RolloutPlan& plan);
--- /dev/null
+++ b/src/lab/agent_fleet.cpp
@@ -0,0 +1,253 @@
+#include "lab/agent_fleet.h"
+
+#include <fcntl.h>
+#include <grpcpp/grpcpp.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+
+#include "faults/fault.h"
+
+namespace pearchute::lab {
+
+Agent::~Agent() {
+  if (process > 0) end(SIGKILL);
+}
+
+void Agent::start() {
+  process = fork();
+  if (process != 0) return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const int log = ::open((charter + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  ::dup2(log, 1), ::dup2(log, 2);
+  ::close_range(3, ~0U, 0);
+  ::execl(program.c_str(), "pearchute-agent", "--charter", charter.c_str(), static_cast<char*>(nullptr));
+  ::_exit(127);
+}
+
+void Agent::end(int signal) {
+  if (process <= 0) return;
+  ::kill(process, signal);
+  ::waitpid(process, nullptr, 0);
+  process = -1;
+}
+
+std::optional<agent::v1::Shown> Agent::show() {
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + std::chrono::seconds(1));
+  agent::v1::Shown shown;
+  if (!stub->Show(&context, {}, &shown).ok()) return std::nullopt;
+  return shown;
+}
+
+std::optional<agent::v1::Heard> Agent::heard(const std::string& other) {
+  const auto shown = show();
+  if (!shown) return std::nullopt;
+  for (const auto& one : shown->heard()) {
+    if (one.agent() == other) return one;
+  }
+  return std::nullopt;
+}
+
+agent::v1::ClaimAnswer Agent::claim(const std::string& operation, std::vector<std::string> instances,
+                             bool take_over) {
+  grpc::ClientContext context;
+  agent::v1::ClaimAsk ask;
+  ask.set_operation(operation), ask.set_who(operation), ask.set_lease_ms(2000),
+      ask.set_take_over(take_over);
+  for (auto& one : instances) ask.add_instances(one);
+  agent::v1::ClaimAnswer answer;
+  stub->Claim(&context, ask, &answer);
+  return answer;
+}
+
+agent::v1::StepAnswer Agent::step(const std::string& instance, const std::string& operation, std::uint64_t fence) {
+  grpc::ClientContext context;
+  agent::v1::StepAsk ask;
+  ask.set_instance(instance);
+  ask.mutable_step()->set_operation(operation), ask.mutable_step()->set_fence(fence);
+  ask.mutable_step()->set_kind("resume"), ask.mutable_step()->set_fallback("serve_again");
+  ask.mutable_step()->set_up_within_ms(3000);
+  agent::v1::StepAnswer answer;
+  stub->DoStep(&context, ask, &answer);
+  return answer;
+}
+
+grpc::Status Agent::start_rollout(const agent::v1::Plan& plan, std::string* fault) {
+  grpc::ClientContext context;
+  agent::v1::Said said;
+  const grpc::Status status = stub->StartRollout(&context, plan, &said);
+  *fault = said.fault();
+  return status;
+}
+
+std::string Agent::say(const std::string& id, const std::string& word) {
+  grpc::ClientContext context;
+  agent::v1::Word ask;
+  ask.set_id(id), ask.set_word(word);
+  agent::v1::Said said;
+  const grpc::Status status = stub->Say(&context, ask, &said);
+  return status.ok() ? said.fault() : status.error_message();
+}
+
+agent::v1::Rollout Agent::rollout(const std::string& id) {
+  grpc::ClientContext context;
+  agent::v1::Operation ask;
+  ask.set_id(id);
+  agent::v1::RolloutList list;
+  stub->Rollouts(&context, ask, &list);
+  return list.rollouts_size() == 1 ? list.rollouts(0) : agent::v1::Rollout();
+}
+
+AgentFleet::AgentFleet(const Site& site, std::size_t number, bool relayed)
+    : world(site),
+      authority(world.folder() + "/keys"),
+      agents(number),
+      site_(site),
+      managers_each_((static_cast<std::size_t>(site.managers) + number - 1) / number) {
+  authority.init("site", std::chrono::hours(24));
+  for (std::size_t a = 0; a < agents.size(); ++a) {
+    Agent& one = agents[a];
+    one.name = "a" + std::to_string(a + 1);
+    one.program = site.pearchute_agent;
+    one.charter = world.folder() + "/" + one.name + ".ini";
+    one.control = "unix:" + world.folder() + "/" + one.name + ".sock";
+    one.listen = free_address(200 + a);
+    authority.issue(one.name, fleet::Role::agent, std::chrono::hours(1));
+  }
+  if (relayed) {
+    world.on([&] {
+      relays = std::make_unique<Relays>(world.loop());
+      for (const Agent& from : agents) {
+        for (const Agent& to : agents) {
+          if (from.name != to.name) relays->between(from.name, to.name, to.listen);
+        }
+      }
+    });
+  }
+  for (Agent& one : agents) {
+    write_charter(one);
+    one.start();
+    one.stub =
+        agent::v1::Agent::NewStub(grpc::CreateChannel(one.control, grpc::InsecureChannelCredentials()));
+  }
+}
+
+AgentFleet::~AgentFleet() {
+  for (Agent& one : agents) one.end(SIGKILL);
+  world.on([&] { relays.reset(); });
+}
+
+void AgentFleet::write_charter(const Agent& one, const std::map<std::string, std::string>& more) {
+  std::ofstream charter(one.charter);
+  charter << "[agent]\nname = " << one.name << "\nstate = " << world.folder() << "/" << one.name
+          << ".db\ncontrol = " << one.control << "\nlisten = tls:" << one.listen
+          << "\nexchange = " << (relays ? "yes" : "no")
+          << "\n[tls]\nauthority = " << authority.path("ca.pem")
+          << "\ncertificate = " << authority.path(one.name + ".pem")
+          << "\nkey = " << authority.path(one.name + ".key") << "\nrevoked = " << authority.path("ca.crl")
+          << "\n";
+  for (const Agent& peer : agents) {
+    if (peer.name == one.name || no_peers.contains({one.name, peer.name})) continue;
+    const std::string at =
+        relays ? world.on([&] { return relays->at(one.name, peer.name).address(); }) : peer.listen;
+    charter << "[peer " << peer.name << "]\ncontrol = tls:" << at << "\n";
+  }
+  for (std::size_t m = 0; m < world.managers().size(); ++m) {
+    if (agents[owner_of(m)].name != one.name) continue;
+    const auto& manager = world.managers()[m];
+    if (no_instances.contains(manager.name)) continue;
+    charter << "[instance " << manager.name << "]\nadmin = unix:" << manager.admin
+            << "\nzone = " << manager.zone << "\ncommand = " << command_of(m) << "\nlog = " << manager.log
+            << "\n";
+    if (const auto at = more.find(manager.name); at != more.end()) charter << at->second << "\n";
+  }
+}
+
+std::string AgentFleet::command_of(std::size_t m) {
+  const auto& manager = world.managers()[m];
+  return "exec " + site_.pearchuted + " --config " + manager.configuration + " --admin " +
+         manager.admin_file;
+}
+
+std::map<std::string, agent::v1::Instance> AgentFleet::conditions() {
+  std::map<std::string, agent::v1::Instance> all;
+  for (Agent& one : agents) {
+    const auto shown = one.show();
+    if (!shown) continue;
+    for (const auto& instance : shown->instances()) all[instance.name()] = instance;
+  }
+  return all;
+}
+
+bool AgentFleet::all_serve() {
+  const auto all = conditions();
+  return all.size() == world.managers().size() && std::ranges::all_of(all, [](const auto& one) {
+           return one.second.condition() == "serving" && !one.second.has_under_way();
+         });
+}
+
+agent::v1::Plan AgentFleet::plan(const std::string& id, const std::string& kind) {
+  agent::v1::Plan plan;
+  plan.set_id(id), plan.set_who("ann"), plan.set_kind(kind), plan.set_fallback("serve_again");
+  for (std::size_t m = 0; m < world.managers().size(); ++m) {
+    auto& target = *plan.add_targets();
+    target.set_instance(world.managers()[m].name), target.set_agent(agents[owner_of(m)].name);
+    target.set_zone(world.managers()[m].zone);
+  }
+  plan.set_at_once(1), (*plan.mutable_least_serving())["east"] = 2,
+                       (*plan.mutable_least_serving())["west"] = 1;
+  plan.set_warm_ms(200), plan.set_lease_ms(4000), plan.set_drain_within_ms(4000),
+      plan.set_up_within_ms(8000);
+  plan.set_failures(1);
+  return plan;
+}
+
+agent::v1::Instance AgentFleet::seen(const std::string& name) {
+  agent::v1::Instance found;
+  const bool told = wait_for([&] {
+    const auto all = conditions();
+    const auto at = all.find(name);
+    if (at != all.end()) found = at->second;
+    return at != all.end();
+  });
+  if (!told) throw SiteFault("no agent tells of " + name, world.folder());
+  return found;
+}
+
+agent::v1::Heard AgentFleet::heard(std::size_t who, std::size_t whom) {
+  agent::v1::Heard found;
+  const bool told = wait_for([&] {
+    const auto one = agents[who].heard(agents[whom].name);
+    if (one) found = *one;
+    return one.has_value();
+  });
+  if (!told) throw SiteFault(agents[who].name + " does not tell of " + agents[whom].name, world.folder());
+  return found;
+}
+
+bool AgentFleet::knows_well(std::size_t who, std::size_t whom) {
+  const auto known = agents[who].heard(agents[whom].name);
+  const auto own = agents[whom].show();
+  if (!known || !own || known->freshness() != "fresh" || known->words_size() != own->instances_size()) return false;
+  return std::ranges::all_of(known->words(), [&](const auto& word) {
+    return std::ranges::any_of(own->instances(), [&](const auto& one) {
+      return one.name() == word.instance() && one.condition() == word.condition();
+    });
+  });
+}
+
+bool AgentFleet::all_know() {
+  for (std::size_t a = 0; a < agents.size(); ++a) {
+    for (std::size_t b = 0; b < agents.size(); ++b) {
+      if (a != b && !knows_well(a, b)) return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace pearchute::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -101,11 +101,10 @@
   app.require_subcommand(1);
   Bench bench;
   bench.programs = std::filesystem::read_symlink("/proc/self/exe").parent_path();
-  const std::map<std::string, int (*)(const Bench&)> measurements = {{"drain", measure_drain},
-                                                                     {"fleet-status", measure_fleet_status},
-                                                                     {"rollout", measure_rollout},
-                                                                     {"managers", measure_managers},
-                                                                     {"list", measure_list}};
+  const std::map<std::string, int (*)(const Bench&)> measurements = {
+      {"drain", measure_drain},     {"fleet-status", measure_fleet_status},
+      {"rollout", measure_rollout}, {"managers", measure_managers},
+      {"list", measure_list},       {"word", measure_word}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
   std::vector<std::string> names;
--- a/src/lab/measure.h
+++ b/src/lab/measure.h
@@ -18,5 +18,6 @@
 int measure_rollout(const Bench& bench);
 int measure_managers(const Bench& bench);
 int measure_list(const Bench& bench);
+int measure_word(const Bench& bench);
 
 }  // namespace pearchute::lab
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -23,7 +23,8 @@
   int cores = 8;
   double memory_mb = 8000;
   std::uint64_t seed = 1;
-  std::string pearchuted;                     // the program
+  std::string pearchuted;  // the programs
+  std::string pearchute_agent;
   bool starts_managers = true;                // else agents do
   std::chrono::milliseconds slowest{4000};    // the longest job timeout
   int sockets = 512, manager_memory_mb = 48;  // what a manager is told that it may have
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -120,7 +120,7 @@
     SQLite::Transaction probe(*database_);
     database_->exec("CREATE TABLE IF NOT EXISTS probe (x); DROP TABLE probe;");
     probe.commit();
-    instances(), processes(), rollouts(1);
+    instances(), processes(), rollouts(1), incarnation();
     return Opened::usable;
   } catch (const SQLite::Exception& error) {
     const int code = error.getErrorCode();
@@ -151,6 +151,8 @@
         " stages TEXT NOT NULL, word TEXT NOT NULL, begun_unix_ms INTEGER NOT NULL);");
   }
   if (from < 3) database_->exec("ALTER TABLE process ADD COLUMN version INTEGER NOT NULL DEFAULT 0;");
+  if (from < 4)
+    database_->exec("CREATE TABLE speaker (one INTEGER PRIMARY KEY, incarnation INTEGER NOT NULL);");
 }
 
 bool Store::transact(const std::function<void()>& what) {
@@ -243,6 +245,19 @@
   });
 }
 
+bool Store::write_incarnation(std::uint64_t incarnation) {
+  return transact([&] {
+    SQLite::Statement put(*database_, "INSERT OR REPLACE INTO speaker VALUES (1, ?)");
+    put.bind(1, static_cast<std::int64_t>(incarnation));
+    put.exec();
+  });
+}
+
+std::uint64_t Store::incarnation() const {
+  SQLite::Statement get(*database_, "SELECT incarnation FROM speaker WHERE one = 1");
+  return get.executeStep() ? static_cast<std::uint64_t>(get.getColumn(0).getInt64()) : 0;
+}
+
 std::map<std::string, Keeper::Kept> Store::instances() const {
   std::map<std::string, Keeper::Kept> all;
   SQLite::Statement get(*database_, "SELECT * FROM instance");
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -45,7 +45,7 @@
   // Creates the file, or brings an older one to this version. `fault` says what is wrong where it is not
   // usable; the file is left as it is.
   Opened open(std::string& fault);
-  static constexpr int version = 3;
+  static constexpr int version = 4;
   static const std::vector<const char*>& points();
 
   // False where it can't be written (see fault()): nothing of it is, then.
@@ -53,10 +53,12 @@
   bool write_process(const std::string& instance, const std::optional<Process>& process);
   bool forget(const std::string& instance);
   bool write_rollout(const KeptRollout& rollout);
+  bool write_incarnation(std::uint64_t incarnation);  // under which this agent speaks
   const std::string& fault() const { return fault_; }
 
   std::map<std::string, fleet::Keeper::Kept> instances() const;
   std::map<std::string, Process> processes() const;
+  std::uint64_t incarnation() const;                          // the last that was written; 0: none
   std::vector<KeptRollout> rollouts(std::size_t most) const;  // the newest first
 
  private:
--- a/tests/test_agent_troubles.cpp
+++ b/tests/test_agent_troubles.cpp
@@ -1,7 +1,21 @@
 // What goes wrong round agents, with real processes: one that is stopped beyond its lease and goes on,
 // somebody else on an instance's address, a new command that does not come up, a job that will not end, a
 // charter that changes while they run.
-#include "agents.h"
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <cstdio>
+#include <fstream>
+
+#include "agent/charter.h"
+#include "agent/doors.h"
+#include "agent/processes.h"
+#include "lab/agent_fleet.h"
+#include "lab/managers.h"
 
 using namespace pearchute;
 using namespace pearchute::lab;
@@ -12,7 +26,8 @@
 
 int main() {
   Site site;
-  site.managers = 5, site.engines = 4, site.pearchuted = PEARCHUTED, site.starts_managers = false;
+  site.managers = 5, site.engines = 4, site.pearchuted = PEARCHUTED, site.pearchute_agent = PEARCHUTE_AGENT,
+  site.starts_managers = false;
   AgentFleet fleet(site);
   World& world = fleet.world;
   Agent &first = fleet.agents[0], &second = fleet.agents[1], &third = fleet.agents[2];
--- a/tests/test_agents.cpp
+++ b/tests/test_agents.cpp
@@ -1,7 +1,21 @@
 // Agents as processes: they start and adopt their instances, keep claims, know callers by their certificates,
 // and carry a rollout through while one of them is killed, with load on. The users' own test: five managers,
 // three agents, stand-in engines.
-#include "agents.h"
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <cstdio>
+#include <fstream>
+
+#include "agent/charter.h"
+#include "agent/doors.h"
+#include "agent/processes.h"
+#include "lab/agent_fleet.h"
+#include "lab/managers.h"
 
 using namespace pearchute;
 using namespace pearchute::lab;
@@ -118,7 +132,8 @@
 int main() {
   processes();
   Site site;
-  site.managers = 5, site.engines = 4, site.pearchuted = PEARCHUTED, site.starts_managers = false;
+  site.managers = 5, site.engines = 4, site.pearchuted = PEARCHUTED, site.pearchute_agent = PEARCHUTE_AGENT,
+  site.starts_managers = false;
   AgentFleet fleet_of(site);
   World& world = fleet_of.world;
   std::vector<Agent>& agents = fleet_of.agents;
