What has not left its socket when a job is answered never leaves

Traced: nine dispatches left after their job's answer, each the first of two, on a connection that took 200 to 275 ms to come up; the copy elsewhere had answered meanwhile. Ruled out: second answers taken for firsts, dispatches made after the answer (none in the trace), held-up loops (none logged). At fault: WorkloadManager::over() calls off nothing where the settings allow no calling off, and Front::settle_account() left what its sockets still kept back. Change: at a job's end, by answer or withdrawal, the front takes back what has not left; it ends as never sent. A dispatch that is called off while it waits in a socket's buffer is taken back the same way. Test: test_daemon, an engine whose door opens late; fails without the change.

--- a/src/engines/engines.cpp
+++ b/src/engines/engines.cpp
@@ -71,13 +71,17 @@
     wire_->offer();
   }
 
-  // True where it has left, so that the engine has to hear of it.
-  bool never_mind(DispatchKey key) {
-    if (std::erase_if(kept_back_, [&](const Kept& kept) { return kept.key == key; }) > 0) return false;
+  // False where it has left, so that the engine has to hear of it.
+  bool take_back(DispatchKey key) {
+    if (std::erase_if(kept_back_, [&](const Kept& kept) { return kept.key == key; }) > 0) return true;
+    const auto unsent = wire_->waiting() > 0 ? talk_.take_back(wire_->written(), key) : std::nullopt;
+    if (unsent) wire_->skip(unsent->second);
+    return unsent.has_value();
+  }
+  void never_mind(DispatchKey key) {
     std::string out;
     talk_.never_mind(key, out);
     wire_->send(out);
-    return true;
   }
   void lose_patience(DispatchKey key) {
     in_doubt_ = true;
@@ -313,13 +317,9 @@
 void Engines::never_mind(DispatchKey key) {
   const auto it = on_.find(key);
   if (it == on_.end()) return;
+  if (take_back(key, Outcome::stopped)) return;
   ++counters_.never_minds;
-  if (!it->second->never_mind(key)) {
-    on_.erase(it);
-    return loop_.soon([this, alive = alive_, key] {
-      if (*alive) listener_.talk_ended(key, Outcome::stopped, {});
-    });
-  }
+  it->second->never_mind(key);
   // What the platform allows on top of its time limits; a connection that is so slow says nothing any more.
   loop_.at(loop_.now() + milliseconds(50), [this, alive = alive_, key] {
     if (!*alive) return;
@@ -328,6 +328,16 @@
   });
 }
 
+bool Engines::take_back(DispatchKey key, Outcome ends_as) {
+  const auto it = on_.find(key);
+  if (it == on_.end() || !it->second->take_back(key)) return false;
+  on_.erase(it);
+  loop_.soon([this, alive = alive_, key, ends_as] {
+    if (*alive) listener_.talk_ended(key, ends_as, {});
+  });
+  return true;
+}
+
 void Engines::hurry(DispatchKey key, int priority) {
   const auto it = on_.find(key);
   if (it == on_.end()) return;
--- a/src/engines/engines.h
+++ b/src/engines/engines.h
@@ -28,6 +28,8 @@
   void forget_others(const std::set<EngineId>& named);
   void want(EngineId engine, DispatchKey key, const Want& want);
   void never_mind(DispatchKey key);  // it still ends once, as stopped if nothing else
+  // True where it has not left: it never does, and ends so, after this event.
+  bool take_back(DispatchKey key, Outcome ends_as);
   void hurry(DispatchKey key, int priority);
   // What has not left for it ends as unreachable, now; what has left goes on.
   void withhold(EngineId engine);
--- a/src/engines/resp.cpp
+++ b/src/engines/resp.cpp
@@ -129,9 +129,11 @@
   open.length = static_cast<std::size_t>(put_ - open.starts_at);
 }
 
-std::optional<std::pair<DispatchKey, std::size_t>> EngineTalk::take_back(std::uint64_t bytes_left) {
+std::optional<std::pair<DispatchKey, std::size_t>> EngineTalk::take_back(std::uint64_t bytes_left,
+                                                                         std::optional<DispatchKey> only) {
   const auto it = std::ranges::find_if(open_, [&](const auto& one) {
-    return one.second.starts_at == bytes_left && one.second.farewell.empty();
+    return one.second.starts_at == bytes_left && one.second.farewell.empty() &&
+           (!only || one.second.key == *only);
   });
   if (it == open_.end()) return std::nullopt;
   const std::pair taken{it->second.key, it->second.length};
--- a/src/engines/resp.h
+++ b/src/engines/resp.h
@@ -81,8 +81,9 @@
   // The connection is gone: what is open ends as reset, or as `unsent` where nothing of it had left.
   void broke(std::uint64_t bytes_left);
   // The dispatch of which nothing has left after so many bytes, with the length of its command, where there
-  // is one: it is forgotten, and its listener is not told.
-  std::optional<std::pair<DispatchKey, std::size_t>> take_back(std::uint64_t bytes_left);
+  // is one (and that one only, where it is named): it is forgotten, and its listener is not told.
+  std::optional<std::pair<DispatchKey, std::size_t>> take_back(
+      std::uint64_t bytes_left, std::optional<DispatchKey> only = std::nullopt);
   std::size_t open() const { return open_.size(); }
   // Whether an answer under this id may still come: one that was given up, or a second copy of one that came.
   bool knows(std::string_view id) const;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -211,9 +211,13 @@
 
 Front::~Front() = default;
 
-void Front::settle_account(OpenJob& job) {
+void Front::settle_account(JobId id, OpenJob& job) {
   if (!job.answered) owed_ -= 1;
   job.answered = true;
+  // Guards against a dispatch that leaves after the final answer, once its connection is up: where nothing
+  // can be called off the module leaves alone what is out, and only the sockets know that this never went
+  // out.
+  for (const Sent& sent : job.out) engines_.take_back({id, sent.number}, Outcome::never_sent);
   statement_bytes_ -= job.statement.size();
   job.statement = {};
 }
@@ -285,7 +289,7 @@
   if (it == jobs_.end()) return;
   it->second.caller.reset();
   if (it->second.has_path || it->second.answered) return;  // it may call the path again
-  settle_account(it->second);
+  settle_account(*id, it->second);
   ++counters_.withdrawn;
   manager_.job_withdrawn(loop_.now(), *id);
   forget_if_done(*id);
@@ -338,7 +342,7 @@
     if (job.caller) respond(*job.caller, 404, "", fault("withdrawn"));
     job.caller.reset();
     const bool open = !job.answered;
-    settle_account(job), job.status = 0;
+    settle_account(*id, job), job.status = 0;
     respond(client.id(), 200, "", "{}");
     if (open) {
       ++counters_.withdrawn;
@@ -457,7 +461,7 @@
 
 void Front::answer(JobId id, OpenJob& job, int status, std::string headers, std::string body) {
   if (job.answered) return;
-  settle_account(job);
+  settle_account(id, job);
   if (const Span late = loop_.now() - job.end; late > Span(0)) {
     PEARCHUTE_LOG(spdlog::level::warn, "job {} is answered {} ms after its end", job.id, late.count() / 1000);
   }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -112,7 +112,7 @@
   void respond(ClientId client, int status, std::string_view headers, std::string_view body);
   void answer(JobId id, OpenJob& job, int status, std::string headers, std::string body);
   void give_path(JobId id);
-  void settle_account(OpenJob& job);
+  void settle_account(JobId id, OpenJob& job);
   void forget_answer_at(Span when, JobId id);
   void forget_if_done(JobId id);
   void drop(Client& client);
--- a/tests/test_daemon.cpp
+++ b/tests/test_daemon.cpp
@@ -195,6 +195,74 @@
   stage.on([&] { engines.reset(); });
 }
 
+// A connection to an engine that comes up late, where nothing can be called off: a job that has had its end
+// by then is not sent any more; one that waits still is.
+void late_connection(const std::string& folder) {
+  int port = 0, own = 0;
+  const int late = listen_on(port);
+  assert(listen(late, 0) == 0);
+  std::vector<int> before;  // fill the backlog: whoever comes now waits for a place
+  for (int i = 0; i < 2; ++i) {
+    before.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    sockaddr_in at{};
+    at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port = htons(static_cast<std::uint16_t>(port));
+    connect(before.back(), reinterpret_cast<sockaddr*>(&at), sizeof at);
+  }
+  close(listen_on(own));
+  const std::string configuration = folder + "/late.json";
+  std::ofstream(configuration) << R"({"name":"t","listen":"127.0.0.1:)" << own
+                               << R"(","seed":"1","limits":{"sockets":128},"known":{"cursor":1,"cmds":[
+    {"cursor":1,"nodes":{"revision":1,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:)"
+                               << port << R"(","locality":"east","flavor":"std","cell":0,"phase":"active",
+     "up_since_ms":0}]}}]},"settings":{"classes":[
+    {"name":"quick","repeat":"pure","slo":4000000,"giveUp":8000000,"worth":1}],
+    "hostTypes":["std"],"failureDomains":["east"],"zone":"east","nInstances":1,
+    "familyInfo":{"coresByKind":[8],"sizeMb":[8000]},
+    "limits":{"attemptsCap":3,"connectTimeout":6000000,"idleClose":15000000,"streamsPerConn":1}}})";
+  const pid_t daemon = start(configuration);
+  int leaver = -1;
+  assert(soon([&] { return (leaver = connect_to(own)) >= 0; }));
+  say(leaver, job("work=1 FROM a_1.t", 8000));
+  const std::string left = id_of(next_id - 1);
+  const int stayer = connect_to(own);
+  say(stayer, job("work=2 FROM a_1.t", 8000));
+  const std::string stays = id_of(next_id - 1);
+  assert(soon([&] {  // both are out, for all that the manager knows
+    const int fd = connect_to(own);
+    say(fd, "GET /counters HTTP/1.1\r\n\r\n");
+    const bool out = hear(fd).find("\"dispatches\":2,\"clients\"") != std::string::npos;
+    close(fd);
+    return out;
+  }));
+  close(leaver);
+  assert(soon([&] {
+    const int fd = connect_to(own);
+    say(fd, "GET /counters HTTP/1.1\r\n\r\n");
+    const bool gone = hear(fd).find("\"withdrawn\":1") != std::string::npos;
+    close(fd);
+    return gone;
+  }));
+  // The door opens: what comes is the one that still waits.
+  assert(listen(late, 16) == 0);
+  std::string came;
+  for (const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+       came.find(stays) == std::string::npos && std::chrono::steady_clock::now() < end;) {
+    const int fd = accept(late, nullptr, nullptr);
+    const timeval patience{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    char buffer[4096];
+    const auto got = recv(fd, buffer, sizeof buffer, 0);
+    if (got > 0) came.append(buffer, static_cast<std::size_t>(got));
+  }
+  assert(came.find(stays) != std::string::npos && came.find(left) == std::string::npos);
+  kill(daemon, SIGKILL);
+  end_of(daemon);
+  close(stayer), close(late);
+  for (const int fd : before) close(fd);
+  unlink(configuration.c_str());
+}
+
 int main() {
   slow_reader();
   Stage stage;
@@ -359,6 +427,7 @@
   close(late), close(last);
   assert(end_of(daemon) == 0);
   assert(stage.on([&] { return channel->asked(); }) >= 2);
+  late_connection(folder);
   unlink(configuration.c_str()), rmdir(folder);
   stage.on([&] { engine.reset(), channel.reset(), moved.reset(); });
 }
