Signs of life of engine connections are rationed where the settings price probes

A long job was asked after every 0.4 s. At fault: Engines::Link::look() asked without regard to the price, which the settings state. The module's look at what is overdue stays. Test: test_daemon, priced signs.

--- a/src/engines/engines.cpp
+++ b/src/engines/engines.cpp
@@ -45,7 +45,7 @@
     // Guards against a connection that stays open and says nothing: an engine whose machine has gone, answers
     // that never come. Its dispatches need not wait for their job timeouts. A sound engine answers the
     // question at once, however slow its jobs are, so only one that does not get to read is harmed.
-    constexpr milliseconds quiet(400), sign_within(300);
+    constexpr milliseconds sign_within(300);
     if (asked_at_) {
       if (now - *asked_at_ > sign_within) {
         ++owner_.counters_.silent_connections;
@@ -53,8 +53,11 @@
                       engine_.value, busy());
         lost();
       }
-    } else if (now - std::max(heard_, idle_until_) > quiet) {
+    } else if (now - std::max(heard_, idle_until_) > quiet_ && owner_.may_ask()) {
       asked_at_ = now;
+      // Where signs have a price, one that came makes the next less needed: a long job is asked for at
+      // 0.4, 1.2, 2.8 s and so on.
+      if (owner_.limits_.sign_price > 0) quiet_ *= 2;
       std::string out;
       talk_.ask_for_a_sign(out);
       wire_->send(out);
@@ -63,7 +66,7 @@
 
   void want(DispatchKey key, const Want& want, bool again = false) {
     owner_.on_[key] = this;
-    if (busy() == 0) idle_until_ = owner_.loop_.now();
+    if (busy() == 0) idle_until_ = owner_.loop_.now(), quiet_ = first_quiet;
     // Kept back until the connection is up and its socket takes it, so that one given up by then never
     // leaves.
     kept_back_.push_back({key, want, std::string(want.id), std::string(want.kind), std::string(want.token),
@@ -190,7 +193,8 @@
   EngineTalk talk_;
   std::unique_ptr<Wire> wire_;
   std::vector<Kept> kept_back_;
-  Span opened_at_, idle_since_, idle_until_{}, heard_{}, whole_since_{};
+  static constexpr milliseconds first_quiet{400};
+  Span opened_at_, idle_since_, idle_until_{}, heard_{}, whole_since_{}, quiet_{first_quiet};
   std::optional<Span> asked_at_;  // for a sign that it works
   bool in_doubt_ = false;
 };
@@ -258,6 +262,9 @@
 
 void Engines::want(EngineId engine, DispatchKey key, const Want& want) {
   ++counters_.dispatches;
+  constexpr double worth_spent = 0.005, most_saved = 4;
+  if (limits_.sign_price > 0)
+    signs_due_ = std::min(signs_due_ + worth_spent / limits_.sign_price, most_saved);
   Link* link = link_for(engine, want.id);
   if (link) return link->want(key, want);
   loop_.soon([this, alive = alive_, key] {
@@ -265,6 +272,17 @@
   });
 }
 
+// Guards against signs that cost more than what they save: each is priced as a probe, and without a bound a
+// long job was asked after eight times. As many as cost half a point in a hundred of the jobs' worth, which
+// is what the module spends on probes; a few may be saved up for when engines fall silent together. Where
+// they are spent, the module's own look at what is overdue is left.
+bool Engines::may_ask() {
+  if (limits_.sign_price <= 0) return true;
+  if (signs_due_ < 1) return false;
+  signs_due_ -= 1;
+  return true;
+}
+
 // One dispatch to a connection while there is room: what breaks or falls silent takes no others along.
 Engines::Link* Engines::link_for(EngineId engine, std::string_view id) {
   const auto at = places_.find(engine);
--- a/src/engines/engines.h
+++ b/src/engines/engines.h
@@ -52,6 +52,7 @@
   };
   Link* link_for(EngineId engine, std::string_view id);
   bool make_room();
+  bool may_ask();  // a connection for a sign
   void drop(Link& link);
   void drop_unused(Place& place);
   void sweep();
@@ -65,6 +66,7 @@
   std::map<DispatchKey, Link*> on_;
   std::vector<std::unique_ptr<Link>> dropped_;
   std::size_t connections_ = 0;
+  double signs_due_ = 0;
   // What is put off may come up after these have gone.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/lab/engine.cpp
+++ b/src/lab/engine.cpp
@@ -45,7 +45,7 @@
   void wire_brought(std::string_view bytes) override {
     const bool sound = reader_.feed(bytes, [&](std::vector<std::string>& words) {
       if (mute_) return;
-      if (words[0] == "there" && words.size() == 2) say({words[1], "PONG", "-", ""});
+      if (words[0] == "there" && words.size() == 2) ++engine_.signs_, say({words[1], "PONG", "-", ""});
       else if (words[0] == "never_mind" && words.size() == 2) engine_.never_mind(*this, words[1]);
       else if (words[0] == "want" && words.size() == 4) engine_.want(*this, words);
       else if (words[0] == "turn" && words.size() == 3)
--- a/src/lab/engine.h
+++ b/src/lab/engine.h
@@ -42,6 +42,7 @@
   std::uint64_t given_up() const { return given_up_; }
   bool was_given_up(const std::string& job) const { return given_up_jobs_.contains(job); }
   std::uint64_t hung() const { return hung_; }
+  std::uint64_t signs() const { return signs_; }  // of life that it was asked for
   std::size_t running() const { return running_.size() + waiting_.size(); }
 
  private:
@@ -77,7 +78,7 @@
   std::map<std::uint64_t, Run> running_;
   std::vector<Run> waiting_;
   double granted_mb_ = 0;
-  std::uint64_t next_ = 1, begun_ = 0, given_up_ = 0, hung_ = 0;
+  std::uint64_t next_ = 1, begun_ = 0, given_up_ = 0, hung_ = 0, signs_ = 0;
   std::set<std::string> given_up_jobs_, reset_jobs_;  // of faults and tests: a few
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/service/deployment.cpp
+++ b/src/service/deployment.cpp
@@ -117,6 +117,7 @@
   deployment.links.connect_within = span_of(values, "limits.connectTimeout");
   deployment.links.idle_close = span_of(values, "limits.idleClose");
   deployment.links.dispatches_each = static_cast<int>(values.whole("limits.streamsPerConn").value_or(1));
+  deployment.links.sign_price = service.probe_price;
   return deployment;
 }
 
--- a/src/service/deployment.h
+++ b/src/service/deployment.h
@@ -30,6 +30,7 @@
   Span connect_within{};
   Span idle_close{};        // engines close what was idle for so long; 0: never
   int dispatches_each = 1;  // on one connection at once
+  double sign_price = 0;    // of asking a connection for a sign of life, in jobs' worth; 0: free
 };
 
 struct Deployment {
--- a/tests/test_daemon.cpp
+++ b/tests/test_daemon.cpp
@@ -136,6 +136,55 @@
   close(peer), close(fd);  // not before: the loop may see the end sooner than that all is written
 }
 
+struct Ends final : EngineTalk::Listener {
+  std::vector<std::pair<std::uint64_t, Outcome>> ends;
+  void talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string>) override {
+    ends.emplace_back(key.job.value, outcome);
+  }
+  void talk_progress(DispatchKey, double) override {}
+  void talk_spill(DispatchKey, double) override {}
+  void talk_wait(DispatchKey, pearchute::Wait) override {}
+};
+
+// Signs of life by their price: where they are free each quiet connection is asked again and again; where a
+// job's ration is worth one, one or two long jobs are asked for once each; where it is worth a tenth, nobody
+// is.
+void priced_signs(Stage& stage) {
+  struct Case {
+    double price;
+    std::uint64_t least, most;
+  };
+  const Case cases[] = {{0, 4, 1000}, {0.005, 1, 2}, {0.05, 0, 0}};
+  Ends listener;
+  Counters counters;
+  std::vector<std::unique_ptr<StandInEngine>> engines;
+  std::vector<std::unique_ptr<Engines>> sides;
+  stage.on([&] {
+    for (const Case& c : cases) {
+      engines.push_back(std::make_unique<StandInEngine>(stage.loop(), "p", 8, 8000, 1, nullptr));
+      sides.push_back(
+          std::make_unique<Engines>(stage.loop(),
+                                    pearchute::service::LinkLimits{std::chrono::milliseconds(250),
+                                                                   std::chrono::seconds(15), 1, c.price},
+                                    50, listener, counters));
+      sides.back()->place(EngineId{1}, engines.back()->address());
+      for (std::uint64_t n = 0; n < 2; ++n)
+        sides.back()->want(
+            EngineId{1}, {JobId{n}, 0},
+            {.id = "p" + std::to_string(n), .kind = "quick", .token = "", .statement = "fault=hang"});
+    }
+  });
+  for (int i = 0; i < 4000 && stage.on([&] { return engines[0]->signs() < cases[0].least; }); ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  stage.on([&] {
+    for (std::size_t i = 0; i < engines.size(); ++i)
+      assert(engines[i]->signs() >= cases[i].least && engines[i]->signs() <= cases[i].most);
+    assert(listener.ends.empty());
+    sides.clear(), engines.clear();
+    stage.loop().settle();
+  });
+}
+
 // What becomes of a dispatch and of its connection when the engine errs in each way, and that engines that
 // are replaced leave nothing behind.
 void engine_connections(Stage& stage, StandInEngine& engine) {
@@ -149,17 +198,9 @@
                         {"fault=error", Outcome::error, 1}, {"fault=torn", Outcome::reset, 0},
                         {"fault=cut", Outcome::reset, 0},   {"fault=part", Outcome::reset, 0},
                         {"fault=mute", Outcome::reset, 0}};
-  struct Ends final : EngineTalk::Listener {
-    std::vector<std::pair<std::uint64_t, Outcome>> ends;
-    void talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string>) override {
-      ends.emplace_back(key.job.value, outcome);
-    }
-    void talk_progress(DispatchKey, double) override {}
-    void talk_spill(DispatchKey, double) override {}
-    void talk_wait(DispatchKey, pearchute::Wait) override {}
-  } listener;
+  Ends listener;
   Counters counters;
-  const pearchute::service::LinkLimits limits{std::chrono::milliseconds(250), std::chrono::seconds(15), 4};
+  const pearchute::service::LinkLimits limits{std::chrono::milliseconds(250), std::chrono::seconds(15), 4, 0};
   std::unique_ptr<Engines> engines;
   stage.on([&] { engines = std::make_unique<Engines>(stage.loop(), limits, 50, listener, counters); });
   const auto until = [&](const std::function<bool()>& done) {
@@ -280,6 +321,7 @@
     moved->tell({member("s-1", "active")}, true);
   });
   engine_connections(stage, *engine);
+  priced_signs(stage);
   const std::string channel_address = stage.on([&] { return channel->address(); });
   const std::string moved_address = stage.on([&] { return moved->address(); });
   int port = 0;
