--- a/src/ctl/agents.cpp
+++ b/src/ctl/agents.cpp
@@ -101,6 +101,13 @@
     each.push_back(seen.end);
     if (!seen.answered() || !seen.trouble.empty())
       rows.push_back({{"agent", seen.agent}, {"trouble", seen.trouble}, {"answers", seen.answered()}});
+    // What it knows of the other agents, once for each agent.
+    std::string hears = seen.shown.heard_size() > 0 && !seen.shown.speaks() ? "it can't speak itself" : "";
+    for (const auto& heard : seen.shown.heard()) {
+      hears += (hears.empty() ? "" : ", ") + heard.agent() + " " + heard.freshness();
+      if (heard.freshness() != "fresh" && heard.ever()) hears += " (" + in_seconds(heard.age_ms()) + ")";
+      if (heard.disputed()) hears += " (two speak under its name)";
+    }
     for (const auto& instance : seen.shown.instances()) {
       json row = {{"agent", seen.agent},           {"instance", instance.name()},
                   {"zone", instance.zone()},       {"condition", instance.condition()},
@@ -108,6 +115,7 @@
                   {"falls", instance.falls()}};
       if (instance.has_claim())
         row["claimed_by"] = instance.claim().who() + " for " + instance.claim().operation();
+      if (!hears.empty()) row["hears"] = std::exchange(hears, "");
       if (instance.has_under_way()) row["step"] = instance.under_way().kind();
       if (instance.has_last())
         row["last_step"] =
@@ -116,7 +124,7 @@
     }
   }
   output_.rows(rows, {"agent", "instance", "zone", "condition", "version", "pid", "falls", "claimed_by",
-                      "step", "last_step", "trouble"});
+                      "step", "last_step", "hears", "trouble"});
   return fleet::status_of_question(each);
 }
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -104,7 +104,8 @@
   const std::map<std::string, int (*)(const Bench&)> measurements = {
       {"drain", measure_drain},     {"fleet-status", measure_fleet_status},
       {"rollout", measure_rollout}, {"managers", measure_managers},
-      {"list", measure_list},       {"word", measure_word}};
+      {"list", measure_list},       {"word", measure_word},
+      {"parts", measure_parts}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
   std::vector<std::string> names;
--- a/src/lab/measure.h
+++ b/src/lab/measure.h
@@ -19,5 +19,6 @@
 int measure_managers(const Bench& bench);
 int measure_list(const Bench& bench);
 int measure_word(const Bench& bench);
+int measure_parts(const Bench& bench);
 
 }  // namespace pearchute::lab
