The simulated fleets share one timeline

Cause: three models each had an event queue of their own, line for line. Change: lab/timeline, used by the models of rollouts, of the bulletin and of lending.

--- a/src/lab/fleet_model.cpp
+++ b/src/lab/fleet_model.cpp
@@ -3,9 +3,10 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
-#include <queue>
 #include <random>
 
+#include "lab/timeline.h"
+
 namespace pearchute::lab {
 
 using namespace fleet;
@@ -161,7 +162,7 @@
   Span between(unsigned least_ms, unsigned most_ms) {
     return milliseconds(least_ms + chance() % (most_ms - least_ms + 1));
   }
-  void at(Span when, std::function<void()> what) { events.push({when, next_event++, std::move(what)}); }
+  void at(Span when, std::function<void()> what) { time.at(when, std::move(what)); }
   void fault(std::uint64_t& count, const std::string& what) {
     ++count;
     if (result.faults.size() < 10)
@@ -314,17 +315,9 @@
 
   const Shape shape;
   std::knuth_b chance;
-  Span now{};
-  struct Event {
-    Span when;
-    std::uint64_t order;
-    std::function<void()> what;
-    bool operator<(const Event& other) const {
-      return when != other.when ? when > other.when : order > other.order;
-    }
-  };
-  std::priority_queue<Event> events;
-  std::uint64_t next_event = 0, passes = 0, kill_at_pass = 0;
+  Timeline time;
+  const Span& now = time.now;
+  std::uint64_t passes = 0, kill_at_pass = 0;
   int named_passes = 0;
   std::vector<std::unique_ptr<Agent>> agents;
   std::vector<Instance> instances;
@@ -488,12 +481,8 @@
   // Half of the machine's time is not simulated: the fleet rests once nothing is under way any more.
   const Span longest = seconds(400) + plan.lease * 3;
   Span quiet_since{-1};
-  while (!events.empty() && now < longest) {
-    const Event event = events.top();
-    events.pop();
-    now = std::max(now, event.when);
-    pass_time();
-    event.what();
+  while (!time.over() && now < longest) {
+    time.step([&] { pass_time(); });
     for (const auto& one : coordinators) {
       if (std::ranges::find(woken, one.get()) == woken.end())
         woken.push_back(one.get()), coordinate(one.get());
--- a/src/lab/parts_model.cpp
+++ b/src/lab/parts_model.cpp
@@ -4,11 +4,12 @@
 #include <cmath>
 #include <deque>
 #include <functional>
-#include <queue>
 #include <random>
 #include <set>
 #include <utility>
 
+#include "lab/timeline.h"
+
 namespace pearchute::lab {
 
 using namespace fleet;
@@ -62,14 +63,6 @@
       model->carry(*this, to, [this, &to, answer] { to.parts->answered(model->now, name, answer); });
     }
   };
-  struct Event {
-    Span when;
-    std::uint64_t order;
-    std::function<void()> what;
-    bool operator<(const Event& other) const {
-      return when != other.when ? when > other.when : order > other.order;
-    }
-  };
 
   explicit Impl(const Shape& s) : shape(s), chance(static_cast<std::knuth_b::result_type>(s.seed)) {
     for (int e = 0; e < shape.engines; ++e) engines.push_back({"e" + std::to_string(e), 1});
@@ -102,7 +95,7 @@
   }
   std::uint64_t draw(std::uint64_t below) { return chance() % below; }
   bool by(double share) { return static_cast<double>(draw(1'000'000)) < share * 1e6; }
-  void at(Span in, std::function<void()> what) { events.push({now + in, next_order++, std::move(what)}); }
+  void at(Span in, std::function<void()> what) { time.at(now + in, std::move(what)); }
   Agent& of(const std::string& name) { return *agents[static_cast<std::size_t>(std::stoi(name.substr(1)))]; }
 
   void at_agent(Span in, Agent& agent, std::function<void()> what) {
@@ -271,20 +264,10 @@
     for (auto put_off = std::exchange(one.put_off, {}); const auto& what : put_off) what();
   }
 
-  void run(Span until) {
-    while (!events.empty() && events.top().when <= until) {
-      const auto what = events.top().what;
-      now = events.top().when;
-      events.pop();
-      what();
-      ++events_done;
-    }
-    now = until;
-  }
   Result play() {
     const auto from = std::chrono::steady_clock::now();
     while (now < shape.troubled) {
-      run(std::min(now + milliseconds(100 + draw(700)), shape.troubled));
+      time.run(std::min(now + milliseconds(100 + draw(700)), shape.troubled));
       if (shape.kills || shape.stops || shape.cuts) strike();
     }
     shape.loss = 0, cut.clear(), cut_off.clear();
@@ -296,9 +279,9 @@
       if (!manager.alive) begin(manager);
       go_on(manager, manager.life);
     }
-    run(now + shape.calm / 2);  // until leases of before are over, and new ones stand
+    time.run(now + shape.calm / 2);  // until leases of before are over, and new ones stand
     calm = true;
-    run(now + shape.calm / 2);
+    time.run(now + shape.calm / 2);
     result.used /= static_cast<double>(std::max<std::uint64_t>(samples, 1));
     double sum = 0, squares = 0, got = 0, could = 0;
     int busy = 0;
@@ -313,7 +296,7 @@
     for (const auto& agent : agents) result.open_at_end += agent->parts->lent();
     result.decision_us =
         std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - from).count() /
-        static_cast<double>(std::max<std::uint64_t>(events_done, 1));
+        static_cast<double>(std::max<std::uint64_t>(time.steps(), 1));
     result.digest = (result.orders * 1099511628211ULL ^ result.asks) * 1099511628211ULL ^ result.grants ^
                     static_cast<std::uint64_t>(got * 1e6);
     return result;
@@ -321,11 +304,11 @@
 
   Shape shape;
   std::knuth_b chance;
-  Span now{};
-  std::uint64_t next_order = 0, samples = 0, events_done = 0;
+  Timeline time;
+  const Span& now = time.now;
+  std::uint64_t samples = 0;
   int budget = 0;
   bool calm = false;
-  std::priority_queue<Event> events;
   std::vector<ColdEngine> engines;
   std::vector<std::unique_ptr<Agent>> agents;
   std::map<std::string, Manager> managers;
--- a/src/lab/word_model.cpp
+++ b/src/lab/word_model.cpp
@@ -3,11 +3,12 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
-#include <queue>
 #include <random>
 #include <set>
 #include <utility>
 
+#include "lab/timeline.h"
+
 namespace pearchute::lab {
 
 using namespace fleet;
@@ -50,14 +51,6 @@
     void told(const std::string&, std::string_view) override {}
     Span now() const { return model->now + offset; }
   };
-  struct Event {
-    Span when;
-    std::uint64_t order;
-    std::function<void()> what;
-    bool operator<(const Event& other) const {
-      return when != other.when ? when > other.when : order > other.order;
-    }
-  };
   struct Said {
     Span when{};
     Mark mark;
@@ -81,7 +74,7 @@
   }
   std::uint64_t draw(std::uint64_t below) { return chance() % below; }
   bool by(double share) { return static_cast<double>(draw(1'000'000)) < share * 1e6; }
-  void at(Span in, std::function<void()> what) { events.push({now + in, next_order++, std::move(what)}); }
+  void at(Span in, std::function<void()> what) { time.at(now + in, std::move(what)); }
   // For a node as it lives now; one that is stopped does it when it goes on.
   void at_node(Span in, Node& node, std::function<void()> what) {
     const std::uint64_t life = node.life;
@@ -285,18 +278,8 @@
   }
 
   Result play() {
-    const auto run = [&](Span until, const std::function<bool()>& enough = {}) {
-      while (!events.empty() && events.top().when <= until) {
-        const auto what = events.top().what;
-        now = events.top().when;
-        events.pop();
-        what();
-        if (enough && enough()) return;
-      }
-      if (!enough) now = until;
-    };
     while (now < shape.troubled) {
-      run(std::min(now + milliseconds(50 + draw(400)), shape.troubled));
+      time.run(std::min(now + milliseconds(50 + draw(400)), shape.troubled));
       if (by(0.5)) change(any());
       if (shape.kills || shape.stops || shape.cuts || shape.drops) strike();
     }
@@ -309,7 +292,7 @@
       for (auto put_off = std::exchange(node->put_off, {}); const auto& what : put_off) what();
     }
     const Span calm_from = now;
-    run(now + shape.calm, [&] { return all_know(); });
+    time.run(now + shape.calm, [&] { return all_know(); });
     result.settled = now - calm_from;
     for (const auto& node : nodes) {
       for (const auto& other : nodes) {
@@ -330,13 +313,13 @@
       Word& word = node.instances.begin()->second;
       word.condition = word.condition == Condition::down ? Condition::serving : Condition::down, ++word.life;
       const Span from = now;
-      run(now + seconds(20), [&] {
+      time.run(now + seconds(20), [&] {
         return std::ranges::all_of(
             nodes, [&](const auto& one) { return knows(*one, word.instance, word, node.name); });
       });
       result.spread.push_back(now - from);
     }
-    run(now + seconds(5));
+    time.run(now + seconds(5));
     result.bytes_a_second = static_cast<double>(result.bytes - bytes) /
                             std::chrono::duration<double>(now - quiet_from).count() / shape.agents;
     for (const auto& [name, history] : said) {
@@ -351,9 +334,8 @@
 
   Shape shape;
   std::knuth_b chance;
-  Span now{};
-  std::uint64_t next_order = 0;
-  std::priority_queue<Event> events;
+  Timeline time;
+  const Span& now = time.now;
   std::vector<std::unique_ptr<Node>> nodes;
   std::set<std::pair<int, int>> cut;
   std::map<std::string, std::vector<Said>> said;
