What is still owed when a client, a connection, the list or the manager ends is settled

- A client that had a path and closed was left in place: its job, held for room, a cold engine, a resting key or a connection, was sent on when that came about (Front::client_left; "room was begun").
Now the module is told that nobody is there (caller_left): nothing begins, what has not left is taken back, what is out goes on; who calls its path within a second is served (caller_came), and after that a held job is given up.
A path given and never called counts the same.
- An end of file behind unread bytes went unseen while the connection was paused (Client::heed_bounds): same answer.
- Connections in the backlog were reset as the door shut: of 300 that came while the process stood still, some had no answer (Door::shut).
All are accepted first.
- An answer whose client had lost its connection was gone with the process 0.1 s later (Program::watch).
Now it waits a second for it, within what the platform leaves before it kills.
- A run-once job that may have run, or a keyed one past its window, was held to its SLA time though nothing could follow (WorkloadManager::dispatch_ended, beat).
Answered at once; so is what has used up its dispatches.
- A burst of idle connections took the places of clients that had called but were not read yet: 53 of 60 jobs done (Door::on_readable took 64 at a time); a shed connection kept its descriptor until the event was over.
- Where every place had a call open, the newcomer met a bare close; it hears 503, and eight descriptors are for that.
- Engines were blamed (unreachable) for descriptors that ran short here; that is `full` now.
A dispatch of which a part had left counted as one that may have run; it never came whole.
- Settings without kinds of machines turned all estimates away; class names with escapes in the path were not found.
- A close over unread bytes after the last answer is no reset any more (Wire::close).

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -142,6 +142,19 @@
   over(jobs_.at(id)), forget_if_done(id), release(now);
 }
 
+// Guards against work for clients that have gone by the time it begins. What is out goes on, since a client
+// whose connection broke calls again.
+void WorkloadManager::caller_left(Span now, JobId id) {
+  const auto at = jobs_.find(id);
+  if (at != jobs_.end() && !at->second.away_since) at->second.away_since = now;
+}
+
+void WorkloadManager::caller_came(Span now, JobId id) {
+  const auto at = jobs_.find(id);
+  if (at == jobs_.end() || !at->second.away_since) return;
+  at->second.away_since.reset(), release(now);
+}
+
 void WorkloadManager::heard(Span now, JobId id, int number) {
   if (Dispatch* dispatch = find(id, number)) engines_[dispatch->engine].last_word = dispatch->last_note = now;
 }
@@ -164,7 +177,7 @@
   const double usual_ms = ideal_ms(held) * type.best_pace * std::max(1.0, fleet_.stretch);
   // Guards against a bad plan, or whatever is drawn anew for each dispatch: where one takes six times the
   // usual (beyond any estimate's scatter) and a new one would come sooner, start it again.
-  if (whole_ms > 6 * usual_ms && whole_ms - elapsed_ms > 2 * usual_ms && !used_up(held)) {
+  if (whole_ms > 6 * usual_ms && whole_ms - elapsed_ms > 2 * usual_ms && may_begin(held)) {
     dispatch.stopping = true;
     host_.stop_dispatch(id, number);
   }
@@ -248,7 +261,8 @@
     over(held);
   } else if (!held.over && held.out == 0) {
     held.held = true, held_[held.turn] = id;
-    if (now >= held.end || outcome == Outcome::never_sent) return give_up(now, held), release(now);
+    const bool refused = outcome == Outcome::never_sent && !held.away_since;  // else it was taken back
+    if (now >= held.end || refused || spent(now, held)) return give_up(now, held), release(now);
   }
   forget_if_done(id), release(now);
 }
@@ -267,7 +281,7 @@
     if (type.type.holds_data) usual = std::max(usual, type.usual_work_ms.value / type.type.threads);
   engines_[dispatch->engine].told_held[data_set] = now + from_ms(usual * std::max(1.0, fleet_.stretch));
   const bool may_move = rules_.may_stop && !held.over && dispatch->out && !dispatch->stopping &&
-                        !used_up(held) && type_of(held).effect == Effect::restartable;
+                        may_begin(held) && type_of(held).effect == Effect::restartable;
   if (may_move && std::ranges::any_of(engines_, [&](const auto& one) {
         return !data_held(now, one.second, data_set) && may_go_to(now, held, one.second);
       })) {
@@ -314,16 +328,23 @@
   return now < first + type.repeat_window;
 }
 
+// Nothing may follow the dispatches that it had, whatever comes.
+bool WorkloadManager::spent(Span now, const HeldJob& held) const {
+  const ReservationType& type = type_of(held);
+  if (static_cast<int>(held.dispatches.size()) >= rules_.most_dispatches) return true;
+  if (!held.first_doubt || type.effect == Effect::restartable) return false;
+  // Two rounds short of the window: clocks are read a round apart.
+  return type.effect == Effect::run_once ||
+         now + 2 * rules_.round >= *held.first_doubt + type.repeat_window;
+}
+
 // Dispatches past the first: two at once only for a restartable job, and within the ration.
 bool WorkloadManager::may_go(Span now, const HeldJob& held) {
   const ReservationType& type = type_of(held);
   // Not within a round of its end: what is on its way then could come to its engine after the final answer.
-  if (held.over || held.streaming || now + rules_.round >= held.end || used_up(held)) return false;
+  if (held.over || held.streaming || now + rules_.round >= held.end || spent(now, held)) return false;
+  if (!may_begin(held)) return false;
   if (held.out > 0 && (!rules_.second_copies || type.effect != Effect::restartable)) return false;
-  if (type.effect == Effect::run_once && held.first_doubt) return false;
-  // Two rounds short of the window: clocks are read a round apart.
-  if (type.effect == Effect::keyed && held.first_doubt)
-    if (now + 2 * rules_.round >= *held.first_doubt + type.repeat_window) return false;
   if (held.job.key && type.in_order) {
     const OrderLine& line = lines_.at(*held.job.key);
     if (line.jobs.front() != held.job.id) return false;
@@ -390,7 +411,8 @@
   if (since_start < Span(0)) return std::nullopt;
   const auto passed = static_cast<std::uint64_t>(since_start * a_window / rules_.tip_window);
   const auto all = static_cast<std::uint64_t>(rules_.managers);
-  const auto first = shared_hash(DataSetId{a_window}, engine.listed.id) % all;  // whose turn is number 0, backwards
+  // Whose turn is number 0, backwards.
+  const auto first = shared_hash(DataSetId{a_window}, engine.listed.id) % all;
   const auto own = (first + static_cast<std::uint64_t>(rules_.own_number)) % all;
   const std::uint64_t back = (passed + all - own) % all;  // how many turns ago the own one began
   if (back > passed) return std::nullopt;
@@ -772,7 +794,7 @@
     Dispatch& dispatch = held.dispatches[number];
     const Effect effect = type_of(held).effect;
     if (held.over || held.held || held.streaming || dispatch.stopping || dispatch.overdue) continue;
-    if (effect == Effect::run_once || used_up(held)) continue;
+    if (effect == Effect::run_once || !may_begin(held)) continue;
     // No storm: rescues from engines that answer others are earned, one by ten jobs taken.
     if (now >= engine.closed_until && rescues_due_ < 1) continue;
     const bool copy = rules_.second_copies && effect == Effect::restartable;
@@ -866,7 +888,10 @@
   // Held jobs that can no longer make it: an answer now is worth more than one at the end.
   for (auto it = held_.begin(); it != held_.end();) {
     HeldJob& held = jobs_.at((it++)->second);
-    if (held.out == 0 && now + from_ms(ideal_ms(held)) > held.sla_end) give_up(now, held);
+    // A client whose connection broke calls again at once: after a second it does not come.
+    const bool gone = held.away_since && now > *held.away_since + seconds(1);
+    const bool late = now + from_ms(ideal_ms(held)) > held.sla_end;
+    if (held.out == 0 && (late || gone || spent(now, held))) give_up(now, held);
   }
   for (auto it = turns_.begin(); crammed() && it != turns_.end();) {
     HeldJob& held = jobs_.at((it++)->second);
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -41,6 +41,9 @@
   void list_refused(Span now);
   void job_taken(Span now, const Job& job);
   void job_withdrawn(Span now, JobId id);
+  // Nobody is there for it, and somebody may come again: nothing of it leaves meanwhile.
+  void caller_left(Span now, JobId id);
+  void caller_came(Span now, JobId id);
   void stream_started(Span now, JobId job, int number);
   void progress_told(Span now, JobId id, int number, double share_done);
   void spill_told(Span now, JobId id, int number, double missing_mb);
@@ -94,9 +97,11 @@
   }
   bool tiny(const HeldJob& held) const;
   bool data_held(Span now, const Engine& engine, DataSetId data_set) const;
-  bool used_up(const HeldJob& held) const {
-    return static_cast<int>(held.dispatches.size()) >= rules_.most_dispatches;
+  // No dispatch may begin for as long as its client is away, whatever else would allow it.
+  bool may_begin(const HeldJob& held) const {
+    return static_cast<int>(held.dispatches.size()) < rules_.most_dispatches && !held.away_since;
   }
+  bool spent(Span now, const HeldJob& held) const;
   // Rules
   bool may_throttle(Span now, const HeldJob& held) const;
   bool may_go(Span now, const HeldJob& held);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -37,6 +37,7 @@
   std::vector<Dispatch> dispatches;
   int out = 0;
   int overtaken = 0;
+  std::optional<Span> away_since;   // its client has gone, and may come again
   std::optional<Span> first_doubt;  // when the first dispatch that may have run was sent
   ZoneId doubt_zone{-1};
   CellId doubt_cell{};
@@ -79,6 +80,7 @@
   bool trying = false;  // a trial is out
   Span last_word{};
   Span last_full{-1'000'000'000};
+  int fulls = 0;  // in a row
   JobId protected_for{};
   bool protecting = false;
   double protected_bytes = 0;
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -236,14 +236,16 @@
     if (now - asked_at_ > give_up_after_ - milliseconds(100)) front_->send_nothing();
     if (now - asked_at_ > give_up_after_) front_->answer_all();
     if (all_came) front_->send_home();
-    if (all_came && front_->idle()) {
+    // Who has lost its connection may still come for its answer, within what the platform leaves.
+    if (all_came && (front_->idle() || now - asked_at_ > give_up_after_ + milliseconds(50))) {
       door_->shut();
       finishing_since_ = now;
       front_->answer_all();  // what still comes on an open connection is turned away, not taken and lost
       enter(Phase::finishing);
     }
-  } else if (phase_ == Phase::finishing && now - finishing_since_ > milliseconds(100)) {
-    // The last answers are out by then, or have been called for by their paths.
+  } else if (phase_ == Phase::finishing && now - finishing_since_ > milliseconds(100) &&
+             (front_->all_written() || now - asked_at_ > give_up_after_ + milliseconds(150))) {
+    // What crossed the closing of a connection has come by then, and the last answers are out.
     enter(Phase::ended);
     return loop_.stop();
   }
--- a/src/engines/engines.cpp
+++ b/src/engines/engines.cpp
@@ -267,8 +267,11 @@
     signs_due_ = std::min(signs_due_ + worth_spent / limits_.sign_price, most_saved);
   Link* link = link_for(engine, want.id);
   if (link) return link->want(key, want);
-  loop_.soon([this, alive = alive_, key] {
-    if (*alive) listener_.talk_ended(key, Outcome::unreachable, {});
+  // Guards against engines that are blamed for descriptors that ran short here.
+  const auto at = places_.find(engine);
+  const bool there = at != places_.end() && !at->second.gone;
+  loop_.soon([this, alive = alive_, key, ends_as = there ? Outcome::full : Outcome::unreachable] {
+    if (*alive) listener_.talk_ended(key, ends_as, {});
   });
 }
 
--- a/src/engines/resp.cpp
+++ b/src/engines/resp.cpp
@@ -263,7 +263,9 @@
 
 void EngineTalk::broke(std::uint64_t bytes_left) {
   while (!open_.empty()) {
-    const bool unsent = open_.begin()->second.starts_at >= bytes_left;
+    // What has not left whole has not come whole, so it never ran.
+    const Open& open = open_.begin()->second;
+    const bool unsent = open.starts_at + open.length > bytes_left;
     end(open_.begin(), unsent ? Outcome::unreachable : Outcome::reset);
   }
 }
--- a/src/engines/resp.h
+++ b/src/engines/resp.h
@@ -78,7 +78,7 @@
   void ask_for_a_sign(std::string& out);
   // False where the bytes are no answers; the caller closes and calls `broke`.
   bool feed(std::string_view bytes, std::string& out);
-  // The connection is gone: what is open ends as reset, or as `unsent` where nothing of it had left.
+  // The connection is gone: what is open ends as reset, or as unreachable where not all of it had left.
   void broke(std::uint64_t bytes_left);
   // The dispatch of which nothing has left after so many bytes, with the length of its command, where there
   // is one (and that one only, where it is named): it is forgotten, and its listener is not told.
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <limits>
 #include <set>
 
 #include "front/statement.h"
@@ -32,6 +33,9 @@
 // A client whose connection broke calls again at once; more would let answers pile up beside the open jobs.
 constexpr seconds long_enough_to_call_again(1);
 
+// Of the clients' descriptors, for the last words to those who find no place.
+constexpr std::size_t most_turned_away = 8;
+
 constexpr std::string_view work_path = "/do/", job_path = "/job/";
 
 std::optional<double> number_in(std::string_view text) {
@@ -150,7 +154,13 @@
   void heed_bounds() {
     if (!wire_) return;                             // dropped
     constexpr std::size_t most_unread = 64 * 1024;  // more than the largest answer's usual size
-    wire_->pause(http_.has_enough() || wire_->waiting() > most_unread);
+    const bool out_of_sight = http_.has_enough() || wire_->waiting() > most_unread;
+    const bool was = wire_->paused();
+    wire_->pause(out_of_sight);
+    // Guards against a client that leaves behind what is not read: its end is not seen, so nothing new begins
+    // for it. Clients that make one call at a time and read its answer are never out of sight.
+    if (waits_for && out_of_sight) front_.lose_sight(*waits_for);
+    else if (waits_for && was) front_.manager_.caller_came(front_.loop_.now(), *waits_for);
   }
 
   // It holds its connection for nothing: no call is open, none has come whole.
@@ -184,6 +194,7 @@
   }
 
   std::optional<JobId> waits_for;
+  std::optional<JobId> may_call;  // it was given this job's path, and has not called it yet
 
  private:
   Front& front_;
@@ -201,7 +212,7 @@
       counters_(counters),
       // Clients hold a third at most; half leaves room for strangers, and for what is on its way out. Of the
       // rest, a few are for the log, the list and the like.
-      most_clients_(std::max<std::size_t>(descriptors / 2, 1)),
+      most_clients_(std::max<std::size_t>(descriptors / 2, 2 * most_turned_away) - most_turned_away),
       most_unread_(memory / 8),
       engines_(loop, deployment.links, descriptors > 40 ? descriptors - descriptors / 2 - 20 : 1, *this,
                counters),
@@ -237,7 +248,8 @@
 // the newcomer itself.
 void Front::client_came(const Poco::Net::StreamSocket& socket) {
   ++counters_.connections;
-  while (loop_.finishing() > 0 && clients_.size() + loop_.finishing() >= most_clients_) loop_.cut_finishing();
+  while (loop_.finishing() > 0 && clients_.size() + loop_.finishing() >= most_clients_ + most_turned_away)
+    loop_.cut_finishing();
   if (clients_.size() >= most_clients_) {
     ++counters_.shed;
     const Span now = loop_.now();
@@ -246,13 +258,22 @@
       if (client->useless() && (!least || client->usefulness(now) < least->usefulness(now)))
         least = client.get();
     }
-    if (!least) return Poco::Net::StreamSocket(socket).close();
+    if (!least) return turn_away(socket);
+    least->wire().close();  // at once: many may come before the next event
     drop(*least);
   }
   const ClientId id{next_client_++};
   clients_[id] = std::make_unique<Client>(*this, id, socket);
 }
 
+void Front::turn_away(const Poco::Net::StreamSocket& socket) {
+  auto wire = std::make_unique<Wire>(loop_, socket, nobody_);
+  std::string out;
+  append_response(out, 503, "", R"({"abort":"TryLater"})", false);
+  wire->send(out);
+  loop_.finish(std::move(wire));
+}
+
 // Guards against calls that are never whole, many at once: the largest goes where all together hold too much.
 void Front::shed_unread() {
   std::size_t held = statement_bytes_;
@@ -269,6 +290,7 @@
 void Front::drop(Client& client) {
   const auto it = clients_.find(client.id());
   if (it == clients_.end()) return;
+  if (const auto id = std::exchange(client.may_call, std::nullopt)) left_alone(*id);
   gone_.push_back(std::move(it->second));
   clients_.erase(it);
   loop_.soon([this] {
@@ -288,13 +310,41 @@
   const auto it = jobs_.find(*id);
   if (it == jobs_.end()) return;
   it->second.caller.reset();
-  if (it->second.has_path || it->second.answered) return;  // it may call the path again
+  if (it->second.answered) return;
+  if (it->second.has_path) return left_alone(*id);  // it may call the path again
   settle_account(*id, it->second);
   ++counters_.withdrawn;
   manager_.job_withdrawn(loop_.now(), *id);
   forget_if_done(*id);
 }
 
+// Guards against dispatches for clients that have gone: what has not left for an engine is taken back.
+void Front::lose_sight(JobId id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.answered) return;
+  manager_.caller_left(loop_.now(), id);
+  for (const Sent& sent : it->second.out) engines_.take_back({id, sent.number}, Outcome::never_sent);
+}
+
+void Front::left_alone(JobId id) {
+  const auto it = jobs_.find(id);
+  if (it != jobs_.end() && !it->second.caller) lose_sight(id);
+}
+
+bool Front::idle() const {
+  if (owed_ > 0) return false;
+  const Span now = loop_.now();
+  return std::ranges::none_of(jobs_, [&](const auto& one) {
+    const OpenJob& job = one.second;
+    return job.status != 0 && !job.fetched && now - job.answered_at <= long_enough_to_call_again;
+  });
+}
+
+bool Front::all_written() const {
+  return loop_.all_written() &&
+         std::ranges::all_of(clients_, [](const auto& one) { return one.second->wire().waiting() == 0; });
+}
+
 void Front::respond(ClientId id, int status, std::string_view headers, std::string_view body) {
   const auto it = clients_.find(id);
   if (it == clients_.end()) return;
@@ -322,13 +372,16 @@
 
 void Front::called(Client& client, const std::string& method, const std::string& path, Message& message) {
   const std::string_view whole(path);
+  const auto promised = std::exchange(client.may_call, std::nullopt);
+  if (promised && job_of_path(whole) != promised) left_alone(*promised);
   if (whole == "/check") {
     const bool up = ready_ && !away_;
     return respond(client.id(), up ? 200 : 503, "", up ? R"({"up":true})" : R"({"up":false})");
   }
   if (whole == "/counters" && method == "GET") return respond(client.id(), 200, "", counters_now());
   if (whole.starts_with(work_path)) {
-    if (method == "POST") return take_job(client, whole.substr(whole.rfind('/') + 1), message);
+    if (method == "POST")
+      return take_job(client, percent_decoded(whole.substr(whole.rfind('/') + 1)), message);
     ++counters_.bad_calls;
     return respond(client.id(), 405, "", fault("work is posted"));
   }
@@ -360,16 +413,19 @@
   if (job.answered) {
     job.caller.reset();
     if (job.status == 0) return respond(client.id(), 404, "", fault("withdrawn"));
+    job.fetched = true;
     respond(client.id(), job.status, job.headers, job.body);
     forget_answer_at(loop_.now() + long_enough_to_call_again, *id);
+    return;
   }
+  manager_.caller_came(loop_.now(), *id);
 }
 
 // ---- Jobs ----
 
 void Front::take_job(Client& client, std::string_view kind, Message& message) {
   const Span now = loop_.now();
-  const TypeId type = deployment_.type(kind);
+  const TypeId type = deployment_.type(service::plain_name(std::string(kind)));
   const auto bad = [&](int status, std::string_view what) {
     ++counters_.bad_calls;
     PEARCHUTE_LOG(spdlog::level::warn, "a job is not taken: {}", what);
@@ -396,14 +452,17 @@
     if (*number > 0) value = *number;
     return true;
   };
-  MachineKind largest;
+  // Where the settings tell of no machines, or not of their memory, any figure may be meant.
+  constexpr double any = std::numeric_limits<double>::max();
+  MachineKind largest{.cores = 0};
   for (const MachineKind& one : deployment_.service.kinds) {
     largest.cores = std::max(largest.cores, one.cores);
     largest.memory_mb = std::max(largest.memory_mb, one.memory_mb);
   }
-  if (!estimate("x-cost-ms", job.work_ms, longest * largest.cores))
+  if (!estimate("x-cost-ms", job.work_ms, largest.cores > 0 ? longest * largest.cores : any))
     return bad(400, "X-Cost-Ms is not usable");
-  if (!estimate("x-est-mb", job.memory_mb, 4 * largest.memory_mb)) return bad(400, "X-Est-Mb is not usable");
+  if (!estimate("x-est-mb", job.memory_mb, largest.memory_mb > 0 ? 4 * largest.memory_mb : any))
+    return bad(400, "X-Est-Mb is not usable");
   if (const std::string_view key = message.header("x-object"); !key.empty()) {
     const auto number = hex_in(key);
     if (!number) return bad(400, "X-Object is not 16 hex digits");
@@ -427,6 +486,7 @@
   OpenJob& open = jobs_[job.id];
   open.id = message.header("x-request-id");
   open.kind = kind;
+  std::ranges::replace(open.kind, ',', '_');  // it goes on in a list that commas set apart
   open.token = token;
   open.statement = std::move(message.body);
   statement_bytes_ += open.statement.size();
@@ -448,6 +508,8 @@
   job.caller.reset();
   respond(caller, 200, "", "{\"link\":\"" + std::string(job_path) + job.id + "\"}");
   forget_answer_at(job.end + milliseconds(100), id);
+  if (const auto at = clients_.find(caller); at != clients_.end()) at->second->may_call = id;
+  else left_alone(id);
 }
 
 void Front::forget_answer_at(Span when, JobId id) {
@@ -462,10 +524,12 @@
 void Front::answer(JobId id, OpenJob& job, int status, std::string headers, std::string body) {
   if (job.answered) return;
   settle_account(id, job);
+  job.answered_at = loop_.now();
   if (const Span late = loop_.now() - job.end; late > Span(0)) {
     PEARCHUTE_LOG(spdlog::level::warn, "job {} is answered {} ms after its end", job.id, late.count() / 1000);
   }
   if (job.caller) {
+    job.fetched = true;
     respond(*job.caller, status, headers, body);
     if (job.has_path) forget_answer_at(loop_.now() + long_enough_to_call_again, id);
   }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -28,7 +28,9 @@
   ~Front() override;
   void client_came(const Poco::Net::StreamSocket& socket);
   void set_ready(bool ready) { ready_ = ready; }
-  bool idle() const { return owed_ == 0; }
+  // Every job has its answer, and nobody is expected to come for one.
+  bool idle() const;
+  bool all_written() const;  // nothing waits for a client to read it
   std::string counters_now();
   // Every job that is still open gets its final answer now; what comes later is turned away.
   void answer_all();
@@ -97,7 +99,8 @@
     Span end{};  // the client's patience
     std::optional<ClientId> caller;
     bool has_path = false;
-    bool answered = false;
+    bool answered = false, fetched = false;
+    Span answered_at{};
     int status = 0;  // of an answer that may be fetched by its path
     std::string headers, body;
     double grant_mb = 0;
@@ -109,6 +112,9 @@
   void called(Client& client, const std::string& method, const std::string& path, Message& message);
   void take_job(Client& client, std::string_view kind, Message& message);
   void client_left(Client& client);
+  void left_alone(JobId id);  // unless its client waits on another connection
+  void lose_sight(JobId id);
+  void turn_away(const Poco::Net::StreamSocket& socket);
   void respond(ClientId client, int status, std::string_view headers, std::string_view body);
   void answer(JobId id, OpenJob& job, int status, std::string headers, std::string body);
   void give_path(JobId id);
@@ -130,6 +136,10 @@
   std::size_t owed_ = 0;  // jobs without their answer
   std::map<ClientId, std::unique_ptr<Client>> clients_;
   std::vector<std::unique_ptr<Client>> gone_;
+  struct Nobody final : Wire::User {
+    void wire_brought(std::string_view) override {}
+    void wire_ended() override {}
+  } nobody_;  // who hears of connections that are turned away
   std::uint64_t next_client_ = 1;
   std::function<void(std::string_view)> remarked_;
   Engines engines_;
--- a/src/lab/channel.h
+++ b/src/lab/channel.h
@@ -29,6 +29,7 @@
   std::uint64_t asked_from() const { return asked_from_; }  // by the last stream
   std::uint64_t asked() const { return asked_; }
   void fall_silent(bool silent) { silent_ = silent; }
+  void strand();  // the streams that are open fall silent for good, and stay open
   std::size_t streams() const { return lines_.size(); }
 
  private:
--- a/src/lab/engine.cpp
+++ b/src/lab/engine.cpp
@@ -32,8 +32,9 @@
     wire_ = std::make_unique<net::Wire>(engine.loop_, socket, *this);
     wire_->pause(engine.faults_.deaf);
   }
+  ~Line() override { *alive_ = false; }
   net::Wire& wire() { return *wire_; }
-  std::unique_ptr<net::Wire> give_wire() { return std::move(wire_); }
+  std::unique_ptr<net::Wire> give_wire() { return *alive_ = false, std::move(wire_); }
   void say(std::initializer_list<std::string_view> words, std::size_t cut = 0) {
     std::string out;
     net::append_command(out, words);
@@ -41,6 +42,13 @@
     if (wire_) wire_->send(out);
   }
   void fall_mute() { mute_ = true; }
+  void say_on() {  // for as long as anybody listens
+    if (!wire_ || wire_->closed()) return;
+    wire_->send("x");
+    engine_.loop_.at(engine_.loop_.now() + std::chrono::milliseconds(20), [this, alive = alive_] {
+      if (*alive) say_on();
+    });
+  }
   void wire_ended() override { engine_.forget(*this); }
   void wire_brought(std::string_view bytes) override {
     const bool sound = reader_.feed(bytes, [&](std::vector<std::string>& words) {
@@ -59,6 +67,7 @@
   net::RespReader reader_;
   std::unique_ptr<net::Wire> wire_;
   bool mute_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 StandInEngine::StandInEngine(net::Loop& loop, std::string name, int cores, double memory_mb,
@@ -131,6 +140,7 @@
 
 void StandInEngine::want(Line& line, std::vector<std::string>& words) {
   ++begun_;
+  if (begun_jobs_.size() < 5000 || begun_jobs_.contains(words[1])) ++begun_jobs_[words[1]];
   Run run{&line, words[1], 0, 0, 1, value_of(words[3], "fault"), next_++};
   if (record_) record_->begun(name_, run.job);
   run.work_ms = number_of(words[3], "work", 5) * faults_.slow;
@@ -185,6 +195,9 @@
     run.line->say({run.job, "FAULT", "-", ""});
   } else if (run.fault == "torn") {
     run.line->say({run.job, "HIT", "fetches=1", "no columns\n"});
+  } else if (run.fault == "endless") {
+    run.line->say({run.job, "HIT", "fetches=1", std::string(6000, 'x')}, 60);
+    run.line->say_on();
   } else if (run.fault == "part") {
     run.line->say({run.job, "HIT", "fetches=2", page});
   } else {
--- a/src/lab/engine.h
+++ b/src/lab/engine.h
@@ -20,7 +20,7 @@
 // Each share is of the jobs that come. A statement may ask for a fault of its own by `fault=`: error, reset
 // (its connection ends), reset-once, hang (it never ends), cut (an answer that stops short), torn (a page
 // that is no rows), twice (a second copy), part (one page of two, and then no word), mute (no word any more),
-// full.
+// full, endless (an answer that goes on byte by byte and is never whole).
 struct Faults {
   double error = 0, reset = 0, hang = 0, cut = 0, turn_away = 0;
   double slow = 1;      // times the work
@@ -41,6 +41,10 @@
   std::uint64_t begun() const { return begun_; }
   std::uint64_t given_up() const { return given_up_; }
   bool was_given_up(const std::string& job) const { return given_up_jobs_.contains(job); }
+  int begun_times(const std::string& job) const {  // of the first few thousand jobs
+    const auto at = begun_jobs_.find(job);
+    return at == begun_jobs_.end() ? 0 : at->second;
+  }
   std::uint64_t hung() const { return hung_; }
   std::uint64_t signs() const { return signs_; }  // of life that it was asked for
   std::size_t running() const { return running_.size() + waiting_.size(); }
@@ -79,6 +83,7 @@
   std::vector<Run> waiting_;
   double granted_mb_ = 0;
   std::uint64_t next_ = 1, begun_ = 0, given_up_ = 0, hung_ = 0, signs_ = 0;
+  std::map<std::string, int> begun_jobs_;
   std::set<std::string> given_up_jobs_, reset_jobs_;  // of faults and tests: a few
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -76,6 +76,10 @@
   finishing_.emplace_back(now() + std::chrono::seconds(1), std::move(wire));
 }
 
+bool Loop::all_written() const {
+  return std::ranges::all_of(finishing_, [](const auto& one) { return one.second->waiting() == 0; });
+}
+
 void Loop::cut_finishing() {
   if (finishing_.empty()) return;
   retire(std::move(finishing_.front().second));
@@ -165,6 +169,7 @@
     watch_incoming(false);
   }
   --loop_.descriptors_;
+  if (told_end_) discard();
   try {
     socket_.close();
   } catch (const Poco::Exception&) {
@@ -190,6 +195,15 @@
   if (::shutdown(socket_.impl()->sockfd(), SHUT_WR) != 0) close();
 }
 
+// Guards against the reset that a close over unread bytes would be: it would take the last answer along.
+void Wire::discard() {
+  char bytes[4096];
+  constexpr int most = 64;  // a flood goes on all the same
+  for (int i = 0; i < most; ++i) {
+    if (::recv(socket_.impl()->sockfd(), bytes, sizeof bytes, MSG_DONTWAIT) <= 0) return;
+  }
+}
+
 void Wire::want_writable(bool wanted) {
   if (wanted == writable_wanted_) return;
   writable_wanted_ = wanted;
@@ -356,11 +370,12 @@
 
 // ---- Door ----
 
+// As many as may come in a moment; the system cuts it to its own limit.
+constexpr int backlog = 512;
+
 Door::Door(Loop& loop, const Poco::Net::SocketAddress& at,
            std::function<void(const Poco::Net::StreamSocket&)> came)
     : loop_(loop), came_(std::move(came)) {
-  // As many as may come in a moment; the system cuts it to its own limit.
-  constexpr int backlog = 512;
   socket_.bind(at, true, false);
   socket_.listen(backlog);
   socket_.setBlocking(false);
@@ -368,9 +383,17 @@
   listen(true);
 }
 
-Door::~Door() { shut(); }
+Door::~Door() { close(); }
 
+// Guards against what the system took and nobody accepted: closed with the door, it would be reset.
 void Door::shut() {
+  if (shut_) return;
+  listen(false);
+  take(backlog);
+  close();
+}
+
+void Door::close() {
   if (shut_) return;
   shut_ = true;
   *alive_ = false;
@@ -395,16 +418,23 @@
   });
 }
 
-void Door::on_readable(const Poco::AutoPtr<ReadableNotification>&) {
-  for (int count = 0; count < 64 && !shut_; ++count) {
+// False where one could not be accepted: out of descriptors, or the peer was gone again.
+bool Door::take(int most) {
+  for (int count = 0; count < most; ++count) {
     try {
-      if (!socket_.poll(Poco::Timespan(0, 0), Poco::Net::Socket::SELECT_READ)) break;
+      if (!socket_.poll(Poco::Timespan(0, 0), Poco::Net::Socket::SELECT_READ)) return true;
       came_(socket_.acceptConnection());
     } catch (const Poco::Exception&) {
-      rest();  // out of descriptors, or the peer was gone again
-      break;
+      return false;
     }
   }
+  return true;
+}
+
+void Door::on_readable(const Poco::AutoPtr<ReadableNotification>&) {
+  // A few at a time, so that what they say is read before others are taken: in a burst a full table would else
+  // take those for idle that have called.
+  if (!shut_ && !take(16)) rest();
   loop_.settle();
 }
 
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -52,6 +52,7 @@
   void finish(
       std::unique_ptr<Wire> wire);  // the same once it has written what it was given and the peer has heard
   std::size_t finishing() const { return finishing_.size(); }
+  bool all_written() const;  // by those that finish
   void cut_finishing();  // the one that has been at it for longest
   void settle();         // what was put off, until nothing is
   BufferPool& buffers() { return buffers_; }
@@ -133,6 +134,7 @@
   void watch_incoming(bool wanted);
   void watch_readable(bool wanted);
   void say_the_end();
+  void discard();
 
   Loop& loop_;
   Poco::Net::StreamSocket socket_;
@@ -152,11 +154,13 @@
   Door(Loop& loop, const Poco::Net::SocketAddress& at,
        std::function<void(const Poco::Net::StreamSocket&)> came);
   ~Door();
-  void shut();
+  void shut();  // what has come by then is taken
   Poco::Net::SocketAddress address() const { return socket_.address(); }  // with the port that was picked
 
  private:
   void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
+  bool take(int most);
+  void close();
   void listen(bool wanted);
   void rest();
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -239,6 +239,20 @@
   out.append("\r\n").append(body);
 }
 
+std::string percent_decoded(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    std::size_t code = 0;
+    if (text[i] == '%' && i + 2 < text.size() && read_size(text.substr(i + 1, 2), 16, code)) {
+      out.push_back(static_cast<char>(code));
+      i += 2;
+    } else {
+      out.push_back(text[i]);
+    }
+  }
+  return out;
+}
+
 void append_json_string(std::string& out, std::string_view text) {
   constexpr char digits[] = "0123456789abcdef";
   out.push_back('"');
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -79,6 +79,7 @@
 
 void append_response(std::string& out, int status, std::string_view more_headers, std::string_view body,
                      bool keeps_alive);
+std::string percent_decoded(std::string_view text);  // what is no escape stays as it is
 void append_json_string(std::string& out, std::string_view text);
 
 }  // namespace pearchute::net
