Time-outs that run on keep their grant; clients' tenants are heard on sockets

Second cause: settings may tell of tenants, whose share decides what their jobs are worth, and the front never read whose a job is.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -83,7 +83,7 @@
       engine.told = now;
       engine.strikes = 0, engine.error_rate = 0, engine.closed_until = now, engine.on_trial = false;
       engine.pace.stretch = first ? 1 : std::max(1.0, fleet_.stretch);
-      engine.others_bytes.reset();
+      engine.others_bytes.reset(), let_go(engine, Span::max());
     }
   }
   if (news != ListNews::changes) {
@@ -204,8 +204,15 @@
   dispatch.out = false, held.out -= 1;
   Engine& engine = engines_[dispatch.engine];
   TypeFigures& type = types_[held.job.type.value];
-  engine.live_bytes -= dispatch.grant, engine.live_threads -= dispatch.threads, engine.dispatches -= 1;
-  engine.out.erase({dispatch.sent, {id, number}});
+  // Exception: where nothing can be called off, what times out runs on, and keeps its grant for as long as it
+  // would take at the engine's pace. Guards against engines that are filled up again and again with work that
+  // nobody waits for; harms where answers were lost, by an engine that is used less for as long.
+  const double more_ms = ideal_ms(held) * std::max(1.0, engine.pace.stretch);
+  const Span until = now + std::min(from_ms(more_ms), type.type.job_timeout);
+  const bool runs_on = outcome == Outcome::timed_out && !rules_.may_stop;
+  engine.runs_on.push_back({runs_on ? until : Span::min(), dispatch.grant, dispatch.threads});
+  let_go(engine, Span::min());
+  engine.dispatches -= 1, engine.out.erase({dispatch.sent, {id, number}});
   if (engine.protecting) {
     const double floor = capacity(engine) / std::max(8.0, slots(now, engine));
     engine.protected_bytes = std::min(floor, engine.protected_bytes + dispatch.grant);
@@ -242,6 +249,7 @@
     engine.last_full = now;  // no word: one that hangs is full, too
     engine.pace.open = std::max(engine.pace.open * 0.8, 0.25);
   } else if (outcome == Outcome::unreachable) {
+    let_go(engine, Span::max());  // it has died, with what ran there
     sign_of_trouble(now, engine, Trouble::unreachable);
   } else if (outcome == Outcome::timed_out && engine.last_word < dispatch.sent) {
     sign_of_trouble(now, engine, Trouble::unanswered);
@@ -297,6 +305,15 @@
   return engine.loads.contains(data_set) || (told != engine.told_held.end() && now < told->second);
 }
 
+// What runs on up to `until` no longer has its grant.
+void WorkloadManager::let_go(Engine& engine, Span until) {
+  std::erase_if(engine.runs_on, [&](const Engine::RunsOn& one) {
+    if (one.until > until) return false;
+    engine.live_bytes -= one.grant, engine.live_threads -= one.threads;
+    return true;
+  });
+}
+
 void WorkloadManager::probe_ended(Span now, EngineId id, Outcome outcome, Span, const LoadReport& load) {
   if (engines_.contains(id) && outcome == Outcome::done) heed(now, engines_.at(id), load);
   release(now);
@@ -334,8 +351,7 @@
   if (static_cast<int>(held.dispatches.size()) >= rules_.most_dispatches) return true;
   if (!held.first_doubt || type.effect == Effect::restartable) return false;
   // Two rounds short of the window: clocks are read a round apart.
-  return type.effect == Effect::run_once ||
-         now + 2 * rules_.round >= *held.first_doubt + type.repeat_window;
+  return type.effect == Effect::run_once || now + 2 * rules_.round >= *held.first_doubt + type.repeat_window;
 }
 
 // Dispatches past the first: two at once only for a restartable job, and within the ration.
@@ -837,6 +853,7 @@
   fleet_live_ = 0, fleet_even_ = 1e-9;
   for (auto& [id, engine] : engines_) {
     look_after(now, engine);
+    if (now >= engine.closed_until && !engine.on_trial) let_go(engine, now);  // else it may stand still
     // Guards against learning too late: what is out and already far behind counts before its answer comes.
     for (const auto& [sent, which] : engine.out) {
       const HeldJob& held = jobs_.at(which.first);
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -102,6 +102,7 @@
     return static_cast<int>(held.dispatches.size()) < rules_.most_dispatches && !held.away_since;
   }
   bool spent(Span now, const HeldJob& held) const;
+  static void let_go(Engine& engine, Span until);
   // Rules
   bool may_throttle(Span now, const HeldJob& held) const;
   bool may_go(Span now, const HeldJob& held);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -24,7 +24,7 @@
   bool behind_load = false;
   bool trial = false;
   bool home = false;  // to a home of its data set
-  double fault = 0;  // what it counts against its engine; negative where the job was at fault
+  double fault = 0;   // what it counts against its engine; negative where the job was at fault
 };
 
 struct HeldJob {
@@ -80,7 +80,12 @@
   bool trying = false;  // a trial is out
   Span last_word{};
   Span last_full{-1'000'000'000};
-  int fulls = 0;  // in a row
+  struct RunsOn {
+    Span until{};
+    double grant = 0;
+    int threads = 0;
+  };
+  std::deque<RunsOn> runs_on;  // what has timed out here, and can't be called off there
   JobId protected_for{};
   bool protecting = false;
   double protected_bytes = 0;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -443,6 +443,7 @@
   Job job;
   job.id = JobId{*id};
   job.type = type;
+  job.customer = deployment_.customer(service::plain_name(std::string(message.header("x-tenant"))));
   job.time_left = Span(static_cast<Span::rep>(*patience * 1000));
   const auto estimate = [&](const char* name, std::optional<double>& value, double most) {
     const std::string_view text = message.header(name);
--- a/src/lab/many_managers.h
+++ b/src/lab/many_managers.h
@@ -30,10 +30,10 @@
   };
   struct Seen {
     int taken[2] = {}, sent[2] = {}, done[2] = {};  // by type
-    double cold_used = 0;  // of what may be sent to cold engines in all, by the stated rule
-    double cold_most = 0;  // the same of any cold engine in its worst window
+    double cold_used = 0;   // of what may be sent to cold engines in all, by the stated rule
+    double cold_most = 0;   // the same of any cold engine in its worst window
     double cold_bound = 0;  // that window in jobs of mean work, N stated: against N + 2 x root of N + 2
-    double threads = 0;    // on an engine
+    double threads = 0;     // on an engine
     double most_engine = 0, most_zone = 0;  // threads there, against the mean of all
     double calls = 0, call_us = 0;          // into the module; on this machine
   };
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -432,8 +432,8 @@
 }
 
 void Door::on_readable(const Poco::AutoPtr<ReadableNotification>&) {
-  // A few at a time, so that what they say is read before others are taken: in a burst a full table would else
-  // take those for idle that have called.
+  // A few at a time, so that what they say is read before others are taken: in a burst a full table would
+  // else take those for idle that have called.
   if (!shut_ && !take(16)) rest();
   loop_.settle();
 }
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -53,8 +53,8 @@
       std::unique_ptr<Wire> wire);  // the same once it has written what it was given and the peer has heard
   std::size_t finishing() const { return finishing_.size(); }
   bool all_written() const;  // by those that finish
-  void cut_finishing();  // the one that has been at it for longest
-  void settle();         // what was put off, until nothing is
+  void cut_finishing();      // the one that has been at it for longest
+  void settle();             // what was put off, until nothing is
   BufferPool& buffers() { return buffers_; }
   std::size_t descriptors() const { return descriptors_; }
 
@@ -154,7 +154,7 @@
   Door(Loop& loop, const Poco::Net::SocketAddress& at,
        std::function<void(const Poco::Net::StreamSocket&)> came);
   ~Door();
-  void shut();  // what has come by then is taken
+  void shut();                                                            // what has come by then is taken
   Poco::Net::SocketAddress address() const { return socket_.address(); }  // with the port that was picked
 
  private:
