Few managers at cold engines are a test of their own, held to the whole budget

Cause: read through once more, the cases of few managers stood in a table whose comment promises four fifths of the budget, and were held to 1.2 of it: a bound that misled. Change: a test of their own, no window over the stated budget; the other cases keep 0.8, and the repeated rows are one.

--- a/tests/test_many.cpp
+++ b/tests/test_many.cpp
@@ -35,43 +35,31 @@
       {{.seed = 4, .managers = 40, .engines = 16, .cold = 12, .jobs_per_second = 3}, 0.9, 0.9},
       {{.seed = 5, .engines = 20, .cold = 18, .restart = ms(7300)}, 0.6, 0.6},
       {{.seed = 6, .engines = 20, .cold = 20}, 0.4, 0.25},
-      {{.seed = 7, .engines = 20, .cold = 16, .estimates = false}, 0.5, 0.3},
-      // Few managers, of which half start anew within the first windows, while the list comes at other times.
-      {{.seed = 8,
-        .managers = 6,
-        .engines = 12,
-        .cold = 8,
-        .jobs_per_second = 40,
-        .restart = ms(2500),
-        .list_within = ms(2000)},
-       0.5,
-       0.3},
-      {{.seed = 9,
-        .managers = 20,
-        .engines = 16,
-        .cold = 12,
-        .jobs_per_second = 16,
-        .restart = ms(2500),
-        .list_within = ms(2000)},
-       0.5,
-       0.3},
-      {{.seed = 10,
-        .managers = 30,
-        .engines = 16,
-        .cold = 12,
-        .jobs_per_second = 11,
-        .restart = ms(2500),
-        .list_within = ms(2000)},
-       0.5,
-       0.3}};
+      {{.seed = 7, .engines = 20, .cold = 16, .estimates = false}, 0.5, 0.3}};
   for (const Case& c : cases) {
     const ManyManagers::Seen seen = played(c.shape);
-    assert(seen.cold_bound <= 1 && seen.cold_used > 0.05);
-    assert(seen.cold_most <= (c.shape.list_within > Span(0) ? 1.2 : 0.8));
+    assert(seen.cold_most <= 0.8 && seen.cold_bound <= 1 && seen.cold_used > 0.05);
     assert(seen.sent[0] > c.least_short * seen.taken[0] && seen.sent[1] > c.least_long * seen.taken[1]);
   }
 }
 
+// Few managers, as busy as their engines can be, of which half start anew within the first windows, while the
+// list comes at other times to each: the worst window stays within the whole budget.
+void few_managers() {
+  struct Case {
+    int managers, engines, cold;
+    double jobs_per_second;
+  };
+  std::uint64_t seed = 8;
+  for (const Case& c : {Case{6, 12, 8, 40}, Case{20, 16, 12, 16}, Case{30, 16, 12, 11}}) {
+    ManyManagers::Shape shape{.seed = seed++, .managers = c.managers, .engines = c.engines, .cold = c.cold};
+    shape.jobs_per_second = c.jobs_per_second, shape.restart = ms(2500), shape.list_within = ms(2000);
+    const ManyManagers::Seen seen = played(shape);
+    assert(seen.cold_most <= 1 && seen.cold_bound <= 1 && seen.cold_used > 0.05);
+    assert(seen.sent[0] > 0.5 * seen.taken[0] && seen.sent[1] > 0.3 * seen.taken[1]);
+  }
+}
+
 // Traffic that lies unevenly over zones, and data sets that differ in use: neither piles the work up on few
 // engines once these are crowded, though each manager has but a job or two anywhere.
 void uneven_traffic() {
@@ -123,4 +111,4 @@
 
 }  // namespace
 
-int main() { most_engines_cold(), uneven_traffic(), costly_type(), crowd(); }
+int main() { most_engines_cold(), few_managers(), uneven_traffic(), costly_type(), crowd(); }
