--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 
 lint:
 	clang-format --dry-run --Werror $(SOURCES) $(shell find src tests -name '*.h')
-	cppcheck --quiet --enable=warning,performance,portability --inline-suppr --error-exitcode=1 \
+	cppcheck --quiet -j4 --enable=warning,performance,portability --inline-suppr --error-exitcode=1 \
 	  --suppress=missingInclude --suppress=useInitializationList --std=c++20 -I src src
 
 format:
--- a/src/admin/office.cpp
+++ b/src/admin/admin_server.cpp
@@ -1,4 +1,4 @@
-#include "admin/office.h"
+#include "admin/admin_server.h"
 
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -9,7 +9,7 @@
 #include <cstring>
 
 #include "admin.pb.h"
-#include "faults/fault.h"
+#include "errors/error.h"
 #include "net/log.h"
 
 namespace pearchute::admin {
@@ -27,22 +27,25 @@
   std::strncpy(at.sun_path, path.c_str(), sizeof at.sun_path - 1);
   const bool alive = probe >= 0 && ::connect(probe, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
   if (probe >= 0) ::close(probe);
-  if (alive) throw ListeningFault("the admin socket is in use", path);
+  if (alive) throw ListeningError("the admin socket is in use", path);
   struct stat what {};
   if (::lstat(path.c_str(), &what) != 0) return;
   if (!S_ISSOCK(what.st_mode))
-    throw ListeningFault("is there and no socket", path,
+    throw ListeningError("is there and no socket", path,
                          "look at what it is; move it away or name another place");
   ::unlink(path.c_str());
 }
 
 }  // namespace
 
-class Office::Line final : public net::Wire::User {
+class AdminServer::Line final : public net::Wire::User {
  public:
-  Line(Office& office, const Poco::Net::StreamSocket& socket)
-      : office_(office), session_(office.desk_), since_(office.loop_.now()), stuck_since_(since_) {
-    wire_ = std::make_unique<net::Wire>(office.loop_, socket, *this);
+  Line(AdminServer& admin_server, const Poco::Net::StreamSocket& socket)
+      : admin_server_(admin_server),
+        session_(admin_server.desk_),
+        since_(admin_server.loop_.now()),
+        stuck_since_(since_) {
+    wire_ = std::make_unique<net::Wire>(admin_server.loop_, socket, *this);
   }
   net::Wire& wire() { return *wire_; }
   std::unique_ptr<net::Wire> give_wire() { return std::move(wire_); }
@@ -52,12 +55,12 @@
     const bool within = session_.within();
     if (!session_.feed(bytes)) {
       PEARCHUTE_LOG(spdlog::level::warn, "admin channel: bytes that are no calls; connection closed");
-      return office_.drop(*this);
+      return admin_server_.drop(*this);
     }
-    if (!within || !session_.within()) since_ = office_.loop_.now();
+    if (!within || !session_.within()) since_ = admin_server_.loop_.now();
     turn();
   }
-  void wire_ended() override { office_.drop(*this); }
+  void wire_ended() override { admin_server_.drop(*this); }
   void turn() {
     if (!wire_) return;
     std::string out;
@@ -78,18 +81,18 @@
       written_ = wire_->written(), stuck_since_ = now;
     if (now - stuck_since_ > read_within) return true;
     if (session_.within()) return now - since_ > whole_call_within;
-    return !session_.watches() && now - since_ > office_.terms_.idle_at_most;
+    return !session_.watches() && now - since_ > admin_server_.terms_.idle_at_most;
   }
 
  private:
-  Office& office_;
+  AdminServer& admin_server_;
   Session session_;
   std::unique_ptr<net::Wire> wire_;
   Span since_, stuck_since_;
   std::uint64_t written_ = 0;
 };
 
-Office::Office(net::Loop& loop, const Terms& terms, Desk& desk)
+AdminServer::AdminServer(net::Loop& loop, const Terms& terms, Desk& desk)
     : loop_(loop), terms_(terms), desk_(desk), gone_(loop) {
   const std::string& path = terms_.listen.path;
   if (!path.empty()) remove_left_over(path);
@@ -107,12 +110,12 @@
   sweep();
 }
 
-Office::~Office() {
+AdminServer::~AdminServer() {
   *alive_ = false;
   if (!terms_.listen.path.empty()) ::unlink(terms_.listen.path.c_str());
 }
 
-void Office::came(const Poco::Net::StreamSocket& socket) {
+void AdminServer::came(const Poco::Net::StreamSocket& socket) {
   if (lines_.size() >= terms_.most_connections) {
     ++turned_away_;
     PEARCHUTE_LOG(spdlog::level::warn, "admin channel: {} connections are open; one more is closed",
@@ -122,24 +125,24 @@
   lines_.push_back(std::make_unique<Line>(*this, socket));
 }
 
-void Office::drop(Line& line) {
+void AdminServer::drop(Line& line) {
   const auto it = std::ranges::find(lines_, &line, [](const auto& one) { return one.get(); });
   if (it == lines_.end()) return;
   gone_.take(std::move(*it));
   lines_.erase(it);
 }
 
-void Office::tell(const v1::Event& event) {
+void AdminServer::tell(const v1::Event& event) {
   for (const auto& line : lines_) line->event(event);
 }
 
-std::size_t Office::watchers() const {
+std::size_t AdminServer::watchers() const {
   return static_cast<std::size_t>(
       std::ranges::count_if(lines_, [](const auto& line) { return line->session().watches(); }));
 }
 
 // Twenty times a second, which is also how often the rest of many calls goes on.
-void Office::sweep() {
+void AdminServer::sweep() {
   std::vector<Line*> overdue, due;
   const Span now = loop_.now();
   for (const auto& line : lines_) {
--- a/src/admin/office.h
+++ b/src/admin/admin_server.h
@@ -8,16 +8,16 @@
 
 #include "admin/session.h"
 #include "admin/terms.h"
+#include "net/deferred_deletion.h"
 #include "net/driver.h"
-#include "net/retired.h"
 
 namespace pearchute::admin {
 
-class Office {
+class AdminServer {
  public:
   // Throws std::exception where the place can't be listened at.
-  Office(net::Loop& loop, const Terms& terms, Desk& desk);
-  ~Office();
+  AdminServer(net::Loop& loop, const Terms& terms, Desk& desk);
+  ~AdminServer();
   void tell(const v1::Event& event);  // to each watch
   std::size_t watchers() const;
   std::size_t connections() const { return lines_.size(); }
@@ -34,7 +34,7 @@
   const Terms terms_;
   Desk& desk_;
   std::vector<std::unique_ptr<Line>> lines_;
-  net::Retired<Line> gone_;
+  net::DeferredDeletion<Line> gone_;
   std::unique_ptr<net::Door> door_;
   std::uint64_t turned_away_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/admin/place.cpp
+++ b/src/admin/place.cpp
@@ -3,7 +3,7 @@
 #include <Poco/Exception.h>
 #include <sys/un.h>
 
-#include "faults/fault.h"
+#include "errors/error.h"
 
 namespace pearchute::admin {
 
@@ -12,21 +12,21 @@
   place.text = text;
   if (text.starts_with("unix:")) {
     place.path = text.substr(5);
-    if (!place.path.starts_with("/")) throw AddressFault("the path of '" + text + "' is not absolute");
+    if (!place.path.starts_with("/")) throw AddressError("the path of '" + text + "' is not absolute");
     if (place.path.size() >= sizeof(sockaddr_un::sun_path))
-      throw AddressFault("the path of '" + text + "' is too long for a socket");
+      throw AddressError("the path of '" + text + "' is too long for a socket");
     place.address = Poco::Net::SocketAddress(Poco::Net::SocketAddress::UNIX_LOCAL, place.path);
     return place;
   }
   try {
     place.address = Poco::Net::SocketAddress(text);
   } catch (const Poco::Exception&) {
-    throw AddressFault("'" + text + "' is neither unix:/path nor address:port");
+    throw AddressError("'" + text + "' is neither unix:/path nor address:port");
   }
   if (!place.address.host().isLoopback())
-    throw AddressFault("'" + text + "' is no loopback address", "",
+    throw AddressError("'" + text + "' is no loopback address", "",
                        "whoever reaches it governs the manager: take 127.0.0.1, or a Unix socket");
-  if (place.address.port() == 0) throw AddressFault("'" + text + "' names no port");
+  if (place.address.port() == 0) throw AddressError("'" + text + "' names no port");
   return place;
 }
 
--- a/src/admin/place.h
+++ b/src/admin/place.h
@@ -14,7 +14,7 @@
   Poco::Net::SocketAddress address;
 };
 
-// Throws AddressFault. The path of a Unix socket has to be absolute and short.
+// Throws AddressError. The path of a Unix socket has to be absolute and short.
 Place place_in(const std::string& text);
 
 }  // namespace pearchute::admin
--- a/src/admin/terms.h
+++ b/src/admin/terms.h
@@ -19,7 +19,7 @@
   std::chrono::milliseconds notice{2000};
 };
 
-// Throws ini::Fault with file, line and what is wrong.
+// Throws ini::Error with file, line and what is wrong.
 Terms read_terms(const std::string& file);
 
 }  // namespace pearchute::admin
--- a/src/agent/charter.h
+++ b/src/agent/agent_config.h
@@ -17,7 +17,7 @@
   int version = 1;     // of the command at first
 };
 
-struct Charter {
+struct AgentConfig {
   std::string name, state;
   bool exchanges = false;  // word of the instances with its peers
   keys::Reach control;     // a Unix socket: whoever may open it may do all
@@ -27,7 +27,7 @@
   std::map<std::string, keys::Reach> peers;  // other agents, by name
 };
 
-// Throws ini::Fault with file, line and what is wrong.
-Charter read_charter(const std::string& file);
+// Throws ini::Error with file, line and what is wrong.
+AgentConfig read_agent_config(const std::string& file);
 
 }  // namespace pearchute::agent
--- a/src/agent/coordinator.cpp
+++ b/src/agent/coordinator.cpp
@@ -29,7 +29,7 @@
     return owner.store_.write_rollout(
         {rollout.plan(), state, rollout.stages(), rollout.word(), begun_unix_ms});
   }
-  Span now() const { return owner.stage_.loop().now(); }
+  Span now() const { return owner.loop_thread_.loop().now(); }
   // What comes back after this rollout has gone is dropped.
   template <class What>
   auto while_here(What what) const {
@@ -38,7 +38,7 @@
     };
   }
   void again(std::function<void()> what) {
-    owner.stage_.loop().at(now() + ask_again_after, while_here(what));
+    owner.loop_thread_.loop().at(now() + ask_again_after, while_here(what));
   }
   void ask_claims(const std::string& agent, const std::vector<std::string>& instances) override {
     v1::ClaimAsk ask;
@@ -141,8 +141,9 @@
   const std::shared_ptr<bool> here = std::make_shared<bool>(true);
 };
 
-Coordinator::Coordinator(net::Stage& stage, Peers& peers, store::Store& store, const std::string& trouble)
-    : stage_(stage), peers_(peers), store_(store), trouble_(trouble) {
+Coordinator::Coordinator(net::EventLoopThread& stage, Peers& peers, store::Store& store,
+                         const std::string& trouble)
+    : loop_thread_(stage), peers_(peers), store_(store), trouble_(trouble) {
   if (trouble_.empty()) {
     for (const store::KeptRollout& kept : store_.rollouts(50)) {
       if (fleet::is_over(kept.state)) {
@@ -150,7 +151,7 @@
         continue;
       }
       auto& one = rollouts_[kept.plan.id] = std::make_unique<One>(*this, kept.plan, kept.begun_unix_ms);
-      one->rollout.remembered(stage_.loop().now(), kept.stages);
+      one->rollout.remembered(loop_thread_.loop().now(), kept.stages);
     }
   }
   wake();
@@ -159,8 +160,8 @@
 Coordinator::~Coordinator() { *alive_ = false; }
 
 void Coordinator::wake() {
-  for (const auto& [id, one] : rollouts_) one->rollout.woken(stage_.loop().now());
-  stage_.loop().at(stage_.loop().now() + milliseconds(200), [this, alive = alive_] {
+  for (const auto& [id, one] : rollouts_) one->rollout.woken(loop_thread_.loop().now());
+  loop_thread_.loop().at(loop_thread_.loop().now() + milliseconds(200), [this, alive = alive_] {
     if (*alive) wake();
   });
 }
@@ -180,7 +181,7 @@
     rollouts_.erase(over);
   }
   auto& one = rollouts_[plan.id] = std::make_unique<One>(*this, plan, unix_ms());
-  one->rollout.begin(stage_.loop().now());
+  one->rollout.begin(loop_thread_.loop().now());
   return "";
 }
 
@@ -188,7 +189,7 @@
   const auto at = rollouts_.find(id);
   if (at == rollouts_.end()) return "no such rollout under way here";
   Rollout& rollout = at->second->rollout;
-  const Span now = stage_.loop().now();
+  const Span now = loop_thread_.loop().now();
   if (rollout.over()) return "it is over";
   if (word == "pause") rollout.pause(now);
   else if (word == "resume") rollout.resume(now);
--- a/src/agent/coordinator.h
+++ b/src/agent/coordinator.h
@@ -15,7 +15,7 @@
 class Coordinator {
  public:
   // Lives on the stage's loop. `trouble` says why the store can't be used, where it can't.
-  Coordinator(net::Stage& stage, Peers& peers, store::Store& store, const std::string& trouble);
+  Coordinator(net::EventLoopThread& stage, Peers& peers, store::Store& store, const std::string& trouble);
   ~Coordinator();
   std::string start(const fleet::RolloutPlan& plan);                // the fault, or nothing
   std::string say(const std::string& id, const std::string& word);  // the same
@@ -26,7 +26,7 @@
   friend struct One;
   void wake();
 
-  net::Stage& stage_;
+  net::EventLoopThread& loop_thread_;
   Peers& peers_;
   store::Store& store_;
   const std::string trouble_;
--- a/src/agent/herald.h
+++ b/src/agent/gossip_service.h
@@ -7,18 +7,19 @@
 #include <string>
 
 #include "agent/peers.h"
-#include "agent/warden.h"
-#include "fleet/asking.h"
-#include "fleet/bulletin.h"
+#include "agent/process_supervisor.h"
+#include "fleet/anti_entropy_scheduler.h"
+#include "fleet/gossip_state.h"
 
 namespace pearchute::agent {
 
-class Herald final : public fleet::Bulletin::Host {
+class GossipService final : public fleet::GossipState::Host {
  public:
   // Lives on the stage's loop. The seed has to be another at each start.
-  Herald(net::Stage& stage, const Charter& charter, Warden& warden, Peers& peers, std::uint64_t seed);
-  ~Herald() override { *alive_ = false; }
-  void change(const Charter& next);
+  GossipService(net::EventLoopThread& stage, const AgentConfig& charter, ProcessSupervisor& supervisor,
+                Peers& peers, std::uint64_t seed);
+  ~GossipService() override { *alive_ = false; }
+  void change(const AgentConfig& next);
   void answer(const v1::Question& question, v1::Bulletin& bulletin);
   void tell(v1::Shown& shown) const;  // of whom how much is known
 
@@ -34,13 +35,13 @@
   void told(const std::string& agent, std::string_view what) override;
   void beat();
   void ask(const std::string& peer);
-  std::vector<fleet::Word> own_words();
+  std::vector<fleet::StatusReport> own_words();
 
-  net::Stage& stage_;
-  Warden& warden_;
+  net::EventLoopThread& loop_thread_;
+  ProcessSupervisor& supervisor_;
   Peers& peers_;
-  fleet::Bulletin bulletin_;
-  fleet::Asking asking_;
+  fleet::GossipState gossip_state_;
+  fleet::AntiEntropyScheduler scheduler_;
   std::map<std::string, Before> before_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/agent/doors.cpp
+++ b/src/agent/grpc_credentials.cpp
@@ -1,4 +1,4 @@
-#include "agent/doors.h"
+#include "agent/grpc_credentials.h"
 
 #include <sys/stat.h>
 
@@ -9,8 +9,8 @@
 
 std::shared_ptr<grpc::Channel> channel_to(const keys::Reach& reach, const std::string& name,
                                           const keys::Files& files) {
-  // Guards against a line that is mended and not used: left to itself the library waits up to two minutes after a
-  // few refused connects. Whoever calls has pauses of its own; a connect is given as long as a call.
+  // Guards against a line that is mended and not used: left to itself the library waits up to two minutes
+  // after a few refused connects. Whoever calls has pauses of its own; a connect is given as long as a call.
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 200);
   arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 1500);
@@ -39,7 +39,7 @@
   try {
     const keys::Certificate certificate = keys::certificate_in({shown.front().data(), shown.front().size()});
     return {certificate.name, certificate.role, certificate.serial};
-  } catch (const keys::Fault&) {
+  } catch (const keys::Error&) {
     return {};
   }
 }
@@ -64,7 +64,7 @@
   if (there && what.st_mtim.tv_sec * 1'000'000'000 + what.st_mtim.tv_nsec != changed_) {
     try {
       read();
-    } catch (const keys::Fault& fault) {
+    } catch (const keys::Error& fault) {
       PEARCHUTE_LOG(spdlog::level::err, "the revocations stay as they were: {}", fault.what());
     }
   }
--- a/src/agent/doors.h
+++ b/src/agent/grpc_credentials.h
@@ -14,7 +14,7 @@
 
 namespace pearchute::agent {
 
-// `name` is the agent's, which its certificate has to say. Throws keys::Fault where a file can't be read.
+// `name` is the agent's, which its certificate has to say. Throws keys::Error where a file can't be read.
 std::shared_ptr<grpc::Channel> channel_to(const keys::Reach& reach, const std::string& name,
                                           const keys::Files& files);
 std::shared_ptr<grpc::ServerCredentials> credentials_by(const keys::Files& files);
@@ -30,7 +30,7 @@
 // The revocations, read again when their file changes. A file that can't be used leaves them as they were.
 class Revocations {
  public:
-  explicit Revocations(const keys::Files& files);  // throws keys::Fault
+  explicit Revocations(const keys::Files& files);  // throws keys::Error
   bool hold(const std::string& serial);
 
  private:
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -9,15 +9,15 @@
 #include <random>
 
 #include "agent/coordinator.h"
-#include "agent/doors.h"
-#include "agent/herald.h"
-#include "agent/warden.h"
+#include "agent/gossip_service.h"
+#include "agent/grpc_credentials.h"
+#include "agent/process_supervisor.h"
 #include "agent/wire.h"
-#include "faults/fault.h"
+#include "errors/error.h"
 #include "ini/reader.h"
+#include "net/event_loop_thread.h"
 #include "net/json_lines.h"
 #include "net/log.h"
-#include "net/stage.h"
 
 using namespace pearchute;
 using namespace pearchute::agent;
@@ -31,18 +31,19 @@
 // Each call runs on the loop, where all else does; its own thread waits.
 class Service final : public v1::Agent::Service {
  public:
-  Service(net::Stage& stage, Warden& warden, Coordinator& coordinator, Herald* herald, const Charter& charter)
-      : stage_(stage),
-        warden_(warden),
+  Service(net::EventLoopThread& stage, ProcessSupervisor& supervisor, Coordinator& coordinator,
+          GossipService* gossip, const AgentConfig& charter)
+      : loop_thread_(stage),
+        supervisor_(supervisor),
         coordinator_(coordinator),
-        herald_(herald),
+        gossip_(gossip),
         name_(charter.name),
         revocations_(charter.tls) {}
 
   grpc::Status Show(grpc::ServerContext* context, const v1::Empty*, v1::Shown* shown) override {
     return on(*context, Act::look, "", [&] {
-      shown->set_name(name_), shown->set_build(PEARCHUTE_VERSION), shown->set_trouble(warden_.trouble());
-      for (const Warden::Seen& seen : warden_.seen()) {
+      shown->set_name(name_), shown->set_build(PEARCHUTE_VERSION), shown->set_trouble(supervisor_.trouble());
+      for (const ProcessSupervisor::Seen& seen : supervisor_.seen()) {
         v1::Instance& to = *shown->add_instances();
         to.set_name(seen.instance), to.set_zone(seen.zone);
         to.set_condition(std::string(fleet::word_for(seen.condition)));
@@ -53,22 +54,23 @@
         if (seen.under_way) *to.mutable_under_way() = to_wire(*seen.under_way);
         if (seen.last) *to.mutable_last() = to_wire(*seen.last);
       }
-      if (herald_) herald_->tell(*shown);
+      if (gossip_) gossip_->tell(*shown);
     });
   }
   grpc::Status Exchange(grpc::ServerContext* context, const v1::Question* question,
                         v1::Bulletin* bulletin) override {
-    if (!herald_) return {grpc::StatusCode::FAILED_PRECONDITION, "this agent exchanges no word"};
-    return on(*context, Act::look, "", [&] { herald_->answer(*question, *bulletin); });
+    if (!gossip_) return {grpc::StatusCode::FAILED_PRECONDITION, "this agent exchanges no word"};
+    return on(*context, Act::look, "", [&] { gossip_->answer(*question, *bulletin); });
   }
   grpc::Status Claim(grpc::ServerContext* context, const v1::ClaimAsk* ask, v1::ClaimAnswer* to) override {
     return on(*context, ask->take_over() ? Act::take_over : Act::change, ask->who(), [&] {
-      if (ask->lease_ms() > 24 * 3600 * 1000) throw MessageFault("a lease out of bounds");
-      const fleet::Claims::Answer answer = warden_.ask({ask->operation(),
-                                                        ask->who(),
-                                                        {ask->instances().begin(), ask->instances().end()},
-                                                        milliseconds(ask->lease_ms()),
-                                                        ask->take_over()});
+      if (ask->lease_ms() > 24 * 3600 * 1000) throw MessageError("a lease out of bounds");
+      const fleet::Claims::Answer answer =
+          supervisor_.ask({ask->operation(),
+                           ask->who(),
+                           {ask->instances().begin(), ask->instances().end()},
+                           milliseconds(ask->lease_ms()),
+                           ask->take_over()});
       to->set_granted(answer.granted), to->set_fault(answer.fault);
       for (const auto& [instance, fence] : answer.fences) (*to->mutable_fences())[instance] = fence;
       for (const auto& held : answer.held) {
@@ -80,18 +82,18 @@
   }
   grpc::Status Renew(grpc::ServerContext* context, const v1::Renewal* ask, v1::Renewed* to) override {
     return on(*context, Act::change, holder_of(ask->operation()), [&] {
-      if (ask->lease_ms() > 24 * 3600 * 1000) throw MessageFault("a lease out of bounds");
-      to->set_live(warden_.renew(ask->operation(), {ask->instances().begin(), ask->instances().end()},
-                                 milliseconds(ask->lease_ms())));
+      if (ask->lease_ms() > 24 * 3600 * 1000) throw MessageError("a lease out of bounds");
+      to->set_live(supervisor_.renew(ask->operation(), {ask->instances().begin(), ask->instances().end()},
+                                     milliseconds(ask->lease_ms())));
     });
   }
   grpc::Status Release(grpc::ServerContext* context, const v1::Operation* ask, v1::Empty*) override {
-    return on(*context, Act::change, holder_of(ask->id()), [&] { warden_.release(ask->id()); });
+    return on(*context, Act::change, holder_of(ask->id()), [&] { supervisor_.release(ask->id()); });
   }
   grpc::Status DoStep(grpc::ServerContext* context, const v1::StepAsk* ask, v1::StepAnswer* to) override {
     return on(*context, Act::change, holder_of(ask->step().operation()), [&] {
       std::string fault;
-      to->set_accepted(warden_.step(ask->instance(), from_wire(ask->step()), fault));
+      to->set_accepted(supervisor_.step(ask->instance(), from_wire(ask->step()), fault));
       to->set_fault(fault);
     });
   }
@@ -123,23 +125,23 @@
       return {grpc::StatusCode::PERMISSION_DENIED, *refusal};
     }
     try {
-      stage_.on(what);
+      loop_thread_.on(what);
       return grpc::Status::OK;
-    } catch (const MessageFault& fault) {
+    } catch (const MessageError& fault) {
       return {grpc::StatusCode::INVALID_ARGUMENT, fault.what()};
     }
   }
   // Under whose name an operation has its claims here.
   std::string holder_of(const std::string& operation) {
-    return stage_.on([&]() -> std::string {
-      for (const Warden::Seen& seen : warden_.seen()) {
+    return loop_thread_.on([&]() -> std::string {
+      for (const ProcessSupervisor::Seen& seen : supervisor_.seen()) {
         if (seen.claim && seen.claim->operation == operation) return seen.claim->who;
       }
       return "";
     });
   }
   void fill(v1::Claim& to, const fleet::Claim& claim) const {
-    const Span now = stage_.loop().now();
+    const Span now = loop_thread_.loop().now();
     const auto in_ms = [](Span span) {
       return static_cast<std::uint64_t>(std::max<Span::rep>(duration_cast<milliseconds>(span).count(), 0));
     };
@@ -147,19 +149,19 @@
     to.set_held_ms(in_ms(now - claim.since)), to.set_left_ms(in_ms(claim.until - now));
   }
 
-  net::Stage& stage_;
-  Warden& warden_;
+  net::EventLoopThread& loop_thread_;
+  ProcessSupervisor& supervisor_;
   Coordinator& coordinator_;
-  Herald* const herald_;
+  GossipService* const gossip_;
   const std::string name_;
   Revocations revocations_;
 };
 
 // A file that can't be used leaves all as it was.
-void read_again(const std::string& file, const Charter& charter, net::Stage& stage, Warden& warden,
-                Peers& peers, Herald* herald) {
+void read_again(const std::string& file, const AgentConfig& charter, net::EventLoopThread& stage,
+                ProcessSupervisor& supervisor, Peers& peers, GossipService* gossip) {
   try {
-    const Charter next = read_charter(file);
+    const AgentConfig next = read_agent_config(file);
     const bool other = next.name != charter.name || next.state != charter.state ||
                        next.control.text != charter.control.text || next.listen.text != charter.listen.text ||
                        next.exchanges != charter.exchanges;
@@ -167,8 +169,8 @@
       spdlog::warn("the agent's name, state, places and exchange take effect at its next start only");
     const auto told = stage.on([&] {
       peers.change(next);
-      if (herald) herald->change(next);
-      return warden.change(next);
+      if (gossip) gossip->change(next);
+      return supervisor.change(next);
     });
     for (const std::string& word : told) spdlog::info("{}", word);
     spdlog::info("the charter is read again");
@@ -177,25 +179,26 @@
   }
 }
 
-int run(const std::string& file, const Charter& charter) {
+int run(const std::string& file, const AgentConfig& charter) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, [](int) { asked_to_end = 1; });
   std::signal(SIGINT, [](int) { asked_to_end = 1; });
   std::signal(SIGHUP, [](int) { asked_to_read_again = 1; });
-  net::Stage stage;
-  std::unique_ptr<Warden> warden;
+  net::EventLoopThread stage;
+  std::unique_ptr<ProcessSupervisor> supervisor;
   std::unique_ptr<Peers> peers;
   std::unique_ptr<Coordinator> coordinator;
-  std::unique_ptr<Herald> herald;
+  std::unique_ptr<GossipService> gossip;
   stage.on([&] {
-    warden = std::make_unique<Warden>(stage.loop(), charter);
+    supervisor = std::make_unique<ProcessSupervisor>(stage.loop(), charter);
     peers = std::make_unique<Peers>(stage, charter);
-    coordinator = std::make_unique<Coordinator>(stage, *peers, warden->store(), warden->trouble());
+    coordinator = std::make_unique<Coordinator>(stage, *peers, supervisor->store(), supervisor->trouble());
     std::random_device chance;
     const std::uint64_t seed = static_cast<std::uint64_t>(chance()) << 32 | chance();
-    if (charter.exchanges) herald = std::make_unique<Herald>(stage, charter, *warden, *peers, seed);
+    if (charter.exchanges)
+      gossip = std::make_unique<GossipService>(stage, charter, *supervisor, *peers, seed);
   });
-  Service service(stage, *warden, *coordinator, herald.get(), charter);
+  Service service(stage, *supervisor, *coordinator, gossip.get(), charter);
   grpc::ServerBuilder builder;
   // Bounds: of threads, of a message (the largest is a plan of some thousand instances), and of idle
   // connections.
@@ -212,16 +215,16 @@
   const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
   ::umask(before);
   if (!server || port == 0)
-    throw ListeningFault("can't listen", charter.control.text + " " + charter.listen.text);
+    throw ListeningError("can't listen", charter.control.text + " " + charter.listen.text);
   spdlog::info("agent {} at {}, {} instances", charter.name, charter.control.text, charter.instances.size());
   while (!asked_to_end) {
     ::usleep(50'000);
     if (!asked_to_read_again) continue;
     asked_to_read_again = 0;
-    read_again(file, charter, stage, *warden, *peers, herald.get());
+    read_again(file, charter, stage, *supervisor, *peers, gossip.get());
   }
   server->Shutdown(std::chrono::system_clock::now() + milliseconds(500));
-  stage.on([&] { herald.reset(), coordinator.reset(), peers.reset(), warden.reset(); });
+  stage.on([&] { gossip.reset(), coordinator.reset(), peers.reset(), supervisor.reset(); });
   spdlog::info("agent {} ends; its instances go on", charter.name);
   return 0;
 }
@@ -242,7 +245,7 @@
     return app.exit(error) == 0 ? 0 : 2;
   }
   try {
-    const Charter charter = read_charter(file);
+    const AgentConfig charter = read_agent_config(file);
     if (check) {
       std::cout << file << ": usable\n";
       return 0;
@@ -250,7 +253,7 @@
     net::start_log(charter.name, log == "json" ? net::json_lines() : nullptr);
     return run(file, charter);
   } catch (const std::exception& error) {
-    tell_fault(std::cerr, "pearchute-agent", error);
+    print_error(std::cerr, "pearchute-agent", error);
     return 1;
   }
 }
--- a/src/agent/peers.cpp
+++ b/src/agent/peers.cpp
@@ -1,14 +1,14 @@
 #include "agent/peers.h"
 
-#include "agent/doors.h"
+#include "agent/grpc_credentials.h"
 
 namespace pearchute::agent {
 
-Peers::Peers(net::Stage& stage, const Charter& charter)
-    : stage_(stage), charter_(charter), calls_(std::make_shared<Calls>()) {
-  stubs_[charter_.name] = v1::Agent::NewStub(channel_to(charter_.control, charter_.name, charter_.tls));
-  for (const auto& [name, reach] : charter_.peers)
-    stubs_[name] = v1::Agent::NewStub(channel_to(reach, name, charter_.tls));
+Peers::Peers(net::EventLoopThread& stage, const AgentConfig& charter)
+    : loop_thread_(stage), config_(charter), calls_(std::make_shared<Calls>()) {
+  stubs_[config_.name] = v1::Agent::NewStub(channel_to(config_.control, config_.name, config_.tls));
+  for (const auto& [name, reach] : config_.peers)
+    stubs_[name] = v1::Agent::NewStub(channel_to(reach, name, config_.tls));
 }
 
 // No call's end may reach a stage that has gone.
@@ -18,12 +18,12 @@
   calls_->ended.wait(lock, [this] { return calls_->open.empty(); });
 }
 
-void Peers::change(const Charter& next) {
+void Peers::change(const AgentConfig& next) {
   for (const auto& [name, reach] : next.peers) {
-    const auto known = charter_.peers.find(name);
-    if (known != charter_.peers.end() && known->second.text == reach.text) continue;
-    stubs_[name] = v1::Agent::NewStub(channel_to(reach, name, charter_.tls));
-    charter_.peers[name] = reach;
+    const auto known = config_.peers.find(name);
+    if (known != config_.peers.end() && known->second.text == reach.text) continue;
+    stubs_[name] = v1::Agent::NewStub(channel_to(reach, name, config_.tls));
+    config_.peers[name] = reach;
   }
 }
 
--- a/src/agent/peers.h
+++ b/src/agent/peers.h
@@ -14,20 +14,20 @@
 #include <string>
 
 #include "agent.grpc.pb.h"
-#include "agent/charter.h"
-#include "net/stage.h"
+#include "agent/agent_config.h"
+#include "net/event_loop_thread.h"
 
 namespace pearchute::agent {
 
 class Peers {
  public:
-  Peers(net::Stage& stage, const Charter& charter);
+  Peers(net::EventLoopThread& stage, const AgentConfig& charter);
   ~Peers();  // calls off what is open, and waits until its ends are handed over
   Peers(const Peers&) = delete;
   Peers& operator=(const Peers&) = delete;
   // Those that are new, or are reached elsewhere now; those that are not named any more stay known until the
   // next start, since rollouts may hold claims there.
-  void change(const Charter& next);
+  void change(const AgentConfig& next);
   bool know(const std::string& agent) const { return stubs_.contains(agent); }
   std::vector<std::string> names() const;  // this agent's own, too
 
@@ -47,7 +47,7 @@
       const std::lock_guard lock(calls_->mutex);
       calls_->open.insert(&open->context);
     }
-    std::function<void(grpc::Status)> done = [stage = &stage_, open, heard,
+    std::function<void(grpc::Status)> done = [stage = &loop_thread_, open, heard,
                                               calls = calls_](grpc::Status status) {
       stage->post([open, heard, ok = status.ok()] { heard(ok, open->answer); });
       const std::lock_guard lock(calls->mutex);
@@ -64,8 +64,8 @@
     std::condition_variable ended;
     std::set<grpc::ClientContext*> open;
   };
-  net::Stage& stage_;
-  Charter charter_;
+  net::EventLoopThread& loop_thread_;
+  AgentConfig config_;
   const std::shared_ptr<Calls> calls_;
   std::map<std::string, std::unique_ptr<v1::Agent::Stub>> stubs_;
 };
--- a/src/agent/warden.cpp
+++ b/src/agent/process_supervisor.cpp
@@ -1,4 +1,4 @@
-#include "agent/warden.h"
+#include "agent/process_supervisor.h"
 
 #include <unistd.h>
 
@@ -25,7 +25,7 @@
 }  // namespace
 
 // What was last seen of one instance.
-struct Warden::Eye {
+struct ProcessSupervisor::Eye {
   std::unique_ptr<admin::Caller> caller;
   bool looking = false, answers = false, looked = false;
   std::string phase, rest;
@@ -34,27 +34,27 @@
   std::uint64_t done = 0, answered = 0, open = 0, life = 0;
 };
 
-Warden::Warden(net::Loop& loop, const Charter& charter)
-    : loop_(loop), charter_(charter), store_(charter.state) {
+ProcessSupervisor::ProcessSupervisor(net::Loop& loop, const AgentConfig& charter)
+    : loop_(loop), config_(charter), store_(charter.state) {
   const bool usable = store_.open(trouble_) == store::Store::Opened::usable;
-  if (usable) keeper_ = std::make_unique<fleet::Keeper>(*this);
+  if (usable) lease_owner_ = std::make_unique<fleet::LeaseOwner>(*this);
   else spdlog::error("{}; this agent observes and takes no orders until its state is mended", trouble_);
-  const auto kept = usable ? store_.instances() : std::map<std::string, fleet::Keeper::Kept>();
+  const auto kept = usable ? store_.instances() : std::map<std::string, fleet::LeaseOwner::Kept>();
   const auto processes = usable ? store_.processes() : std::map<std::string, store::Process>();
-  for (const auto& [name, owned] : charter_.instances) own(name, owned, kept, processes);
+  for (const auto& [name, owned] : config_.instances) own(name, owned, kept, processes);
   look();
 }
 
-Warden::~Warden() { *alive_ = false; }
+ProcessSupervisor::~ProcessSupervisor() { *alive_ = false; }
 
-void Warden::own(const std::string& name, const Owned& owned,
-                 const std::map<std::string, fleet::Keeper::Kept>& kept,
-                 const std::map<std::string, store::Process>& processes) {
+void ProcessSupervisor::own(const std::string& name, const Owned& owned,
+                            const std::map<std::string, fleet::LeaseOwner::Kept>& kept,
+                            const std::map<std::string, store::Process>& processes) {
   auto& eye = eyes_[name] = std::make_unique<Eye>();
   eye->caller = std::make_unique<admin::Caller>(loop_, owned.admin);
   eye->version = owned.version;
-  if (!keeper_) return;
-  fleet::Keeper::Kept one;
+  if (!lease_owner_) return;
+  fleet::LeaseOwner::Kept one;
   one.wanted = owned.wanted, one.version = owned.version;
   if (const auto at = kept.find(name); at != kept.end()) one = at->second;
   // A version that the charter names no more can't be started: the charter's own is.
@@ -65,29 +65,29 @@
     if (ours && at->second.version > 0) eye->version = at->second.version;
     spdlog::info("instance {}: process {} {}", name, at->second.pid, ours ? "is adopted" : "has ended");
   }
-  keeper_->owns(loop_.now(), name, one);
+  lease_owner_->owns(loop_.now(), name, one);
 }
 
-std::vector<std::string> Warden::change(const Charter& next) {
+std::vector<std::string> ProcessSupervisor::change(const AgentConfig& next) {
   std::vector<std::string> told;
-  const Charter before = charter_;
-  charter_.instances = next.instances;
+  const AgentConfig before = config_;
+  config_.instances = next.instances;
   for (const auto& [name, owned] : before.instances) {
     const auto at = next.instances.find(name);
     // Where it is reached is what makes it this instance: another place is another one.
     const bool same = at != next.instances.end() && at->second.admin.text == owned.admin.text;
     if (same) continue;
-    if (keeper_ && !keeper_->disown(loop_.now(), name)) {
-      charter_.instances[name] = owned;
+    if (lease_owner_ && !lease_owner_->disown(loop_.now(), name)) {
+      config_.instances[name] = owned;
       told.push_back("instance " + name + " stays as it was: it is claimed");
       continue;
     }
     processes_.let_go(name);
     eyes_.erase(name);
-    if (keeper_) store_.forget(name);
+    if (lease_owner_) store_.forget(name);
     told.push_back("instance " + name + " is not looked after any more; it runs on");
   }
-  for (const auto& [name, owned] : charter_.instances) {
+  for (const auto& [name, owned] : config_.instances) {
     if (eyes_.contains(name)) continue;
     own(name, owned, {}, {});
     told.push_back("instance " + name + " is looked after from now on");
@@ -97,39 +97,40 @@
 
 // ---- What operators ask
 
-fleet::Claims::Answer Warden::ask(const fleet::ClaimAsk& ask) {
-  if (keeper_) return keeper_->ask(loop_.now(), ask);
+fleet::Claims::Answer ProcessSupervisor::ask(const fleet::ClaimAsk& ask) {
+  if (lease_owner_) return lease_owner_->ask(loop_.now(), ask);
   fleet::Claims::Answer answer;
   answer.fault = trouble_;
   return answer;
 }
 
-bool Warden::renew(const std::string& operation, const std::vector<std::string>& instances, Span lease) {
-  return keeper_ && keeper_->renew(loop_.now(), operation, instances, lease);
+bool ProcessSupervisor::renew(const std::string& operation, const std::vector<std::string>& instances,
+                              Span lease) {
+  return lease_owner_ && lease_owner_->renew(loop_.now(), operation, instances, lease);
 }
 
-void Warden::release(const std::string& operation) {
-  if (keeper_) keeper_->release(loop_.now(), operation);
+void ProcessSupervisor::release(const std::string& operation) {
+  if (lease_owner_) lease_owner_->release(loop_.now(), operation);
 }
 
-bool Warden::step(const std::string& instance, const fleet::Step& step, std::string& fault) {
-  if (!keeper_) return fault = trouble_, false;
-  const auto at = charter_.instances.find(instance);
-  if (at != charter_.instances.end() && step.kind == fleet::StepKind::change &&
+bool ProcessSupervisor::step(const std::string& instance, const fleet::Step& step, std::string& fault) {
+  if (!lease_owner_) return fault = trouble_, false;
+  const auto at = config_.instances.find(instance);
+  if (at != config_.instances.end() && step.kind == fleet::StepKind::change &&
       !at->second.commands.contains(step.version))
     return fault = "no command of version " + std::to_string(step.version), false;
-  return keeper_->step(loop_.now(), instance, step, fault);
+  return lease_owner_->step(loop_.now(), instance, step, fault);
 }
 
-std::vector<Warden::Seen> Warden::seen() const {
+std::vector<ProcessSupervisor::Seen> ProcessSupervisor::seen() const {
   std::vector<Seen> all;
-  for (const auto& [name, owned] : charter_.instances) {
+  for (const auto& [name, owned] : config_.instances) {
     Seen& one = all.emplace_back();
     one.instance = name, one.zone = owned.zone;
     const Eye& eye = *eyes_.at(name);
     one.pid = eye.pid, one.done = eye.done, one.answered = eye.answered;
     one.open = eye.open, one.life = eye.life;
-    if (!keeper_) {
+    if (!lease_owner_) {
       one.condition = !eye.answers             ? fleet::Condition::unseen
                       : eye.rest == "drained"  ? fleet::Condition::drained
                       : eye.rest == "draining" ? fleet::Condition::draining
@@ -137,9 +138,9 @@
                                                : fleet::Condition::starting;
       continue;
     }
-    const fleet::Life& life = *keeper_->life(name);
+    const fleet::Life& life = *lease_owner_->life(name);
     one.condition = life.condition(), one.version = life.version(), one.falls = life.falls();
-    one.claim = keeper_->claims().claim_on(loop_.now(), name);
+    one.claim = lease_owner_->claims().claim_on(loop_.now(), name);
     one.under_way = life.under_way(), one.last = life.last();
     if (const auto process = processes_.process_of(name)) one.pid = process->pid;
   }
@@ -148,7 +149,7 @@
 
 // ---- Eyes
 
-void Warden::look() {
+void ProcessSupervisor::look() {
   for (auto& [name, eye] : eyes_) {
     if (eye->looking) continue;
     eye->looking = true;
@@ -177,12 +178,12 @@
   });
 }
 
-bool Warden::looked_at_all() const {
+bool ProcessSupervisor::looked_at_all() const {
   return std::ranges::all_of(eyes_, [](const auto& one) { return one.second->looked; });
 }
 
-void Warden::looked(const std::string& name) {
-  if (!keeper_) return;
+void ProcessSupervisor::looked(const std::string& name) {
+  if (!lease_owner_) return;
   const Eye& eye = *eyes_.at(name);
   fleet::Life::Look look;
   look.ours = processes_.alive(name);
@@ -194,29 +195,30 @@
   look.serves = eye.phase == "serving";
   look.drains = eye.rest == "draining", look.drained = eye.rest == "drained";
   look.version = eye.version;
-  keeper_->looked(loop_.now(), name, look);
+  lease_owner_->looked(loop_.now(), name, look);
 }
 
-void Warden::wake_at(Span when) {
+void ProcessSupervisor::wake_at(Span when) {
   if (wake_ && *wake_ <= when && *wake_ > loop_.now()) return;
   wake_ = when;
   loop_.at(when, [this, alive = alive_] {
     if (!*alive) return;
     wake_.reset();
-    keeper_->woken(loop_.now());
+    lease_owner_->woken(loop_.now());
   });
 }
 
 // ---- Hands
 
-bool Warden::write(const std::map<std::string, fleet::Keeper::Kept>& kept, const std::string& why) {
+bool ProcessSupervisor::write(const std::map<std::string, fleet::LeaseOwner::Kept>& kept,
+                              const std::string& why) {
   if (store_.write(kept)) return true;
   PEARCHUTE_LOG(spdlog::level::err, "{}: {} is not done", store_.fault(), why);
   return false;
 }
 
-void Warden::start(const std::string& name, int version) {
-  const Owned& owned = charter_.instances.at(name);
+void ProcessSupervisor::start(const std::string& name, int version) {
+  const Owned& owned = config_.instances.at(name);
   const auto command = owned.commands.find(version);
   if (command == owned.commands.end()) {
     PEARCHUTE_LOG(spdlog::level::err, "instance {}: no command of version {}", name, version);
@@ -235,20 +237,20 @@
                 started ? "started, version " + std::to_string(version) : "can't be started: " + fault);
 }
 
-void Warden::ask_to_end(const std::string& name, Span within) {
+void ProcessSupervisor::ask_to_end(const std::string& name, Span within) {
   admin::v1::Call call;
   call.mutable_end()->set_within_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(within).count()));
   eyes_.at(name)->caller->call(call, answers_within, {});
 }
 
-void Warden::call_off_end(const std::string& name) {
+void ProcessSupervisor::call_off_end(const std::string& name) {
   admin::v1::Call call;
   call.mutable_end()->set_called_off(true);
   eyes_.at(name)->caller->call(call, answers_within, {});
 }
 
 // Under the operation's name, and with a generation over all that the manager knows.
-void Warden::order_drain(const std::string& name, bool drains, const fleet::Step& step) {
+void ProcessSupervisor::order_drain(const std::string& name, bool drains, const fleet::Step& step) {
   admin::v1::Call known;
   known.mutable_orders();
   eyes_.at(name)->caller->call(
@@ -258,7 +260,7 @@
         admin::v1::Call call;
         admin::v1::Order& order = *call.mutable_order();
         order.set_id(step.operation + "-" + std::to_string(step.fence) + (drains ? "-drain" : "-restore"));
-        order.set_holder("agent:" + charter_.name), order.set_drains(drains);
+        order.set_holder("agent:" + config_.name), order.set_drains(drains);
         order.set_generation(reply.orders().newest_generation() + 1);
         // A drained instance stays so until somebody resumes it, a day at most.
         order.set_lease_ms(24 * 3600 * 1000), order.set_reason("operation " + step.operation);
@@ -266,23 +268,24 @@
       });
 }
 
-void Warden::terminate(const std::string& name) {
+void ProcessSupervisor::terminate(const std::string& name) {
   spdlog::warn("instance {}: SIGTERM", name);
   processes_.signal(name, SIGTERM);
 }
 
-void Warden::kill(const std::string& name) {
+void ProcessSupervisor::kill(const std::string& name) {
   spdlog::warn("instance {}: SIGKILL", name);
   processes_.signal(name, SIGKILL);
 }
 
-void Warden::step_ended(const std::string& name, const fleet::Step& step, fleet::StepEnd end,
-                        const std::string& word) {
+void ProcessSupervisor::step_ended(const std::string& name, const fleet::Step& step, fleet::StepEnd end,
+                                   const std::string& word) {
   spdlog::info("instance {}: step of {} under fence {}: {}, {}", name, step.operation, step.fence,
                word_for(end), word);
 }
 
-void Warden::claim_over(const std::string& name, const fleet::Claim& claim, fleet::Claims::Ended why) {
+void ProcessSupervisor::claim_over(const std::string& name, const fleet::Claim& claim,
+                                   fleet::Claims::Ended why) {
   constexpr std::string_view words[] = {"has run out", "is given back", "is taken over"};
   spdlog::info("instance {}: the claim of {} for {} {}", name, claim.who, claim.operation,
                words[static_cast<int>(why)]);
--- a/src/agent/warden.h
+++ b/src/agent/process_supervisor.h
@@ -1,29 +1,29 @@
 // An agent's eyes and hands: looks at its instances, starts and ends their processes, hands them orders, and
-// keeps what its Keeper decides on disk. Where the disk can't be used it observes, takes no orders, and its
-// instances go on serving. It decides nothing itself.
+// keeps what its LeaseOwner decides on disk. Where the disk can't be used it observes, takes no orders, and
+// its instances go on serving. It decides nothing itself.
 #pragma once
 
 #include <memory>
 #include <string>
 
 #include "admin/caller.h"
-#include "agent/charter.h"
+#include "agent/agent_config.h"
 #include "agent/processes.h"
-#include "fleet/keeper.h"
+#include "fleet/lease_owner.h"
 #include "net/driver.h"
 #include "store/store.h"
 
 namespace pearchute::agent {
 
-class Warden final : public fleet::Keeper::Host {
+class ProcessSupervisor final : public fleet::LeaseOwner::Host {
  public:
-  Warden(net::Loop& loop, const Charter& charter);
-  ~Warden() override;
+  ProcessSupervisor(net::Loop& loop, const AgentConfig& charter);
+  ~ProcessSupervisor() override;
 
   // The charter is another: new instances are owned, commands change for the next start, and those that are
   // not named any more run on with nobody to look after them; what is claimed stays. Tells what was done, in
   // words.
-  std::vector<std::string> change(const Charter& next);
+  std::vector<std::string> change(const AgentConfig& next);
   // What operators ask; `fault` says why not.
   fleet::Claims::Answer ask(const fleet::ClaimAsk& ask);
   bool renew(const std::string& operation, const std::vector<std::string>& instances, Span lease);
@@ -45,14 +45,14 @@
   std::vector<Seen> seen() const;
   const std::string& trouble() const { return trouble_; }  // empty: it takes orders
   bool looked_at_all() const;                              // since the start
-  bool settled() const { return !keeper_ || keeper_->settled(); }
+  bool settled() const { return !lease_owner_ || lease_owner_->settled(); }
 
  private:
   struct Eye;
   void own(const std::string& name, const Owned& owned,
-           const std::map<std::string, fleet::Keeper::Kept>& kept,
+           const std::map<std::string, fleet::LeaseOwner::Kept>& kept,
            const std::map<std::string, store::Process>& processes);
-  bool write(const std::map<std::string, fleet::Keeper::Kept>& kept, const std::string& why) override;
+  bool write(const std::map<std::string, fleet::LeaseOwner::Kept>& kept, const std::string& why) override;
   void start(const std::string& instance, int version) override;
   void ask_to_end(const std::string& instance, Span within) override;
   void call_off_end(const std::string& instance) override;
@@ -67,12 +67,12 @@
   void looked(const std::string& instance);
 
   net::Loop& loop_;
-  Charter charter_;
+  AgentConfig config_;
   store::Store store_;
   Processes processes_;
   std::string trouble_;
   std::map<std::string, std::unique_ptr<Eye>> eyes_;
-  std::unique_ptr<fleet::Keeper> keeper_;  // none where it only observes
+  std::unique_ptr<fleet::LeaseOwner> lease_owner_;  // none where it only observes
   std::optional<Span> wake_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/agent/processes.cpp
+++ b/src/agent/processes.cpp
@@ -44,7 +44,8 @@
   return std::nullopt;
 }
 
-// Each instance costs a descriptor here and one of its admin channel, so the agent takes all that it may have.
+// Each instance costs a descriptor here and one of its admin channel, so the agent takes all that it may
+// have.
 Processes::Processes() : boot_(read_boot()) {
   if (::getrlimit(RLIMIT_NOFILE, &given_) != 0) return;
   rlimit most = given_;
--- a/src/agent/wire.cpp
+++ b/src/agent/wire.cpp
@@ -19,7 +19,7 @@
   for (std::size_t i = 0; i < size; ++i) {
     if (words[i] == word) return static_cast<Enum>(i);
   }
-  throw MessageFault("'" + word + "' is not known");
+  throw MessageError("'" + word + "' is not known");
 }
 
 std::uint64_t ms(fleet::Span span) {
@@ -28,7 +28,7 @@
 
 // A day is longer than anything that is waited for here.
 fleet::Span span(std::uint64_t from) {
-  if (from > 24 * 3600 * 1000) throw MessageFault("a span of over a day");
+  if (from > 24 * 3600 * 1000) throw MessageError("a span of over a day");
   return milliseconds(from);
 }
 
@@ -64,7 +64,7 @@
   return to;
 }
 
-v1::InstanceWord to_wire(const fleet::Word& word) {
+v1::InstanceWord to_wire(const fleet::StatusReport& word) {
   v1::InstanceWord to;
   to.set_instance(word.instance), to.set_zone(word.zone);
   to.set_condition(std::string(word_for(word.condition)));
@@ -73,7 +73,7 @@
   return to;
 }
 
-v1::News to_wire(const fleet::News& news) {
+v1::News to_wire(const fleet::ReportDelta& news) {
   v1::News to;
   to.set_agent(news.agent), to.set_incarnation(news.upto.incarnation), to.set_upto(news.upto.through);
   to.set_age_us(static_cast<std::uint64_t>(std::max<fleet::Span::rep>(news.age.count(), 0)));
@@ -86,10 +86,10 @@
   return to;
 }
 
-std::optional<fleet::News> from_wire(const v1::News& news) {
+std::optional<fleet::ReportDelta> from_wire(const v1::News& news) {
   // A month: beyond it nothing is worth an age, and sums of spans stay far from their end.
   constexpr std::uint64_t longest_us = 30ULL * 24 * 3600 * 1'000'000;
-  fleet::News to;
+  fleet::ReportDelta to;
   to.agent = news.agent(), to.upto = {news.incarnation(), news.upto()};
   if (news.age_us() > longest_us) return std::nullopt;
   to.age = fleet::Span(static_cast<fleet::Span::rep>(news.age_us())), to.age_known = news.age_known();
@@ -158,11 +158,11 @@
   to.lease = span(plan.lease_ms());
   to.drain_within = span(plan.drain_within_ms()), to.up_within = span(plan.up_within_ms());
   if (to.id.empty() || to.id.size() > 64 || to.who.empty() || to.who.size() > 128)
-    throw MessageFault("a rollout needs a short id and a name");
-  if (to.at_once < 1 || to.batch < 0 || to.failures < 0) throw MessageFault("a limit out of bounds");
-  if (to.targets.empty() || to.targets.size() > 5000) throw MessageFault("no target, or too many");
+    throw MessageError("a rollout needs a short id and a name");
+  if (to.at_once < 1 || to.batch < 0 || to.failures < 0) throw MessageError("a limit out of bounds");
+  if (to.targets.empty() || to.targets.size() > 5000) throw MessageError("no target, or too many");
   if (to.lease < fleet::Claims::shortest_lease || to.lease > fleet::Claims::longest_lease)
-    throw MessageFault("a lease out of bounds");
+    throw MessageError("a lease out of bounds");
   return to;
 }
 
--- a/src/agent/wire.h
+++ b/src/agent/wire.h
@@ -1,11 +1,11 @@
 // Between the agents' messages and the decisions' terms, both ways. A word that is not known throws
-// MessageFault.
+// MessageError.
 #pragma once
 
 #include "agent.pb.h"
-#include "faults/fault.h"
-#include "fleet/bulletin.h"
-#include "fleet/keeper.h"
+#include "errors/error.h"
+#include "fleet/gossip_state.h"
+#include "fleet/lease_owner.h"
 #include "fleet/rollout.h"
 
 namespace pearchute::agent {
@@ -15,9 +15,9 @@
 fleet::Condition condition_in(const std::string& word);
 v1::Step to_wire(const fleet::Step& step);
 fleet::Step from_wire(const v1::Step& step);
-v1::InstanceWord to_wire(const fleet::Word& word);
-v1::News to_wire(const fleet::News& news);
-std::optional<fleet::News> from_wire(const v1::News& news);  // none where it holds what can't be
+v1::InstanceWord to_wire(const fleet::StatusReport& word);
+v1::News to_wire(const fleet::ReportDelta& news);
+std::optional<fleet::ReportDelta> from_wire(const v1::News& news);  // none where it holds what can't be
 v1::Ended to_wire(const fleet::Life::Past& past);
 fleet::Life::Past from_wire(const v1::Ended& ended);
 v1::Plan to_wire(const fleet::RolloutPlan& plan);
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -55,7 +55,7 @@
   void woken(Span now, std::uint64_t mark);
   void closing(Span now);
 
-  // What it believes, for those who ask. Asking changes no decision.
+  // What it believes, for those who ask. AntiEntropyScheduler changes no decision.
   struct Belief {
     double slots = 0, capacity_mb = 0;
     bool is_cold = false;
--- a/src/ctl/agents.cpp
+++ b/src/ctl/agents.cpp
@@ -9,7 +9,7 @@
 #include <thread>
 
 #include "agent.grpc.pb.h"
-#include "agent/doors.h"
+#include "agent/grpc_credentials.h"
 #include "agent/wire.h"
 #include "fleet/caution.h"
 
--- a/src/ctl/rounds.cpp
+++ b/src/ctl/batch_executor.cpp
@@ -1,4 +1,4 @@
-#include "ctl/rounds.h"
+#include "ctl/batch_executor.h"
 
 #include <thread>
 
@@ -34,17 +34,17 @@
   round->left = instances.size();
   if (instances.empty()) return {};
   auto done = round->done.get_future();
-  stage_.on([&] {
+  loop_thread_.on([&] {
     round->go_on = [&, round = round.get()] {
       if (round->next == instances.size()) return;
       const std::size_t number = round->next++;
-      round->callers[number] = std::make_unique<Caller>(stage_.loop(), instances[number]->place);
+      round->callers[number] = std::make_unique<Caller>(loop_thread_.loop(), instances[number]->place);
       round->callers[number]->call(call_for(number), within_,
                                    [&, round, number](CallEnd end, const admin::v1::Reply& reply) {
                                      round->heard[number].end = end, round->heard[number].reply = reply;
                                      // Its connection goes once this event is over, and the next instance has
                                      // its turn.
-                                     stage_.loop().soon([&, round, number] {
+                                     loop_thread_.loop().soon([&, round, number] {
                                        round->callers[number].reset();
                                        if (--round->left == 0) round->done.set_value();
                                        else round->go_on();
@@ -54,7 +54,7 @@
     for (std::size_t i = 0; i < std::min(at_once_, instances.size()); ++i) round->go_on();
   });
   done.get();
-  stage_.on([] {});  // the event that said so is over
+  loop_thread_.on([] {});  // the event that said so is over
   return std::move(round->heard);
 }
 
@@ -95,9 +95,9 @@
                    const std::function<bool()>& done) {
   std::vector<std::unique_ptr<Caller>> callers;
   std::size_t left = instances.size();
-  stage_.on([&] {
+  loop_thread_.on([&] {
     for (const Instance* instance : instances) {
-      callers.push_back(std::make_unique<Caller>(stage_.loop(), instance->place));
+      callers.push_back(std::make_unique<Caller>(loop_thread_.loop(), instance->place));
       callers.back()->watch(
           0, within_, [&, instance](const admin::v1::Event& what) { event(*instance, what); },
           [&, instance](CallEnd end, const admin::v1::Reply& reply) {
@@ -108,10 +108,10 @@
   });
   const auto until = std::chrono::steady_clock::now() + time;
   while (!done() && (time.count() == 0 || std::chrono::steady_clock::now() < until)) {
-    if (stage_.on([&] { return left; }) == 0) break;
+    if (loop_thread_.on([&] { return left; }) == 0) break;
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
   }
-  stage_.on([&] { callers.clear(); });
+  loop_thread_.on([&] { callers.clear(); });
 }
 
 }  // namespace pearchute::ctl
--- a/src/ctl/rounds.h
+++ b/src/ctl/batch_executor.h
@@ -8,7 +8,7 @@
 
 #include "admin/caller.h"
 #include "ctl/fleet_file.h"
-#include "net/stage.h"
+#include "net/event_loop_thread.h"
 
 namespace pearchute::ctl {
 
@@ -42,7 +42,7 @@
  private:
   const std::size_t at_once_;
   const std::chrono::milliseconds within_;
-  net::Stage stage_;
+  net::EventLoopThread loop_thread_;
 };
 
 }  // namespace pearchute::ctl
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "ctl/batch_executor.h"
 #include "ctl/fleet_file.h"
 #include "ctl/output.h"
-#include "ctl/rounds.h"
 #include "fleet/caution.h"
 
 namespace pearchute::ctl {
--- a/src/ctl/fleet_file.cpp
+++ b/src/ctl/fleet_file.cpp
@@ -17,35 +17,35 @@
         fleet.answers_within = std::chrono::milliseconds(ini::whole(name, text, 10, 60'000));
       // Each takes a descriptor.
       else if (name == "parallel") fleet.at_once = static_cast<std::size_t>(ini::whole(name, text, 1, 500));
-      else throw ini::Fault("'" + name + "' is not known in [fleet]");
+      else throw ini::Error("'" + name + "' is not known in [fleet]");
       return;
     }
     if (section.starts_with("agent ") && section.size() > 6 && section.find(' ', 6) == std::string::npos) {
-      if (name != "control") throw ini::Fault("'" + name + "' is not known in [agent NAME]");
+      if (name != "control") throw ini::Error("'" + name + "' is not known in [agent NAME]");
       fleet.agents.push_back({section.substr(6), keys::reach_in(text)});
       return;
     }
     if (section == "tls") {
-      if (!keys::take(fleet.tls, name, text)) throw ini::Fault("'" + name + "' is not known in [tls]");
+      if (!keys::take(fleet.tls, name, text)) throw ini::Error("'" + name + "' is not known in [tls]");
       return;
     }
     if (!section.starts_with("instance "))
-      throw ini::Fault("[" + section +
+      throw ini::Error("[" + section +
                        "] is not known; [fleet], [tls], [agent NAME] and [instance NAME] are");
     const std::string who = section.substr(9);
     if (who.empty() || who.find_first_of(" \t") != std::string::npos)
-      throw ini::Fault("'" + who + "' is no name for an instance");
+      throw ini::Error("'" + who + "' is no name for an instance");
     const auto known =
         std::ranges::find(fleet.instances, who, [](const Instance& one) { return one.facts.name; });
     if (known == fleet.instances.end() && fleet.instances.size() == most_instances)
-      throw ini::Fault("more than " + std::to_string(most_instances) + " instances");
+      throw ini::Error("more than " + std::to_string(most_instances) + " instances");
     Instance& instance = known != fleet.instances.end() ? *known : fleet.instances.emplace_back();
     instance.facts.name = who;
     if (name == "admin") {
       instance.place = admin::place_in(text);
       instance.facts.admin = text;
       const auto [at, first] = places.emplace(text, fleet.instances.size());
-      if (!first) throw ini::Fault("another instance has the admin address " + text);
+      if (!first) throw ini::Error("another instance has the admin address " + text);
     } else if (name == "zone") {
       instance.facts.zone = text;
     } else if (name == "start") {
@@ -57,21 +57,21 @@
         const bool fits = !label.empty() && std::ranges::all_of(label, [](unsigned char c) {
           return std::isalnum(c) || c == '-' || c == '_';
         });
-        if (!fits) throw ini::Fault("'" + item + "' is no label: NAME=VALUE, set apart by commas");
+        if (!fits) throw ini::Error("'" + item + "' is no label: NAME=VALUE, set apart by commas");
         instance.facts.labels[label] = equal == std::string::npos ? "" : item.substr(equal + 1);
       }
     } else {
-      throw ini::Fault("'" + name + "' is not known in [instance NAME]");
+      throw ini::Error("'" + name + "' is not known in [instance NAME]");
     }
   });
   for (const Instance& one : fleet.instances) {
-    if (one.place.text.empty()) throw ini::Fault("instance " + one.facts.name + " has no 'admin'", file);
+    if (one.place.text.empty()) throw ini::Error("instance " + one.facts.name + " has no 'admin'", file);
   }
   for (const AgentPlace& one : fleet.agents) {
     if (const std::string lacks = keys::missing(fleet.tls); one.control.tls && !lacks.empty())
-      throw ini::Fault("agent " + one.name + " needs '" + lacks + "' in [tls]", file);
+      throw ini::Error("agent " + one.name + " needs '" + lacks + "' in [tls]", file);
   }
-  if (fleet.instances.empty()) throw ini::Fault("no instance is named", file);
+  if (fleet.instances.empty()) throw ini::Error("no instance is named", file);
   return fleet;
 }
 
--- a/src/ctl/fleet_file.h
+++ b/src/ctl/fleet_file.h
@@ -30,7 +30,7 @@
   std::size_t at_once = 128;
 };
 
-// Throws ini::Fault with file, line and what is wrong.
+// Throws ini::Error with file, line and what is wrong.
 Fleet read_fleet(const std::string& file);
 
 }  // namespace pearchute::ctl
--- a/src/ctl/keys.h
+++ b/src/ctl/keys.h
@@ -11,7 +11,7 @@
   std::string folder = "/etc/pearchute/keys", name, role, file;
   int days = 365;
 };
-// Each returns an exit status, and throws keys::Fault with what is wrong.
+// Each returns an exit status, and throws keys::Error with what is wrong.
 int keys_init(const KeyAsk& ask, Output& output);
 int keys_issue(const KeyAsk& ask, Output& output);
 int keys_revoke(const KeyAsk& ask, Output& output);
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -208,17 +208,17 @@
     for (const Instance& one : known.instances) {
       if (selector(one.facts)) chosen.push_back(&one);
     }
-  } catch (const SelectorFault& fault) {
+  } catch (const SelectorError& fault) {
     std::cerr << "  " << on << "\n  " << std::string(fault.column - 1, ' ') << "^\n";
     throw;
   }
   if (chosen.empty())
-    throw UsageFault("no instance is chosen", file, "see what --on picks: pearchutectl status");
+    throw UsageError("no instance is chosen", file, "see what --on picks: pearchutectl status");
   if (timeout > 0) known.answers_within = std::chrono::milliseconds(timeout);
   if (parallel > 0) known.at_once = static_cast<std::size_t>(parallel);
   if (agents->parsed() || claims->parsed() || rollout->parsed()) {
     if (known.agents.empty())
-      throw SettingsFault("names no [agent NAME]", file, "add one for each agent: docs/operating.md");
+      throw SettingsError("names no [agent NAME]", file, "add one for each agent: docs/operating.md");
     AgentCommands of_agents(known, chosen, output);
     if (agents->parsed()) return of_agents.agents();
     if (claims->parsed()) return of_agents.claims();
@@ -237,10 +237,10 @@
     plan.lease = std::chrono::seconds(roll_lease);
     plan.drain_within = std::chrono::seconds(within), plan.up_within = std::chrono::seconds(up_within);
     if (plan.kind == fleet::StepKind::change && (plan.version < 1 || plan.version_before < 1))
-      throw UsageFault("a change needs --version-to and --version-from");
+      throw UsageError("a change needs --version-to and --version-from");
     for (const std::string& one : least) {
       const std::size_t equal = one.find('=');
-      if (equal == std::string::npos) throw UsageFault("--least is ZONE=N, not " + one);
+      if (equal == std::string::npos) throw UsageError("--least is ZONE=N, not " + one);
       plan.least_serving[one.substr(0, equal)] =
           static_cast<int>(ini::whole("--least", one.substr(equal + 1), 0, 5000));
     }
@@ -272,10 +272,10 @@
   try {
     return run(argc, argv);
   } catch (const std::exception& error) {
-    tell_fault(std::cerr, "pearchutectl", error);
+    print_error(std::cerr, "pearchutectl", error);
     // What was asked can't be done as it stands in the words or the files: nothing was tried.
-    const auto* fault = dynamic_cast<const Fault*>(&error);
-    constexpr FaultKind of_the_asker[] = {FaultKind::usage, FaultKind::settings, FaultKind::selector};
+    const auto* fault = dynamic_cast<const Error*>(&error);
+    constexpr ErrorKind of_the_asker[] = {ErrorKind::usage, ErrorKind::settings, ErrorKind::selector};
     return fault && std::ranges::find(of_the_asker, fault->kind()) != std::end(of_the_asker) ? fleet::usage
                                                                                              : 1;
   }
--- a/src/ctl/selector.cpp
+++ b/src/ctl/selector.cpp
@@ -125,7 +125,7 @@
 Selector selector_in(const std::string& text) {
   // The depth of what it holds is bounded by its length.
   constexpr std::size_t longest = 512;
-  if (text.size() > longest) throw SelectorFault(longest, "longer than 512 characters");
+  if (text.size() > longest) throw SelectorError(longest, "longer than 512 characters");
   if (text.find_first_not_of(" \t") == std::string::npos) return [](const Facts&) { return true; };
   Selector selector;
   Field field_now;
@@ -139,11 +139,11 @@
   };
   try {
     if (!x3::phrase_parse(at, text.end(), parser, x3::space, selector))
-      throw SelectorFault(column(at), std::string("expected ") + factor_words);
+      throw SelectorError(column(at), std::string("expected ") + factor_words);
   } catch (const x3::expectation_failure<Position>& failure) {
-    throw SelectorFault(column(failure.where()), "expected " + failure.which());
+    throw SelectorError(column(failure.where()), "expected " + failure.which());
   }
-  if (at != text.end()) throw SelectorFault(column(at), "expected and, or, or the end");
+  if (at != text.end()) throw SelectorError(column(at), "expected and, or, or the end");
   return selector;
 }
 
--- a/src/ctl/selector.h
+++ b/src/ctl/selector.h
@@ -14,7 +14,7 @@
 #include <map>
 #include <string>
 
-#include "faults/fault.h"
+#include "errors/error.h"
 
 namespace pearchute::ctl {
 
@@ -23,14 +23,14 @@
   std::map<std::string, std::string> labels;
 };
 
-struct SelectorFault : FaultOf<FaultKind::selector> {
-  SelectorFault(std::size_t at, const std::string& what)
-      : FaultOf(what, "column " + std::to_string(at)), column(at) {}
+struct SelectorError : ErrorOf<ErrorKind::selector> {
+  SelectorError(std::size_t at, const std::string& what)
+      : ErrorOf(what, "column " + std::to_string(at)), column(at) {}
   std::size_t column;  // from 1
 };
 
 using Selector = std::function<bool(const Facts&)>;
-// Throws SelectorFault with the column at which it can't go on. An empty text picks all.
+// Throws SelectorError with the column at which it can't go on. An empty text picks all.
 Selector selector_in(const std::string& text);
 
 }  // namespace pearchute::ctl
--- a/src/daemon/governor.cpp
+++ b/src/daemon/admin_binding.cpp
@@ -1,4 +1,4 @@
-#include "daemon/governor.h"
+#include "daemon/admin_binding.h"
 
 #include <dirent.h>
 #include <unistd.h>
@@ -8,10 +8,10 @@
 #include <fstream>
 
 #include "admin.pb.h"
-#include "admin/office.h"
+#include "admin/admin_server.h"
 #include "admin/orders_file.h"
 #include "fleet/drains.h"
-#include "fleet/rest.h"
+#include "fleet/quiescence.h"
 
 namespace pearchute::daemon {
 
@@ -79,23 +79,23 @@
   std::size_t left_ = admin::largest_frame - 1024;
 };
 
-class Governor final : public net::Program::Annex,
-                       public admin::Desk,
-                       public fleet::Drains::Host,
-                       public fleet::Rest::Host {
+class AdminBinding final : public net::Program::Annex,
+                           public admin::Desk,
+                           public fleet::Drains::Host,
+                           public fleet::Rest::Host {
  public:
-  Governor(const admin::Terms& terms, const net::Program::Parts& parts)
+  AdminBinding(const admin::Terms& terms, const net::Program::Parts& parts)
       : parts_(parts),
         terms_(terms),
         started_unix_(unix_now()),
         orders_file_(terms.orders_file),
         drains_(*this),
         rest_(*this, terms.notice),
-        office_(parts.loop, terms, *this) {
+        admin_server_(parts.loop, terms, *this) {
     parts_.front.on_remark([this](std::string_view text) { tell("remark", "", text); });
     if (!terms.orders_file.empty()) remember();
   }
-  ~Governor() override { parts_.front.on_remark({}); }
+  ~AdminBinding() override { parts_.front.on_remark({}); }
 
   // ---- The program and the list of engines
 
@@ -401,7 +401,7 @@
   }
 
   void watch(admin::v1::Reply& reply) {
-    if (office_.watchers() >= terms_.most_watchers) {
+    if (admin_server_.watchers() >= terms_.most_watchers) {
       reply.set_outcome(admin::v1::busy);
       return reply.set_fault("as many watch already as may");
     }
@@ -422,7 +422,7 @@
     event.set_unix_ms(static_cast<std::uint64_t>(unix_now().count()));
     event.set_kind(std::string(kind)), event.set_subject(std::string(subject));
     event.set_text(std::string(text));
-    office_.tell(event);
+    admin_server_.tell(event);
     if (events_.size() > kept) events_.pop_front();
   }
 
@@ -438,13 +438,13 @@
   admin::OrdersFile orders_file_;
   fleet::Drains drains_;
   fleet::Rest rest_;
-  admin::Office office_;
+  admin::AdminServer admin_server_;
 };
 
 }  // namespace
 
 net::Program::MakeAnnex governor_by(const admin::Terms& terms) {
-  return [terms](const net::Program::Parts& parts) { return std::make_unique<Governor>(terms, parts); };
+  return [terms](const net::Program::Parts& parts) { return std::make_unique<AdminBinding>(terms, parts); };
 }
 
 }  // namespace pearchute::daemon
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -8,12 +8,12 @@
 #include <iostream>
 
 #include "daemon/program.h"
-#include "faults/fault.h"
+#include "errors/error.h"
 
 #ifdef PEARCHUTE_FLEET
 #include <CLI/CLI.hpp>
 
-#include "daemon/governor.h"
+#include "daemon/admin_binding.h"
 #include "net/json_lines.h"
 #endif
 
@@ -51,7 +51,7 @@
   return Program(file, log == "json" ? pearchute::net::json_lines() : nullptr, annex).run();
 #else
   if (argc > 1)
-    throw pearchute::UsageFault(std::string("this build takes no arguments: ") + argv[1], "",
+    throw pearchute::UsageError(std::string("this build takes no arguments: ") + argv[1], "",
                                 "set PROXY_CONFIG; a build with PEARCHUTE_FLEET=ON has a command line");
   return Program(file).run();
 #endif
@@ -63,9 +63,9 @@
   try {
     return start(argc, argv);
   } catch (const Poco::Exception& error) {
-    pearchute::tell_fault(std::cerr, "pearchuted", pearchute::SystemFault(error.displayText()));
+    pearchute::print_error(std::cerr, "pearchuted", pearchute::SystemError(error.displayText()));
   } catch (const std::exception& error) {
-    pearchute::tell_fault(std::cerr, "pearchuted", error);
+    pearchute::print_error(std::cerr, "pearchuted", error);
   }
   return 1;
 }
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -12,7 +12,7 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
-#include "faults/fault.h"
+#include "errors/error.h"
 #include "service/flatten.h"
 
 namespace pearchute::net {
@@ -34,10 +34,10 @@
 
 json read_configuration(const std::string& path) {
   if (path.empty())
-    throw ConfigurationFault("no configuration is named", "", "name one: --config FILE, or PROXY_CONFIG");
+    throw ConfigurationError("no configuration is named", "", "name one: --config FILE, or PROXY_CONFIG");
   std::ifstream file(path);
   if (!file)
-    throw ConfigurationFault("the configuration can't be read", path,
+    throw ConfigurationError("the configuration can't be read", path,
                              "see that it is there and that this user may read it");
   const std::string text{std::istreambuf_iterator<char>(file), {}};
   json configuration;
@@ -47,29 +47,29 @@
     const std::string_view before = std::string_view(text).substr(0, error.byte > 0 ? error.byte - 1 : 0);
     const auto line = 1 + std::ranges::count(before, '\n');
     const std::size_t start = before.rfind('\n') == std::string_view::npos ? 0 : before.rfind('\n') + 1;
-    throw ConfigurationFault("the configuration is not JSON: line " + std::to_string(line) + ", column " +
+    throw ConfigurationError("the configuration is not JSON: line " + std::to_string(line) + ", column " +
                                  std::to_string(before.size() - start + 1),
                              path);
   }
-  if (!configuration.is_object()) throw ConfigurationFault("the configuration is not a JSON object", path);
+  if (!configuration.is_object()) throw ConfigurationError("the configuration is not a JSON object", path);
   return configuration;
 }
 
 // Each name that has a value of another kind is said by its name.
 service::Deployment decode_settings(const json& configuration) {
-  if (!configuration.contains("settings")) throw ConfigurationFault("the configuration holds no settings");
+  if (!configuration.contains("settings")) throw ConfigurationError("the configuration holds no settings");
   try {
     const service::FlatValues settings(configuration.at("settings"));
     return service::decode(settings.values());
   } catch (const std::exception& error) {
-    throw ConfigurationFault::within("settings", error);
+    throw ConfigurationError::within("settings", error);
   }
 }
 
 std::string address_in(const json& configuration) {
   const std::string address = configuration.value("listen", told("PROXY_LISTEN"));
   if (address.empty())
-    throw ConfigurationFault("no address to listen at is told", "",
+    throw ConfigurationError("no address to listen at is told", "",
                              "name it as 'listen', or by PROXY_LISTEN");
   return address;
 }
@@ -78,7 +78,7 @@
   try {
     return Poco::Net::SocketAddress(text);
   } catch (const Poco::Exception&) {
-    throw AddressFault("'" + text + "' is no address with a port", name);
+    throw AddressError("'" + text + "' is no address with a port", name);
   }
 }
 
@@ -116,7 +116,7 @@
     place_in(channel, "channel");
   if (const auto known = configuration.find("known"); known != configuration.end()) {
     const EngineList::Change change = EngineList(deployment, milliseconds(0)).known(*known);
-    if (change.taken != EngineList::Taken::applied) throw ConfigurationFault(change.fault, "known");
+    if (change.taken != EngineList::Taken::applied) throw ConfigurationError(change.fault, "known");
   }
 }
 
@@ -168,7 +168,7 @@
         loop_, place_in(address, "listen"),
         [this](const Poco::Net::StreamSocket& socket) { front_->client_came(socket); });
   } catch (const Poco::Exception& error) {
-    throw ListeningFault(error.displayText(), address);
+    throw ListeningError(error.displayText(), address);
   }
   if (const std::string channel = configuration.value("channel", ""); !channel.empty()) {
     feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, list_listener(), counters_);
@@ -199,7 +199,7 @@
   try {
     const json configuration = read_configuration(file_);
     const std::string channel = configuration.value("channel", "");
-    if (channel.empty()) throw ConfigurationFault("the configuration names no channel");
+    if (channel.empty()) throw ConfigurationError("the configuration names no channel");
     spdlog::info("the configuration is read again; the channel is at {}",
                  place_in(channel, "channel").toString());
     if (fixed_part(configuration) != before_)
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -1,7 +1,7 @@
 #include <exception>
 #include <iostream>
 
-#include "faults/fault.h"
+#include "errors/error.h"
 #include "session.h"
 
 int main() {
@@ -10,7 +10,7 @@
   try {
     pearchute::drill::Session(std::cin, std::cout).run();
   } catch (const std::exception& error) {
-    pearchute::tell_fault(std::cerr, "pearchute_drill", error);
+    pearchute::print_error(std::cerr, "pearchute_drill", error);
     return 1;
   }
   return 0;
--- a/src/drill/session.cpp
+++ b/src/drill/session.cpp
@@ -158,7 +158,7 @@
         reply_.append("ACK\n");
         out_.write(reply_.data(), static_cast<std::streamsize>(reply_.size()));
         out_.flush();
-        if (!out_) throw SystemFault("the reply could not be written");
+        if (!out_) throw SystemError("the reply could not be written");
       } else {
         serve_line();
       }
--- a/src/faults/fault.h
+++ b/src/errors/error.h
@@ -15,7 +15,7 @@
 
 namespace pearchute {
 
-enum class FaultKind {
+enum class ErrorKind {
   usage,          // a command line
   settings,       // a file of settings, INI
   configuration,  // a manager's configuration, JSON
@@ -30,10 +30,10 @@
 
 // By kind: its word, as docs/on-call.md lists it, and what helps where the place that found it knows no
 // better.
-struct FaultWords {
+struct ErrorWords {
   std::string_view word, remedy;
 };
-inline constexpr std::array<FaultWords, 10> fault_words = {{
+inline constexpr std::array<ErrorWords, 10> error_words = {{
     {"usage", "see --help for what is taken"},
     {"settings", "mend that line; --check looks at a file and starts nothing"},
     {"configuration", "mend the file, or name another; pearchuted --check FILE starts nothing"},
@@ -46,11 +46,11 @@
     {"site", "look at the managers' logs in the folder that is named"},
 }};
 
-class Fault : public std::exception {
+class Error : public std::exception {
  public:
   const char* what() const noexcept override { return line_.c_str(); }  // "where: what is wrong"
-  FaultKind kind() const { return kind_; }
-  std::string_view word() const { return fault_words[static_cast<std::size_t>(kind_)].word; }
+  ErrorKind kind() const { return kind_; }
+  std::string_view word() const { return error_words[static_cast<std::size_t>(kind_)].word; }
   const std::string& wrong() const { return wrong_; }
   const std::string& where() const {
     return where_;
@@ -58,46 +58,46 @@
   const std::string& remedy() const { return remedy_; }
 
  protected:
-  Fault(FaultKind kind, std::string wrong, std::string where, std::string remedy)
+  Error(ErrorKind kind, std::string wrong, std::string where, std::string remedy)
       : kind_(kind),
         wrong_(std::move(wrong)),
         where_(std::move(where)),
-        remedy_(remedy.empty() ? std::string(fault_words[static_cast<std::size_t>(kind)].remedy)
+        remedy_(remedy.empty() ? std::string(error_words[static_cast<std::size_t>(kind)].remedy)
                                : std::move(remedy)),
         line_(where_.empty() ? wrong_ : where_ + ": " + wrong_) {}
 
  private:
-  FaultKind kind_;
+  ErrorKind kind_;
   std::string wrong_, where_, remedy_, line_;
 };
 
-template <FaultKind K>
-class FaultOf : public Fault {
+template <ErrorKind K>
+class ErrorOf : public Error {
  public:
-  explicit FaultOf(std::string wrong, std::string where = "", std::string remedy = "")
-      : Fault(K, std::move(wrong), std::move(where), std::move(remedy)) {}
+  explicit ErrorOf(std::string wrong, std::string where = "", std::string remedy = "")
+      : Error(K, std::move(wrong), std::move(where), std::move(remedy)) {}
   // The same, found within something else: a value of a line, a line of a file.
-  static FaultOf within(const std::string& where, const std::exception& inner) {
-    const auto* fault = dynamic_cast<const Fault*>(&inner);
+  static ErrorOf within(const std::string& where, const std::exception& inner) {
+    const auto* fault = dynamic_cast<const Error*>(&inner);
     const bool knows_better =
-        fault && fault->remedy() != fault_words[static_cast<std::size_t>(fault->kind())].remedy;
-    return FaultOf(inner.what(), where, knows_better ? fault->remedy() : "");
+        fault && fault->remedy() != error_words[static_cast<std::size_t>(fault->kind())].remedy;
+    return ErrorOf(inner.what(), where, knows_better ? fault->remedy() : "");
   }
 };
 
-using UsageFault = FaultOf<FaultKind::usage>;
-using SettingsFault = FaultOf<FaultKind::settings>;
-using ConfigurationFault = FaultOf<FaultKind::configuration>;
-using AddressFault = FaultOf<FaultKind::address>;
-using ListeningFault = FaultOf<FaultKind::listening>;
+using UsageError = ErrorOf<ErrorKind::usage>;
+using SettingsError = ErrorOf<ErrorKind::settings>;
+using ConfigurationError = ErrorOf<ErrorKind::configuration>;
+using AddressError = ErrorOf<ErrorKind::address>;
+using ListeningError = ErrorOf<ErrorKind::listening>;
 // The selector's own, with its column: ctl/selector.h.
-using KeysFault = FaultOf<FaultKind::keys>;
-using MessageFault = FaultOf<FaultKind::message>;
-using SystemFault = FaultOf<FaultKind::system>;
-using SiteFault = FaultOf<FaultKind::site>;
+using KeysError = ErrorOf<ErrorKind::keys>;
+using MessageError = ErrorOf<ErrorKind::message>;
+using SystemError = ErrorOf<ErrorKind::system>;
+using TestClusterError = ErrorOf<ErrorKind::site>;
 
 // The two lines at the top of a program: what is wrong, and what to do. Any other exception is a case that
 // nobody thought of, and is told as one.
-void tell_fault(std::ostream& to, std::string_view program, const std::exception& error);
+void print_error(std::ostream& to, std::string_view program, const std::exception& error);
 
 }  // namespace pearchute
--- a/src/fleet/asking.cpp
+++ b/src/fleet/anti_entropy_scheduler.cpp
@@ -1,10 +1,10 @@
-#include "fleet/asking.h"
+#include "fleet/anti_entropy_scheduler.h"
 
 #include <algorithm>
 
 namespace pearchute::fleet {
 
-void Asking::charter(const std::set<std::string>& peers) {
+void AntiEntropyScheduler::charter(const std::set<std::string>& peers) {
   for (auto& [name, peer] : peers_) peer.known = peers.contains(name);
   std::erase_if(peers_, [](const auto& one) { return !one.second.known && !one.second.open; });
   for (const std::string& name : peers) {
@@ -13,12 +13,12 @@
   }
 }
 
-Span Asking::about(Span span) {
+Span AntiEntropyScheduler::about(Span span) {
   const Span::rep whole = span.count();
   return Span(whole * 3 / 4 + static_cast<Span::rep>(chance_() % static_cast<std::uint64_t>(whole / 2 + 1)));
 }
 
-std::vector<std::string> Asking::due(Span now) {
+std::vector<std::string> AntiEntropyScheduler::due(Span now) {
   std::vector<std::map<std::string, Peer>::iterator> ready;
   for (auto at = peers_.begin(); at != peers_.end(); ++at) {
     if (at->second.known && !at->second.open && at->second.not_before <= now) ready.push_back(at);
@@ -33,16 +33,16 @@
   return names;
 }
 
-Span Asking::next(Span now) { return now + about(every); }
+Span AntiEntropyScheduler::next(Span now) { return now + about(every); }
 
-void Asking::answered(Span now, const std::string& name) {
+void AntiEntropyScheduler::answered(Span now, const std::string& name) {
   const auto at = peers_.find(name);
   if (at == peers_.end()) return;
   at->second.open = false, at->second.misses = 0, at->second.not_before = now;
   if (!at->second.known) peers_.erase(at);
 }
 
-void Asking::missed(Span now, const std::string& name) {
+void AntiEntropyScheduler::missed(Span now, const std::string& name) {
   const auto at = peers_.find(name);
   if (at == peers_.end()) return;
   Peer& peer = at->second;
@@ -54,7 +54,7 @@
   if (!peer.known) peers_.erase(at);
 }
 
-std::size_t Asking::open() const {
+std::size_t AntiEntropyScheduler::open() const {
   return static_cast<std::size_t>(
       std::ranges::count_if(peers_, [](const auto& one) { return one.second.open; }));
 }
--- a/src/fleet/asking.h
+++ b/src/fleet/anti_entropy_scheduler.h
@@ -10,11 +10,11 @@
 #include <string>
 #include <vector>
 
-#include "fleet/life.h"
+#include "fleet/instance_lifecycle.h"
 
 namespace pearchute::fleet {
 
-class Asking {
+class AntiEntropyScheduler {
  public:
   // Four rounds within the time for which word stays fresh, one of them lost.
   static constexpr Span every = std::chrono::milliseconds(500);
@@ -24,7 +24,7 @@
   // So soon is one that has come back heard from directly; others that hear it tell of it sooner.
   static constexpr Span longest_pause = std::chrono::seconds(4);
 
-  explicit Asking(std::uint64_t seed) : chance_(seed) {}
+  explicit AntiEntropyScheduler(std::uint64_t seed) : chance_(seed) {}
 
   void charter(const std::set<std::string>& peers);
   // Whom to ask now, and when to look again.
--- a/src/fleet/parts.cpp
+++ b/src/fleet/budget_leases.cpp
@@ -1,4 +1,4 @@
-#include "fleet/parts.h"
+#include "fleet/budget_leases.h"
 
 #include <algorithm>
 
--- a/src/fleet/parts.h
+++ b/src/fleet/budget_leases.h
@@ -17,7 +17,7 @@
 #include <string>
 #include <vector>
 
-#include "fleet/life.h"
+#include "fleet/instance_lifecycle.h"
 
 namespace pearchute::fleet {
 
--- a/src/fleet/bulletin.cpp
+++ b/src/fleet/gossip_state.cpp
@@ -1,4 +1,4 @@
-#include "fleet/bulletin.h"
+#include "fleet/gossip_state.h"
 
 #include <algorithm>
 #include <cmath>
@@ -14,7 +14,7 @@
   return std::abs(now - before) > std::max(least, 0.25 * std::max(before, now));
 }
 
-bool differs_enough(const Word& said, const Word& now) {
+bool differs_enough(const StatusReport& said, const StatusReport& now) {
   return std::tie(said.zone, said.condition, said.life) != std::tie(now.zone, now.condition, now.life) ||
          moved(said.traffic, now.traffic, 1) || moved(said.done, now.done, 0.05) ||
          moved(static_cast<double>(said.open), static_cast<double>(now.open), 4);
@@ -29,11 +29,11 @@
 }
 
 // Any order over all words will do, so long as everybody has the same.
-auto rank(const Word& word) {
+auto rank(const StatusReport& word) {
   return std::tie(word.instance, word.zone, word.condition, word.life, word.lived, word.traffic, word.done,
                   word.open);
 }
-bool greater(const std::optional<Word>& a, const std::optional<Word>& b) {
+bool greater(const std::optional<StatusReport>& a, const std::optional<StatusReport>& b) {
   if (!a || !b) return a.has_value() && !b.has_value();
   return rank(*a) > rank(*b);
 }
@@ -45,22 +45,22 @@
   return words[static_cast<int>(freshness)];
 }
 
-Bulletin::Bulletin(Host& host, std::string self, std::uint64_t incarnation, std::uint64_t seed,
-                   std::size_t most_in_answer)
+GossipState::GossipState(Host& host, std::string self, std::uint64_t incarnation, std::uint64_t seed,
+                         std::size_t most_in_answer)
     : host_(host), chance_(stirred(seed)), self_(std::move(self)), most_in_answer_(most_in_answer) {
   begin_incarnation(incarnation);
 }
 
 // Before a word is said under it, it is on disk: else the next start would speak under it again, with numbers
 // from nothing, and be taken for a repeat.
-void Bulletin::begin_incarnation(std::uint64_t above) {
+void GossipState::begin_incarnation(std::uint64_t above) {
   own_ = {};
   own_.mark.incarnation = ((above >> 32) + 1) << 32 | (chance_() & 0xffffffff);
   gone_ = 0, said_ = false;
   speaks_ = host_.keep_incarnation(own_.mark.incarnation);
 }
 
-void Bulletin::charter(const std::set<std::string>& agents) {
+void GossipState::charter(const std::set<std::string>& agents) {
   std::erase_if(others_, [&](const auto& one) { return !agents.contains(one.first); });
   for (const std::string& agent : agents) {
     if (agent != self_) others_.try_emplace(agent);
@@ -69,16 +69,16 @@
 
 // ---- What this agent says
 
-void Bulletin::say(const std::vector<Word>& words) {
+void GossipState::say(const std::vector<StatusReport>& words) {
   last_.clear();
-  for (const Word& word : words) {
+  for (const StatusReport& word : words) {
     if (last_.size() < most_instances) last_.emplace(word.instance, word);
   }
   looked_ = true;
   state();
 }
 
-void Bulletin::state() {
+void GossipState::state() {
   if (!speaks_) {
     begin_incarnation(own_.mark.incarnation);  // the disk may be mended by now
     if (!speaks_) return;
@@ -108,7 +108,7 @@
 
 // Somebody has heard this name with more than was said under it: its own past, where the disk was lost or an
 // older copy of it put back, or another agent of the same name.
-void Bulletin::overruled(const News& news) {
+void GossipState::overruled(const ReportDelta& news) {
   if (news.upto.incarnation < own_.mark.incarnation) return;
   if (news.upto.incarnation == own_.mark.incarnation && news.upto.through <= own_.mark.through) return;
   host_.told(self_, "others have heard more under this agent's name; it begins another incarnation");
@@ -118,7 +118,7 @@
 
 // ---- What is merged
 
-void Bulletin::put(Board& board, const Entry& entry) {
+void GossipState::put(Board& board, const Entry& entry) {
   const auto [at, is_new] = board.by_instance.try_emplace(entry.instance, entry);
   if (!is_new) {
     Entry& held = at->second;
@@ -136,13 +136,13 @@
   if (!free && slot->second != entry.instance) board.disputed = true;
 }
 
-bool Bulletin::fits(const Entry& entry) {
+bool GossipState::fits(const Entry& entry) {
   return entry.instance.size() <= longest_name && (!entry.word || entry.word->zone.size() <= longest_name);
 }
 
 // False where it is of no use, or not yet.
-bool Bulletin::merge(Board& board, const News& news) {
-  const Mark& upto = news.upto;
+bool GossipState::merge(Board& board, const ReportDelta& news) {
+  const ReportVersion& upto = news.upto;
   if (upto.incarnation < board.mark.incarnation) return false;
   if (board.parts && board.parts->incarnation < upto.incarnation) board.parts.reset();
   // No agent of this kind says so much, or in such words: what it says stays unknown.
@@ -182,9 +182,9 @@
   return true;
 }
 
-bool Bulletin::heard(Span now, Span asked, const std::vector<News>& all) {
+bool GossipState::heard(Span now, Span asked, const std::vector<ReportDelta>& all) {
   bool of_use = false;
-  for (const News& news : all) {
+  for (const ReportDelta& news : all) {
     if (news.agent == self_) {
       overruled(news);
       continue;
@@ -204,23 +204,23 @@
   return of_use;
 }
 
-std::map<std::string, Mark> Bulletin::marks() const {
-  std::map<std::string, Mark> all;
+std::map<std::string, ReportVersion> GossipState::marks() const {
+  std::map<std::string, ReportVersion> all;
   for (const auto& [agent, board] : others_)
-    all[agent] = board.parts ? Mark{board.parts->incarnation, board.parts->resume} : board.mark;
+    all[agent] = board.parts ? ReportVersion{board.parts->incarnation, board.parts->resume} : board.mark;
   return all;
 }
 
 // The own word first, then the others' in turn, so that none is left out for ever by those before it.
-std::vector<News> Bulletin::answer(Span now, const std::map<std::string, Mark>& marks) {
-  std::vector<News> all;
+std::vector<ReportDelta> GossipState::answer(Span now, const std::map<std::string, ReportVersion>& marks) {
+  std::vector<ReportDelta> all;
   std::size_t room = most_in_answer_;
   const auto add = [&](const std::string& agent, const Board& board, std::optional<Span> as_of) {
     if (board.mark.incarnation == 0) return;
     const auto at = marks.find(agent);
-    const Mark theirs = at == marks.end() ? Mark{} : at->second;
+    const ReportVersion theirs = at == marks.end() ? ReportVersion{} : at->second;
     if (theirs.incarnation > board.mark.incarnation) return;
-    News news;
+    ReportDelta news;
     news.agent = agent, news.upto = board.mark;
     if (theirs.incarnation == board.mark.incarnation) news.since = theirs.through;
     news.through = std::max(news.since, board.mark.through);
@@ -250,22 +250,22 @@
 
 // ---- What is known
 
-Freshness Bulletin::freshness_of(Span now, const Board& board) const {
+Freshness GossipState::freshness_of(Span now, const Board& board) const {
   if (!board.as_of || board.disputed || now - *board.as_of > old_for) return Freshness::unknown;
   return now - *board.as_of <= fresh_for ? Freshness::fresh : Freshness::old;
 }
 
-void Bulletin::tell(Span now, const std::string& agent, Board& board) {
+void GossipState::tell(Span now, const std::string& agent, Board& board) {
   const Freshness is = freshness_of(now, board);
   if (std::exchange(board.told, is) == is) return;
   host_.told(agent, board.disputed ? "two speak under its name" : word_for(is));
 }
 
-void Bulletin::woken(Span now) {
+void GossipState::woken(Span now) {
   for (auto& [agent, board] : others_) tell(now, agent, board);
 }
 
-Bulletin::Known Bulletin::known(Span now, const std::string& agent) const {
+GossipState::Known GossipState::known(Span now, const std::string& agent) const {
   Known known;
   const auto at = others_.find(agent);
   if (agent != self_ && at == others_.end()) return known;
@@ -282,8 +282,8 @@
   return known;
 }
 
-std::map<std::string, Word> Bulletin::words(const std::string& agent) const {
-  std::map<std::string, Word> all;
+std::map<std::string, StatusReport> GossipState::words(const std::string& agent) const {
+  std::map<std::string, StatusReport> all;
   if (agent == self_) return last_;  // of itself it knows more than it has said
   const auto at = others_.find(agent);
   if (at == others_.end()) return all;
@@ -293,18 +293,18 @@
   return all;
 }
 
-std::set<std::string> Bulletin::agents() const {
+std::set<std::string> GossipState::agents() const {
   std::set<std::string> all;
   for (const auto& [agent, board] : others_) all.insert(agent);
   return all;
 }
 
-std::size_t Bulletin::bytes_of(const Entry& entry) {
+std::size_t GossipState::bytes_of(const Entry& entry) {
   // Numbers, and what surrounds a field of a message.
   return 48 + 2 * entry.instance.size() + (entry.word ? 48 + entry.word->zone.size() : 0);
 }
 
-std::size_t Bulletin::bytes() const {
+std::size_t GossipState::bytes() const {
   std::size_t sum = 0;
   const auto add = [&](const Board& board) {
     for (const auto& [instance, entry] : board.by_instance) sum += bytes_of(entry);
--- a/src/fleet/bulletin.h
+++ b/src/fleet/gossip_state.h
@@ -10,7 +10,8 @@
 // lost.
 //
 // Age counts by this agent's steady clock from when it asked: what an answer says was so when the question
-// left, or later. Word by a third agent is older by as long as that one, by its own steady clock, has had it.
+// left, or later. StatusReport by a third agent is older by as long as that one, by its own steady clock, has
+// had it.
 #pragma once
 
 #include <cstdint>
@@ -21,12 +22,12 @@
 #include <string>
 #include <vector>
 
-#include "fleet/life.h"
+#include "fleet/instance_lifecycle.h"
 
 namespace pearchute::fleet {
 
 // What an agent says of one of its instances.
-struct Word {
+struct StatusReport {
   std::string instance, zone;
   Condition condition = Condition::unseen;
   std::uint64_t life = 0;  // which of its processes this is; another one is another life
@@ -34,26 +35,26 @@
   double traffic = 0;  // jobs answered a second
   double done = 1;     // the share of them that was done
   std::uint64_t open = 0;  // jobs that wait for their answer
-  bool operator==(const Word&) const = default;
+  bool operator==(const StatusReport&) const = default;
 };
 
 // How far somebody knows an agent's word: all of it up to a number.
-struct Mark {
+struct ReportVersion {
   std::uint64_t incarnation = 0, through = 0;
-  bool operator==(const Mark&) const = default;
+  bool operator==(const ReportVersion&) const = default;
 };
 
 struct Entry {
   std::uint64_t number = 0;
   std::string instance;
-  std::optional<Word> word;  // none: the agent owns it no more
+  std::optional<StatusReport> word;  // none: the agent owns it no more
   bool operator==(const Entry&) const = default;
 };
 
 // Of one agent, as any agent tells it to another that asked.
-struct News {
+struct ReportDelta {
   std::string agent;
-  Mark upto;               // the teller knows all up to here
+  ReportVersion upto;      // the teller knows all up to here
   Span age{};              // so long ago at most, by the teller's clock, this was all that the agent had said
   bool age_known = false;  // else the teller can't say
   std::uint64_t since = 0;    // the entries are all those above this number,
@@ -64,7 +65,7 @@
 enum class Freshness { unknown, old, fresh };
 std::string_view word_for(Freshness freshness);
 
-class Bulletin {
+class GossipState {
  public:
   class Host {
    public:
@@ -89,25 +90,25 @@
   // `incarnation` is the last that this agent kept on disk; 0: none. The seed has to be another at each
   // start: the upper half of an incarnation counts, the lower is drawn, so that one after a lost disk, which
   // counts from the beginning again, is never taken for the one before.
-  Bulletin(Host& host, std::string self, std::uint64_t incarnation, std::uint64_t seed,
-           std::size_t most_in_answer = answer_bytes);
-  Bulletin(const Bulletin&) = delete;
-  Bulletin& operator=(const Bulletin&) = delete;
+  GossipState(Host& host, std::string self, std::uint64_t incarnation, std::uint64_t seed,
+              std::size_t most_in_answer = answer_bytes);
+  GossipState(const GossipState&) = delete;
+  GossipState& operator=(const GossipState&) = delete;
 
   // The agents by the charter: whoever is not named is not listened to, and what it said goes.
   void charter(const std::set<std::string>& agents);
   // The own instances as they are now. Only what has changed enough to matter is said anew.
-  void say(const std::vector<Word>& words);
+  void say(const std::vector<StatusReport>& words);
 
-  std::map<std::string, Mark> marks() const;  // of all others, for a question
+  std::map<std::string, ReportVersion> marks() const;  // of all others, for a question
   // To whoever asks with its marks, itself included as far as it is known.
-  std::vector<News> answer(Span now, const std::map<std::string, Mark>& marks);
+  std::vector<ReportDelta> answer(Span now, const std::map<std::string, ReportVersion>& marks);
   // What `asked` at that time has brought. False where it was of no use at all.
-  bool heard(Span now, Span asked, const std::vector<News>& all);
+  bool heard(Span now, Span asked, const std::vector<ReportDelta>& all);
   void woken(Span now);  // tells whose word has grown old since
 
   struct Known {
-    Mark mark;
+    ReportVersion mark;
     std::uint64_t stated = 0;  // as many as stand, at present
     std::optional<Span> age;   // none: never, or it can't be said
     Freshness freshness = Freshness::unknown;
@@ -115,7 +116,7 @@
   };
   Known known(Span now, const std::string& agent) const;
   // By instance; empty of one that nobody knows.
-  std::map<std::string, Word> words(const std::string& agent) const;
+  std::map<std::string, StatusReport> words(const std::string& agent) const;
   std::set<std::string> agents() const;  // the others of the charter
   const std::string& self() const { return self_; }
   bool speaks() const { return speaks_; }
@@ -130,7 +131,7 @@
     std::vector<Entry> entries;
   };
   struct Board {
-    Mark mark;  // all that its agent had stated at this number stands here, and nothing else
+    ReportVersion mark;  // all that its agent had stated at this number stands here, and nothing else
     std::map<std::string, Entry> by_instance;
     std::map<std::uint64_t, std::string> by_number;
     std::optional<Parts> parts;
@@ -140,11 +141,11 @@
   };
   static void put(Board& board, const Entry& entry);
   static bool fits(const Entry& entry);
-  static bool merge(Board& board, const News& news);
+  static bool merge(Board& board, const ReportDelta& news);
   static std::size_t bytes_of(const Entry& entry);
   void begin_incarnation(std::uint64_t above);
   void state();
-  void overruled(const News& news);
+  void overruled(const ReportDelta& news);
   void tell(Span now, const std::string& agent, Board& board);
   Freshness freshness_of(Span now, const Board& board) const;
 
@@ -153,7 +154,7 @@
   const std::string self_;
   Board own_;
   std::map<std::string, Board> others_;
-  std::map<std::string, Word> last_;  // the own instances, as last looked at
+  std::map<std::string, StatusReport> last_;  // the own instances, as last looked at
   const std::size_t most_in_answer_;
   std::size_t gone_ = 0, turn_ = 0;
   bool speaks_ = false;  // its incarnation is on disk,
--- a/src/fleet/life.cpp
+++ b/src/fleet/instance_lifecycle.cpp
@@ -1,4 +1,4 @@
-#include "fleet/life.h"
+#include "fleet/instance_lifecycle.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/fleet/keeper.cpp
+++ b/src/fleet/lease_owner.cpp
@@ -1,14 +1,14 @@
-#include "fleet/keeper.h"
+#include "fleet/lease_owner.h"
 
 #include <algorithm>
 
 namespace pearchute::fleet {
 
 // One instance, between its life and the agent's hands.
-class Keeper::One final : public Life::Host {
+class LeaseOwner::One final : public Life::Host {
  public:
-  One(Keeper& keeper, std::string name, const Kept& kept)
-      : keeper_(keeper), name_(std::move(name)), kept_(kept), life_(*this, kept.wanted, kept.version) {
+  One(LeaseOwner& keeper, std::string name, const Kept& kept)
+      : lease_owner_(keeper), name_(std::move(name)), kept_(kept), life_(*this, kept.wanted, kept.version) {
     life_.remembered(kept.step, kept.past);
   }
   Life& life() { return life_; }
@@ -18,48 +18,50 @@
 
  private:
   bool intend(const std::string& what, const std::optional<Step>& step) override {
-    Kept next = keeper_.kept_of(*this);
+    Kept next = lease_owner_.kept_of(*this);
     next.step = step;
-    if (!keeper_.host_.write({{name_, next}}, what)) return false;
+    if (!lease_owner_.host_.write({{name_, next}}, what)) return false;
     kept_ = next;
     return true;
   }
-  void start(int version) override { keeper_.host_.start(name_, version); }
-  void ask_to_end(Span within) override { keeper_.host_.ask_to_end(name_, within); }
-  void call_off_end() override { keeper_.host_.call_off_end(name_); }
-  void order_drain(bool drains, const Step& step) override { keeper_.host_.order_drain(name_, drains, step); }
-  void terminate() override { keeper_.host_.terminate(name_); }
-  void kill() override { keeper_.host_.kill(name_); }
+  void start(int version) override { lease_owner_.host_.start(name_, version); }
+  void ask_to_end(Span within) override { lease_owner_.host_.ask_to_end(name_, within); }
+  void call_off_end() override { lease_owner_.host_.call_off_end(name_); }
+  void order_drain(bool drains, const Step& step) override {
+    lease_owner_.host_.order_drain(name_, drains, step);
+  }
+  void terminate() override { lease_owner_.host_.terminate(name_); }
+  void kill() override { lease_owner_.host_.kill(name_); }
   void step_ended(const Step& step, StepEnd end, const std::string& word) override {
     // Should this not get written, the step is found under way after a kill, and falls back: it does no harm.
     kept_.step.reset();
-    kept_ = keeper_.kept_of(*this);
-    keeper_.host_.write({{name_, kept_}}, "step ended");
-    keeper_.host_.step_ended(name_, step, end, word);
+    kept_ = lease_owner_.kept_of(*this);
+    lease_owner_.host_.write({{name_, kept_}}, "step ended");
+    lease_owner_.host_.step_ended(name_, step, end, word);
   }
 
-  Keeper& keeper_;
+  LeaseOwner& lease_owner_;
   const std::string name_;
   Kept kept_;
   Life life_;
 };
 
-Keeper::Keeper(Host& host) : host_(host), claims_(*this) {}
-Keeper::~Keeper() = default;
+LeaseOwner::LeaseOwner(Host& host) : host_(host), claims_(*this) {}
+LeaseOwner::~LeaseOwner() = default;
 
-Keeper::Kept Keeper::kept_of(const One& one) const {
+LeaseOwner::Kept LeaseOwner::kept_of(const One& one) const {
   Kept kept = one.kept();
   kept.wanted = one.life().wanted(), kept.version = one.life().version();
   kept.past = one.life().last();
   return kept;
 }
 
-void Keeper::owns(Span now, const std::string& instance, const Kept& kept) {
+void LeaseOwner::owns(Span now, const std::string& instance, const Kept& kept) {
   all_[instance] = std::make_unique<One>(*this, instance, kept);
   claims_.owns(now, instance, kept.last_fence, kept.claim, kept.lease);
 }
 
-bool Keeper::disown(Span now, const std::string& instance) {
+bool LeaseOwner::disown(Span now, const std::string& instance) {
   now_ = now;
   const auto at = all_.find(instance);
   if (at == all_.end()) return true;
@@ -68,23 +70,23 @@
   return true;
 }
 
-Claims::Answer Keeper::ask(Span now, const ClaimAsk& ask) {
+Claims::Answer LeaseOwner::ask(Span now, const ClaimAsk& ask) {
   now_ = now;
   return claims_.ask(now, ask);
 }
 
-bool Keeper::renew(Span now, const std::string& operation, const std::vector<std::string>& instances,
-                   Span lease) {
+bool LeaseOwner::renew(Span now, const std::string& operation, const std::vector<std::string>& instances,
+                       Span lease) {
   now_ = now;
   return claims_.renew(now, operation, instances, lease);
 }
 
-void Keeper::release(Span now, const std::string& operation) {
+void LeaseOwner::release(Span now, const std::string& operation) {
   now_ = now;
   claims_.release(now, operation);
 }
 
-bool Keeper::keep(const std::map<std::string, Claim>& granted) {
+bool LeaseOwner::keep(const std::map<std::string, Claim>& granted) {
   std::map<std::string, Kept> write;
   for (const auto& [instance, claim] : granted) {
     Kept kept = kept_of(*all_.at(instance));
@@ -97,7 +99,7 @@
   return true;
 }
 
-void Keeper::claim_ended(const std::string& instance, const Claim& claim, Claims::Ended why) {
+void LeaseOwner::claim_ended(const std::string& instance, const Claim& claim, Claims::Ended why) {
   One& one = *all_.at(instance);
   one.kept().claim.reset();
   host_.write({{instance, kept_of(one)}}, "claim ended");
@@ -106,7 +108,7 @@
   if (why != Claims::Ended::released) one.life().claim_ended(now_);
 }
 
-bool Keeper::step(Span now, const std::string& instance, const Step& step, std::string& fault) {
+bool LeaseOwner::step(Span now, const std::string& instance, const Step& step, std::string& fault) {
   now_ = now;
   claims_.woken(now);
   const auto at = all_.find(instance);
@@ -125,23 +127,23 @@
   return false;
 }
 
-void Keeper::looked(Span now, const std::string& instance, const Life::Look& look) {
+void LeaseOwner::looked(Span now, const std::string& instance, const Life::Look& look) {
   now_ = now;
   claims_.woken(now);
   if (const auto at = all_.find(instance); at != all_.end()) at->second->life().looked(now, look);
 }
 
-void Keeper::woken(Span now) {
+void LeaseOwner::woken(Span now) {
   now_ = now;
   claims_.woken(now);
 }
 
-const Life* Keeper::life(const std::string& instance) const {
+const Life* LeaseOwner::life(const std::string& instance) const {
   const auto at = all_.find(instance);
   return at == all_.end() ? nullptr : &at->second->life();
 }
 
-bool Keeper::settled() const {
+bool LeaseOwner::settled() const {
   return std::ranges::all_of(all_, [](const auto& one) { return !one.second->life().under_way(); });
 }
 
--- a/src/fleet/keeper.h
+++ b/src/fleet/lease_owner.h
@@ -8,11 +8,11 @@
 #include <string>
 
 #include "fleet/claims.h"
-#include "fleet/life.h"
+#include "fleet/instance_lifecycle.h"
 
 namespace pearchute::fleet {
 
-class Keeper final : public Claims::Host {
+class LeaseOwner final : public Claims::Host {
  public:
   // Of one instance, as it is on disk.
   struct Kept {
@@ -40,8 +40,8 @@
     virtual void claim_over(const std::string& instance, const Claim& claim, Claims::Ended why) = 0;
     virtual void wake_at(Span when) = 0;
   };
-  explicit Keeper(Host& host);
-  ~Keeper() override;
+  explicit LeaseOwner(Host& host);
+  ~LeaseOwner() override;
 
   void owns(Span now, const std::string& instance, const Kept& kept);
   // False where it is claimed, or a step is under way: it stays.
--- a/src/fleet/rest.cpp
+++ b/src/fleet/quiescence.cpp
@@ -1,4 +1,4 @@
-#include "fleet/rest.h"
+#include "fleet/quiescence.h"
 
 namespace pearchute::fleet {
 
--- a/src/fleet/rollout.h
+++ b/src/fleet/rollout.h
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-#include "fleet/life.h"
+#include "fleet/instance_lifecycle.h"
 
 namespace pearchute::fleet {
 
--- a/src/ini/reader.cpp
+++ b/src/ini/reader.cpp
@@ -23,7 +23,7 @@
   if (reading.fault) return 0;
   try {
     if (!reading.seen.emplace(section, name).second)
-      throw Fault("'" + std::string(name) + "' comes twice in [" + section + "]");
+      throw Error("'" + std::string(name) + "' comes twice in [" + section + "]");
     reading.value(section, name, text);
     return 1;
   } catch (const std::exception&) {
@@ -44,13 +44,13 @@
   Reading reading{value, {}, nullptr};
   const int line = ini_parse(file.c_str(), take, &reading);
   if (line == 0) return;
-  if (line < 0) throw Fault("can't be read", file, "see that it is there and that this user may read it");
+  if (line < 0) throw Error("can't be read", file, "see that it is there and that this user may read it");
   const std::string where = file + ":" + std::to_string(line);
-  if (!reading.fault) throw Fault("neither [section] nor name = value", where);
+  if (!reading.fault) throw Error("neither [section] nor name = value", where);
   try {
     std::rethrow_exception(reading.fault);
   } catch (const std::exception& fault) {
-    throw Fault::within(where, fault);
+    throw Error::within(where, fault);
   }
 }
 
@@ -58,9 +58,9 @@
   std::int64_t number = 0;
   const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number);
   if (error != std::errc{} || stop != text.data() + text.size())
-    throw Fault("'" + std::string(name) + "' is no whole number: " + std::string(text));
+    throw Error("'" + std::string(name) + "' is no whole number: " + std::string(text));
   if (number < least || number > most)
-    throw Fault("'" + std::string(name) + "' has to be from " + std::to_string(least) + " to " +
+    throw Error("'" + std::string(name) + "' has to be from " + std::to_string(least) + " to " +
                 std::to_string(most));
   return number;
 }
@@ -68,7 +68,7 @@
 bool yes(std::string_view name, std::string_view text) {
   if (text == "yes") return true;
   if (text == "no") return false;
-  throw Fault("'" + std::string(name) + "' is yes or no, not " + std::string(text));
+  throw Error("'" + std::string(name) + "' is yes or no, not " + std::string(text));
 }
 
 std::vector<std::string> list(std::string_view text) {
--- a/src/keys/authority.cpp
+++ b/src/keys/authority.cpp
@@ -39,13 +39,13 @@
 
 template <class Thing>
 Thing need(Thing thing, const char* what) {
-  if (!thing) throw Fault(std::string(what) + " can't be made");
+  if (!thing) throw Error(std::string(what) + " can't be made");
   return thing;
 }
 
 std::string pem_of(const std::function<int(BIO*)>& write) {
   const Memory memory(BIO_new(BIO_s_mem()));
-  if (!write(memory.get())) throw Fault("a key or certificate can't be written out");
+  if (!write(memory.get())) throw Error("a key or certificate can't be written out");
   char* data = nullptr;
   const long size = BIO_get_mem_data(memory.get(), &data);
   return {data, static_cast<std::size_t>(size)};
@@ -63,7 +63,7 @@
   if (fd >= 0) ::close(fd);
   if (!written || std::rename(beside.c_str(), file.c_str()) != 0) {
     ::unlink(beside.c_str());
-    throw Fault(std::string("can't be written: ") + std::strerror(why), file,
+    throw Error(std::string("can't be written: ") + std::strerror(why), file,
                 "see the disk and who may write there");
   }
 }
@@ -71,14 +71,14 @@
 Cert certificate_from(const std::string& pem) {
   const Memory memory(BIO_new_mem_buf(pem.data(), static_cast<int>(pem.size())));
   Cert certificate(PEM_read_bio_X509(memory.get(), nullptr, nullptr, nullptr));
-  if (!certificate) throw Fault("not a certificate");
+  if (!certificate) throw Error("not a certificate");
   return certificate;
 }
 
 Key key_from(const std::string& pem) {
   const Memory memory(BIO_new_mem_buf(pem.data(), static_cast<int>(pem.size())));
   Key key(PEM_read_bio_PrivateKey(memory.get(), nullptr, nullptr, nullptr));
-  if (!key) throw Fault("not a key");
+  if (!key) throw Error("not a key");
   return key;
 }
 
@@ -87,7 +87,7 @@
   X509V3_set_ctx_nodb(&context);
   X509V3_set_ctx(&context, issuer, to, nullptr, nullptr, 0);
   X509_EXTENSION* extension = X509V3_EXT_conf_nid(nullptr, &context, what, value.c_str());
-  if (!extension) throw Fault("a certificate can't say " + value);
+  if (!extension) throw Error("a certificate can't say " + value);
   X509_add_ext(to, extension, -1);
   X509_EXTENSION_free(extension);
 }
@@ -158,28 +158,28 @@
       next(X509_gmtime_adj(nullptr, 10L * 365 * 24 * 3600));
   X509_CRL_set1_lastUpdate(list, now.get()), X509_CRL_set1_nextUpdate(list, next.get());
   X509_CRL_sort(list);
-  if (!X509_CRL_sign(list, key, EVP_sha256())) throw Fault("the list of revocations can't be signed");
+  if (!X509_CRL_sign(list, key, EVP_sha256())) throw Error("the list of revocations can't be signed");
 }
 
 }  // namespace
 
 std::string text_of(const std::string& file) {
   std::ifstream stream(file, std::ios::binary);
-  if (!stream) throw Fault("can't be read", file, "see that it is there and that this user may read it");
+  if (!stream) throw Error("can't be read", file, "see that it is there and that this user may read it");
   return {std::istreambuf_iterator<char>(stream), {}};
 }
 
 void Authority::init(const std::string& site, std::chrono::hours lasts) {
-  if (!name_fits(site)) throw Fault("'" + site + "' is no name for a site");
+  if (!name_fits(site)) throw Error("'" + site + "' is no name for a site");
   std::error_code error;
   std::filesystem::create_directories(folder_, error);
   if (std::filesystem::exists(path("ca.key")))
-    throw Fault("holds an authority already", folder_, "use it, or name another folder");
+    throw Error("holds an authority already", folder_, "use it, or name another folder");
   const Key key(need(EVP_EC_gen("P-256"), "a key"));
   const Cert certificate = make(site, key.get(), nullptr, lasts);
   extend(certificate.get(), certificate.get(), NID_basic_constraints, "critical,CA:TRUE,pathlen:0");
   extend(certificate.get(), certificate.get(), NID_key_usage, "critical,keyCertSign,cRLSign");
-  if (!X509_sign(certificate.get(), key.get(), EVP_sha256())) throw Fault("the authority can't sign itself");
+  if (!X509_sign(certificate.get(), key.get(), EVP_sha256())) throw Error("the authority can't sign itself");
   const List list(need(X509_CRL_new(), "a list"));
   X509_CRL_set_version(list.get(), 1);
   X509_CRL_set_issuer_name(list.get(), X509_get_subject_name(certificate.get()));
@@ -194,7 +194,7 @@
 
 Certificate Authority::issue(const std::string& name, std::optional<fleet::Role> role,
                              std::chrono::seconds lasts) {
-  if (!name_fits(name)) throw Fault("'" + name + "' is no name for a certificate");
+  if (!name_fits(name)) throw Error("'" + name + "' is no name for a certificate");
   const Key authority = key_from(text_of(path("ca.key")));
   const Cert issuer = certificate_from(text_of(path("ca.pem")));
   const Key key(need(EVP_EC_gen("P-256"), "a key"));
@@ -204,7 +204,7 @@
   std::string names = "DNS:" + name;
   if (role) names += ",URI:" + std::string(role_mark) + std::string(fleet::word_for(*role));
   extend(certificate.get(), issuer.get(), NID_subject_alt_name, names);
-  if (!X509_sign(certificate.get(), authority.get(), EVP_sha256())) throw Fault("the authority can't sign");
+  if (!X509_sign(certificate.get(), authority.get(), EVP_sha256())) throw Error("the authority can't sign");
   put(path(name + ".key"), pem_of([&](BIO* out) {
         return PEM_write_bio_PKCS8PrivateKey(out, key.get(), nullptr, nullptr, 0, nullptr, nullptr);
       }),
@@ -219,11 +219,11 @@
   const std::string text = text_of(path("ca.crl"));
   const Memory memory(BIO_new_mem_buf(text.data(), static_cast<int>(text.size())));
   const List list(PEM_read_bio_X509_CRL(memory.get(), nullptr, nullptr, nullptr));
-  if (!list) throw Fault("no list of revocations", path("ca.crl"));
+  if (!list) throw Error("no list of revocations", path("ca.crl"));
   const auto known = revoked_by(path("ca.crl"), path("ca.pem"));
   if (std::ranges::find(known, certificate.serial) != known.end()) return;
   BIGNUM* number = nullptr;
-  if (!BN_hex2bn(&number, certificate.serial.c_str())) throw Fault("no serial: " + certificate.serial);
+  if (!BN_hex2bn(&number, certificate.serial.c_str())) throw Error("no serial: " + certificate.serial);
   const std::unique_ptr<BIGNUM, Release<BN_free>> big(number);
   const std::unique_ptr<ASN1_INTEGER, Release<ASN1_INTEGER_free>> serial(BN_to_ASN1_INTEGER(number, nullptr));
   const std::unique_ptr<ASN1_TIME, Release<ASN1_TIME_free>> now(X509_gmtime_adj(nullptr, 0));
@@ -251,8 +251,8 @@
   const std::string text = text_of(file);
   try {
     return certificate_in(text);
-  } catch (const Fault& fault) {
-    throw Fault::within(file, fault);
+  } catch (const Error& fault) {
+    throw Error::within(file, fault);
   }
 }
 
@@ -260,10 +260,10 @@
   const std::string text = text_of(list_file);
   const Memory memory(BIO_new_mem_buf(text.data(), static_cast<int>(text.size())));
   const List list(PEM_read_bio_X509_CRL(memory.get(), nullptr, nullptr, nullptr));
-  if (!list) throw Fault("no list of revocations", list_file);
+  if (!list) throw Error("no list of revocations", list_file);
   const Cert authority = certificate_from(text_of(authority_file));
   if (X509_CRL_verify(list.get(), X509_get0_pubkey(authority.get())) != 1)
-    throw Fault("not signed by " + authority_file, list_file, "take the list that this authority wrote last");
+    throw Error("not signed by " + authority_file, list_file, "take the list that this authority wrote last");
   std::vector<std::string> serials;
   STACK_OF(X509_REVOKED)* revoked = X509_CRL_get_REVOKED(list.get());
   for (int i = 0; revoked && i < sk_X509_REVOKED_num(revoked); ++i)
--- a/src/keys/authority.h
+++ b/src/keys/authority.h
@@ -8,13 +8,13 @@
 #include <string>
 #include <vector>
 
-#include "faults/fault.h"
+#include "errors/error.h"
 #include "fleet/roles.h"
 
 namespace pearchute::keys {
 
 // What is wrong, in plain words; nothing was changed.
-using Fault = KeysFault;
+using Error = KeysError;
 
 struct Certificate {
   std::string name, serial;  // the serial in hex
--- a/src/keys/reach.cpp
+++ b/src/keys/reach.cpp
@@ -4,14 +4,14 @@
 
 #include <charconv>
 
-#include "faults/fault.h"
+#include "errors/error.h"
 
 namespace pearchute::keys {
 
 Reach reach_in(const std::string& text) {
   if (text.starts_with("unix:/")) {
     if (text.size() - 5 >= sizeof(sockaddr_un::sun_path))
-      throw AddressFault("the path of '" + text + "' is too long for a socket");
+      throw AddressError("the path of '" + text + "' is too long for a socket");
     return {text, text, false};
   }
   const std::size_t colon = text.rfind(':');
@@ -21,7 +21,7 @@
     if (error == std::errc{} && stop == text.data() + text.size() && port > 0 && port < 65536)
       return {text, text.substr(4), true};
   }
-  throw AddressFault("'" + text + "' is neither unix:/path nor tls:host:port");
+  throw AddressError("'" + text + "' is neither unix:/path nor tls:host:port");
 }
 
 bool take(Files& files, const std::string& name, const std::string& text) {
--- a/src/keys/reach.h
+++ b/src/keys/reach.h
@@ -10,7 +10,7 @@
   std::string text, target;
   bool tls = false;
 };
-// Throws AddressFault.
+// Throws AddressError.
 Reach reach_in(const std::string& text);
 
 // Of one that shows a certificate, and of whom it trusts. `revoked` may be empty: nobody is.
--- a/src/lab/record.cpp
+++ b/src/lab/checkers/history_checker.cpp
@@ -1,4 +1,4 @@
-#include "lab/record.h"
+#include "lab/checkers/history_checker.h"
 
 #include <algorithm>
 
@@ -10,12 +10,12 @@
   return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch());
 }
 
-void Record::fault(std::uint64_t& count, const std::string& what) {
+void HistoryChecker::fault(std::uint64_t& count, const std::string& what) {
   ++count;
   if (verdict_.faults.size() < 20) verdict_.faults.push_back(what);
 }
 
-void Record::sent(const std::string& id, int manager, Kind kind, std::uint64_t key, Time until) {
+void HistoryChecker::sent(const std::string& id, int manager, Kind kind, std::uint64_t key, Time until) {
   // What has been over for long is forgotten: late second answers come within seconds.
   while (!over_.empty() && over_.front().first + std::chrono::seconds(10) < steady_now()) {
     jobs_.erase(over_.front().second);
@@ -27,13 +27,13 @@
   ++verdict_.sent, ++open_;
 }
 
-void Record::closed(const std::string& id, Job& job) {
+void HistoryChecker::closed(const std::string& id, Job& job) {
   --open_;
   over_.emplace_back(steady_now(), id);
   if (job.kind.in_order && lines_[job.key].out == id) lines_[job.key].out.clear();
 }
 
-void Record::answered(const std::string& id, Answer answer) {
+void HistoryChecker::answered(const std::string& id, Answer answer) {
   const auto at = jobs_.find(id);
   if (at == jobs_.end()) return fault(verdict_.doubled, "an answer to no job: " + id);
   Job& job = at->second;
@@ -44,7 +44,7 @@
   closed(id, job);
 }
 
-void Record::unanswered(const std::string& id) {
+void HistoryChecker::unanswered(const std::string& id) {
   const auto at = jobs_.find(id);
   if (at == jobs_.end() || at->second.answers > 0 || at->second.given_up) return;
   at->second.given_up = true;
@@ -52,7 +52,7 @@
   closed(id, at->second);
 }
 
-void Record::withdrawn(const std::string& id) {
+void HistoryChecker::withdrawn(const std::string& id) {
   const auto at = jobs_.find(id);
   if (at == jobs_.end() || at->second.answers > 0 || at->second.given_up) return;
   at->second.given_up = true;
@@ -60,7 +60,7 @@
   closed(id, at->second);
 }
 
-void Record::unreached(const std::string& id) {
+void HistoryChecker::unreached(const std::string& id) {
   const auto at = jobs_.find(id);
   if (at == jobs_.end() || at->second.answers > 0 || at->second.given_up) return;
   at->second.given_up = true;
@@ -68,7 +68,7 @@
   closed(id, at->second);
 }
 
-void Record::begun(const std::string& engine, const std::string& id) {
+void HistoryChecker::begun(const std::string& engine, const std::string& id) {
   const auto at = jobs_.find(id);
   if (at == jobs_.end()) return;
   Job& job = at->second;
@@ -93,7 +93,7 @@
   line.out = id;
 }
 
-void Record::ended(const std::string& engine, const std::string& id, bool turned_away) {
+void HistoryChecker::ended(const std::string& engine, const std::string& id, bool turned_away) {
   const auto at = jobs_.find(id);
   if (at == jobs_.end()) return;
   for (Run& run : at->second.runs) {
@@ -102,14 +102,14 @@
   if (at->second.kind.in_order && lines_[at->second.key].out == id) lines_[at->second.key].out.clear();
 }
 
-void Record::drain_came(const std::string& engine, int manager, Time came) {
+void HistoryChecker::drain_came(const std::string& engine, int manager, Time came) {
   Drained& drained = drained_[{engine, manager}];
   drained = {came, came};
   for (const Time want : wants_[{engine, manager}]) drained.last = std::max(drained.last, want);
   ++verdict_.drains;
 }
 
-void Record::drain_over(const std::string& engine, int manager) {
+void HistoryChecker::drain_over(const std::string& engine, int manager) {
   const auto at = drained_.find({engine, manager});
   if (at == drained_.end()) return;
   const Time delay = at->second.last - at->second.came;
@@ -120,7 +120,7 @@
   drained_.erase(at);
 }
 
-const Record::Verdict& Record::verdict() {
+const HistoryChecker::Verdict& HistoryChecker::verdict() {
   std::vector<std::string> up;
   for (const auto& [id, job] : jobs_) {
     if (job.answers == 0 && !job.given_up && steady_now() > job.until + milliseconds(500)) up.push_back(id);
--- a/src/lab/record.h
+++ b/src/lab/checkers/history_checker.h
@@ -17,7 +17,7 @@
 
 enum class Answer { done, refused, failed };
 
-class Record {
+class HistoryChecker {
  public:
   struct Kind {
     bool once = false;      // must never be begun twice unless the first was turned away
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -8,10 +8,10 @@
 #include <iostream>
 #include <map>
 
-#include "faults/fault.h"
-#include "lab/managers.h"
-#include "lab/measure.h"
-#include "lab/world.h"
+#include "errors/error.h"
+#include "lab/measurements/measurements.h"
+#include "lab/stand_ins/admin_endpoints.h"
+#include "lab/stand_ins/test_cluster.h"
 #include "net/log.h"
 
 using namespace pearchute::lab;
@@ -24,10 +24,10 @@
 int up(const Bench& bench, int managers, int engines, double rate, int seconds) {
   std::signal(SIGINT, [](int) { asked_to_end = 1; });
   std::signal(SIGTERM, [](int) { asked_to_end = 1; });
-  Site site;
+  ClusterSpec site;
   site.managers = managers, site.engines = engines, site.seed = bench.seed;
   site.pearchuted = bench.programs + "/pearchuted";
-  World world(site);
+  TestCluster world(site);
   world.must_serve(static_cast<std::uint64_t>(engines));
   std::cout << "export PEARCHUTE_FLEET=" << world.write_fleet() << std::endl;
   for (auto& manager : world.managers())
@@ -41,7 +41,7 @@
   while (!asked_to_end && (seconds == 0 || steady_now() < end)) world.rest(std::chrono::milliseconds(50));
   world.on([&] { world.crowd().offer(0, {}); });
   world.quiet();
-  const Record::Verdict verdict = world.verdict();
+  const HistoryChecker::Verdict verdict = world.verdict();
   std::cerr << verdict.sent << " jobs: " << verdict.done << " done, " << verdict.refused << " throttled, "
             << verdict.failed << " failed, " << verdict.lost << " without an answer\n";
   for (const std::string& fault : verdict.faults) std::cerr << fault << "\n";
@@ -50,10 +50,10 @@
 
 // Shows the main job to a newcomer: jobs in, answers out, an engine drained meanwhile. Ends by itself.
 int demo(const Bench& bench) {
-  Site site;
+  ClusterSpec site;
   site.managers = 2, site.engines = 3, site.seed = bench.seed,
   site.pearchuted = bench.programs + "/pearchuted";
-  World world(site);
+  TestCluster world(site);
   world.must_serve(3);
   std::cout << "Two managers, three stand-in engines and a command channel are up on loopback.\n"
             << std::flush;
@@ -86,7 +86,7 @@
   show({"engine", "restore", "e1", "--as", "demo"});
   world.on([&] { world.crowd().offer(0, {}); });
   world.quiet();
-  const Record::Verdict verdict = world.verdict();
+  const HistoryChecker::Verdict verdict = world.verdict();
   std::cout << "\n"
             << verdict.sent << " jobs sent: " << verdict.done << " done, " << verdict.refused
             << " throttled, " << verdict.failed << " failed, " << verdict.lost << " without an answer, "
@@ -132,7 +132,7 @@
     if (site->parsed()) return up(bench, managers, engines, rate, seconds);
     return measurements.at(name)(bench);
   } catch (const std::exception& error) {
-    pearchute::tell_fault(std::cerr, "pearchute-lab", error);
+    pearchute::print_error(std::cerr, "pearchute-lab", error);
     return 3;
   }
 }
--- a/src/lab/measure_parts.cpp
+++ b/src/lab/measurements/measure_budget_leases.cpp
@@ -4,8 +4,8 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
-#include "lab/measure.h"
-#include "lab/parts_model.h"
+#include "lab/measurements/measurements.h"
+#include "lab/simulations/budget_lease_simulation.h"
 
 namespace pearchute::lab {
 
@@ -13,16 +13,16 @@
 
 namespace {
 
-nlohmann::json play(std::uint64_t seed, int number, PartsModel::Shape shape, bool& well) {
+nlohmann::json play(std::uint64_t seed, int number, BudgetLeaseSimulation::Shape shape, bool& well) {
   double used = 0, off = 0, served = 0, served_off = 0, most = 0, us = 0, fairness = 1;
   std::uint64_t over = 0, twice = 0, digest = 0, orders = 0;
   for (int n = 0; n < number; ++n) {
     shape.seed = seed * 100'000 + static_cast<std::uint64_t>(n), shape.lends = true;
-    const PartsModel::Result result = PartsModel(shape).play();
+    const BudgetLeaseSimulation::Result result = BudgetLeaseSimulation(shape).play();
     for (const std::string& fault : result.faults)
       std::cerr << "seed " << shape.seed << ": " << fault << "\n";
     shape.lends = false;
-    const PartsModel::Result without = PartsModel(shape).play();
+    const BudgetLeaseSimulation::Result without = BudgetLeaseSimulation(shape).play();
     over += result.over_limit + without.over_limit, twice += result.lent_twice;
     used += result.used / number, off += without.used / number;
     served += result.wanted / number, served_off += without.wanted / number;
@@ -50,7 +50,8 @@
 int measure_parts(const Bench& bench) {
   bool well = true;
   nlohmann::json told;
-  PartsModel::Shape shape = {.loss = 0.1, .doubled = 0.1, .kills = true, .stops = true, .cuts = true};
+  BudgetLeaseSimulation::Shape shape = {
+      .loss = 0.1, .doubled = 0.1, .kills = true, .stops = true, .cuts = true};
   told["uneven"] = play(bench.seed, 600, shape, well);
   shape.load = 1.2;
   told["more_wanted_than_there_is"] = play(bench.seed, 400, shape, well);
--- a/src/lab/measure_drain.cpp
+++ b/src/lab/measurements/measure_drain.cpp
@@ -6,9 +6,9 @@
 #include <random>
 #include <set>
 
-#include "faults/fault.h"
-#include "lab/measure.h"
-#include "lab/world.h"
+#include "errors/error.h"
+#include "lab/measurements/measurements.h"
+#include "lab/stand_ins/test_cluster.h"
 
 namespace pearchute::lab {
 
@@ -16,10 +16,10 @@
 
 int measure_drain(const Bench& bench) {
   const int drains = bench.size > 0 ? bench.size : 120;
-  Site site;
+  ClusterSpec site;
   site.managers = 5, site.engines = 8, site.seed = bench.seed,
   site.pearchuted = bench.programs + "/pearchuted";
-  World world(site);
+  TestCluster world(site);
   world.must_serve(8);
   std::vector<Ask> mix = {{"quick", "SELECT work=4 FROM a_1.t", milliseconds(2000), 0, 4, 8},
                           {"quick", "SELECT work=12 FROM a_2.t", milliseconds(2000), 0, 12, 16},
@@ -43,7 +43,7 @@
       if (!drain) world.on([&] { world.record().drain_over(name, static_cast<int>(m)); });
       const admin::v1::Reply reply = world.order(m, name, drain, generation);
       if (reply.ordered().verdict() != "done")
-        throw SiteFault("an order is not done: " + reply.fault(), world.folder());
+        throw TestClusterError("an order is not done: " + reply.fault(), world.folder());
       const Time came(reply.ordered().came_monotonic_us());
       if (drain) world.on([&] { world.record().drain_came(name, static_cast<int>(m), came); });
     }
@@ -64,7 +64,7 @@
   world.on([&] { world.crowd().offer(0, {}); });
   world.quiet();
 
-  Record::Verdict verdict = world.verdict();
+  HistoryChecker::Verdict verdict = world.verdict();
   std::vector<Time>& delays = verdict.drain_delays;
   std::ranges::sort(delays);
   const auto at = [&](double share) {
--- a/src/lab/measure_fleet_status.cpp
+++ b/src/lab/measurements/measure_fleet_status.cpp
@@ -7,10 +7,10 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
-#include "faults/fault.h"
-#include "lab/managers.h"
-#include "lab/measure.h"
-#include "net/stage.h"
+#include "errors/error.h"
+#include "lab/measurements/measurements.h"
+#include "lab/stand_ins/admin_endpoints.h"
+#include "net/event_loop_thread.h"
 
 namespace pearchute::lab {
 
@@ -18,10 +18,10 @@
   const int endpoints = bench.size > 0 ? bench.size : 200, silent = endpoints / 20;
   constexpr double limit_s = 1;
   char folder[] = "/tmp/pearchute-lab-XXXXXX";
-  if (!::mkdtemp(folder)) throw SystemFault("no folder for the laboratory's files", "/tmp");
+  if (!::mkdtemp(folder)) throw SystemError("no folder for the laboratory's files", "/tmp");
   std::ofstream file(std::string(folder) + "/fleet.ini");
   file << "[fleet]\ntimeout_ms = 1000\n";
-  net::Stage stage;
+  net::EventLoopThread stage;
   std::vector<std::unique_ptr<StandInManager>> managers;
   std::vector<std::unique_ptr<SilentPlace>> places;
   for (int i = 0; i < endpoints; ++i) {
--- a/src/lab/measure_word.cpp
+++ b/src/lab/measurements/measure_gossip.cpp
@@ -1,6 +1,7 @@
-// What agents know of each other: seeded histories of the decisions with every kind of trouble, at a small and at
-// a large size, and real agents with relays between them, struck by one fault after another. How soon a change is
-// known, how soon all is known again, what it costs; and whether anything old was ever told as fresh.
+// What agents know of each other: seeded histories of the decisions with every kind of trouble, at a small
+// and at a large size, and real agents with relays between them, struck by one fault after another. How soon
+// a change is known, how soon all is known again, what it costs; and whether anything old was ever told as
+// fresh.
 #include <signal.h>
 
 #include <algorithm>
@@ -8,10 +9,10 @@
 #include <nlohmann/json.hpp>
 #include <random>
 
-#include "faults/fault.h"
-#include "lab/agent_fleet.h"
-#include "lab/measure.h"
-#include "lab/word_model.h"
+#include "errors/error.h"
+#include "lab/measurements/measurements.h"
+#include "lab/simulations/gossip_simulation.h"
+#include "lab/stand_ins/agent_cluster.h"
 
 namespace pearchute::lab {
 
@@ -27,14 +28,15 @@
 }
 double in_ms(fleet::Span span) { return static_cast<double>(span.count()) / 1000; }
 
-nlohmann::json histories(std::uint64_t seed, int number, WordModel::Shape shape, bool& well) {
+nlohmann::json histories(std::uint64_t seed, int number, GossipSimulation::Shape shape, bool& well) {
   std::vector<double> spread, settled;
   std::uint64_t broken = 0, changes = 0, digest = 0, kept = 0, answer = 0;
   double bytes = 0;
   for (int n = 0; n < number; ++n) {
     shape.seed = seed * 100'000 + static_cast<std::uint64_t>(n);
-    const WordModel::Result result = WordModel(shape).play();
-    for (const std::string& fault : result.faults) std::cerr << "seed " << shape.seed << ": " << fault << "\n";
+    const GossipSimulation::Result result = GossipSimulation(shape).play();
+    for (const std::string& fault : result.faults)
+      std::cerr << "seed " << shape.seed << ": " << fault << "\n";
     broken += result.never_said + result.stale_as_newer + result.overruled + result.apart;
     changes += result.changes, digest = digest * 31 + result.digest;
     kept = std::max(kept, result.most_kept), answer = std::max(answer, result.most_answer);
@@ -43,24 +45,31 @@
     settled.push_back(in_ms(result.settled));
   }
   well = well && broken == 0;
-  return {{"histories", number},           {"agents", shape.agents},
+  return {{"histories", number},
+          {"agents", shape.agents},
           {"instances", shape.agents * shape.instances_each},
-          {"changes", changes},            {"broken", broken},
-          {"spread_ms_p50", at_share(spread, 0.5)}, {"spread_ms_p99", at_share(spread, 0.99)},
-          {"settle_ms_p50", at_share(settled, 0.5)}, {"settle_ms_p99", at_share(settled, 0.99)},
-          {"bytes_a_second", static_cast<std::uint64_t>(bytes)}, {"most_kept", kept}, {"most_answer", answer},
+          {"changes", changes},
+          {"broken", broken},
+          {"spread_ms_p50", at_share(spread, 0.5)},
+          {"spread_ms_p99", at_share(spread, 0.99)},
+          {"settle_ms_p50", at_share(settled, 0.5)},
+          {"settle_ms_p99", at_share(settled, 0.99)},
+          {"bytes_a_second", static_cast<std::uint64_t>(bytes)},
+          {"most_kept", kept},
+          {"most_answer", answer},
           {"digest", digest}};
 }
 
 // Three agents, six managers, eight engines, one fault after another, and load on.
 nlohmann::json processes(const Bench& bench, bool& well) {
-  Site site;
+  ClusterSpec site;
   site.managers = 6, site.engines = 8, site.seed = bench.seed, site.starts_managers = false;
-  site.pearchuted = bench.programs + "/pearchuted", site.pearchute_agent = bench.programs + "/pearchute-agent";
-  AgentFleet fleet(site, 3, true);
-  World& world = fleet.world;
+  site.pearchuted = bench.programs + "/pearchuted",
+  site.pearchute_agent = bench.programs + "/pearchute-agent";
+  AgentCluster fleet(site, 3, true);
+  TestCluster& world = fleet.world;
   if (!wait_for([&] { return fleet.all_serve() && fleet.all_know(); }))
-    throw SiteFault("the agents do not come to know each other", world.folder());
+    throw TestClusterError("the agents do not come to know each other", world.folder());
   world.must_serve(8);
   world.on([&] {
     world.crowd().offer(200, {{"quick", "SELECT work=5 FROM a_1.t", milliseconds(2000), 0, 5, 8}});
@@ -77,9 +86,10 @@
     const int kind = static_cast<int>(chance() % 4);
     if (kind == 0) agent.end(SIGKILL);
     else if (kind == 1) ::kill(agent.process, SIGSTOP);
-    else world.on([&] {
-      for (int n = 0; n < 3; ++n) struck.push_back(fleet.relays->strike(chance));
-    });
+    else
+      world.on([&] {
+        for (int n = 0; n < 3; ++n) struck.push_back(fleet.relays->strike(chance));
+      });
     // A manager falls meanwhile: its agent, if it lives, starts it anew, and its word is another.
     const std::string fallen = "n" + std::to_string(1 + chance() % 6);
     const Time fell = steady_now();
@@ -93,7 +103,7 @@
       for (std::size_t who = 0; who < 3; ++who) {
         if (kind > 1 || who == whom) continue;
         const auto known = fleet.agents[who].heard(agent.name);
-        const bool silent_long = steady_now() - fell > fleet::Bulletin::fresh_for + milliseconds(300);
+        const bool silent_long = steady_now() - fell > fleet::GossipState::fresh_for + milliseconds(300);
         stale += known && silent_long && known->freshness() == "fresh";
       }
       world.rest(milliseconds(100));
@@ -128,15 +138,19 @@
                       std::chrono::duration<double>(steady_now() - from).count() / 3;
   world.on([&] { world.crowd().offer(0, {}); });
   world.quiet();
-  const Record::Verdict verdict = world.verdict();
+  const HistoryChecker::Verdict verdict = world.verdict();
   for (const std::string& fault : verdict.faults) std::cerr << fault << "\n";
   well = well && stale == 0 && unknown_at_end == 0 && verdict.doubled == 0;
-  return {{"faults", rounds},        {"stale_as_fresh", stale},
+  return {{"faults", rounds},
+          {"stale_as_fresh", stale},
           {"unknown_at_end", unknown_at_end},
-          {"known_again_ms_p50", at_share(known_again, 0.5)}, {"known_again_ms_max", at_share(known_again, 1)},
-          {"spread_ms_p50", at_share(spread, 0.5)}, {"spread_ms_max", at_share(spread, 1)},
+          {"known_again_ms_p50", at_share(known_again, 0.5)},
+          {"known_again_ms_max", at_share(known_again, 1)},
+          {"spread_ms_p50", at_share(spread, 0.5)},
+          {"spread_ms_max", at_share(spread, 1)},
           {"bytes_a_second_with_tls", static_cast<std::uint64_t>(rate)},
-          {"jobs", verdict.sent}, {"doubled", verdict.doubled}};
+          {"jobs", verdict.sent},
+          {"doubled", verdict.doubled}};
 }
 
 }  // namespace
@@ -144,10 +158,10 @@
 int measure_word(const Bench& bench) {
   bool well = true;
   nlohmann::json told;
-  const WordModel::Shape trouble = {.loss = 0.1, .doubled = 0.1, .kills = true, .stops = true, .cuts = true,
-                                    .drops = true};
+  const GossipSimulation::Shape trouble = {
+      .loss = 0.1, .doubled = 0.1, .kills = true, .stops = true, .cuts = true, .drops = true};
   told["small"] = histories(bench.seed, 1000, trouble, well);
-  WordModel::Shape large = trouble;
+  GossipSimulation::Shape large = trouble;
   large.agents = 50, large.instances_each = 20;
   told["large"] = histories(bench.seed, 3, large, well);
   told["processes"] = processes(bench, well);
--- a/src/lab/measure_list.cpp
+++ b/src/lab/measurements/measure_list_scale.cpp
@@ -11,9 +11,9 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "faults/fault.h"
-#include "lab/measure.h"
-#include "lab/world.h"
+#include "errors/error.h"
+#include "lab/measurements/measurements.h"
+#include "lab/stand_ins/test_cluster.h"
 
 namespace pearchute::lab {
 
@@ -56,15 +56,15 @@
   nlohmann::json told;
   bool well = true;
   for (const int engines : {80, bench.size > 0 ? bench.size : 1024}) {
-    Site site;
+    ClusterSpec site;
     site.managers = 1, site.engines = engines, site.seed = bench.seed, site.cores = 2;
     site.pearchuted = bench.programs + "/pearchuted";
     site.sockets = 256, site.manager_memory_mb = 32, site.knows_list = true;
     const Time from = steady_now();
-    World world(site);
+    TestCluster world(site);
     const Time begun = steady_now();
     if (!world.until([&] { return world.crowd().up(0); }, milliseconds(10000)))
-      throw SiteFault("the manager does not serve", world.folder());
+      throw TestClusterError("the manager does not serve", world.folder());
     const Time up = steady_now();
     world.must_serve(static_cast<std::uint64_t>(engines));
     std::vector<Ask> mix = {{"quick", "SELECT work=10 FROM a_1.t", milliseconds(2000), 0, 10, 8},
@@ -92,7 +92,7 @@
     const std::uint64_t up_at_last = world.status(0).engines_up();
     world.on([&] { world.crowd().offer(0, {}); });
     world.quiet();
-    const Record::Verdict verdict = world.verdict();
+    const HistoryChecker::Verdict verdict = world.verdict();
     for (const std::string& fault : verdict.faults) std::cerr << fault << "\n";
     told[std::to_string(engines)] = {{"serves_after_ms", (up - begun).count() / 1000},
                                      {"laid_out_ms", (begun - from).count() / 1000},
--- a/src/lab/measure_managers.cpp
+++ b/src/lab/measurements/measure_managers.cpp
@@ -5,8 +5,8 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
-#include "lab/many_managers.h"
-#include "lab/measure.h"
+#include "lab/measurements/measurements.h"
+#include "lab/simulations/many_managers.h"
 
 namespace pearchute::lab {
 
--- a/src/lab/measure_rollout.cpp
+++ b/src/lab/measurements/measure_rollout.cpp
@@ -6,10 +6,10 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
-#include "faults/fault.h"
-#include "lab/agent_fleet.h"
-#include "lab/fleet_model.h"
-#include "lab/measure.h"
+#include "errors/error.h"
+#include "lab/measurements/measurements.h"
+#include "lab/simulations/rollout_simulation.h"
+#include "lab/stand_ins/agent_cluster.h"
 
 namespace pearchute::lab {
 
@@ -33,14 +33,15 @@
 // Five managers under three agents, load on; in each rollout one agent, the coordinator among them, is killed
 // at a random moment and comes back. What is known and whether zones keep their least is seen from outside.
 nlohmann::json with_processes(const Bench& bench, bool& well) {
-  Site site;
+  ClusterSpec site;
   site.managers = 5, site.engines = 4, site.seed = bench.seed, site.starts_managers = false;
   site.pearchuted = bench.programs + "/pearchuted",
   site.pearchute_agent = bench.programs + "/pearchute-agent";
-  AgentFleet fleet(site);
-  World& world = fleet.world;
+  AgentCluster fleet(site);
+  TestCluster& world = fleet.world;
   const auto serve = [&] { return fleet.all_serve(); };
-  if (!wait_for(serve)) throw SiteFault("the managers don't come up under their agents", world.folder());
+  if (!wait_for(serve))
+    throw TestClusterError("the managers don't come up under their agents", world.folder());
   world.must_serve(4);
   world.on([&] {
     world.crowd().offer(150, {{"quick", "SELECT work=5 FROM a_1.t", milliseconds(2000), 0, 5, 8},
@@ -67,7 +68,7 @@
     plan.set_fallback(round % 2 == 0 ? "serve_again" : "finish"), plan.set_warm_ms(700);
     std::string fault;
     if (!coordinator.start_rollout(plan, &fault).ok() || !fault.empty())
-      throw SiteFault("a rollout is not begun: " + fault, world.folder());
+      throw TestClusterError("a rollout is not begun: " + fault, world.folder());
     // Clients' checks come five times a second; who came back counts as serving after its warm time only, so
     // a low count is no late look.
     const auto look = [&] {
@@ -107,7 +108,7 @@
   }
   world.on([&] { world.crowd().offer(0, {}); });
   world.quiet();
-  const Record::Verdict verdict = world.verdict();
+  const HistoryChecker::Verdict verdict = world.verdict();
   for (const std::string& what : verdict.faults) std::cerr << what << "\n";
   std::ranges::sort(recovery);
   well = well && unknown + fences + below + verdict.doubled + verdict.lost == 0;
@@ -130,12 +131,12 @@
   std::uint64_t unknown = 0, fences = 0, floor = 0, early = 0, killed = 0;
   std::vector<double> recovery;
   for (int i = 0; i < count; ++i) {
-    FleetModel::Shape shape{.seed = bench.seed * 100'000 + static_cast<std::uint64_t>(i)};
+    RolloutSimulation::Shape shape{.seed = bench.seed * 100'000 + static_cast<std::uint64_t>(i)};
     shape.agents = 5, shape.instances_each = 2, shape.loss = 0.05, shape.doubled = 0.05;
     shape.kill_at = "random", shape.kill_whom = i % 5 == 0 ? "both" : "passer";
     shape.cut_off = 0.2, shape.stopped = 0.1, shape.hangs = i % 4 == 0 ? 0.2 : 0;
-    FleetModel model(shape);
-    const FleetModel::Result result = model.play(plan_of(shape.seed));
+    RolloutSimulation model(shape);
+    const RolloutSimulation::Result result = model.play(plan_of(shape.seed));
     unknown += result.unknown_states, fences += result.fence_breaks, floor += result.below_floor;
     early += result.early_give_ups, killed += result.killed;
     if (result.killed) recovery.push_back(static_cast<double>(result.recovery.count()) / 1000);
@@ -150,14 +151,14 @@
   };
   // A thousand instances under fifty agents, twenty at once, nothing goes wrong: against what the limits
   // allow.
-  FleetModel::Shape large{.seed = bench.seed};
+  RolloutSimulation::Shape large{.seed = bench.seed};
   large.agents = 50, large.instances_each = 20, large.zones = 4;
   fleet::RolloutPlan plan = plan_of(1);
   plan.at_once = 20, plan.batch = 0,
   plan.least_serving = {{"z0", 200}, {"z1", 200}, {"z2", 200}, {"z3", 200}};
   plan.drain_within = seconds(30), plan.up_within = seconds(30), plan.lease = seconds(30);
-  FleetModel model(large);
-  const FleetModel::Result result = model.play(plan);
+  RolloutSimulation model(large);
+  const RolloutSimulation::Result result = model.play(plan);
   // One instance takes 0.85 s to end and 0.55 s to start on average, and half a second to be warm.
   const double ideal_s = 1000.0 / plan.at_once * (0.85 + 0.55 + 0.5);
   const double took_s = static_cast<double>(result.lasted.count()) / 1e6;
--- a/src/lab/parts_model.cpp
+++ b/src/lab/simulations/budget_lease_simulation.cpp
@@ -1,4 +1,4 @@
-#include "lab/parts_model.h"
+#include "lab/simulations/budget_lease_simulation.h"
 
 #include <algorithm>
 #include <cmath>
@@ -8,7 +8,7 @@
 #include <set>
 #include <utility>
 
-#include "lab/timeline.h"
+#include "lab/simulations/timeline.h"
 
 namespace pearchute::lab {
 
@@ -16,7 +16,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-struct PartsModel::Impl {
+struct BudgetLeaseSimulation::Impl {
   struct Manager {
     std::string name;
     int owner = 0, even = Parts::whole;
@@ -318,8 +318,8 @@
   Result result;
 };
 
-PartsModel::PartsModel(const Shape& shape) : impl_(std::make_unique<Impl>(shape)) {}
-PartsModel::~PartsModel() = default;
-PartsModel::Result PartsModel::play() { return impl_->play(); }
+BudgetLeaseSimulation::BudgetLeaseSimulation(const Shape& shape) : impl_(std::make_unique<Impl>(shape)) {}
+BudgetLeaseSimulation::~BudgetLeaseSimulation() = default;
+BudgetLeaseSimulation::Result BudgetLeaseSimulation::play() { return impl_->play(); }
 
 }  // namespace pearchute::lab
--- a/src/lab/parts_model.h
+++ b/src/lab/simulations/budget_lease_simulation.h
@@ -9,11 +9,11 @@
 #include <string>
 #include <vector>
 
-#include "fleet/parts.h"
+#include "fleet/budget_leases.h"
 
 namespace pearchute::lab {
 
-class PartsModel {
+class BudgetLeaseSimulation {
  public:
   struct Shape {
     std::uint64_t seed = 1;
@@ -40,10 +40,10 @@
     std::vector<std::string> faults;
     bool clean() const { return over_limit + lent_twice == 0; }
   };
-  explicit PartsModel(const Shape& shape);
-  ~PartsModel();
-  PartsModel(const PartsModel&) = delete;
-  PartsModel& operator=(const PartsModel&) = delete;
+  explicit BudgetLeaseSimulation(const Shape& shape);
+  ~BudgetLeaseSimulation();
+  BudgetLeaseSimulation(const BudgetLeaseSimulation&) = delete;
+  BudgetLeaseSimulation& operator=(const BudgetLeaseSimulation&) = delete;
   Result play();
 
  private:
--- a/src/lab/word_model.cpp
+++ b/src/lab/simulations/gossip_simulation.cpp
@@ -1,4 +1,4 @@
-#include "lab/word_model.h"
+#include "lab/simulations/gossip_simulation.h"
 
 #include <algorithm>
 #include <deque>
@@ -7,7 +7,7 @@
 #include <set>
 #include <utility>
 
-#include "lab/timeline.h"
+#include "lab/simulations/timeline.h"
 
 namespace pearchute::lab {
 
@@ -17,9 +17,9 @@
 
 namespace {
 
-std::size_t size_of(const std::vector<News>& all) {
+std::size_t size_of(const std::vector<ReportDelta>& all) {
   std::size_t sum = 16;
-  for (const News& news : all) {
+  for (const ReportDelta& news : all) {
     sum += 48 + news.agent.size();
     for (const Entry& entry : news.entries)
       sum += 24 + entry.instance.size() + (entry.word ? 64 + entry.word->zone.size() : 0);
@@ -29,19 +29,19 @@
 
 }  // namespace
 
-struct WordModel::Impl {
-  struct Node final : Bulletin::Host {
+struct GossipSimulation::Impl {
+  struct Node final : GossipState::Host {
     Impl* model = nullptr;
     int number = 0;
     std::string name;
     Span offset{};  // its steady clock against the model's
     std::uint64_t disk = 0, older_copy = 0;
-    std::unique_ptr<Bulletin> bulletin;  // none: it is dead
-    std::unique_ptr<Asking> asking;
+    std::unique_ptr<GossipState> bulletin;  // none: it is dead
+    std::unique_ptr<AntiEntropyScheduler> asking;
     std::uint64_t life = 0;
     bool stopped = false;
     std::deque<std::function<void()>> put_off;  // what would have happened while it was stopped
-    std::map<std::string, Word> instances;
+    std::map<std::string, StatusReport> instances;
     std::set<int> left_out;  // agents that its charter does not name
 
     bool keep_incarnation(std::uint64_t incarnation) override {
@@ -53,7 +53,7 @@
   };
   struct Said {
     Span when{};
-    Mark mark;
+    ReportVersion mark;
     std::set<std::string> instances;
   };
 
@@ -63,7 +63,7 @@
       node->model = this, node->number = n, node->name = "a" + std::to_string(n);
       node->offset = milliseconds(draw(1'000'000));
       for (int i = 0; i < shape.instances_each; ++i) {
-        Word word;
+        StatusReport word;
         word.instance = node->name + "-" + std::to_string(i), word.zone = "z" + std::to_string(i % 3);
         word.condition = Condition::serving, word.life = 1;
         node->instances[word.instance] = word;
@@ -89,9 +89,9 @@
     ++node.life;
     node.stopped = false, node.put_off.clear();
     node.bulletin =
-        std::make_unique<Bulletin>(node, node.name, node.disk, draw(1ULL << 40), shape.most_in_answer);
-    node.asking =
-        std::make_unique<Asking>(shape.seed * 1000 + static_cast<std::uint64_t>(node.number) + node.life);
+        std::make_unique<GossipState>(node, node.name, node.disk, draw(1ULL << 40), shape.most_in_answer);
+    node.asking = std::make_unique<AntiEntropyScheduler>(shape.seed * 1000 +
+                                                         static_cast<std::uint64_t>(node.number) + node.life);
     charter(node);
     beat(node);
   }
@@ -110,13 +110,13 @@
   }
   Node& of(const std::string& name) { return *nodes[static_cast<std::size_t>(std::stoi(name.substr(1)))]; }
   void say(Node& node) {
-    std::vector<Word> words;
+    std::vector<StatusReport> words;
     for (const auto& [name, word] : node.instances) words.push_back(word);
     node.bulletin->say(words);
     record(node);
   }
   void record(Node& node) {
-    const Mark mark = node.bulletin->known(node.now(), node.name).mark;
+    const ReportVersion mark = node.bulletin->known(node.now(), node.name).mark;
     auto& history = said[node.name];
     if (!history.empty() && history.back().mark == mark) return;
     history.push_back({now, mark, {}});
@@ -126,7 +126,7 @@
       history.back().instances.insert(instance);
     }
   }
-  static std::string key_of(const Word& word) {
+  static std::string key_of(const StatusReport& word) {
     return word.instance + "|" + word.zone + "|" + std::to_string(static_cast<int>(word.condition)) + "|" +
            std::to_string(word.life) + "|" + std::to_string(word.open);
   }
@@ -158,7 +158,7 @@
         node.asking->answered(node.now(), peer.name);
       });
     });
-    at_node(Asking::answers_within, node, [&node, &peer, over] {
+    at_node(AntiEntropyScheduler::answers_within, node, [&node, &peer, over] {
       if (!std::exchange(*over, true)) node.asking->missed(node.now(), peer.name);
     });
   }
@@ -170,7 +170,7 @@
   }
   void check(Node& node) {
     for (const auto& other : nodes) {
-      const Bulletin::Known known = node.bulletin->known(node.now(), other->name);
+      const GossipState::Known known = node.bulletin->known(node.now(), other->name);
       if (other->number == node.number || known.mark.incarnation == 0) continue;
       for (const auto& [instance, word] : node.bulletin->words(other->name)) {
         if (!words_said[other->name].contains(key_of(word)))
@@ -182,7 +182,7 @@
       const auto& history = said[other->name];
       auto last = std::ranges::upper_bound(history, then, {}, &Said::when);
       if (last == history.begin()) continue;
-      const Mark had = std::prev(last)->mark;
+      const ReportVersion had = std::prev(last)->mark;
       // By when it was said: after a lost disk a later incarnation need not be the greater one.
       const bool knows = std::any_of(std::prev(last), history.end(), [&](const Said& one) {
         return known.mark.incarnation == one.mark.incarnation && known.mark.through >= one.mark.through;
@@ -206,11 +206,11 @@
 
   void change(Node& node) {
     if (node.instances.empty() || by(0.15)) {
-      Word word;
+      StatusReport word;
       word.instance = node.name + "-x" + std::to_string(draw(6)), word.zone = "z", word.life = 1 + draw(9);
       if (!node.instances.erase(word.instance)) node.instances[word.instance] = word;
     } else {
-      Word& word =
+      StatusReport& word =
           std::next(node.instances.begin(), static_cast<std::ptrdiff_t>(draw(node.instances.size())))->second;
       word.condition = static_cast<Condition>(draw(7)), word.life += draw(2), word.open = draw(100);
     }
@@ -270,7 +270,7 @@
     }
     return true;
   }
-  bool knows(const Node& node, const std::string& instance, const Word& word,
+  bool knows(const Node& node, const std::string& instance, const StatusReport& word,
              const std::string& owner) const {
     const auto words = node.bulletin->words(owner);
     const auto at = words.find(instance);
@@ -297,7 +297,7 @@
     for (const auto& node : nodes) {
       for (const auto& other : nodes) {
         const auto known = node->bulletin->known(node->now(), other->name);
-        const Mark own = other->bulletin->known(other->now(), other->name).mark;
+        const ReportVersion own = other->bulletin->known(other->now(), other->name).mark;
         if (known.freshness != Freshness::fresh || known.mark != own)
           fault(result.apart, node->name + " does not know " + other->name);
         if (known.mark.incarnation > own.incarnation)
@@ -310,7 +310,7 @@
     for (int n = 0; n < 5 && result.clean(); ++n) {
       Node& node = any();
       if (node.instances.empty()) continue;
-      Word& word = node.instances.begin()->second;
+      StatusReport& word = node.instances.begin()->second;
       word.condition = word.condition == Condition::down ? Condition::serving : Condition::down, ++word.life;
       const Span from = now;
       time.run(now + seconds(20), [&] {
@@ -343,8 +343,8 @@
   Result result;
 };
 
-WordModel::WordModel(const Shape& shape) : impl_(std::make_unique<Impl>(shape)) {}
-WordModel::~WordModel() = default;
-WordModel::Result WordModel::play() { return impl_->play(); }
+GossipSimulation::GossipSimulation(const Shape& shape) : impl_(std::make_unique<Impl>(shape)) {}
+GossipSimulation::~GossipSimulation() = default;
+GossipSimulation::Result GossipSimulation::play() { return impl_->play(); }
 
 }  // namespace pearchute::lab
--- a/src/lab/word_model.h
+++ b/src/lab/simulations/gossip_simulation.h
@@ -9,18 +9,18 @@
 #include <string>
 #include <vector>
 
-#include "fleet/asking.h"
-#include "fleet/bulletin.h"
+#include "fleet/anti_entropy_scheduler.h"
+#include "fleet/gossip_state.h"
 
 namespace pearchute::lab {
 
-class WordModel {
+class GossipSimulation {
  public:
   struct Shape {
     std::uint64_t seed = 1;
     int agents = 5, instances_each = 4;
     double loss = 0, doubled = 0;  // of messages
-    std::size_t most_in_answer = fleet::Bulletin::answer_bytes;
+    std::size_t most_in_answer = fleet::GossipState::answer_bytes;
     bool kills = false, stops = false, cuts = false,
          drops = false;  // drops: agents out of some charters, and back
     fleet::Span troubled = std::chrono::seconds(60), calm = std::chrono::seconds(30);
@@ -38,10 +38,10 @@
     std::vector<std::string> faults;  // the first few, in words
     bool clean() const { return never_said + stale_as_newer + overruled + apart == 0; }
   };
-  explicit WordModel(const Shape& shape);
-  ~WordModel();
-  WordModel(const WordModel&) = delete;
-  WordModel& operator=(const WordModel&) = delete;
+  explicit GossipSimulation(const Shape& shape);
+  ~GossipSimulation();
+  GossipSimulation(const GossipSimulation&) = delete;
+  GossipSimulation& operator=(const GossipSimulation&) = delete;
   Result play();
 
  private:
--- a/src/lab/many_managers.cpp
+++ b/src/lab/simulations/many_managers.cpp
@@ -1,4 +1,4 @@
-#include "lab/many_managers.h"
+#include "lab/simulations/many_managers.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/lab/fleet_model.cpp
+++ b/src/lab/simulations/rollout_simulation.cpp
@@ -1,11 +1,11 @@
-#include "lab/fleet_model.h"
+#include "lab/simulations/rollout_simulation.h"
 
 #include <algorithm>
 #include <chrono>
 #include <functional>
 #include <random>
 
-#include "lab/timeline.h"
+#include "lab/simulations/timeline.h"
 
 namespace pearchute::lab {
 
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-const std::vector<std::string>& FleetModel::all_points() {
+const std::vector<std::string>& RolloutSimulation::all_points() {
   static const std::vector<std::string> all = {
       "before claim",       "after claim",      "before claim ended",
       "after claim ended",  "before step",      "after step",
@@ -34,7 +34,7 @@
   return all;
 }
 
-struct FleetModel::Impl {
+struct RolloutSimulation::Impl {
   struct Process {
     Span started{}, serves_at{};
     int version = 0;
@@ -72,9 +72,9 @@
     std::set<std::string> answered;  // asks, by their text
     Rollout rollout;
   };
-  struct Agent final : Keeper::Host {
+  struct Agent final : LeaseOwner::Host {
     Agent(Impl& m, std::size_t n) : model(m), number(n), name("a" + std::to_string(n)) {}
-    bool write(const std::map<std::string, Keeper::Kept>& kept, const std::string& why) override {
+    bool write(const std::map<std::string, LeaseOwner::Kept>& kept, const std::string& why) override {
       model.pass("before " + why, number);
       for (const auto& [instance, one] : kept) disk[instance] = one;
       model.pass("after " + why, number);
@@ -136,8 +136,8 @@
     std::string name;
     bool alive = true, stopped = false, cut = false;
     std::uint64_t life = 1;
-    std::map<std::string, Keeper::Kept> disk;
-    std::unique_ptr<Keeper> keeper;
+    std::map<std::string, LeaseOwner::Kept> disk;
+    std::unique_ptr<LeaseOwner> keeper;
   };
 
   explicit Impl(const Shape& s) : shape(s), chance(static_cast<std::knuth_b::result_type>(s.seed)) {
@@ -216,7 +216,7 @@
     });
   }
   void raise(Agent& agent) {
-    agent.keeper = std::make_unique<Keeper>(agent);
+    agent.keeper = std::make_unique<LeaseOwner>(agent);
     for (const auto& [instance, kept] : agent.disk) agent.keeper->owns(now, instance, kept);
   }
   template <class What>
@@ -339,8 +339,8 @@
 };
 
 // Asks are sent again, a few times, until they are answered: each is harmless when it comes twice.
-void FleetModel::Impl::Coordinator::ask_claims(const std::string& agent,
-                                               const std::vector<std::string>& wanted) {
+void RolloutSimulation::Impl::Coordinator::ask_claims(const std::string& agent,
+                                                      const std::vector<std::string>& wanted) {
   Impl& m = model;
   const std::size_t to = m.number_of(agent);
   const Span first_sent = m.now;
@@ -367,7 +367,8 @@
   m.pass("claims asked", at);
 }
 
-void FleetModel::Impl::Coordinator::renew(const std::string& agent, const std::vector<std::string>& wanted) {
+void RolloutSimulation::Impl::Coordinator::renew(const std::string& agent,
+                                                 const std::vector<std::string>& wanted) {
   Impl& m = model;
   const std::size_t to = m.number_of(agent), from = at;
   const Span sent = m.now;
@@ -381,15 +382,15 @@
   m.pass("claims renewed", at);
 }
 
-void FleetModel::Impl::Coordinator::release(const std::string& agent) {
+void RolloutSimulation::Impl::Coordinator::release(const std::string& agent) {
   Impl& m = model;
   const std::size_t to = m.number_of(agent);
   m.send(at, to, [&m, to, id = rollout.plan().id] { m.agents[to]->keeper->release(m.now, id); });
   m.pass("claims released", at);
 }
 
-void FleetModel::Impl::Coordinator::step(const std::string& agent, const std::string& instance,
-                                         const Step& step) {
+void RolloutSimulation::Impl::Coordinator::step(const std::string& agent, const std::string& instance,
+                                                const Step& step) {
   Impl& m = model;
   const std::size_t to = m.number_of(agent), from = at;
   const std::string key = "step " + instance + std::to_string(m.now.count());
@@ -398,7 +399,7 @@
     m.at(m.now + milliseconds(700 * n), [&m, this, from, to, key, instance, step] {
       if (!m.agents[from]->runs() || !m.current(this) || answered.contains(key)) return;
       m.send(from, to, [&m, this, from, to, key, instance, step] {
-        Keeper& keeper = *m.agents[to]->keeper;
+        LeaseOwner& keeper = *m.agents[to]->keeper;
         std::string fault;
         const bool accepted = keeper.step(m.now, instance, step, fault);
         if (accepted && step.fence != keeper.claims().last_fence(instance))
@@ -413,7 +414,7 @@
   m.pass("step asked", at);
 }
 
-void FleetModel::Impl::Coordinator::ask_fleet() {
+void RolloutSimulation::Impl::Coordinator::ask_fleet() {
   Impl& m = model;
   for (std::size_t to = 0; to < m.agents.size(); ++to) {
     m.send(at, to, [&m, this, to, from = at] {
@@ -441,7 +442,7 @@
   }
 }
 
-FleetModel::Result FleetModel::Impl::play(RolloutPlan plan) {
+RolloutSimulation::Result RolloutSimulation::Impl::play(RolloutPlan plan) {
   for (const Instance& one : instances) plan.targets.push_back({one.name, agents[one.agent]->name, one.zone});
   floor = plan.least_serving, kind = plan.kind;
   // Somewhere within the run; a rollout of this size passes some twenty points an instance.
@@ -543,8 +544,8 @@
   return result;
 }
 
-FleetModel::FleetModel(const Shape& shape) : impl_(std::make_unique<Impl>(shape)) {}
-FleetModel::~FleetModel() = default;
-FleetModel::Result FleetModel::play(RolloutPlan plan) { return impl_->play(std::move(plan)); }
+RolloutSimulation::RolloutSimulation(const Shape& shape) : impl_(std::make_unique<Impl>(shape)) {}
+RolloutSimulation::~RolloutSimulation() = default;
+RolloutSimulation::Result RolloutSimulation::play(RolloutPlan plan) { return impl_->play(std::move(plan)); }
 
 }  // namespace pearchute::lab
--- a/src/lab/fleet_model.h
+++ b/src/lab/simulations/rollout_simulation.h
@@ -11,12 +11,12 @@
 #include <string>
 #include <vector>
 
-#include "fleet/keeper.h"
+#include "fleet/lease_owner.h"
 #include "fleet/rollout.h"
 
 namespace pearchute::lab {
 
-class FleetModel {
+class RolloutSimulation {
  public:
   struct Shape {
     std::uint64_t seed = 1;
@@ -43,10 +43,10 @@
     std::map<std::string, int> versions;  // that run at the end, by instance; 0: none
     std::vector<std::string> faults;
   };
-  explicit FleetModel(const Shape& shape);
-  ~FleetModel();
-  FleetModel(const FleetModel&) = delete;
-  FleetModel& operator=(const FleetModel&) = delete;
+  explicit RolloutSimulation(const Shape& shape);
+  ~RolloutSimulation();
+  RolloutSimulation(const RolloutSimulation&) = delete;
+  RolloutSimulation& operator=(const RolloutSimulation&) = delete;
   // `plan` gets its targets here.
   Result play(fleet::RolloutPlan plan);
   static const std::vector<std::string>& all_points();
--- a/src/lab/managers.cpp
+++ b/src/lab/stand_ins/admin_endpoints.cpp
@@ -1,4 +1,4 @@
-#include "lab/managers.h"
+#include "lab/stand_ins/admin_endpoints.h"
 
 #include <fcntl.h>
 #include <sys/socket.h>
@@ -10,7 +10,7 @@
 #include <cstring>
 #include <stdexcept>
 
-#include "faults/fault.h"
+#include "errors/error.h"
 
 namespace pearchute::lab {
 
@@ -20,7 +20,7 @@
   at.sun_family = AF_UNIX;
   std::strncpy(at.sun_path, path.c_str(), sizeof at.sun_path - 1);
   if (::bind(socket_, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || ::listen(socket_, 16) != 0)
-    throw ListeningFault("can't listen", path);
+    throw ListeningError("can't listen", path);
 }
 
 SilentPlace::~SilentPlace() {
@@ -30,7 +30,7 @@
 
 Ran run_program(const std::string& program, const std::vector<std::string>& arguments) {
   int pipe[2];
-  if (::pipe2(pipe, O_CLOEXEC) != 0) throw SystemFault("no pipe to a program");
+  if (::pipe2(pipe, O_CLOEXEC) != 0) throw SystemError("no pipe to a program");
   std::vector<char*> words = {const_cast<char*>(program.c_str())};
   for (const std::string& word : arguments) words.push_back(const_cast<char*>(word.c_str()));
   words.push_back(nullptr);
--- a/src/lab/managers.h
+++ b/src/lab/stand_ins/admin_endpoints.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "admin.pb.h"
-#include "admin/office.h"
+#include "admin/admin_server.h"
 #include "admin/terms.h"
 
 namespace pearchute::lab {
@@ -15,7 +15,7 @@
  public:
   // An older one knows `who` only.
   StandInManager(net::Loop& loop, const std::string& path, std::string name, bool older = false)
-      : name_(std::move(name)), older_(older), office_(loop, terms_at(path), *this) {}
+      : name_(std::move(name)), older_(older), admin_server_(loop, terms_at(path), *this) {}
 
  private:
   static admin::Terms terms_at(const std::string& path) {
@@ -39,7 +39,7 @@
 
   const std::string name_;
   const bool older_;
-  admin::Office office_;
+  admin::AdminServer admin_server_;
 };
 
 // Takes connections up to its backlog and answers none.
--- a/src/lab/agent_fleet.cpp
+++ b/src/lab/stand_ins/agent_cluster.cpp
@@ -1,4 +1,4 @@
-#include "lab/agent_fleet.h"
+#include "lab/stand_ins/agent_cluster.h"
 
 #include <fcntl.h>
 #include <grpcpp/grpcpp.h>
@@ -10,7 +10,7 @@
 #include <algorithm>
 #include <fstream>
 
-#include "faults/fault.h"
+#include "errors/error.h"
 
 namespace pearchute::lab {
 
@@ -54,18 +54,18 @@
 }
 
 agent::v1::ClaimAnswer Agent::claim(const std::string& operation, std::vector<std::string> instances,
-                             bool take_over) {
+                                    bool take_over) {
   grpc::ClientContext context;
   agent::v1::ClaimAsk ask;
-  ask.set_operation(operation), ask.set_who(operation), ask.set_lease_ms(2000),
-      ask.set_take_over(take_over);
+  ask.set_operation(operation), ask.set_who(operation), ask.set_lease_ms(2000), ask.set_take_over(take_over);
   for (auto& one : instances) ask.add_instances(one);
   agent::v1::ClaimAnswer answer;
   stub->Claim(&context, ask, &answer);
   return answer;
 }
 
-agent::v1::StepAnswer Agent::step(const std::string& instance, const std::string& operation, std::uint64_t fence) {
+agent::v1::StepAnswer Agent::step(const std::string& instance, const std::string& operation,
+                                  std::uint64_t fence) {
   grpc::ClientContext context;
   agent::v1::StepAsk ask;
   ask.set_instance(instance);
@@ -103,7 +103,7 @@
   return list.rollouts_size() == 1 ? list.rollouts(0) : agent::v1::Rollout();
 }
 
-AgentFleet::AgentFleet(const Site& site, std::size_t number, bool relayed)
+AgentCluster::AgentCluster(const ClusterSpec& site, std::size_t number, bool relayed)
     : world(site),
       authority(world.folder() + "/keys"),
       agents(number),
@@ -137,17 +137,16 @@
   }
 }
 
-AgentFleet::~AgentFleet() {
+AgentCluster::~AgentCluster() {
   for (Agent& one : agents) one.end(SIGKILL);
   world.on([&] { relays.reset(); });
 }
 
-void AgentFleet::write_charter(const Agent& one, const std::map<std::string, std::string>& more) {
+void AgentCluster::write_charter(const Agent& one, const std::map<std::string, std::string>& more) {
   std::ofstream charter(one.charter);
   charter << "[agent]\nname = " << one.name << "\nstate = " << world.folder() << "/" << one.name
           << ".db\ncontrol = " << one.control << "\nlisten = tls:" << one.listen
-          << "\nexchange = " << (relays ? "yes" : "no")
-          << "\n[tls]\nauthority = " << authority.path("ca.pem")
+          << "\nexchange = " << (relays ? "yes" : "no") << "\n[tls]\nauthority = " << authority.path("ca.pem")
           << "\ncertificate = " << authority.path(one.name + ".pem")
           << "\nkey = " << authority.path(one.name + ".key") << "\nrevoked = " << authority.path("ca.crl")
           << "\n";
@@ -168,13 +167,12 @@
   }
 }
 
-std::string AgentFleet::command_of(std::size_t m) {
+std::string AgentCluster::command_of(std::size_t m) {
   const auto& manager = world.managers()[m];
-  return "exec " + site_.pearchuted + " --config " + manager.configuration + " --admin " +
-         manager.admin_file;
+  return "exec " + site_.pearchuted + " --config " + manager.configuration + " --admin " + manager.admin_file;
 }
 
-std::map<std::string, agent::v1::Instance> AgentFleet::conditions() {
+std::map<std::string, agent::v1::Instance> AgentCluster::conditions() {
   std::map<std::string, agent::v1::Instance> all;
   for (Agent& one : agents) {
     const auto shown = one.show();
@@ -184,14 +182,14 @@
   return all;
 }
 
-bool AgentFleet::all_serve() {
+bool AgentCluster::all_serve() {
   const auto all = conditions();
   return all.size() == world.managers().size() && std::ranges::all_of(all, [](const auto& one) {
            return one.second.condition() == "serving" && !one.second.has_under_way();
          });
 }
 
-agent::v1::Plan AgentFleet::plan(const std::string& id, const std::string& kind) {
+agent::v1::Plan AgentCluster::plan(const std::string& id, const std::string& kind) {
   agent::v1::Plan plan;
   plan.set_id(id), plan.set_who("ann"), plan.set_kind(kind), plan.set_fallback("serve_again");
   for (std::size_t m = 0; m < world.managers().size(); ++m) {
@@ -201,13 +199,12 @@
   }
   plan.set_at_once(1), (*plan.mutable_least_serving())["east"] = 2,
                        (*plan.mutable_least_serving())["west"] = 1;
-  plan.set_warm_ms(200), plan.set_lease_ms(4000), plan.set_drain_within_ms(4000),
-      plan.set_up_within_ms(8000);
+  plan.set_warm_ms(200), plan.set_lease_ms(4000), plan.set_drain_within_ms(4000), plan.set_up_within_ms(8000);
   plan.set_failures(1);
   return plan;
 }
 
-agent::v1::Instance AgentFleet::seen(const std::string& name) {
+agent::v1::Instance AgentCluster::seen(const std::string& name) {
   agent::v1::Instance found;
   const bool told = wait_for([&] {
     const auto all = conditions();
@@ -215,25 +212,27 @@
     if (at != all.end()) found = at->second;
     return at != all.end();
   });
-  if (!told) throw SiteFault("no agent tells of " + name, world.folder());
+  if (!told) throw TestClusterError("no agent tells of " + name, world.folder());
   return found;
 }
 
-agent::v1::Heard AgentFleet::heard(std::size_t who, std::size_t whom) {
+agent::v1::Heard AgentCluster::heard(std::size_t who, std::size_t whom) {
   agent::v1::Heard found;
   const bool told = wait_for([&] {
     const auto one = agents[who].heard(agents[whom].name);
     if (one) found = *one;
     return one.has_value();
   });
-  if (!told) throw SiteFault(agents[who].name + " does not tell of " + agents[whom].name, world.folder());
+  if (!told)
+    throw TestClusterError(agents[who].name + " does not tell of " + agents[whom].name, world.folder());
   return found;
 }
 
-bool AgentFleet::knows_well(std::size_t who, std::size_t whom) {
+bool AgentCluster::knows_well(std::size_t who, std::size_t whom) {
   const auto known = agents[who].heard(agents[whom].name);
   const auto own = agents[whom].show();
-  if (!known || !own || known->freshness() != "fresh" || known->words_size() != own->instances_size()) return false;
+  if (!known || !own || known->freshness() != "fresh" || known->words_size() != own->instances_size())
+    return false;
   return std::ranges::all_of(known->words(), [&](const auto& word) {
     return std::ranges::any_of(own->instances(), [&](const auto& one) {
       return one.name() == word.instance() && one.condition() == word.condition();
@@ -241,7 +240,7 @@
   });
 }
 
-bool AgentFleet::all_know() {
+bool AgentCluster::all_know() {
   for (std::size_t a = 0; a < agents.size(); ++a) {
     for (std::size_t b = 0; b < agents.size(); ++b) {
       if (a != b && !knows_well(a, b)) return false;
--- a/src/lab/agent_fleet.h
+++ b/src/lab/stand_ins/agent_cluster.h
@@ -14,8 +14,8 @@
 
 #include "agent.grpc.pb.h"
 #include "keys/authority.h"
-#include "lab/relay.h"
-#include "lab/world.h"
+#include "lab/stand_ins/relay.h"
+#include "lab/stand_ins/test_cluster.h"
 
 namespace pearchute::lab {
 
@@ -42,26 +42,27 @@
   std::optional<agent::v1::Shown> show();
   // What it knows of another; none where it does not say.
   std::optional<agent::v1::Heard> heard(const std::string& other);
-  agent::v1::ClaimAnswer claim(const std::string& operation, std::vector<std::string> instances, bool take_over);
+  agent::v1::ClaimAnswer claim(const std::string& operation, std::vector<std::string> instances,
+                               bool take_over);
   agent::v1::StepAnswer step(const std::string& instance, const std::string& operation, std::uint64_t fence);
   grpc::Status start_rollout(const agent::v1::Plan& plan, std::string* fault);
   std::string say(const std::string& id, const std::string& word);
   agent::v1::Rollout rollout(const std::string& id);
 };
 
-// The managers of a site under some agents, evenly: five under three are n1 and n2 under a1, n3 and n4 under a2,
-// n5 under a3.
-class AgentFleet {
+// The managers of a site under some agents, evenly: five under three are n1 and n2 under a1, n3 and n4 under
+// a2, n5 under a3.
+class AgentCluster {
  public:
   // With relays the agents exchange word, each by a relay of its own to each other one.
-  explicit AgentFleet(const Site& site, std::size_t number = 3, bool relayed = false);
-  ~AgentFleet();
+  explicit AgentCluster(const ClusterSpec& site, std::size_t number = 3, bool relayed = false);
+  ~AgentCluster();
   // `more` are further lines of its instances' sections.
   void write_charter(const Agent& one, const std::map<std::string, std::string>& more = {});
   std::string command_of(std::size_t manager);
   std::size_t owner_of(std::size_t manager) const { return manager / managers_each_; }
   std::map<std::string, agent::v1::Instance> conditions();
-  // On a full machine an agent may miss a deadline. Throws SiteFault where nobody tells of it.
+  // On a full machine an agent may miss a deadline. Throws TestClusterError where nobody tells of it.
   agent::v1::Instance seen(const std::string& name);
   agent::v1::Heard heard(std::size_t who, std::size_t whom);
   bool all_serve();
@@ -70,15 +71,16 @@
   bool all_know();
   agent::v1::Plan plan(const std::string& id, const std::string& kind);
 
-  World world;
+  TestCluster world;
   keys::Authority authority;
   std::vector<Agent> agents;
   std::unique_ptr<Relays> relays;
-  std::set<std::pair<std::string, std::string>> no_peers;  // agents that the first one's charter does not name
+  std::set<std::pair<std::string, std::string>>
+      no_peers;  // agents that the first one's charter does not name
   std::set<std::string> no_instances;
 
  private:
-  const Site site_;
+  const ClusterSpec site_;
   const std::size_t managers_each_;
 };
 
--- a/src/lab/crowd.cpp
+++ b/src/lab/stand_ins/clients.cpp
@@ -1,4 +1,4 @@
-#include "lab/crowd.h"
+#include "lab/stand_ins/clients.h"
 
 #include <algorithm>
 #include <cmath>
@@ -18,9 +18,9 @@
 }  // namespace
 
 // One connection to a manager, with one call at a time.
-class Crowd::Line final : public net::Wire::User {
+class StandInClients::Line final : public net::Wire::User {
  public:
-  Line(Crowd& crowd, int manager) : crowd_(crowd), manager_(manager) { connect(); }
+  Line(StandInClients& crowd, int manager) : crowd_(crowd), manager_(manager) { connect(); }
   int manager() const { return manager_; }
   bool busy() const { return !job_.empty(); }
   const std::string& job() const { return job_; }
@@ -118,7 +118,7 @@
     if (heard) heard(answer);
   }
 
-  Crowd& crowd_;
+  StandInClients& crowd_;
   int manager_;
   std::unique_ptr<net::Wire> wire_;
   net::MessageReader reader_{net::MessageReader::Side::requests};
@@ -129,7 +129,7 @@
 };
 
 // What a front sees of one manager.
-class Crowd::Check final : public net::Wire::User {
+class StandInClients::Check final : public net::Wire::User {
  public:
   Check(net::Loop& loop, std::string address) : loop_(loop), address_(std::move(address)) { ask(); }
   ~Check() override { loop_.retire(std::move(wire_)); }
@@ -169,8 +169,8 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-Crowd::Crowd(net::Loop& loop, std::uint64_t seed, Record& record,
-             std::function<Record::Kind(const std::string&)> kind_of)
+StandInClients::StandInClients(net::Loop& loop, std::uint64_t seed, HistoryChecker& record,
+                               std::function<HistoryChecker::Kind(const std::string&)> kind_of)
     : loop_(loop),
       chance_(static_cast<std::knuth_b::result_type>(seed)),
       record_(record),
@@ -178,24 +178,24 @@
       gone_(loop),
       salt_(seed << 32 ^ static_cast<std::uint64_t>(steady_now().count()) << 20) {}
 
-Crowd::~Crowd() { *alive_ = false; }
+StandInClients::~StandInClients() { *alive_ = false; }
 
-bool Crowd::up(int manager) const { return checks_[static_cast<std::size_t>(manager)]->up(); }
+bool StandInClients::up(int manager) const { return checks_[static_cast<std::size_t>(manager)]->up(); }
 
-int Crowd::add_manager(const std::string& address) {
+int StandInClients::add_manager(const std::string& address) {
   managers_.push_back({address, {}});
   checks_.push_back(std::make_unique<Check>(loop_, address));
   return static_cast<int>(managers_.size()) - 1;
 }
 
-Crowd::Line& Crowd::line_to(int manager) {
+StandInClients::Line& StandInClients::line_to(int manager) {
   auto& lines = managers_[static_cast<std::size_t>(manager)].lines;
   const auto free = std::ranges::find_if(lines, [](const auto& line) { return !line->busy(); });
   if (free != lines.end()) return **free;
   return *lines.emplace_back(std::make_unique<Line>(*this, manager));
 }
 
-void Crowd::drop(Line& line) {
+void StandInClients::drop(Line& line) {
   auto& lines = managers_[static_cast<std::size_t>(line.manager())].lines;
   const auto at = std::ranges::find(lines, &line, [](const auto& one) { return one.get(); });
   if (at == lines.end()) return;
@@ -203,7 +203,8 @@
   lines.erase(at);
 }
 
-std::string Crowd::ask(int manager, const Ask& ask, std::function<void(std::optional<Answer>)> heard) {
+std::string StandInClients::ask(int manager, const Ask& ask,
+                                std::function<void(std::optional<Answer>)> heard) {
   const std::string id = hex(salt_ + next_job_++);
   std::string call = "POST /do/" + ask.type + " HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id +
                      "\r\nX-Timeout-Ms: " + std::to_string(ask.patience.count()) +
@@ -217,7 +218,7 @@
   return id;
 }
 
-void Crowd::withdraw(const std::string& job) {
+void StandInClients::withdraw(const std::string& job) {
   for (Manager& manager : managers_) {
     for (const auto& line : manager.lines) {
       if (line->job() == job) return line->withdraw();
@@ -225,14 +226,14 @@
   }
 }
 
-void Crowd::offer(double rate, std::vector<Ask> mix) {
+void StandInClients::offer(double rate, std::vector<Ask> mix) {
   rate_ = rate, mix_ = std::move(mix);
   next_due_ = steady_now();
   if (rate_ > 0 && !mix_.empty()) next(++offers_);
   else ++offers_;
 }
 
-void Crowd::next(std::uint64_t offer) {
+void StandInClients::next(std::uint64_t offer) {
   if (offer != offers_) return;
   // All that is due by now goes out, so that lateness does not slow the offered load.
   while (next_due_ <= steady_now()) {
--- a/src/lab/crowd.h
+++ b/src/lab/stand_ins/clients.h
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
-#include "lab/record.h"
+#include "lab/checkers/history_checker.h"
+#include "net/deferred_deletion.h"
 #include "net/driver.h"
 #include "net/http.h"
-#include "net/retired.h"
 
 namespace pearchute::lab {
 
@@ -25,12 +25,12 @@
   double cost_ms = 5, memory_mb = 8;
 };
 
-class Crowd {
+class StandInClients {
  public:
   // `kind_of` tells what the rules hold for a type.
-  Crowd(net::Loop& loop, std::uint64_t seed, Record& record,
-        std::function<Record::Kind(const std::string&)> kind_of);
-  ~Crowd();
+  StandInClients(net::Loop& loop, std::uint64_t seed, HistoryChecker& record,
+                 std::function<HistoryChecker::Kind(const std::string&)> kind_of);
+  ~StandInClients();
   // A manager's address; the number stands for it from then on.
   int add_manager(const std::string& address);
   // Sends one; `heard` gets the answer, or nothing where none came. Returns its id.
@@ -56,13 +56,13 @@
 
   net::Loop& loop_;
   std::knuth_b chance_;
-  Record& record_;
-  std::function<Record::Kind(const std::string&)> kind_of_;
+  HistoryChecker& record_;
+  std::function<HistoryChecker::Kind(const std::string&)> kind_of_;
   std::vector<Manager> managers_;
   class Check;
   std::vector<std::unique_ptr<Check>> checks_;  // one for each manager
   std::map<std::uint64_t, Time> key_sent_;
-  net::Retired<Line> gone_;
+  net::DeferredDeletion<Line> gone_;
   std::vector<Ask> mix_;
   double rate_ = 0;
   Time next_due_{};
--- a/src/lab/engine.cpp
+++ b/src/lab/stand_ins/engine.cpp
@@ -1,4 +1,4 @@
-#include "lab/engine.h"
+#include "lab/stand_ins/engine.h"
 
 #include <algorithm>
 
@@ -71,7 +71,7 @@
 };
 
 StandInEngine::StandInEngine(net::Loop& loop, std::string name, int cores, double memory_mb,
-                             std::uint64_t seed, Record* record)
+                             std::uint64_t seed, HistoryChecker* record)
     : loop_(loop),
       name_(std::move(name)),
       cores_(cores),
--- a/src/lab/engine.h
+++ b/src/lab/stand_ins/engine.h
@@ -11,9 +11,9 @@
 #include <string>
 #include <vector>
 
-#include "lab/record.h"
+#include "lab/checkers/history_checker.h"
+#include "net/deferred_deletion.h"
 #include "net/driver.h"
-#include "net/retired.h"
 
 namespace pearchute::lab {
 
@@ -31,7 +31,7 @@
 class StandInEngine {
  public:
   StandInEngine(net::Loop& loop, std::string name, int cores, double memory_mb, std::uint64_t seed,
-                Record* record);
+                HistoryChecker* record);
   ~StandInEngine();
   const std::string& name() const { return name_; }
   std::string address() const { return address_; }
@@ -73,12 +73,12 @@
   const int cores_;
   const double memory_mb_;
   std::knuth_b chance_;
-  Record* record_;
+  HistoryChecker* record_;
   Faults faults_;
   std::string address_;
   std::unique_ptr<net::Door> door_;
   std::map<Line*, std::unique_ptr<Line>> lines_;
-  net::Retired<Line> gone_;
+  net::DeferredDeletion<Line> gone_;
   std::map<std::uint64_t, Run> running_;
   std::vector<Run> waiting_;
   double granted_mb_ = 0;
--- a/src/lab/channel.cpp
+++ b/src/lab/stand_ins/engine_list_channel.cpp
@@ -1,4 +1,4 @@
-#include "lab/channel.h"
+#include "lab/stand_ins/engine_list_channel.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/lab/channel.h
+++ b/src/lab/stand_ins/engine_list_channel.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "net/deferred_deletion.h"
 #include "net/driver.h"
 #include "net/http.h"
-#include "net/retired.h"
 
 namespace pearchute::lab {
 
@@ -42,7 +42,7 @@
   net::Door door_;
   std::vector<std::string> events_;  // from number 1
   std::map<Line*, std::unique_ptr<Line>> lines_;
-  net::Retired<Line> gone_;
+  net::DeferredDeletion<Line> gone_;
   bool silent_ = false, cut_next_ = false;
   std::uint64_t asked_from_ = 0, asked_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/lab/relay.cpp
+++ b/src/lab/stand_ins/relay.cpp
@@ -1,4 +1,4 @@
-#include "lab/relay.h"
+#include "lab/stand_ins/relay.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
--- a/src/lab/relay.h
+++ b/src/lab/stand_ins/relay.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "lab/record.h"
+#include "lab/checkers/history_checker.h"
 #include "net/driver.h"
 
 namespace pearchute::lab {
--- a/src/lab/world.cpp
+++ b/src/lab/stand_ins/test_cluster.cpp
@@ -1,4 +1,4 @@
-#include "lab/world.h"
+#include "lab/stand_ins/test_cluster.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -11,14 +11,14 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 
-#include "faults/fault.h"
+#include "errors/error.h"
 
 namespace pearchute::lab {
 
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-Record::Kind kind_of(const std::string& type) { return {type == "once", type == "load"}; }
+HistoryChecker::Kind kind_of(const std::string& type) { return {type == "once", type == "load"}; }
 
 std::string free_address(std::size_t number) {
   const int pid = ::getpid();
@@ -29,16 +29,16 @@
   return socket.address().toString();
 }
 
-World::World(const Site& site) : site_(site) {
+TestCluster::TestCluster(const ClusterSpec& site) : site_(site) {
   ::signal(SIGPIPE, SIG_IGN);
   char folder[] = "/tmp/pearchute-lab-XXXXXX";
-  if (!::mkdtemp(folder)) throw SystemFault("no folder for the laboratory's files", "/tmp");
+  if (!::mkdtemp(folder)) throw SystemError("no folder for the laboratory's files", "/tmp");
   folder_ = folder;
   on([this] { raise(); });
   for (std::size_t i = 0; i < managers_.size() && site_.starts_managers; ++i) start(i);
 }
 
-void World::raise() {
+void TestCluster::raise() {
   channel_ = std::make_unique<StandInChannel>(loop());
   for (int i = 0; i < site_.engines; ++i) {
     engines_.push_back(std::make_unique<StandInEngine>(loop(), "e" + std::to_string(i + 1), site_.cores,
@@ -46,7 +46,7 @@
                                                        &record_));
   }
   channel_->tell(members_now(), true);
-  crowd_ = std::make_unique<Crowd>(loop(), site_.seed, record_, kind_of);
+  crowd_ = std::make_unique<StandInClients>(loop(), site_.seed, record_, kind_of);
   for (int i = 0; i < site_.managers; ++i) {
     Manager& manager = managers_.emplace_back();
     const auto number = static_cast<std::size_t>(i);
@@ -66,7 +66,7 @@
   }
 }
 
-World::~World() {
+TestCluster::~TestCluster() {
   for (std::size_t i = 0; i < managers_.size(); ++i) {
     if (ended(i) != -1) {
       end_successor(i);
@@ -84,7 +84,7 @@
 }
 
 // A manager that a command line has started again is no child of ours: it is asked to end.
-void World::end_successor(std::size_t manager) {
+void TestCluster::end_successor(std::size_t manager) {
   admin::CallEnd how{};
   admin::v1::Call end;
   end.mutable_end()->set_within_ms(1);
@@ -98,18 +98,18 @@
   }
 }
 
-std::vector<StandInChannel::Member> World::members_now() const {
+std::vector<StandInChannel::Member> TestCluster::members_now() const {
   std::vector<StandInChannel::Member> members;
   for (std::size_t i = 0; i < engines_.size(); ++i) members.push_back(member(i));
   return members;
 }
 
-StandInChannel::Member World::member(std::size_t engine, const std::string& phase) const {
+StandInChannel::Member TestCluster::member(std::size_t engine, const std::string& phase) const {
   return {engines_[engine]->name(), engines_[engine]->address(), site_.zones[engine % site_.zones.size()],
           "std", phase};
 }
 
-void World::write_configuration(std::size_t number, const std::string& channel) {
+void TestCluster::write_configuration(std::size_t number, const std::string& channel) {
   const Manager& manager = managers_[number];
   const auto slowest = std::chrono::duration_cast<std::chrono::microseconds>(site_.slowest).count();
   const auto type = [&](const char* name, const char* repeat, bool in_order, double worth) {
@@ -151,7 +151,7 @@
   std::ofstream(manager.configuration) << configuration.dump(1) << "\n";
 }
 
-std::string World::write_fleet() const {
+std::string TestCluster::write_fleet() const {
   const std::string name = folder_ + "/fleet.ini";
   std::ofstream file(name);
   file << "[fleet]\ntimeout_ms = 1000\n";
@@ -163,11 +163,11 @@
   return name;
 }
 
-void World::move_channel(std::size_t manager, const std::string& address) {
+void TestCluster::move_channel(std::size_t manager, const std::string& address) {
   write_configuration(manager, address);
 }
 
-void World::start(std::size_t number) {
+void TestCluster::start(std::size_t number) {
   Manager& manager = managers_[number];
   const pid_t parent = ::getpid();
   manager.process = ::fork();
@@ -182,11 +182,11 @@
   ::_exit(127);
 }
 
-void World::signal(std::size_t manager, int signal) {
+void TestCluster::signal(std::size_t manager, int signal) {
   if (managers_[manager].process > 0) ::kill(managers_[manager].process, signal);
 }
 
-int World::ended(std::size_t number) {
+int TestCluster::ended(std::size_t number) {
   Manager& manager = managers_[number];
   if (manager.process < 0) return -2;
   int status = 0;
@@ -195,7 +195,7 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -2;
 }
 
-bool World::until(const std::function<bool()>& done, milliseconds at_most) {
+bool TestCluster::until(const std::function<bool()>& done, milliseconds at_most) {
   const Time end = steady_now() + at_most;
   while (!on(done)) {
     if (steady_now() > end) return false;
@@ -204,9 +204,9 @@
   return true;
 }
 
-void World::rest(milliseconds time) { std::this_thread::sleep_for(time); }
+void TestCluster::rest(milliseconds time) { std::this_thread::sleep_for(time); }
 
-admin::v1::Reply World::call(std::size_t manager, admin::v1::Call call, admin::CallEnd* end) {
+admin::v1::Reply TestCluster::call(std::size_t manager, admin::v1::Call call, admin::CallEnd* end) {
   std::promise<std::pair<admin::CallEnd, admin::v1::Reply>> heard;
   auto reply = heard.get_future();
   on([&] {
@@ -220,9 +220,9 @@
   return what;
 }
 
-admin::v1::Reply World::order(std::size_t manager, const std::string& subject, bool drains,
-                              std::uint64_t generation, const std::string& holder, const std::string& id,
-                              milliseconds lease) {
+admin::v1::Reply TestCluster::order(std::size_t manager, const std::string& subject, bool drains,
+                                    std::uint64_t generation, const std::string& holder,
+                                    const std::string& id, milliseconds lease) {
   admin::v1::Call order;
   order.mutable_order()->set_id(id.empty() ? holder + "-" + std::to_string(generation) : id);
   order.mutable_order()->set_subject(subject), order.mutable_order()->set_holder(holder);
@@ -231,20 +231,20 @@
   return call(manager, order);
 }
 
-admin::v1::Status World::status(std::size_t manager) {
+admin::v1::Status TestCluster::status(std::size_t manager) {
   admin::v1::Call what;
   what.mutable_status();
   return call(manager, what).status();
 }
 
-std::string World::last_line(std::size_t manager) const {
+std::string TestCluster::last_line(std::size_t manager) const {
   std::ifstream log(managers_[manager].log);
   std::string last;
   for (std::string line; std::getline(log, line);) last = line;
   return last;
 }
 
-void World::must_serve(std::uint64_t engines_up) {
+void TestCluster::must_serve(std::uint64_t engines_up) {
   if (all_serving(engines_up)) return;
   for (std::size_t i = 0; i < managers_.size(); ++i) {
     if (ended(i) == -1) continue;
@@ -252,16 +252,16 @@
     const std::string told{std::istreambuf_iterator<char>(log), {}};
     // The platform's build knows neither --config nor --admin.
     const bool other_build = told.find("takes no arguments") != std::string::npos;
-    throw SiteFault(managers_[i].name + " has ended: " + last_line(i), site_.pearchuted,
-                    other_build
-                        ? "this pearchuted has no admin channel; run 'make build' and take the programs "
-                          "of that folder (--programs)"
-                        : "see whether that program starts by hand");
+    throw TestClusterError(
+        managers_[i].name + " has ended: " + last_line(i), site_.pearchuted,
+        other_build ? "this pearchuted has no admin channel; run 'make build' and take the programs "
+                      "of that folder (--programs)"
+                    : "see whether that program starts by hand");
   }
-  throw SiteFault("the managers don't serve all engines; last said: " + last_line(0), folder_);
+  throw TestClusterError("the managers don't serve all engines; last said: " + last_line(0), folder_);
 }
 
-bool World::all_serving(std::uint64_t engines_up) {
+bool TestCluster::all_serving(std::uint64_t engines_up) {
   const Time end = steady_now() + std::chrono::seconds(20);
   for (std::size_t i = 0; i < managers_.size(); ++i) {
     while (status(i).engines_up() != engines_up || status(i).identity().phase() != "serving") {
--- a/src/lab/world.h
+++ b/src/lab/stand_ins/test_cluster.h
@@ -10,14 +10,14 @@
 #include <vector>
 
 #include "admin/caller.h"
-#include "lab/channel.h"
-#include "lab/crowd.h"
-#include "lab/engine.h"
-#include "net/stage.h"
+#include "lab/stand_ins/clients.h"
+#include "lab/stand_ins/engine.h"
+#include "lab/stand_ins/engine_list_channel.h"
+#include "net/event_loop_thread.h"
 
 namespace pearchute::lab {
 
-struct Site {
+struct ClusterSpec {
   int managers = 1, engines = 2;
   std::vector<std::string> zones = {"east", "west"};  // engines and managers in turn
   int cores = 8;
@@ -31,12 +31,12 @@
   bool knows_list = false;                    // the whole list stands in its configuration, too
 };
 
-class World {
+class TestCluster {
  public:
-  explicit World(const Site& site);
-  ~World();
-  World(const World&) = delete;
-  World& operator=(const World&) = delete;
+  explicit TestCluster(const ClusterSpec& site);
+  ~TestCluster();
+  TestCluster(const TestCluster&) = delete;
+  TestCluster& operator=(const TestCluster&) = delete;
 
   struct Manager {
     std::string name, zone, listen, admin, configuration, admin_file, log;
@@ -46,12 +46,12 @@
   // The stand-ins live on a loop of their own: they are reached within `on` only.
   template <class What>
   auto on(What what) {
-    return stage_.on(std::move(what));
+    return loop_thread_.on(std::move(what));
   }
-  net::Loop& loop() { return stage_.loop(); }
-  Record& record() { return record_; }
+  net::Loop& loop() { return loop_thread_.loop(); }
+  HistoryChecker& record() { return record_; }
   StandInChannel& channel() { return *channel_; }
-  Crowd& crowd() { return *crowd_; }
+  StandInClients& crowd() { return *crowd_; }
   std::vector<Manager>& managers() { return managers_; }
   std::vector<std::unique_ptr<StandInEngine>>& engines() { return engines_; }
   StandInChannel::Member member(std::size_t engine, const std::string& phase = "active") const;
@@ -70,7 +70,7 @@
   // Waits until `done`, asked on the loop some two hundred times a second; false where that took too long.
   bool until(const std::function<bool()>& done, std::chrono::milliseconds at_most = std::chrono::seconds(20));
   void rest(std::chrono::milliseconds time);
-  Record::Verdict verdict() {
+  HistoryChecker::Verdict verdict() {
     return on([this] { return record_.verdict(); });
   }
   // No job is open any more.
@@ -85,7 +85,8 @@
                          std::chrono::milliseconds lease = std::chrono::seconds(60));
   admin::v1::Status status(std::size_t manager);
   bool all_serving(std::uint64_t engines_up);  // waits for it
-  void must_serve(std::uint64_t engines_up);   // the same; throws SiteFault with what the managers' logs tell
+  void must_serve(
+      std::uint64_t engines_up);  // the same; throws TestClusterError with what the managers' logs tell
 
  private:
   void raise();
@@ -93,13 +94,13 @@
   void end_successor(std::size_t manager);
   void write_configuration(std::size_t manager, const std::string& channel);
 
-  net::Stage stage_;
-  const Site site_;
-  Record record_;
+  net::EventLoopThread loop_thread_;
+  const ClusterSpec site_;
+  HistoryChecker record_;
   std::string folder_;
   std::unique_ptr<StandInChannel> channel_;
   std::vector<std::unique_ptr<StandInEngine>> engines_;
-  std::unique_ptr<Crowd> crowd_;
+  std::unique_ptr<StandInClients> crowd_;
   std::vector<Manager> managers_;
 };
 
@@ -109,6 +110,6 @@
 
 // What the rules hold for the site's reservation types: quick, report (restartable), load (keyed, in order),
 // once (run once).
-Record::Kind kind_of(const std::string& type);
+HistoryChecker::Kind kind_of(const std::string& type);
 
 }  // namespace pearchute::lab
--- a/src/net/retired.h
+++ b/src/net/deferred_deletion.h
@@ -10,12 +10,12 @@
 namespace pearchute::net {
 
 template <class Line>
-class Retired {
+class DeferredDeletion {
  public:
-  explicit Retired(Loop& loop) : loop_(loop) {}
-  ~Retired() { *alive_ = false; }
-  Retired(const Retired&) = delete;
-  Retired& operator=(const Retired&) = delete;
+  explicit DeferredDeletion(Loop& loop) : loop_(loop) {}
+  ~DeferredDeletion() { *alive_ = false; }
+  DeferredDeletion(const DeferredDeletion&) = delete;
+  DeferredDeletion& operator=(const DeferredDeletion&) = delete;
   void take(std::unique_ptr<Line> line) {
     lines_.push_back(std::move(line));
     loop_.soon([this, alive = alive_] {
