--- a/src/net/stage.h
+++ b/src/net/event_loop_thread.h
@@ -14,15 +14,15 @@
 
 namespace pearchute::net {
 
-class Stage {
+class EventLoopThread {
  public:
-  Stage() : thread_([this] { run(); }) { loop_ = ready_.get_future().get(); }
-  ~Stage() {
+  EventLoopThread() : thread_([this] { run(); }) { loop_ = ready_.get_future().get(); }
+  ~EventLoopThread() {
     on([this] { loop_->stop(); });
     thread_.join();
   }
-  Stage(const Stage&) = delete;
-  Stage& operator=(const Stage&) = delete;
+  EventLoopThread(const EventLoopThread&) = delete;
+  EventLoopThread& operator=(const EventLoopThread&) = delete;
 
   Loop& loop() { return *loop_; }
   template <class What>
@@ -44,6 +44,8 @@
   // Handed over, and not waited for.
   void post(std::function<void()> what) {
     const std::lock_guard lock(mutex_);
+    // on() waits until its function has run, so what that captures outlives it.
+    // cppcheck-suppress danglingLifetime
     posted_.push_back(std::move(what));
   }
 
--- a/src/service/named_values.h
+++ b/src/service/named_values.h
@@ -9,12 +9,12 @@
 #include <utility>
 #include <vector>
 
-#include "faults/fault.h"
+#include "errors/error.h"
 
 namespace pearchute::service {
 
 // Says what is wrong with a value, in plain words; the caller adds where it stands.
-using Malformed = MessageFault;
+using Malformed = MessageError;
 
 std::vector<std::string_view> split(std::string_view text, char by);
 std::int64_t whole_in(std::string_view name, std::string_view value);
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -7,7 +7,7 @@
 namespace pearchute::store {
 
 using fleet::Claim;
-using fleet::Keeper;
+using fleet::LeaseOwner;
 using fleet::Life;
 using fleet::RolloutPlan;
 using fleet::Span;
@@ -175,7 +175,7 @@
   }
 }
 
-bool Store::write(const std::map<std::string, Keeper::Kept>& kept) {
+bool Store::write(const std::map<std::string, LeaseOwner::Kept>& kept) {
   return transact([&] {
     for (const auto& [name, one] : kept) {
       SQLite::Statement put(*database_, "INSERT OR REPLACE INTO instance VALUES (?,?,?,?,?,?,?,?,?,?)");
@@ -258,11 +258,11 @@
   return get.executeStep() ? static_cast<std::uint64_t>(get.getColumn(0).getInt64()) : 0;
 }
 
-std::map<std::string, Keeper::Kept> Store::instances() const {
-  std::map<std::string, Keeper::Kept> all;
+std::map<std::string, LeaseOwner::Kept> Store::instances() const {
+  std::map<std::string, LeaseOwner::Kept> all;
   SQLite::Statement get(*database_, "SELECT * FROM instance");
   while (get.executeStep()) {
-    Keeper::Kept& one = all[get.getColumn(0).getString()];
+    LeaseOwner::Kept& one = all[get.getColumn(0).getString()];
     one.wanted = get.getColumn(1).getInt() != 0, one.version = get.getColumn(2).getInt();
     one.last_fence = static_cast<std::uint64_t>(get.getColumn(3).getInt64());
     one.lease = Span(get.getColumn(7).getInt64());
--- a/tests/test_admin.cpp
+++ b/tests/test_admin.cpp
@@ -328,7 +328,7 @@
     try {
       const ctl::Selector selector = ctl::selector_in(c.text);
       assert(selector(one) == c.picks_one && selector(other) == c.picks_other);
-    } catch (const ctl::SelectorFault& fault) {
+    } catch (const ctl::SelectorError& fault) {
       column = fault.column;
       assert(fault.wrong().starts_with("expected "));
     }
--- a/tests/test_agent_troubles.cpp
+++ b/tests/test_agent_troubles.cpp
@@ -11,11 +11,11 @@
 #include <cstdio>
 #include <fstream>
 
-#include "agent/charter.h"
-#include "agent/doors.h"
+#include "agent/agent_config.h"
+#include "agent/grpc_credentials.h"
 #include "agent/processes.h"
-#include "lab/agent_fleet.h"
-#include "lab/managers.h"
+#include "lab/stand_ins/admin_endpoints.h"
+#include "lab/stand_ins/agent_cluster.h"
 
 using namespace pearchute;
 using namespace pearchute::lab;
@@ -25,11 +25,11 @@
 std::string state_of(Agent& agent, const std::string& id) { return agent.rollout(id).state(); }
 
 int main() {
-  Site site;
+  ClusterSpec site;
   site.managers = 5, site.engines = 4, site.pearchuted = PEARCHUTED, site.pearchute_agent = PEARCHUTE_AGENT,
   site.starts_managers = false;
-  AgentFleet fleet(site);
-  World& world = fleet.world;
+  AgentCluster fleet(site);
+  TestCluster& world = fleet.world;
   Agent &first = fleet.agents[0], &second = fleet.agents[1], &third = fleet.agents[2];
   const auto all_serve = [&] { return fleet.all_serve(); };
   assert(wait_for(all_serve) && world.all_serving(4));
@@ -116,7 +116,7 @@
 
   world.on([&] { world.crowd().offer(0, {}); });
   assert(world.quiet());
-  const Record::Verdict verdict = world.verdict();
+  const HistoryChecker::Verdict verdict = world.verdict();
   for (const std::string& what : verdict.faults) std::fprintf(stderr, "%s\n", what.c_str());
   std::printf("%llu jobs: %llu done, %llu lost\n", static_cast<unsigned long long>(verdict.sent),
               static_cast<unsigned long long>(verdict.done), static_cast<unsigned long long>(verdict.lost));
--- a/tests/test_agents.cpp
+++ b/tests/test_agents.cpp
@@ -11,11 +11,11 @@
 #include <cstdio>
 #include <fstream>
 
-#include "agent/charter.h"
-#include "agent/doors.h"
+#include "agent/agent_config.h"
+#include "agent/grpc_credentials.h"
 #include "agent/processes.h"
-#include "lab/agent_fleet.h"
-#include "lab/managers.h"
+#include "lab/stand_ins/admin_endpoints.h"
+#include "lab/stand_ins/agent_cluster.h"
 
 using namespace pearchute;
 using namespace pearchute::lab;
@@ -131,11 +131,11 @@
 
 int main() {
   processes();
-  Site site;
+  ClusterSpec site;
   site.managers = 5, site.engines = 4, site.pearchuted = PEARCHUTED, site.pearchute_agent = PEARCHUTE_AGENT,
   site.starts_managers = false;
-  AgentFleet fleet_of(site);
-  World& world = fleet_of.world;
+  AgentCluster fleet_of(site);
+  TestCluster& world = fleet_of.world;
   std::vector<Agent>& agents = fleet_of.agents;
   keys::Authority& authority = fleet_of.authority;
   const auto conditions = [&] { return fleet_of.conditions(); };
@@ -270,7 +270,7 @@
 
   world.on([&] { world.crowd().offer(0, {}); });
   assert(world.quiet());
-  const Record::Verdict verdict = world.verdict();
+  const HistoryChecker::Verdict verdict = world.verdict();
   for (const std::string& what_was : verdict.faults) std::fprintf(stderr, "%s\n", what_was.c_str());
   std::printf("%llu jobs: %llu done, %llu throttled, %llu lost, %llu doubled\n",
               static_cast<unsigned long long>(verdict.sent), static_cast<unsigned long long>(verdict.done),
--- a/tests/test_parts.cpp
+++ b/tests/test_budget_leases.cpp
@@ -3,8 +3,8 @@
 #include <cassert>
 #include <cstdio>
 
-#include "fleet/parts.h"
-#include "lab/parts_model.h"
+#include "fleet/budget_leases.h"
+#include "lab/simulations/budget_lease_simulation.h"
 
 using namespace pearchute;
 using namespace pearchute::fleet;
@@ -177,7 +177,7 @@
   struct Case {
     const char* name;
     int seeds;
-    lab::PartsModel::Shape shape;
+    lab::BudgetLeaseSimulation::Shape shape;
   };
   const Case cases[] = {
       {"sound", 40, {}},
@@ -192,15 +192,15 @@
   for (const Case& c : cases) {
     double used = 0, off = 0;
     for (int seed = 1; seed <= c.seeds; ++seed) {
-      lab::PartsModel::Shape shape = c.shape;
+      lab::BudgetLeaseSimulation::Shape shape = c.shape;
       shape.seed = static_cast<std::uint64_t>(seed), shape.troubled = seconds(40);
-      const auto result = lab::PartsModel(shape).play();
+      const auto result = lab::BudgetLeaseSimulation(shape).play();
       for (const std::string& fault : result.faults)
         std::fprintf(stderr, "%s, seed %d: %s\n", c.name, seed, fault.c_str());
       assert(result.clean() && result.fairness > 0.9);
-      if (seed == 1) assert(lab::PartsModel(shape).play().digest == result.digest);
+      if (seed == 1) assert(lab::BudgetLeaseSimulation(shape).play().digest == result.digest);
       shape.lends = false;
-      used += result.used, off += lab::PartsModel(shape).play().used;
+      used += result.used, off += lab::BudgetLeaseSimulation(shape).play().used;
     }
     if (used < 1.4 * off) std::fprintf(stderr, "%s: used %.3f, without lending %.3f\n", c.name, used, off);
     assert(used >= 1.4 * off);
@@ -209,9 +209,9 @@
   for (const int broken : {1, 2}) {
     std::uint64_t caught = 0;
     for (int seed = 1; seed <= 60 && caught == 0; ++seed) {
-      lab::PartsModel::Shape shape = cases[5].shape;
+      lab::BudgetLeaseSimulation::Shape shape = cases[5].shape;
       shape.seed = static_cast<std::uint64_t>(seed), shape.broken = broken;
-      const auto result = lab::PartsModel(shape).play();
+      const auto result = lab::BudgetLeaseSimulation(shape).play();
       caught += result.over_limit + result.lent_twice;
     }
     assert(caught > 0);
--- a/tests/test_daemon.cpp
+++ b/tests/test_daemon.cpp
@@ -3,9 +3,9 @@
 #include <fstream>
 
 #include "engines/engines.h"
-#include "lab/channel.h"
-#include "lab/engine.h"
-#include "net/stage.h"
+#include "lab/stand_ins/engine.h"
+#include "lab/stand_ins/engine_list_channel.h"
+#include "net/event_loop_thread.h"
 #include "sockets.h"
 
 using namespace pearchute::net;
@@ -68,7 +68,7 @@
 // Signs of life by their price: where they are free each quiet connection is asked again and again; where a
 // job's ration is worth one, one or two long jobs are asked for once each; where it is worth a tenth, nobody
 // is.
-void priced_signs(Stage& stage) {
+void priced_signs(EventLoopThread& stage) {
   struct Case {
     double price;
     std::uint64_t least, most;
@@ -106,7 +106,7 @@
 
 // What becomes of a dispatch and of its connection when the engine errs in each way, and that engines that
 // are replaced leave nothing behind.
-void engine_connections(Stage& stage, StandInEngine& engine) {
+void engine_connections(EventLoopThread& stage, StandInEngine& engine) {
   struct Case {
     const char* statement;
     Outcome outcome;
@@ -200,7 +200,7 @@
 
 int main() {
   slow_reader();
-  Stage stage;
+  EventLoopThread stage;
   std::unique_ptr<StandInEngine> engine;
   std::unique_ptr<StandInChannel> channel, moved;
   const auto member = [&](const char* name, const char* phase) {
--- a/tests/test_drains.cpp
+++ b/tests/test_drains.cpp
@@ -7,7 +7,7 @@
 
 #include "fleet/caution.h"
 #include "fleet/drains.h"
-#include "fleet/rest.h"
+#include "fleet/quiescence.h"
 #include "fleet/restart.h"
 
 using namespace pearchute::fleet;
--- a/tests/test_endings.cpp
+++ b/tests/test_endings.cpp
@@ -9,13 +9,13 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
-#include "lab/channel.h"
-#include "lab/engine.h"
-#include "net/stage.h"
+#include "lab/stand_ins/engine.h"
+#include "lab/stand_ins/engine_list_channel.h"
+#include "net/event_loop_thread.h"
 #include "sockets.h"
 
 using namespace pearchute::lab;
-using pearchute::net::Stage;
+using pearchute::net::EventLoopThread;
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
@@ -66,7 +66,7 @@
 
 // A manager as a process, with stand-ins on a loop of their own.
 struct Town {
-  Stage stage;
+  EventLoopThread stage;
   std::map<std::string, std::unique_ptr<StandInEngine>> engines;
   std::unique_ptr<StandInChannel> channel;
   std::string folder, configuration, more = R"("limits":{"sockets":256})";
--- a/tests/test_faults.cpp
+++ b/tests/test_errors.cpp
@@ -5,7 +5,7 @@
 #include <set>
 #include <sstream>
 
-#include "faults/fault.h"
+#include "errors/error.h"
 #include "ini/reader.h"
 #include "keys/reach.h"
 
@@ -17,18 +17,18 @@
   try {
     what();
   } catch (const std::exception& error) {
-    tell_fault(told, "p", error);
+    print_error(told, "p", error);
   }
   return told.str();
 }
 
 void page_and_kinds_agree() {
   std::set<std::string> kinds = {"unforeseen"}, listed;
-  for (const FaultWords& one : fault_words) {
+  for (const ErrorWords& one : error_words) {
     assert(!one.word.empty() && !one.remedy.empty());
     assert(kinds.insert(std::string(one.word)).second);
   }
-  assert(fault_words.size() == static_cast<std::size_t>(FaultKind::site) + 1);
+  assert(error_words.size() == static_cast<std::size_t>(ErrorKind::site) + 1);
   std::ifstream page(ON_CALL);
   bool within = false;
   for (std::string line; std::getline(page, line);) {
@@ -39,9 +39,9 @@
 }
 
 void two_lines() {
-  const std::string usual(fault_words[static_cast<std::size_t>(FaultKind::keys)].remedy);
-  assert(told_by([] { throw KeysFault("broken", "a.pem"); }) == "p: a.pem: broken\np: keys: " + usual + "\n");
-  assert(told_by([] { throw SystemFault("no pipe", "", "try again"); }) ==
+  const std::string usual(error_words[static_cast<std::size_t>(ErrorKind::keys)].remedy);
+  assert(told_by([] { throw KeysError("broken", "a.pem"); }) == "p: a.pem: broken\np: keys: " + usual + "\n");
+  assert(told_by([] { throw SystemError("no pipe", "", "try again"); }) ==
          "p: no pipe\np: system: try again\n");
   assert(told_by([] { throw std::logic_error("x"); }).starts_with("p: x\np: unforeseen: "));
 }
@@ -57,7 +57,7 @@
   assert(read_it([](const std::string& text) { keys::reach_in(text); })
              .starts_with(
                  "p: test_faults.ini:2: 'unix:c' is neither unix:/path nor tls:host:port\np: settings: "));
-  assert(read_it([](const std::string&) { throw AddressFault("far", "", "come nearer"); }) ==
+  assert(read_it([](const std::string&) { throw AddressError("far", "", "come nearer"); }) ==
          "p: test_faults.ini:2: far\np: settings: come nearer\n");
   assert(told_by([] { ini::read("/nowhere/x.ini", {}); }).starts_with("p: /nowhere/x.ini: can't be read\n"));
   std::remove(file.c_str());
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -14,8 +14,8 @@
 #include <nlohmann/json.hpp>
 
 #include "engines/engines.h"
-#include "lab/managers.h"
-#include "lab/world.h"
+#include "lab/stand_ins/admin_endpoints.h"
+#include "lab/stand_ins/test_cluster.h"
 
 using namespace pearchute;
 using namespace pearchute::lab;
@@ -59,7 +59,7 @@
 };
 
 void what_has_not_left() {
-  net::Stage stage;
+  net::EventLoopThread stage;
   Ends listener;
   net::Counters counters;
   // One connection to an engine, so that all that waits, waits behind one socket.
@@ -147,7 +147,7 @@
 
 // ---- Managers
 
-admin::v1::Engine engine_at(World& world, std::size_t manager, const std::string& name) {
+admin::v1::Engine engine_at(TestCluster& world, std::size_t manager, const std::string& name) {
   admin::v1::Call call;
   call.mutable_engines();
   const admin::v1::Reply reply = world.call(manager, call);
@@ -157,7 +157,7 @@
   return {};
 }
 
-bool stands(World& world, std::size_t manager, const std::string& engine, const std::string& state) {
+bool stands(TestCluster& world, std::size_t manager, const std::string& engine, const std::string& state) {
   for (int i = 0; i < 400; ++i) {
     if (engine_at(world, manager, engine).state() == state) return true;
     world.rest(milliseconds(10));
@@ -171,22 +171,22 @@
                               {"load", "INSERT work=10 INTO a_5.t", milliseconds(2500), 3, 10, 16},
                               {"load", "INSERT work=10 INTO a_5.t", milliseconds(2500), 4, 10, 16}};
 
-void settled(World& world, const char* scene) {
+void settled(TestCluster& world, const char* scene) {
   world.on([&] { world.crowd().offer(0, {}); });
   assert(world.quiet());
-  const Record::Verdict verdict = world.verdict();
+  const HistoryChecker::Verdict verdict = world.verdict();
   for (const std::string& fault : verdict.faults) std::fprintf(stderr, "%s: %s\n", scene, fault.c_str());
   assert(verdict.clean());
 }
 
 // Nobody else reaches the channel.
-void own_rights(World& world) {
+void own_rights(TestCluster& world) {
   struct stat what {};
   assert(::stat(world.managers()[0].admin.c_str(), &what) == 0 && (what.st_mode & 0777) == 0600);
 }
 
 // The channel says what it likes during an operator's drain.
-void against_the_channel(World& world) {
+void against_the_channel(TestCluster& world) {
   world.on([&] { world.crowd().offer(200, mix); });
   const auto ordered = world.order(0, "e1", true, 1);
   assert(ordered.ordered().verdict() == "done" && ordered.ordered().standing() == "draining");
@@ -244,7 +244,7 @@
 }
 
 // Two operators whose generations cross; a lease that runs out while nobody is connected.
-void against_each_other(World& world) {
+void against_each_other(TestCluster& world) {
   struct Step {
     const char* holder;
     bool drains;
@@ -287,7 +287,7 @@
 }
 
 // A zone drained, and then the last engine: an honest answer to each, in time; and all is well again after.
-void nothing_left(World& world) {
+void nothing_left(TestCluster& world) {
   const std::size_t managers = world.managers().size();
   world.on([&] { world.crowd().offer(100, mix); });
   for (std::size_t m = 0; m < managers; ++m) {
@@ -322,7 +322,7 @@
 
 // Drained under load with keyed jobs open, resumed halfway, then asked to end by SIGTERM, then by an
 // operator.
-void manager_drained(World& world) {
+void manager_drained(TestCluster& world) {
   world.on([&] { world.crowd().offer(300, mix); });
   world.rest(milliseconds(300));
   assert(world.order(0, "", true, 50).ordered().verdict() == "done");
@@ -357,7 +357,7 @@
 }
 
 // A manager is killed and comes back: the order holds from its first moment. A damaged file is told.
-void orders_survive(World& world) {
+void orders_survive(TestCluster& world) {
   assert(world.order(1, "e2", true, 60).ordered().verdict() == "done");
   assert(world.order(1, "", true, 61).ordered().verdict() == "done");
   world.signal(1, SIGKILL);
@@ -381,7 +381,7 @@
 }
 
 // Peers that make noise, send half a message or a huge length, never read, or come without end.
-void hostile_peers(World& world) {
+void hostile_peers(TestCluster& world) {
   const auto connect = [&] {
     const int fd = ::socket(AF_UNIX, SOCK_STREAM, 0);
     sockaddr_un at{};
@@ -433,7 +433,7 @@
 }
 
 // The command line over five: one is dead, one hangs, one is older.
-void command_line(World& world) {
+void command_line(TestCluster& world) {
   const std::string silent = world.folder() + "/n4.sock", old = world.folder() + "/n5.sock";
   std::unique_ptr<StandInManager> older;
   world.on([&] { older = std::make_unique<StandInManager>(world.loop(), old, "n5", true); });
@@ -511,12 +511,12 @@
   net::start_log("test");
   spdlog::set_level(spdlog::level::err);
   what_has_not_left();
-  Site site;
+  ClusterSpec site;
   site.managers = 2, site.engines = 4, site.pearchuted = PEARCHUTED;
-  World world(site);
+  TestCluster world(site);
   assert(world.all_serving(4));
   const auto begun = steady_now();
-  const auto scene = [&](const char* name, void (*play)(World&)) {
+  const auto scene = [&](const char* name, void (*play)(TestCluster&)) {
     play(world);
     std::printf("%-20s at %5.1f s\n", name, static_cast<double>((steady_now() - begun).count()) / 1e6);
     std::fflush(stdout);
--- a/tests/test_bulletin.cpp
+++ b/tests/test_gossip_state.cpp
@@ -4,14 +4,14 @@
 #include <cstdio>
 #include <random>
 
-#include "lab/word_model.h"
+#include "lab/simulations/gossip_simulation.h"
 
 using namespace pearchute;
 using namespace pearchute::fleet;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-struct Disk final : Bulletin::Host {
+struct Disk final : GossipState::Host {
   bool writable = true;
   std::uint64_t kept = 0;
   int overruled = 0;
@@ -23,8 +23,8 @@
   void told(const std::string& agent, std::string_view what) override { last[agent] = what; }
 };
 
-Word word(const std::string& instance, std::uint64_t life = 1) {
-  Word one;
+StatusReport word(const std::string& instance, std::uint64_t life = 1) {
+  StatusReport one;
   one.instance = instance, one.condition = Condition::serving, one.life = life;
   return one;
 }
@@ -33,22 +33,22 @@
 // Whatever order, whatever repeats: the same in the end.
 void merging() {
   Disk disk;
-  std::vector<std::vector<News>> answers;
-  Bulletin writer(disk, "w", 0, 1);
+  std::vector<std::vector<ReportDelta>> answers;
+  GossipState writer(disk, "w", 0, 1);
   writer.charter({"r"});
-  std::map<std::string, Mark> marks;
+  std::map<std::string, ReportVersion> marks;
   for (int n = 0; n < 6; ++n) {
-    std::vector<Word> all = {word("i" + std::to_string(n)), word("j", static_cast<std::uint64_t>(n))};
+    std::vector<StatusReport> all = {word("i" + std::to_string(n)), word("j", static_cast<std::uint64_t>(n))};
     writer.say(all);
-    answers.push_back(writer.answer(now, n % 2 == 0 ? std::map<std::string, Mark>{} : marks));
+    answers.push_back(writer.answer(now, n % 2 == 0 ? std::map<std::string, ReportVersion>{} : marks));
     marks["w"] = writer.known(now, "w").mark;
   }
   std::knuth_b chance(7);
   for (int round = 0; round < 200; ++round) {
     Disk other;
-    Bulletin reader(other, "r", 0, 2);
+    GossipState reader(other, "r", 0, 2);
     reader.charter({"w"});
-    std::vector<std::vector<News>> some = answers;
+    std::vector<std::vector<ReportDelta>> some = answers;
     for (int n = 0; n < 4; ++n) some.push_back(answers[chance() % answers.size()]);
     std::ranges::shuffle(some, chance);
     for (const auto& news : some) reader.heard(now, now - milliseconds(5), news);
@@ -63,7 +63,7 @@
 
 void ages() {
   Disk disk, between_disk, reader_disk;
-  Bulletin writer(disk, "w", 0, 1), between(between_disk, "b", 0, 2), reader(reader_disk, "r", 0, 3);
+  GossipState writer(disk, "w", 0, 1), between(between_disk, "b", 0, 2), reader(reader_disk, "r", 0, 3);
   between.charter({"w", "r"}), reader.charter({"w", "b"});
   writer.say({word("i")});
   assert(reader.known(now, "w").freshness == Freshness::unknown && !reader.known(now, "w").age);
@@ -90,14 +90,14 @@
 // Restarted with its disk lost, it learns of its own past, and goes beyond it.
 void own_past() {
   Disk disk, reader_disk;
-  auto writer = std::make_unique<Bulletin>(disk, "w", 7ULL << 32, 1);
-  Bulletin reader(reader_disk, "r", 0, 2);
+  auto writer = std::make_unique<GossipState>(disk, "w", 7ULL << 32, 1);
+  GossipState reader(reader_disk, "r", 0, 2);
   reader.charter({"w"});
   writer->say({word("old")});
   assert(disk.kept >> 32 == 8);
   reader.heard(now, now, writer->answer(now, reader.marks()));
   disk.kept = 0;
-  writer = std::make_unique<Bulletin>(disk, "w", 0, 4);
+  writer = std::make_unique<GossipState>(disk, "w", 0, 4);
   writer->charter({"r"});
   writer->say({word("new")});
   reader.heard(now, now, writer->answer(now, reader.marks()));
@@ -111,12 +111,12 @@
   writer->heard(now, now, reader.answer(now, writer->marks()));
   assert(disk.kept >> 32 == 9);
   // Before it has looked at its instances it says nothing, rather than that it owns none.
-  Bulletin early(disk, "e", 0, 5);
+  GossipState early(disk, "e", 0, 5);
   assert(early.speaks() && early.answer(now, {}).empty());
   // Without a disk nothing is said under a new incarnation.
   Disk full;
   full.writable = false;
-  Bulletin mute(full, "m", 3, 1);
+  GossipState mute(full, "m", 3, 1);
   mute.say({word("x")});
   assert(!mute.speaks() && mute.answer(now, {}).empty());
   full.writable = true;
@@ -127,7 +127,7 @@
 // What is let go is named until there are too many such names; then all is said anew.
 void bounds() {
   Disk disk, reader_disk;
-  Bulletin writer(disk, "w", 0, 1), reader(reader_disk, "r", 0, 2);
+  GossipState writer(disk, "w", 0, 1), reader(reader_disk, "r", 0, 2);
   reader.charter({"w"});
   const auto exchange = [&] { reader.heard(now, now, writer.answer(now, reader.marks())); };
   for (int n = 0; n < 1000; ++n) {
@@ -138,18 +138,18 @@
   assert(reader.words("w").size() == 2 && reader.words("w").contains("i999"));
   assert(reader.bytes() < 100'000 && writer.bytes() < 100'000 && disk.kept >> 32 > 1);
   // A full charter comes in parts, each within bounds, and is fresh once all of it is here.
-  std::vector<Word> many;
+  std::vector<StatusReport> many;
   for (int n = 0; n < 3000; ++n) many.push_back(word(std::string(120, 'x') + std::to_string(n)));
   writer.say(many);
   int parts = 0;
   while (reader.known(now, "w").mark != writer.known(now, "w").mark) {
     exchange();
     assert(++parts < 10);
-    if (parts == 1) assert(reader.known(now, "w").stated < Bulletin::most_instances);
+    if (parts == 1) assert(reader.known(now, "w").stated < GossipState::most_instances);
   }
-  assert(parts > 1 && reader.words("w").size() == Bulletin::most_instances);
+  assert(parts > 1 && reader.words("w").size() == GossipState::most_instances);
   // Two that speak under one name are no source: what they say is not taken for known.
-  News first{"w", {99ULL << 32, 1}, {}, true, 0, 1, {{1, "i", word("i", 1)}}}, second = first;
+  ReportDelta first{"w", {99ULL << 32, 1}, {}, true, 0, 1, {{1, "i", word("i", 1)}}}, second = first;
   second.entries[0].word->life = 2;
   reader.heard(now, now, {first});
   assert(reader.known(now, "w").freshness == Freshness::fresh);
@@ -160,7 +160,7 @@
 
 // A silent peer has one question open, and is asked less and less; the others go on as before.
 void asking() {
-  Asking asks(3);
+  AntiEntropyScheduler asks(3);
   std::set<std::string> peers;
   for (int n = 0; n < 8; ++n) peers.insert("p" + std::to_string(n));
   asks.charter(peers);
@@ -169,10 +169,10 @@
   Span t = seconds(1);
   for (int round = 0; round < 400; ++round) {
     for (const auto& [peer, since] : std::map(open)) {
-      if (t - since >= Asking::answers_within) asks.missed(t, peer), open.erase(peer);
+      if (t - since >= AntiEntropyScheduler::answers_within) asks.missed(t, peer), open.erase(peer);
     }
     const auto due = asks.due(t);
-    assert(due.size() <= Asking::at_once);
+    assert(due.size() <= AntiEntropyScheduler::at_once);
     for (const std::string& peer : due) {
       ++asked[peer];
       if (peer == "p3") assert(open.emplace(peer, t).second);
@@ -180,7 +180,8 @@
     }
     assert(asks.open() <= 1);
     const Span next = asks.next(t);
-    assert(next - t >= 3 * Asking::every / 4 && next - t <= 5 * Asking::every / 4);
+    assert(next - t >= 3 * AntiEntropyScheduler::every / 4 &&
+           next - t <= 5 * AntiEntropyScheduler::every / 4);
     t = next;
   }
   assert(asked["p3"] < 50 && asked["p0"] > 120 && asked["p7"] > 120);
@@ -190,7 +191,7 @@
   struct Case {
     const char* name;
     int seeds;
-    lab::WordModel::Shape shape;
+    lab::GossipSimulation::Shape shape;
   };
   const Case cases[] = {
       {"loss and repeats", 60, {.loss = 0.3, .doubled = 0.3}},
@@ -203,13 +204,13 @@
   };
   for (const Case& c : cases) {
     for (int seed = 1; seed <= c.seeds; ++seed) {
-      lab::WordModel::Shape shape = c.shape;
+      lab::GossipSimulation::Shape shape = c.shape;
       shape.seed = static_cast<std::uint64_t>(seed), shape.troubled = seconds(30);
-      const auto result = lab::WordModel(shape).play();
+      const auto result = lab::GossipSimulation(shape).play();
       for (const std::string& fault : result.faults)
         std::fprintf(stderr, "%s, seed %d: %s\n", c.name, seed, fault.c_str());
       assert(result.clean() && result.changes > 0);
-      if (seed == 1) assert(lab::WordModel(shape).play().digest == result.digest);
+      if (seed == 1) assert(lab::GossipSimulation(shape).play().digest == result.digest);
     }
   }
 }
--- a/tests/test_many.cpp
+++ b/tests/test_many.cpp
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "bench.h"
-#include "lab/many_managers.h"
+#include "lab/simulations/many_managers.h"
 
 using namespace pearchute;
 using lab::ManyManagers;
--- a/tests/test_rollouts.cpp
+++ b/tests/test_rollouts.cpp
@@ -6,13 +6,13 @@
 #include <set>
 
 #include "fleet/claims.h"
-#include "fleet/keeper.h"
-#include "fleet/life.h"
+#include "fleet/instance_lifecycle.h"
+#include "fleet/lease_owner.h"
 #include "fleet/rollout.h"
-#include "lab/fleet_model.h"
+#include "lab/simulations/rollout_simulation.h"
 
 using namespace pearchute::fleet;
-using pearchute::lab::FleetModel;
+using pearchute::lab::RolloutSimulation;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -223,9 +223,9 @@
   return plan;
 }
 
-FleetModel::Result play(const FleetModel::Shape& shape, const RolloutPlan& plan) {
-  FleetModel model(shape);
-  const FleetModel::Result result = model.play(plan);
+RolloutSimulation::Result play(const RolloutSimulation::Shape& shape, const RolloutPlan& plan) {
+  RolloutSimulation model(shape);
+  const RolloutSimulation::Result result = model.play(plan);
   const auto bad = result.unknown_states + result.fence_breaks + result.below_floor + result.early_give_ups;
   if (bad > 0) {
     std::fprintf(stderr, "seed %llu, killed at %s, %s:\n", static_cast<unsigned long long>(shape.seed),
@@ -248,10 +248,10 @@
   // Killed at each point: the agent that passes it, the coordinator meanwhile, or both; come back or not.
   std::map<std::string, std::set<std::string>> killed;
   const std::vector<std::string> kinds = {"passer", "coordinator", "both"};
-  for (const std::string& point : FleetModel::all_points()) {
+  for (const std::string& point : RolloutSimulation::all_points()) {
     for (const std::string& whom : kinds) {
       for (std::uint64_t seed = 1; seed <= 60 && (seed <= 12 || !killed[point].contains(whom)); ++seed) {
-        FleetModel::Shape shape{.seed = seed, .kill_at = point, .kill_whom = whom};
+        RolloutSimulation::Shape shape{.seed = seed, .kill_at = point, .kill_whom = whom};
         shape.kill_pass = seed <= 12 ? 1 + static_cast<int>(seed % 3) : 1;
         shape.comes_back = seed % 4 != 0;
         // Some points are passed only where an instance does not end when asked, or a claim ends amid a step.
@@ -268,7 +268,7 @@
       }
     }
   }
-  for (const std::string& point : FleetModel::all_points()) {
+  for (const std::string& point : RolloutSimulation::all_points()) {
     for (const std::string& whom : kinds) {
       if (!killed[point].contains(whom))
         std::fprintf(stderr, "nobody (%s) was killed at: %s\n", whom.c_str(), point.c_str());
@@ -276,11 +276,11 @@
     }
   }
   for (std::uint64_t seed = 1; seed <= 400; ++seed) {
-    FleetModel::Shape shape{.seed = seed,
-                            .loss = 0.1,
-                            .doubled = 0.1,
-                            .kill_at = seed % 3 ? "random" : "",
-                            .kill_whom = "passer"};
+    RolloutSimulation::Shape shape{.seed = seed,
+                                   .loss = 0.1,
+                                   .doubled = 0.1,
+                                   .kill_at = seed % 3 ? "random" : "",
+                                   .kill_whom = "passer"};
     shape.cut_off = 0.4, shape.stopped = 0.3;
     shape.hangs = seed % 5 == 0 ? 0.3 : 0, shape.falls = seed % 7 == 0 ? 0.3 : 0;
     shape.rival = seed % 4 == 0;
@@ -289,7 +289,7 @@
     const auto result = play(shape, plan);
     visited.insert(result.points.begin(), result.points.end());
   }
-  for (const std::string& point : FleetModel::all_points()) {
+  for (const std::string& point : RolloutSimulation::all_points()) {
     if (!visited.contains(point)) std::fprintf(stderr, "never passed: %s\n", point.c_str());
     assert(visited.contains(point));
   }
@@ -299,12 +299,12 @@
 void reverts() {
   int went_back = 0;
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-    FleetModel::Shape shape{.seed = seed, .kill_at = seed % 3 ? "" : "random"};
+    RolloutSimulation::Shape shape{.seed = seed, .kill_at = seed % 3 ? "" : "random"};
     shape.falls = 1;
     shape.loss = 0.05;
     RolloutPlan plan = plan_of(StepKind::change);
     plan.reverts = true, plan.failures = 0;
-    FleetModel model(shape);
+    RolloutSimulation model(shape);
     const auto result = model.play(plan);
     if (result.state != Rollout::State::done || !result.going_back) continue;
     ++went_back;
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -19,8 +19,8 @@
 
 std::string folder;
 
-fleet::Keeper::Kept kept(std::uint64_t fence) {
-  fleet::Keeper::Kept one;
+fleet::LeaseOwner::Kept kept(std::uint64_t fence) {
+  fleet::LeaseOwner::Kept one;
   one.version = 3, one.last_fence = fence, one.lease = seconds(30);
   one.claim = fleet::Claim{"op", "ann", fence, {}, {}};
   one.step =
@@ -158,7 +158,7 @@
     std::signal(SIGXFSZ, SIG_IGN);
     const rlimit limit{size, size};
     setrlimit(RLIMIT_FSIZE, &limit);
-    std::map<std::string, fleet::Keeper::Kept> many;
+    std::map<std::string, fleet::LeaseOwner::Kept> many;
     for (int i = 0; i < 2000; ++i) many["j" + std::to_string(i)] = kept(2);
     const bool written = store.write(many);
     _exit(!written && !store.fault().empty() ? 0 : 1);
--- a/tests/test_together.cpp
+++ b/tests/test_together.cpp
@@ -11,11 +11,11 @@
 #include <cstdio>
 #include <fstream>
 
-#include "agent/charter.h"
-#include "agent/doors.h"
+#include "agent/agent_config.h"
+#include "agent/grpc_credentials.h"
 #include "agent/processes.h"
-#include "lab/agent_fleet.h"
-#include "lab/managers.h"
+#include "lab/stand_ins/admin_endpoints.h"
+#include "lab/stand_ins/agent_cluster.h"
 
 using namespace pearchute;
 using namespace pearchute::lab;
@@ -23,9 +23,9 @@
 using std::chrono::seconds;
 
 struct Together {
-  AgentFleet fleet;
+  AgentCluster fleet;
   std::vector<Agent>& agents = fleet.agents;
-  explicit Together(const Site& site) : fleet(site, 3, true) {}
+  explicit Together(const ClusterSpec& site) : fleet(site, 3, true) {}
 
   std::string knows(std::size_t who, std::size_t whom) {
     const auto heard = agents[who].heard(agents[whom].name);
@@ -73,7 +73,7 @@
 
 // The relay itself: what goes in comes out, as late as it is told to, and the end behind it.
 void relay() {
-  net::Stage stage;
+  net::EventLoopThread stage;
   std::unique_ptr<net::Door> door;
   std::unique_ptr<Relay> between;
   std::vector<Poco::Net::StreamSocket> came;
@@ -218,7 +218,7 @@
 
 // Agents that are stopped, killed, lose their disks, or hold different charters.
 void agents_fail(Together& t) {
-  World& world = t.fleet.world;
+  TestCluster& world = t.fleet.world;
   auto& agents = t.agents;
   // Stopped: its word grows old; going on, it is heard again, and answers nothing from before as if it were
   // now.
@@ -261,11 +261,11 @@
 
 // Five managers under three agents with work going on; whatever fails meanwhile, the rules are kept.
 void play(void (*failing)(Together&)) {
-  Site site;
+  ClusterSpec site;
   site.managers = 5, site.engines = 8, site.pearchuted = PEARCHUTED, site.pearchute_agent = PEARCHUTE_AGENT,
   site.starts_managers = false;
   Together t(site);
-  World& world = t.fleet.world;
+  TestCluster& world = t.fleet.world;
   assert(wait_for([&] { return t.fleet.all_serve(); }) && world.all_serving(8));
   world.on([&] {
     world.crowd().offer(100, {{"quick", "SELECT work=5 FROM a_1.t", milliseconds(2000), 0, 5, 8},
@@ -275,7 +275,7 @@
   failing(t);
   world.on([&] { world.crowd().offer(0, {}); });
   assert(world.quiet());
-  const Record::Verdict verdict = world.verdict();
+  const HistoryChecker::Verdict verdict = world.verdict();
   for (const std::string& what : verdict.faults) std::fprintf(stderr, "%s\n", what.c_str());
   std::printf("%llu jobs: %llu done, %llu lost\n", static_cast<unsigned long long>(verdict.sent),
               static_cast<unsigned long long>(verdict.done), static_cast<unsigned long long>(verdict.lost));
