pearchutectl's commands in modules of one job: queries, changes, restarts, requests, rows

Cause: src/ctl/commands.cpp held 705 lines of five jobs, under names that had to be explained (Told, Heard, Manner, Rounds).

Change: questions, changes and restarts are files of their own over the admin calls (requests), shared rows (rows) and the interrupt (interrupt). Rounds is BatchExecutor, Heard CallResult, Told OrderResults, Manner ChangeOptions. No behaviour changed.

--- a/src/ctl/batch_executor.cpp
+++ b/src/ctl/batch_executor.cpp
@@ -7,7 +7,7 @@
 using admin::CallEnd;
 using admin::Caller;
 
-std::string Heard::trouble() const {
+std::string CallResult::trouble() const {
   if (!answered()) return std::string(word_for(end));
   switch (reply.outcome()) {
     case admin::v1::ok:
@@ -19,10 +19,10 @@
   }
 }
 
-std::vector<Heard> Rounds::ask(const Instances& instances,
-                               const std::function<admin::v1::Call(std::size_t)>& call_for) {
+std::vector<CallResult> BatchExecutor::ask(const Instances& instances,
+                                           const std::function<admin::v1::Call(std::size_t)>& call_for) {
   struct Round {
-    std::vector<Heard> heard;
+    std::vector<CallResult> heard;
     std::vector<std::unique_ptr<Caller>> callers;
     std::size_t next = 0, left = 0;
     std::promise<void> done;
@@ -58,23 +58,24 @@
   return std::move(round->heard);
 }
 
-std::vector<Heard> Rounds::ask(const Instances& instances, const admin::v1::Call& call) {
+std::vector<CallResult> BatchExecutor::ask(const Instances& instances, const admin::v1::Call& call) {
   return ask(instances, [&](std::size_t) { return call; });
 }
 
-Heard Rounds::ask_one(const Instance& instance, const admin::v1::Call& call) {
+CallResult BatchExecutor::ask_one(const Instance& instance, const admin::v1::Call& call) {
   return ask({&instance}, call).front();
 }
 
-std::vector<Rounds::Pages> Rounds::ask_pages(const Instances& instances,
-                                             const std::function<admin::v1::Call(const Pages&)>& call_for) {
+std::vector<BatchExecutor::Pages> BatchExecutor::ask_pages(
+    const Instances& instances, const std::function<admin::v1::Call(const Pages&)>& call_for) {
   std::vector<Pages> pages(instances.size());
   std::vector<std::size_t> open(instances.size());
   for (std::size_t i = 0; i < open.size(); ++i) open[i] = i;
   while (!open.empty()) {
     Instances asked;
     for (const std::size_t i : open) asked.push_back(instances[i]);
-    const std::vector<Heard> heard = ask(asked, [&](std::size_t at) { return call_for(pages[open[at]]); });
+    const std::vector<CallResult> heard =
+        ask(asked, [&](std::size_t at) { return call_for(pages[open[at]]); });
     std::vector<std::size_t> more;
     for (std::size_t at = 0; at < heard.size(); ++at) {
       const admin::v1::Reply& reply = heard[at].reply;
@@ -89,10 +90,10 @@
   return pages;
 }
 
-void Rounds::watch(const Instances& instances, std::chrono::milliseconds time,
-                   const std::function<void(const Instance&, const admin::v1::Event&)>& event,
-                   const std::function<void(const Instance&, const std::string&)>& ended,
-                   const std::function<bool()>& done) {
+void BatchExecutor::watch(const Instances& instances, std::chrono::milliseconds time,
+                          const std::function<void(const Instance&, const admin::v1::Event&)>& event,
+                          const std::function<void(const Instance&, const std::string&)>& ended,
+                          const std::function<bool()>& done) {
   std::vector<std::unique_ptr<Caller>> callers;
   std::size_t left = instances.size();
   loop_thread_.on([&] {
@@ -102,7 +103,7 @@
           0, within_, [&, instance](const admin::v1::Event& what) { event(*instance, what); },
           [&, instance](CallEnd end, const admin::v1::Reply& reply) {
             --left;
-            ended(*instance, Heard{end, reply}.trouble());
+            ended(*instance, CallResult{end, reply}.trouble());
           });
     }
   });
--- a/src/ctl/batch_executor.h
+++ b/src/ctl/batch_executor.h
@@ -12,7 +12,7 @@
 
 namespace pearchute::ctl {
 
-struct Heard {
+struct CallResult {
   admin::CallEnd end = admin::CallEnd::unreachable;
   admin::v1::Reply reply;
   bool answered() const { return end == admin::CallEnd::answered; }
@@ -20,17 +20,17 @@
   std::string trouble() const;  // in a few words; empty where it is ok
 };
 
-class Rounds {
+class BatchExecutor {
  public:
-  Rounds(std::size_t at_once, std::chrono::milliseconds within) : at_once_(at_once), within_(within) {}
+  BatchExecutor(std::size_t at_once, std::chrono::milliseconds within) : at_once_(at_once), within_(within) {}
   using Instances = std::vector<const Instance*>;
-  std::vector<Heard> ask(const Instances& instances,
-                         const std::function<admin::v1::Call(std::size_t)>& call_for);
-  std::vector<Heard> ask(const Instances& instances, const admin::v1::Call& call);
-  Heard ask_one(const Instance& instance, const admin::v1::Call& call);
+  std::vector<CallResult> ask(const Instances& instances,
+                              const std::function<admin::v1::Call(std::size_t)>& call_for);
+  std::vector<CallResult> ask(const Instances& instances, const admin::v1::Call& call);
+  CallResult ask_one(const Instance& instance, const admin::v1::Call& call);
   // Answers that may take several pages, of engines or orders: `call_for` is given what has come so far. The
   // last of each tells how it ended.
-  using Pages = std::vector<Heard>;
+  using Pages = std::vector<CallResult>;
   std::vector<Pages> ask_pages(const Instances& instances,
                                const std::function<admin::v1::Call(const Pages&)>& call_for);
   // Events of all, as they come, until `time` is over (0: for good) or `done` says so.
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -14,7 +14,7 @@
 namespace pearchute::ctl {
 
 // How a change is to be made.
-struct Manner {
+struct ChangeOptions {
   bool dry_run = false, yes = false, everyone = false;
   std::string holder, reason;
   std::chrono::seconds lease{3600};
@@ -33,31 +33,32 @@
   int top(std::chrono::milliseconds every, int rounds);
   int watch(std::chrono::milliseconds time);
   int orders();
-  int drain(const Manner& manner);
-  int resume(const Manner& manner);
-  int restart(const Manner& manner);
-  int engine_orders(const std::vector<std::string>& engines, bool drains, const Manner& manner);
+  int drain(const ChangeOptions& options);
+  int resume(const ChangeOptions& options);
+  int restart(const ChangeOptions& options);
+  int engine_orders(const std::vector<std::string>& engines, bool drains, const ChangeOptions& options);
   int engine_list();
   int log_level(const std::string& level);
   int check();
 
  private:
-  struct Told {
+  struct OrderResults {
     Rows rows;
     std::vector<fleet::Done> each;
   };
-  int question(const std::vector<Rounds::Pages>& answers, const std::vector<std::string>& columns,
+  int question(const std::vector<BatchExecutor::Pages>& answers, const std::vector<std::string>& columns,
                const std::function<void(const Instance&, const admin::v1::Reply&, Rows&)>& rows_of);
   Rows status_rows(std::vector<fleet::Done>& each);
   // One order of `subject` to each chosen instance, with a generation over all that they know of.
-  Told give(const std::string& subject, bool drains, const Manner& manner);
-  bool confirmed(const std::vector<fleet::Loss>& losses, const std::string& what, const Manner& manner);
+  OrderResults give(const std::string& subject, bool drains, const ChangeOptions& options);
+  bool confirmed(const std::vector<fleet::Loss>& losses, const std::string& what,
+                 const ChangeOptions& options);
   std::vector<fleet::Loss> losses_of_managers();
 
   const Fleet& fleet_;
   const std::vector<const Instance*> chosen_;
   Output& output_;
-  Rounds rounds_;
+  BatchExecutor executor_;
 };
 
 }  // namespace pearchute::ctl
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -57,28 +57,28 @@
       ->check(CLI::Range(10, 60000));
   app.add_option("--parallel", parallel, "how many are asked at once")->check(CLI::Range(1, 500));
 
-  Manner manner;
+  ChangeOptions options;
   const char* user = std::getenv("USER");
-  manner.holder = user && *user ? user : "operator";
+  options.holder = user && *user ? user : "operator";
   int lease = 3600, within = 30, up_within = 30, at_once = 1, most = 50, rounds = 0, every = 2000,
       watched = 0;
   std::vector<std::string> engines;
   std::string level;
   const auto changes = [&](CLI::App* command) {
-    command->add_flag("--dry-run", manner.dry_run, "says what would be done, and does nothing");
-    command->add_flag("--yes", manner.yes, "without asking, though over half of a zone would stop");
-    command->add_option("--as", manner.holder, "who answers for the order")->type_name("NAME");
+    command->add_flag("--dry-run", options.dry_run, "says what would be done, and does nothing");
+    command->add_flag("--yes", options.yes, "without asking, though over half of a zone would stop");
+    command->add_option("--as", options.holder, "who answers for the order")->type_name("NAME");
     return command;
   };
   const auto drains = [&](CLI::App* command) {
     command->add_option("--lease", lease, "how long the order holds")
         ->type_name("S")
         ->check(CLI::Range(1, 604800));
-    command->add_option("--reason", manner.reason, "what others are told");
+    command->add_option("--reason", options.reason, "what others are told");
     return changes(command);
   };
   const auto restores = [&](CLI::App* command) {
-    command->add_flag("--everyone", manner.everyone, "ends the older orders of other holders, too");
+    command->add_flag("--everyone", options.everyone, "ends the older orders of other holders, too");
     return changes(command);
   };
   CLI::App* status = app.add_subcommand("status", "each manager's state");
@@ -145,7 +145,7 @@
         ->check(CLI::Range(1, 3600));
     command->add_flag("--revert", plan.reverts, "a change that fails goes back by itself");
     command->add_flag("--take-over", plan.take_over, "ends other operations' claims");
-    command->add_option("--as", manner.holder, "who answers for it")->type_name("NAME");
+    command->add_option("--as", options.holder, "who answers for it")->type_name("NAME");
     return command;
   };
   planned(rollout->add_subcommand("plan", "says what would be done"));
@@ -191,8 +191,8 @@
     std::cout << completion(app);
     return 0;
   }
-  manner.lease = std::chrono::seconds(lease), manner.within = std::chrono::seconds(within);
-  manner.up_within = std::chrono::seconds(up_within), manner.at_once = static_cast<std::size_t>(at_once);
+  options.lease = std::chrono::seconds(lease), options.within = std::chrono::seconds(within);
+  options.up_within = std::chrono::seconds(up_within), options.at_once = static_cast<std::size_t>(at_once);
 
   Output output(form == "json");
   if (key_init->parsed()) return keys_init(key, output);
@@ -227,7 +227,7 @@
     for (const auto& [word, command] : words) {
       if (command->parsed()) return of_agents.say(id, word);
     }
-    plan.id = id, plan.who = manner.holder;
+    plan.id = id, plan.who = options.holder;
     plan.kind = kind == "drain"    ? fleet::StepKind::drain
                 : kind == "resume" ? fleet::StepKind::resume
                 : kind == "change" ? fleet::StepKind::change
@@ -253,11 +253,11 @@
   if (top->parsed()) return commands.top(std::chrono::milliseconds(every), rounds);
   if (watch->parsed()) return commands.watch(std::chrono::milliseconds(watched));
   if (orders->parsed()) return commands.orders();
-  if (drain->parsed()) return commands.drain(manner);
-  if (resume->parsed()) return commands.resume(manner);
-  if (restart->parsed()) return commands.restart(manner);
-  if (engine_drain->parsed()) return commands.engine_orders(engines, true, manner);
-  if (engine_restore->parsed()) return commands.engine_orders(engines, false, manner);
+  if (drain->parsed()) return commands.drain(options);
+  if (resume->parsed()) return commands.resume(options);
+  if (restart->parsed()) return commands.restart(options);
+  if (engine_drain->parsed()) return commands.engine_orders(engines, true, options);
+  if (engine_restore->parsed()) return commands.engine_orders(engines, false, options);
   if (engine_list->parsed()) return commands.engine_list();
   if (log_level->parsed()) return commands.log_level(level);
   if (check->parsed()) return commands.check();
--- /dev/null
+++ b/src/ctl/requests.cpp
@@ -0,0 +1,45 @@
+#include "ctl/requests.h"
+
+namespace pearchute::ctl {
+
+using admin::v1::Call;
+using fleet::Done;
+
+Call identity_request() {
+  Call call;
+  call.mutable_who();
+  return call;
+}
+
+Call status_request() {
+  Call call;
+  call.mutable_status();
+  return call;
+}
+
+Call engines_request(const BatchExecutor::Pages& before) {
+  Call call;
+  call.mutable_engines();
+  if (!before.empty())
+    call.mutable_engines()->set_after(before.back().reply.engines().engines().rbegin()->name());
+  return call;
+}
+
+Call orders_request(const BatchExecutor::Pages& before) {
+  std::uint32_t received = 0;
+  for (const CallResult& page : before) {
+    received += static_cast<std::uint32_t>(page.reply.orders().orders_size());
+  }
+  Call call;
+  call.mutable_orders()->set_orders(received);
+  return call;
+}
+
+Done outcome_of(const CallResult& result) {
+  if (result.ok()) return Done::yes;
+  if (!result.answered()) return Done::unreachable;
+  const std::string& verdict = result.reply.ordered().verdict();
+  return verdict == "conflict" || verdict == "stale" ? Done::conflict : Done::refused;
+}
+
+}  // namespace pearchute::ctl
--- /dev/null
+++ b/src/ctl/restarts.cpp
@@ -0,0 +1,178 @@
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <thread>
+
+#include "ctl/commands.h"
+#include "ctl/interrupt.h"
+#include "ctl/requests.h"
+#include "ctl/rows.h"
+#include "fleet/restart.h"
+
+namespace pearchute::ctl {
+
+using admin::CallEnd;
+using admin::v1::Call;
+using fleet::Done;
+using json = nlohmann::ordered_json;
+using std::chrono::milliseconds;
+
+namespace {
+
+pearchute::Span steady() {
+  return std::chrono::duration_cast<pearchute::Span>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+// Starts a program that outlives this one: in a session of its own, with nothing open.
+void start_detached(const std::string& command) {
+  const pid_t child = ::fork();
+  if (child != 0) {
+    ::waitpid(child, nullptr, 0);
+    return;
+  }
+  ::setsid();
+  if (::fork() != 0) ::_exit(0);
+  const int nothing = ::open("/dev/null", O_RDWR);
+  ::dup2(nothing, 0), ::dup2(nothing, 1), ::dup2(nothing, 2);
+  for (int fd = 3; fd < 1024; ++fd) ::close(fd);
+  ::execl("/bin/sh", "sh", "-c", command.c_str(), static_cast<char*>(nullptr));
+  ::_exit(127);
+}
+
+// One instance's restart, with its calls kept until the next step carries them out.
+struct OneRestart final : fleet::Restart::Host {
+  OneRestart(const Instance& which, const fleet::Restart::Limits& limits)
+      : instance(which), steps(*this, limits) {}
+  void ask_to_end(Span within) override { end_within = within; }
+  void start_program() override { start = true; }
+  void ask_orders() override { orders = true; }
+  void give_orders(const std::set<std::string>& ids) override { give = ids; }
+  using Span = fleet::Restart::Span;
+
+  const Instance& instance;
+  std::optional<Span> end_within;
+  bool start = false, orders = false;
+  std::set<std::string> give;
+  std::map<std::string, admin::v1::Order> kept;  // the open orders of before
+  fleet::Restart steps;
+};
+
+fleet::Restart::Seen seen_by(const CallResult& heard) {
+  if (heard.answered()) return fleet::Restart::Seen::answered;
+  return heard.end == CallEnd::unreachable ? fleet::Restart::Seen::gone : fleet::Restart::Seen::silent;
+}
+
+fleet::Restart::Identity identity_in(const admin::v1::Identity& told) {
+  return {told.started_unix_ms(), told.pid(), told.phase() == "serving", told.build(), told.digest()};
+}
+
+// The open orders of one instance by their ids, or nothing where not all could be read.
+std::optional<std::map<std::string, admin::v1::Order>> orders_at(BatchExecutor& executor,
+                                                                 const Instance& instance) {
+  std::map<std::string, admin::v1::Order> orders;
+  const std::vector<BatchExecutor::Pages> pages = executor.ask_pages({&instance}, orders_request);
+  for (const CallResult& page : pages.front()) {
+    if (!page.ok()) return std::nullopt;
+    for (const auto& order : page.reply.orders().orders()) orders[order.id()] = order;
+  }
+  return orders;
+}
+
+std::set<std::string> ids_of(const std::map<std::string, admin::v1::Order>& orders) {
+  std::set<std::string> ids;
+  for (const auto& [id, order] : orders) ids.insert(id);
+  return ids;
+}
+
+void step(OneRestart& one, BatchExecutor& executor) {
+  if (one.end_within) {
+    Call call;
+    call.mutable_end()->set_within_ms(
+        static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(*one.end_within).count()));
+    one.end_within.reset();
+    const CallResult heard = executor.ask_one(one.instance, call);
+    return one.steps.end_answered(steady(), seen_by(heard), heard.ok());
+  }
+  if (std::exchange(one.start, false)) start_detached(one.instance.start);
+  if (!one.give.empty()) {
+    for (const std::string& id : one.give) {
+      Call call;
+      *call.mutable_order() = one.kept[id];
+      executor.ask_one(one.instance, call);
+    }
+    one.give.clear();
+  }
+  if (std::exchange(one.orders, false)) {
+    const auto orders = orders_at(executor, one.instance);
+    return one.steps.orders_told(steady(), orders ? std::optional(ids_of(*orders)) : std::nullopt);
+  }
+  const CallResult heard = executor.ask_one(one.instance, identity_request());
+  one.steps.seen(steady(), seen_by(heard),
+                 heard.ok() ? std::optional(identity_in(heard.reply.identity())) : std::nullopt);
+}
+
+}  // namespace
+
+int Commands::restart(const ChangeOptions& options) {
+  // So many stop at once, not all that are chosen.
+  if (options.at_once > 1 && !options.dry_run && !confirmed(losses_of_managers(), "restart", options))
+    return fleet::not_confirmed;
+  std::vector<json> rows;
+  std::vector<Done> each(chosen_.size(), Done::not_begun);
+  for (const Instance* instance : chosen_) {
+    rows.push_back(instance_row(*instance));
+    rows.back()["result"] = options.dry_run ? "would be restarted" : "not begun";
+    if (options.dry_run)
+      rows.back()["start"] = instance->start.empty() ? "by somebody else" : instance->start;
+  }
+  bool stopped = options.dry_run;
+  std::size_t next = 0;
+  std::map<std::size_t, std::unique_ptr<OneRestart>> open;
+  while ((!stopped && next < chosen_.size()) || !open.empty()) {
+    if (interrupted()) stopped = true;  // what has begun is seen to its end
+    while (!stopped && next < chosen_.size() && open.size() < options.at_once) {
+      const Instance& instance = *chosen_[next];
+      const CallResult known = executor_.ask_one(instance, identity_request());
+      const auto orders = orders_at(executor_, instance);
+      if (!known.ok() || !orders) {
+        each[next] = known.ok() ? Done::unreachable : outcome_of(known);
+        rows[next]["result"] = known.ok() ? "its orders can't be read" : known.trouble();
+        stopped = true;
+        ++next;
+        break;
+      }
+      auto one = std::make_unique<OneRestart>(
+          instance, fleet::Restart::Limits{options.within, options.up_within, !instance.start.empty()});
+      one->kept = *orders;
+      one->steps.begin(steady(), identity_in(known.reply.identity()), ids_of(*orders));
+      open[next++] = std::move(one);
+    }
+    std::string progress;
+    for (auto it = open.begin(); it != open.end();) {
+      auto& [number, one] = *it;
+      step(*one, executor_);
+      if (!one->steps.over()) {
+        progress += (progress.empty() ? "" : ", ") + one->instance.facts.name + " " +
+                    std::string(fleet::word_for(one->steps.state()));
+        ++it;
+        continue;
+      }
+      each[number] = one->steps.outcome();
+      rows[number]["result"] = one->steps.word();
+      rows[number]["handed_over"] = one->steps.handed_over();
+      // One that does not come back stops the rest: the fault may be everyone's.
+      if (one->steps.outcome() != Done::yes) stopped = true;
+      it = open.erase(it);
+    }
+    if (!progress.empty()) output_.progress(progress);
+    if (!open.empty()) std::this_thread::sleep_for(milliseconds(100));
+  }
+  output_.progress_over();
+  if (options.dry_run) std::ranges::fill(each, Done::yes);
+  output_.rows(rows, {"instance", "zone", "result", "start"});
+  return fleet::status_of_change(each);
+}
+
+}  // namespace pearchute::ctl
