--- a/src/ctl/queries.cpp
+++ b/src/ctl/queries.cpp
@@ -184,8 +184,7 @@
       [&](const Instance& instance, const admin::v1::Event& event) {
         const std::lock_guard lock(mutex);
         json row = instance_row(instance);
-        row["number"] = event.number(), row["unix_ms"] = event.unix_ms(),
-        row["kind"] = event.kind();
+        row["number"] = event.number(), row["unix_ms"] = event.unix_ms(), row["kind"] = event.kind();
         row["subject"] = event.subject(), row["text"] = event.text();
         if (event.lost() > 0) row["lost"] = event.lost();
         if (output_.json()) {
