The clients' front in modules of one job: calls read as jobs, answers, a client, engines' side

Change: job_request reads a call as a job or says what can't be used; answers has bodies and headers; client is one connection; front_engines is the front's side towards the module, the engines and the list. The code was moved, not altered; a refusal is a type (BadRequest) now.

--- /dev/null
+++ b/src/front/client.h
@@ -0,0 +1,111 @@
+// One client's connection, for the front alone: its bytes, its calls in turn, and when its time is up.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "front/answers.h"
+#include "front/front.h"
+
+namespace pearchute::net {
+
+class Front::Client final : public Wire::User, public HttpServerSide::Listener {
+ public:
+  Client(Front& front, ClientId id, const Poco::Net::StreamSocket& socket)
+      : front_(front), id_(id), http_(*this), since_(front.loop_.now()), stuck_since_(since_) {
+    wire_ = std::make_unique<Wire>(front.loop_, socket, *this);
+  }
+  ClientId id() const { return id_; }
+  HttpServerSide& http() { return http_; }
+  Wire& wire() { return *wire_; }
+  std::unique_ptr<Wire> give_wire() { return std::move(wire_); }
+  void wire_brought(std::string_view bytes) override {
+    const bool idle = !http_.call_open() && !http_.within_call();
+    // The time to a whole call runs from the connection's start or the call's first byte, whatever comes
+    // next.
+    if (idle && calls_ > 0) since_ = front_.loop_.now();
+    http_.feed(bytes);
+    heed_bounds();
+    if (http_.held() >= BufferPool::buffer_size) front_.shed_unread();
+  }
+  void wire_ended() override { front_.client_left(*this); }
+  void called(const std::string& method, const std::string& path, Message& message) override {
+    ++front_.counters_.calls, ++calls_;
+    front_.called(*this, method, path, message);
+  }
+  void refused_call(int status) override {
+    ++front_.counters_.bad_calls;
+    PEARCHUTE_LOG(spdlog::level::warn, "a call that can't be read: {}", status);
+    end_with(status, "the call can't be read");
+  }
+  void end_with(int status, std::string_view what) {
+    std::string out;
+    append_response(out, status, "", error_body(what), false);
+    wire_->send(out);
+    front_.drop(*this);
+  }
+  // A call's answer has been put out.
+  void answered() {
+    since_ = front_.loop_.now();
+    http_.answered();
+    heed_bounds();
+  }
+  // Guards against clients that send on without reading, or many calls at once: what is not read stays with
+  // them. Their calls get their answers in turn.
+  void heed_bounds() {
+    if (!wire_) return;                             // dropped
+    constexpr std::size_t most_unread = 64 * 1024;  // more than the largest answer's usual size
+    const bool out_of_sight = http_.has_enough() || wire_->waiting() > most_unread;
+    const bool was = wire_->paused();
+    wire_->pause(out_of_sight);
+    // Guards against a client that leaves behind what is not read: its end is not seen, so nothing new begins
+    // for it. Clients that make one call at a time and read its answer are never out of sight.
+    if (waits_for && out_of_sight) front_.lose_sight(*waits_for);
+    else if (waits_for && was) front_.manager_.caller_came(front_.loop_.now(), *waits_for);
+  }
+
+  // It holds its connection for nothing: no call is open, none has come whole.
+  bool useless() const { return !http_.call_open() && !waits_for; }
+  bool stranger() const { return calls_ == 0; }
+  // The lower, the sooner it goes where places run short, and then the longest at it: one that has said
+  // nothing since it came, one that is idle between calls, and last one that may just be about to call.
+  std::pair<int, Span> usefulness(Span now) const {
+    constexpr std::chrono::milliseconds calls_within(
+        250);  // a usual client's first call comes a round trip after it does
+    return {calls_ > 0 ? 1 : now - since_ < calls_within ? 2 : 0, since_};
+  }
+  std::size_t held() const { return http_.held(); }
+
+  // Whether its time is up, and with what status; 0: without a word.
+  std::optional<int> overdue(Span now) {
+    if (wire_->waiting() > 0) {
+      if (wire_->written() != written_) written_ = wire_->written(), stuck_since_ = now;
+      // An answer that is read by nobody; a usual client reads at once.
+      if (now - stuck_since_ > std::chrono::seconds(3)) return 0;
+    } else {
+      stuck_since_ = now;
+      if (wire_->paused()) heed_bounds();
+    }
+    if (!useless()) return std::nullopt;
+    // Usual clients send their call as soon as they are connected, in one piece. Clients that keep their
+    // connection for longer than usual ones do, four seconds, don't need it to ask again.
+    constexpr std::chrono::milliseconds whole_call_within(2000), idle_at_most(5500);
+    const bool within = http_.within_call();
+    if (now - since_ < (stranger() || within ? whole_call_within : idle_at_most)) return std::nullopt;
+    return within ? 408 : 0;
+  }
+
+  std::optional<JobId> waits_for;
+  std::optional<JobId> may_call;  // it was given this job's path, and has not called it yet
+
+ private:
+  Front& front_;
+  ClientId id_;
+  HttpServerSide http_;
+  std::unique_ptr<Wire> wire_;
+  Span since_, stuck_since_;
+  std::uint64_t calls_ = 0, written_ = 0;
+};
+
+}  // namespace pearchute::net
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -6,6 +6,9 @@
 #include <limits>
 #include <set>
 
+#include "front/answers.h"
+#include "front/client.h"
+#include "front/job_request.h"
 #include "front/statement.h"
 #include "service/flatten.h"
 
@@ -38,173 +41,8 @@
 
 constexpr std::string_view work_path = "/do/", job_path = "/job/";
 
-std::optional<double> number_in(std::string_view text) {
-  double number = 0;
-  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc{} || stop != text.data() + text.size() || !std::isfinite(number))
-    return std::nullopt;
-  return number;
-}
-
-std::optional<std::uint64_t> hex_in(std::string_view text) {
-  std::uint64_t number = 0;
-  if (std::ranges::any_of(text, [](unsigned char c) { return std::isupper(c); })) return std::nullopt;
-  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number, 16);
-  if (text.size() != 16 || error != std::errc{} || stop != text.data() + text.size()) return std::nullopt;
-  return number;
-}
-
-// What engines can't read ends their connection, with all that is open there, so it never goes on to them.
-bool is_statement(std::string_view text) {
-  return !text.empty() && is_utf8(text) && std::ranges::none_of(text, [](unsigned char c) {
-    return (c < 0x20 && c != '\t' && c != '\n' && c != '\r') || c == 0x7f;
-  });
-}
-
-// A token goes on among comma-separated fields, so it may hold nothing that would read as another.
-bool token_fits(std::string_view token) {
-  return token.size() <= 128 && std::ranges::all_of(token, [](unsigned char c) {
-           return std::isalnum(c) || c == '-' || c == '_' || c == '.';
-         });
-}
-
-std::string come_back_in(Span span) {
-  if (span <= Span(0)) return "";
-  return "Retry-After-Ms: " + std::to_string(std::chrono::ceil<milliseconds>(span).count()) + "\r\n";
-}
-
-std::string fault(std::string_view what) {
-  std::string body = "{\"error\":";
-  append_json_string(body, what);
-  return body + "}";
-}
-
-// The rows of all pages as an answer's body, or nothing where a page is not whole rows of three columns.
-std::optional<std::string> rows_as_json(const std::vector<std::string>& pages) {
-  std::string body = "{\"values\":[";
-  bool first = true;
-  for (const std::string& page : pages) {
-    std::string_view rest = page;
-    while (!rest.empty()) {
-      const std::size_t end = rest.find('\n');
-      if (end == std::string_view::npos) return std::nullopt;
-      std::string_view row = rest.substr(0, end);
-      rest.remove_prefix(end + 1);
-      if (std::ranges::count(row, '\t') != 2) return std::nullopt;
-      body.append(first ? "[" : ",[");
-      first = false;
-      for (int column = 0; column < 3; ++column) {
-        const std::size_t tab = row.find('\t');
-        if (column > 0) body.push_back(',');
-        append_json_string(body, row.substr(0, tab));
-        if (tab != std::string_view::npos) row.remove_prefix(tab + 1);
-      }
-      body.push_back(']');
-    }
-  }
-  return body + "]}";
-}
-
 }  // namespace
 
-// One client connection.
-class Front::Client final : public Wire::User, public HttpServerSide::Listener {
- public:
-  Client(Front& front, ClientId id, const Poco::Net::StreamSocket& socket)
-      : front_(front), id_(id), http_(*this), since_(front.loop_.now()), stuck_since_(since_) {
-    wire_ = std::make_unique<Wire>(front.loop_, socket, *this);
-  }
-  ClientId id() const { return id_; }
-  HttpServerSide& http() { return http_; }
-  Wire& wire() { return *wire_; }
-  std::unique_ptr<Wire> give_wire() { return std::move(wire_); }
-  void wire_brought(std::string_view bytes) override {
-    const bool idle = !http_.call_open() && !http_.within_call();
-    // The time to a whole call runs from the connection's start or the call's first byte, whatever comes
-    // next.
-    if (idle && calls_ > 0) since_ = front_.loop_.now();
-    http_.feed(bytes);
-    heed_bounds();
-    if (http_.held() >= BufferPool::buffer_size) front_.shed_unread();
-  }
-  void wire_ended() override { front_.client_left(*this); }
-  void called(const std::string& method, const std::string& path, Message& message) override {
-    ++front_.counters_.calls, ++calls_;
-    front_.called(*this, method, path, message);
-  }
-  void refused_call(int status) override {
-    ++front_.counters_.bad_calls;
-    PEARCHUTE_LOG(spdlog::level::warn, "a call that can't be read: {}", status);
-    end_with(status, "the call can't be read");
-  }
-  void end_with(int status, std::string_view what) {
-    std::string out;
-    append_response(out, status, "", fault(what), false);
-    wire_->send(out);
-    front_.drop(*this);
-  }
-  // A call's answer has been put out.
-  void answered() {
-    since_ = front_.loop_.now();
-    http_.answered();
-    heed_bounds();
-  }
-  // Guards against clients that send on without reading, or many calls at once: what is not read stays with
-  // them. Their calls get their answers in turn.
-  void heed_bounds() {
-    if (!wire_) return;                             // dropped
-    constexpr std::size_t most_unread = 64 * 1024;  // more than the largest answer's usual size
-    const bool out_of_sight = http_.has_enough() || wire_->waiting() > most_unread;
-    const bool was = wire_->paused();
-    wire_->pause(out_of_sight);
-    // Guards against a client that leaves behind what is not read: its end is not seen, so nothing new begins
-    // for it. Clients that make one call at a time and read its answer are never out of sight.
-    if (waits_for && out_of_sight) front_.lose_sight(*waits_for);
-    else if (waits_for && was) front_.manager_.caller_came(front_.loop_.now(), *waits_for);
-  }
-
-  // It holds its connection for nothing: no call is open, none has come whole.
-  bool useless() const { return !http_.call_open() && !waits_for; }
-  bool stranger() const { return calls_ == 0; }
-  // The lower, the sooner it goes where places run short, and then the longest at it: one that has said
-  // nothing since it came, one that is idle between calls, and last one that may just be about to call.
-  std::pair<int, Span> usefulness(Span now) const {
-    constexpr milliseconds calls_within(250);  // a usual client's first call comes a round trip after it does
-    return {calls_ > 0 ? 1 : now - since_ < calls_within ? 2 : 0, since_};
-  }
-  std::size_t held() const { return http_.held(); }
-
-  // Whether its time is up, and with what status; 0: without a word.
-  std::optional<int> overdue(Span now) {
-    if (wire_->waiting() > 0) {
-      if (wire_->written() != written_) written_ = wire_->written(), stuck_since_ = now;
-      // An answer that is read by nobody; a usual client reads at once.
-      if (now - stuck_since_ > seconds(3)) return 0;
-    } else {
-      stuck_since_ = now;
-      if (wire_->paused()) heed_bounds();
-    }
-    if (!useless()) return std::nullopt;
-    // Usual clients send their call as soon as they are connected, in one piece. Clients that keep their
-    // connection for longer than usual ones do, four seconds, don't need it to ask again.
-    constexpr milliseconds whole_call_within(2000), idle_at_most(5500);
-    const bool within = http_.within_call();
-    if (now - since_ < (stranger() || within ? whole_call_within : idle_at_most)) return std::nullopt;
-    return within ? 408 : 0;
-  }
-
-  std::optional<JobId> waits_for;
-  std::optional<JobId> may_call;  // it was given this job's path, and has not called it yet
-
- private:
-  Front& front_;
-  ClientId id_;
-  HttpServerSide http_;
-  std::unique_ptr<Wire> wire_;
-  Span since_, stuck_since_;
-  std::uint64_t calls_ = 0, written_ = 0;
-};
-
 Front::Front(Loop& loop, const service::Deployment& deployment, std::uint64_t seed, std::size_t descriptors,
              std::size_t memory, Counters& counters)
     : loop_(loop),
@@ -383,16 +221,16 @@
     if (method == "POST")
       return take_job(client, percent_decoded(whole.substr(whole.rfind('/') + 1)), message);
     ++counters_.bad_calls;
-    return respond(client.id(), 405, "", fault("work is posted"));
+    return respond(client.id(), 405, "", error_body("work is posted"));
   }
   const std::optional<JobId> id = job_of_path(whole);
   if (!id || (method != "GET" && method != "DELETE")) {
     ++counters_.bad_calls;
-    return respond(client.id(), id ? 405 : 404, "", fault("nothing is here"));
+    return respond(client.id(), id ? 405 : 404, "", error_body("nothing is here"));
   }
   OpenJob& job = jobs_.at(*id);
   if (method == "DELETE") {
-    if (job.caller) respond(*job.caller, 404, "", fault("withdrawn"));
+    if (job.caller) respond(*job.caller, 404, "", error_body("withdrawn"));
     job.caller.reset();
     const bool open = !job.answered;
     settle_account(*id, job), job.status = 0;
@@ -412,7 +250,7 @@
   client.waits_for = *id;
   if (job.answered) {
     job.caller.reset();
-    if (job.status == 0) return respond(client.id(), 404, "", fault("withdrawn"));
+    if (job.status == 0) return respond(client.id(), 404, "", error_body("withdrawn"));
     job.fetched = true;
     respond(client.id(), job.status, job.headers, job.body);
     forget_answer_at(loop_.now() + long_enough_to_call_again, *id);
@@ -429,50 +267,11 @@
   const auto bad = [&](int status, std::string_view what) {
     ++counters_.bad_calls;
     PEARCHUTE_LOG(spdlog::level::warn, "a job is not taken: {}", what);
-    respond(client.id(), status, "", fault(what));
-  };
-  if (type.value < 0) return bad(404, "no such reservation type");
-  const auto id = hex_in(message.header("x-request-id"));
-  if (!id) return bad(400, "X-Request-Id is not 16 hex digits");
-  // Figures that no client can mean: patience of over twice the type's, more work than the largest machine
-  // does in that time, or several times its memory. One of them would spoil the means of all other jobs.
-  const ReservationType& traits = deployment_.service.types[static_cast<std::size_t>(type.value)];
-  const double longest = 2e-3 * static_cast<double>(traits.job_timeout.count());
-  const auto patience = number_in(message.header("x-timeout-ms"));
-  if (!patience || *patience <= 0 || *patience > longest) return bad(400, "X-Timeout-Ms is not usable");
-  Job job;
-  job.id = JobId{*id};
-  job.type = type;
-  job.customer = deployment_.customer(service::plain_name(std::string(message.header("x-tenant"))));
-  job.time_left = Span(static_cast<Span::rep>(*patience * 1000));
-  const auto estimate = [&](const char* name, std::optional<double>& value, double most) {
-    const std::string_view text = message.header(name);
-    if (text.empty()) return true;
-    const auto number = number_in(text);
-    if (!number || *number < 0 || *number > most) return false;
-    if (*number > 0) value = *number;
-    return true;
+    respond(client.id(), status, "", error_body(what));
   };
-  // Where the settings tell of no machines, or not of their memory, any figure may be meant.
-  constexpr double any = std::numeric_limits<double>::max();
-  MachineKind largest{.cores = 0};
-  for (const MachineKind& one : deployment_.service.kinds) {
-    largest.cores = std::max(largest.cores, one.cores);
-    largest.memory_mb = std::max(largest.memory_mb, one.memory_mb);
-  }
-  if (!estimate("x-cost-ms", job.work_ms, largest.cores > 0 ? longest * largest.cores : any))
-    return bad(400, "X-Cost-Ms is not usable");
-  if (!estimate("x-est-mb", job.memory_mb, largest.memory_mb > 0 ? 4 * largest.memory_mb : any))
-    return bad(400, "X-Est-Mb is not usable");
-  if (const std::string_view key = message.header("x-object"); !key.empty()) {
-    const auto number = hex_in(key);
-    if (!number) return bad(400, "X-Object is not 16 hex digits");
-    job.key = OrderKey{*number};
-  }
-  const std::string_view token = message.header("idempotency-key");
-  if (!token_fits(token) || (traits.effect == Effect::keyed && token.empty()))
-    return bad(400, "Idempotency-Key is not usable");
-  if (!is_statement(message.body)) return bad(400, "the body is no statement");
+  const std::variant<Job, BadRequest> read = job_in(deployment_, type, message);
+  if (const auto* refusal = std::get_if<BadRequest>(&read)) return bad(refusal->status, refusal->what);
+  Job job = std::get<Job>(read);
   if (jobs_.contains(job.id)) return bad(409, "this request is being served");
   // A connection's last job may not be forgotten yet when its next one comes: a few over the limit are taken.
   if (closing_ || away_ || owed_ >= 2 * static_cast<std::size_t>(deployment_.service.most_open) ||
@@ -480,7 +279,7 @@
     ++counters_.throttled;
     const Span advice =
         deployment_.service.takes_retry_advice ? deployment_.service.longest_retry_advice : Span(0);
-    return respond(client.id(), 503, come_back_in(advice), R"({"abort":"TryLater"})");
+    return respond(client.id(), 503, retry_after_header(advice), R"({"abort":"TryLater"})");
   }
   job.data_set = DataSetId{table_group(message.body).value_or(0)};
   ++counters_.jobs, ++owed_;
@@ -488,7 +287,7 @@
   open.id = message.header("x-request-id");
   open.kind = kind;
   std::ranges::replace(open.kind, ',', '_');  // it goes on in a list that commas set apart
-  open.token = token;
+  open.token = message.header("idempotency-key");
   open.statement = std::move(message.body);
   statement_bytes_ += open.statement.size();
   open.taken = now, open.end = now + job.time_left;
@@ -564,178 +363,6 @@
   manager_.closing(loop_.now());
 }
 
-// ---- What the module does ----
-
-void Front::set_terms(JobId id, double grant_mb, int priority) {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end()) return;
-  OpenJob& job = it->second;
-  job.grant_mb = grant_mb;
-  if (priority == job.priority) return;
-  job.priority = priority;
-  for (const Sent& sent : job.out) engines_.hurry({id, sent.number}, priority);
-}
-
-void Front::dispatch(JobId id, EngineId engine, Span time_limit) {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end()) return;
-  OpenJob& job = it->second;
-  const DispatchKey key{id, job.dispatches++};
-  const Span now = loop_.now();
-  const Span end = time_limit > Span(0) ? std::min(job.end, now + time_limit) : job.end;
-  job.out.push_back({key.number, now, engine});
-  if (job.answered || sending_nothing_ || end <= now || key.number >= deployment_.service.most_dispatches) {
-    loop_.soon([this, key] { talk_ended(key, Outcome::never_sent, {}); });
-    return;
-  }
-  Want want;
-  want.id = job.id, want.kind = job.kind, want.token = job.token, want.statement = job.statement;
-  want.wait_ms = std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(end - now).count());
-  want.grant_mb = static_cast<std::int64_t>(std::ceil(job.grant_mb));
-  want.priority = job.priority;
-  engines_.want(engine, key, want);
-  loop_.at(end, [this, key] {
-    const auto at = jobs_.find(key.job);
-    if (at == jobs_.end()) return;
-    if (std::ranges::none_of(at->second.out, [&](const Sent& s) { return s.number == key.number; })) return;
-    engines_.never_mind(key);
-    talk_ended(key, Outcome::timed_out, {});
-  });
-}
-
-void Front::stop_dispatch(JobId id, int number) { engines_.never_mind({id, number}); }
-
-void Front::throttle(JobId id, Span span) {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end() || it->second.answered) return;
-  ++counters_.throttled;
-  answer(id, it->second, 503, come_back_in(span), R"({"abort":"TryLater"})");
-}
-
-void Front::cancel_for_good(JobId id) {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end() || it->second.answered) return;
-  ++counters_.cancelled;
-  answer(id, it->second, 500, "", R"({"abort":"Aborted"})");
-}
-
-void Front::wake_in(Span span, std::uint64_t mark) {
-  loop_.at(loop_.now() + span, [this, mark] { manager_.woken(loop_.now(), mark); });
-}
-
-// Engines of this protocol tell nothing of their load; settings that ask for probes are not for this front.
-void Front::probe(EngineId engine) {
-  loop_.soon([this, engine] { manager_.probe_ended(loop_.now(), engine, Outcome::never_sent, Span(0), {}); });
-}
-
-void Front::remark(std::string_view text) {
-  PEARCHUTE_LOG(spdlog::level::info, "{}", text);
-  if (remarked_) remarked_(text);
-}
-
-// ---- For those who ask ----
-
-void Front::tell_jobs(std::size_t most, const std::function<void(const JobSeen&)>& visit) {
-  std::vector<std::pair<Span, JobId>> oldest;
-  for (const auto& [id, job] : jobs_) {
-    if (!job.answered) oldest.emplace_back(job.taken, id);
-  }
-  const std::size_t told = std::min(most, oldest.size());
-  std::partial_sort(oldest.begin(), oldest.begin() + static_cast<std::ptrdiff_t>(told), oldest.end());
-  const Span now = loop_.now();
-  for (std::size_t i = 0; i < told; ++i) {
-    const OpenJob& job = jobs_.at(oldest[i].second);
-    JobSeen seen{job.id, job.kind, now - job.taken, job.end - now, job.dispatches, {}, {}};
-    for (const Sent& sent : job.out) seen.out.push_back(sent.engine);
-    seen.waits = manager_.waits_for(now, oldest[i].second);
-    visit(seen);
-  }
-}
-
-std::map<WorkloadManager::Waits, std::size_t> Front::tell_waits() {
-  std::map<WorkloadManager::Waits, std::size_t> waits;
-  std::size_t left = 4000;  // under a millisecond
-  for (const auto& [id, job] : jobs_) {
-    if (left-- == 0) break;
-    if (const auto what = manager_.waits_for(loop_.now(), id); what != WorkloadManager::Waits::nothing)
-      ++waits[what];
-  }
-  return waits;
-}
-
-void Front::tell_engines(const std::function<void(const Engine&, const WorkloadManager::Belief&,
-                                                  const Engines::Shown&, Span)>& visit) const {
-  const Span now = loop_.now();
-  std::map<EngineId, Span> oldest;
-  for (const auto& [id, job] : jobs_) {
-    for (const Sent& sent : job.out) {
-      Span& since = oldest[sent.engine];
-      since = std::max(since, now - sent.at);
-    }
-  }
-  manager_.tell_engines(now, [&](const Engine& engine, const WorkloadManager::Belief& belief) {
-    const auto at = oldest.find(engine.listed.id);
-    visit(engine, belief, engines_.shown(engine.listed.id), at == oldest.end() ? Span(0) : at->second);
-  });
-}
-
-// ---- What engines and the list tell ----
-
-void Front::talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string> pages) {
-  const auto it = jobs_.find(key.job);
-  if (it == jobs_.end()) return;
-  OpenJob& job = it->second;
-  const auto sent = std::ranges::find(job.out, key.number, &Sent::number);
-  if (sent == job.out.end()) return;
-  const Span now = loop_.now(), elapsed = now - sent->at;
-  job.out.erase(sent);
-  if (outcome == Outcome::done && !job.answered) {
-    if (auto body = rows_as_json(pages)) {
-      ++counters_.done;
-      answer(key.job, job, 200, "", std::move(*body));
-    } else {
-      PEARCHUTE_LOG(spdlog::level::warn, "a result of job {} is not whole rows", job.id);
-      outcome = Outcome::error;
-    }
-  }
-  ++counters_.ends[static_cast<int>(outcome)];
-  manager_.dispatch_ended(now, key.job, key.number, outcome, elapsed, outcome == Outcome::done, std::nullopt,
-                          std::nullopt, {});
-  forget_if_done(key.job);
-}
-
-void Front::talk_progress(DispatchKey key, double share_done) {
-  ++counters_.notes;
-  manager_.progress_told(loop_.now(), key.job, key.number, share_done);
-}
-
-void Front::talk_spill(DispatchKey key, double missing_mb) {
-  ++counters_.notes;
-  manager_.spill_told(loop_.now(), key.job, key.number, missing_mb);
-}
-
-void Front::talk_wait(DispatchKey key, Wait wait) {
-  ++counters_.notes;
-  manager_.wait_told(loop_.now(), key.job, key.number, wait);
-}
-
-void Front::list_changed(ListNews news, const std::vector<Member>& members) {
-  std::vector<ListedEngine> engines;
-  std::set<EngineId> listed;
-  for (const Member& member : members) {
-    engines.push_back(member.engine);
-    if (member.engine.state == EngineState::gone) continue;
-    listed.insert(member.engine.id);
-    if (!member.address.empty()) engines_.place(member.engine.id, member.address);
-  }
-  manager_.list_came(loop_.now(), news, engines);
-  // Only now, so that what ends by it is not sent there again.
-  if (news != ListNews::changes) engines_.forget_others(listed);
-  for (const ListedEngine& engine : engines) {
-    if (engine.state == EngineState::gone) engines_.forget(engine.id);
-  }
-}
-
 void Front::sweep() {
   const Span now = loop_.now();
   std::vector<std::pair<Client*, int>> overdue;
--- /dev/null
+++ b/src/front/front_engines.cpp
@@ -0,0 +1,187 @@
+// The front's side towards the module, the engines and the list: what the module has it do, what engines and
+// the list bring, and what operators are shown.
+#include <algorithm>
+#include <set>
+
+#include "front/answers.h"
+#include "front/client.h"
+#include "front/front.h"
+
+namespace pearchute::net {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// ---- What the module does ----
+
+void Front::set_terms(JobId id, double grant_mb, int priority) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  OpenJob& job = it->second;
+  job.grant_mb = grant_mb;
+  if (priority == job.priority) return;
+  job.priority = priority;
+  for (const Sent& sent : job.out) engines_.hurry({id, sent.number}, priority);
+}
+
+void Front::dispatch(JobId id, EngineId engine, Span time_limit) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  OpenJob& job = it->second;
+  const DispatchKey key{id, job.dispatches++};
+  const Span now = loop_.now();
+  const Span end = time_limit > Span(0) ? std::min(job.end, now + time_limit) : job.end;
+  job.out.push_back({key.number, now, engine});
+  if (job.answered || sending_nothing_ || end <= now || key.number >= deployment_.service.most_dispatches) {
+    loop_.soon([this, key] { talk_ended(key, Outcome::never_sent, {}); });
+    return;
+  }
+  Want want;
+  want.id = job.id, want.kind = job.kind, want.token = job.token, want.statement = job.statement;
+  want.wait_ms = std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(end - now).count());
+  want.grant_mb = static_cast<std::int64_t>(std::ceil(job.grant_mb));
+  want.priority = job.priority;
+  engines_.want(engine, key, want);
+  loop_.at(end, [this, key] {
+    const auto at = jobs_.find(key.job);
+    if (at == jobs_.end()) return;
+    if (std::ranges::none_of(at->second.out, [&](const Sent& s) { return s.number == key.number; })) return;
+    engines_.never_mind(key);
+    talk_ended(key, Outcome::timed_out, {});
+  });
+}
+
+void Front::stop_dispatch(JobId id, int number) { engines_.never_mind({id, number}); }
+
+void Front::throttle(JobId id, Span span) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.answered) return;
+  ++counters_.throttled;
+  answer(id, it->second, 503, retry_after_header(span), R"({"abort":"TryLater"})");
+}
+
+void Front::cancel_for_good(JobId id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.answered) return;
+  ++counters_.cancelled;
+  answer(id, it->second, 500, "", R"({"abort":"Aborted"})");
+}
+
+void Front::wake_in(Span span, std::uint64_t mark) {
+  loop_.at(loop_.now() + span, [this, mark] { manager_.woken(loop_.now(), mark); });
+}
+
+// Engines of this protocol tell nothing of their load; settings that ask for probes are not for this front.
+void Front::probe(EngineId engine) {
+  loop_.soon([this, engine] { manager_.probe_ended(loop_.now(), engine, Outcome::never_sent, Span(0), {}); });
+}
+
+void Front::remark(std::string_view text) {
+  PEARCHUTE_LOG(spdlog::level::info, "{}", text);
+  if (remarked_) remarked_(text);
+}
+
+// ---- For those who ask ----
+
+void Front::tell_jobs(std::size_t most, const std::function<void(const JobSeen&)>& visit) {
+  std::vector<std::pair<Span, JobId>> oldest;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.answered) oldest.emplace_back(job.taken, id);
+  }
+  const std::size_t told = std::min(most, oldest.size());
+  std::partial_sort(oldest.begin(), oldest.begin() + static_cast<std::ptrdiff_t>(told), oldest.end());
+  const Span now = loop_.now();
+  for (std::size_t i = 0; i < told; ++i) {
+    const OpenJob& job = jobs_.at(oldest[i].second);
+    JobSeen seen{job.id, job.kind, now - job.taken, job.end - now, job.dispatches, {}, {}};
+    for (const Sent& sent : job.out) seen.out.push_back(sent.engine);
+    seen.waits = manager_.waits_for(now, oldest[i].second);
+    visit(seen);
+  }
+}
+
+std::map<WorkloadManager::Waits, std::size_t> Front::tell_waits() {
+  std::map<WorkloadManager::Waits, std::size_t> waits;
+  std::size_t left = 4000;  // under a millisecond
+  for (const auto& [id, job] : jobs_) {
+    if (left-- == 0) break;
+    if (const auto what = manager_.waits_for(loop_.now(), id); what != WorkloadManager::Waits::nothing)
+      ++waits[what];
+  }
+  return waits;
+}
+
+void Front::tell_engines(const std::function<void(const Engine&, const WorkloadManager::Belief&,
+                                                  const Engines::Shown&, Span)>& visit) const {
+  const Span now = loop_.now();
+  std::map<EngineId, Span> oldest;
+  for (const auto& [id, job] : jobs_) {
+    for (const Sent& sent : job.out) {
+      Span& since = oldest[sent.engine];
+      since = std::max(since, now - sent.at);
+    }
+  }
+  manager_.tell_engines(now, [&](const Engine& engine, const WorkloadManager::Belief& belief) {
+    const auto at = oldest.find(engine.listed.id);
+    visit(engine, belief, engines_.shown(engine.listed.id), at == oldest.end() ? Span(0) : at->second);
+  });
+}
+
+// ---- What engines and the list tell ----
+
+void Front::talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string> pages) {
+  const auto it = jobs_.find(key.job);
+  if (it == jobs_.end()) return;
+  OpenJob& job = it->second;
+  const auto sent = std::ranges::find(job.out, key.number, &Sent::number);
+  if (sent == job.out.end()) return;
+  const Span now = loop_.now(), elapsed = now - sent->at;
+  job.out.erase(sent);
+  if (outcome == Outcome::done && !job.answered) {
+    if (auto body = rows_as_json(pages)) {
+      ++counters_.done;
+      answer(key.job, job, 200, "", std::move(*body));
+    } else {
+      PEARCHUTE_LOG(spdlog::level::warn, "a result of job {} is not whole rows", job.id);
+      outcome = Outcome::error;
+    }
+  }
+  ++counters_.ends[static_cast<int>(outcome)];
+  manager_.dispatch_ended(now, key.job, key.number, outcome, elapsed, outcome == Outcome::done, std::nullopt,
+                          std::nullopt, {});
+  forget_if_done(key.job);
+}
+
+void Front::talk_progress(DispatchKey key, double share_done) {
+  ++counters_.notes;
+  manager_.progress_told(loop_.now(), key.job, key.number, share_done);
+}
+
+void Front::talk_spill(DispatchKey key, double missing_mb) {
+  ++counters_.notes;
+  manager_.spill_told(loop_.now(), key.job, key.number, missing_mb);
+}
+
+void Front::talk_wait(DispatchKey key, Wait wait) {
+  ++counters_.notes;
+  manager_.wait_told(loop_.now(), key.job, key.number, wait);
+}
+
+void Front::list_changed(ListNews news, const std::vector<Member>& members) {
+  std::vector<ListedEngine> engines;
+  std::set<EngineId> listed;
+  for (const Member& member : members) {
+    engines.push_back(member.engine);
+    if (member.engine.state == EngineState::gone) continue;
+    listed.insert(member.engine.id);
+    if (!member.address.empty()) engines_.place(member.engine.id, member.address);
+  }
+  manager_.list_came(loop_.now(), news, engines);
+  // Only now, so that what ends by it is not sent there again.
+  if (news != ListNews::changes) engines_.forget_others(listed);
+  for (const ListedEngine& engine : engines) {
+    if (engine.state == EngineState::gone) engines_.forget(engine.id);
+  }
+}
+
+}  // namespace pearchute::net
