--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -1,10 +1,6 @@
 #include "front/front.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
-#include <limits>
-#include <set>
 
 #include "front/answers.h"
 #include "front/client.h"
