--- /dev/null
+++ b/src/lab/capacity/slopes_file.cpp
@@ -0,0 +1,184 @@
+#include "lab/capacity/slopes_file.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <ostream>
+#include <set>
+#include <string_view>
+#include <system_error>
+
+#include "ini/reader.h"
+
+namespace pearchute::lab::capacity {
+
+namespace {
+
+constexpr std::size_t longest_section = 49;  // of inih, which would cut it silently
+constexpr std::size_t longest_text = 150;    // leaves room for a key before the line's limit of 199
+constexpr std::string_view point_key = "point_";
+
+double number(std::string_view name, std::string_view text) {
+  double value = 0;
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || stop != text.data() + text.size() || !std::isfinite(value))
+    throw SlopeError("'" + std::string(name) + "' is no number: " + std::string(text), "",
+                     std::string(measure_again));
+  return value;
+}
+
+std::string shortest(double value) {
+  std::array<char, 64> text{};
+  const auto [stop, error] = std::to_chars(text.data(), text.data() + text.size(), value);
+  return std::string(text.data(), error == std::errc{} ? stop : text.data());
+}
+
+SlopePoint point(std::string_view name, std::string_view text) {
+  const std::size_t colon = text.find(':');
+  if (colon == std::string_view::npos)
+    throw SlopeError("'" + std::string(name) + "' is driver:value, not " + std::string(text), "",
+                     std::string(measure_again));
+  return {number(name, text.substr(0, colon)), number(name, text.substr(colon + 1))};
+}
+
+// A section while it is read: which keys have come.
+struct Section {
+  Slope slope;
+  std::set<std::string> keys;
+};
+
+void take(Section& section, const std::string& name, const std::string& text) {
+  Slope& slope = section.slope;
+  SlopeDescription& description = slope.description;
+  const std::map<std::string_view, std::string*> texts = {
+      {"role", &description.role}, {"quantity", &description.quantity},
+      {"unit", &description.unit}, {"driver", &description.driver},
+      {"source", &slope.source},   {"driver_unit", &description.driver_unit}};
+  const std::map<std::string_view, double*> numbers = {{"a", &slope.a},
+                                                       {"b", &slope.b},
+                                                       {"c", &slope.c},
+                                                       {"left_out", &slope.left_out.driver},
+                                                       {"left_out_measured", &slope.left_out.value},
+                                                       {"left_out_predicted", &slope.predicted},
+                                                       {"left_out_error", &slope.error}};
+  if (const auto found = texts.find(name); found != texts.end()) {
+    *found->second = text;
+  } else if (const auto other = numbers.find(name); other != numbers.end()) {
+    *other->second = number(name, text);
+  } else if (name == "shape") {
+    slope.shape = shape_by_name(text);
+  } else if (name == std::string(point_key) + std::to_string(slope.points.size() + 1)) {
+    slope.points.push_back(point(name, text));
+  } else {
+    throw SlopeError("'" + name + "' is not known in [" + description.name + "], or a point is out of order");
+  }
+  section.keys.insert(name);
+}
+
+void check_complete(const Section& section) {
+  for (const char* key : {"role", "quantity", "unit", "driver", "driver_unit", "shape", "a", "b", "c",
+                          "left_out", "left_out_measured", "left_out_predicted", "left_out_error", "source"})
+    if (!section.keys.contains(key))
+      throw SlopeError("[" + section.slope.description.name + "] '" + key + "' is missing", "",
+                       std::string(measure_again));
+  check_slope(section.slope);
+}
+
+void check_writable(const Slope& slope) {
+  check_slope(slope);
+  const SlopeDescription& description = slope.description;
+  if (description.name.size() > longest_section)
+    throw SlopeError("[" + description.name + "] has a name over " + std::to_string(longest_section) +
+                     " characters");
+  for (const std::string* text :
+       {&description.name, &description.role, &description.quantity, &description.unit, &description.driver,
+        &description.driver_unit, &slope.source}) {
+    const bool plain = std::none_of(text->begin(), text->end(),
+                                    [](char one) { return one == '\n' || one == ';' || one == ']'; });
+    const bool trimmed = !text->empty() && text->front() != ' ' && text->back() != ' ';
+    if (!plain || !trimmed || text->size() > longest_text)
+      throw SlopeError("[" + description.name + "] has a text that an INI file can't hold: '" + *text + "'");
+  }
+}
+
+void write_slope(std::ostream& out, const Slope& slope) {
+  const SlopeDescription& description = slope.description;
+  out << "\n[" << description.name << "]\n";
+  out << "role = " << description.role << "\n";
+  out << "quantity = " << description.quantity << "\n";
+  out << "unit = " << description.unit << "\n";
+  out << "driver = " << description.driver << "\n";
+  out << "driver_unit = " << description.driver_unit << "\n";
+  out << "shape = " << shape_name(slope.shape) << "\n";
+  out << "a = " << shortest(slope.a) << "\n";
+  out << "b = " << shortest(slope.b) << "\n";
+  out << "c = " << shortest(slope.c) << "\n";
+  for (std::size_t i = 0; i < slope.points.size(); ++i)
+    out << point_key << i + 1 << " = " << shortest(slope.points[i].driver) << ":"
+        << shortest(slope.points[i].value) << "\n";
+  out << "left_out = " << shortest(slope.left_out.driver) << "\n";
+  out << "left_out_measured = " << shortest(slope.left_out.value) << "\n";
+  out << "left_out_predicted = " << shortest(slope.predicted) << "\n";
+  out << "left_out_error = " << shortest(slope.error) << "\n";
+  out << "source = " << slope.source << "\n";
+}
+
+}  // namespace
+
+std::vector<Slope> read_slopes(const std::string& path) {
+  std::vector<Section> sections;
+  std::set<std::string> names;
+  ini::read(path, [&](const std::string& section, const std::string& name, const std::string& text) {
+    if (section.empty()) throw SlopeError("'" + name + "' stands before the first [slope's name]");
+    if (sections.empty() || sections.back().slope.description.name != section) {
+      if (!names.insert(section).second) throw SlopeError("[" + section + "] comes twice");
+      sections.emplace_back();
+      sections.back().slope.description.name = section;
+    }
+    take(sections.back(), name, text);
+  });
+  std::vector<Slope> slopes;
+  for (const Section& section : sections) {
+    try {
+      check_complete(section);
+    } catch (const SlopeError& error) {
+      throw SlopeError::within(path, error);
+    }
+    slopes.push_back(section.slope);
+  }
+  return slopes;
+}
+
+void write_slopes(const std::string& path, const std::vector<Slope>& slopes) {
+  std::set<std::string> names;
+  for (const Slope& slope : slopes) {
+    check_writable(slope);
+    if (!names.insert(slope.description.name).second)
+      throw SlopeError("[" + slope.description.name + "] comes twice");
+  }
+  const std::string beside = path + ".new";
+  std::ofstream out(beside, std::ios::trunc);
+  out << "# Slopes as measured. Written by pearchute-lab measure slopes; not edited by hand.\n";
+  for (const Slope& slope : slopes) write_slope(out, slope);
+  out.close();
+  std::error_code error;
+  if (out) std::filesystem::rename(beside, path, error);
+  if (!out || error) throw SystemError("can't be written", path);
+}
+
+std::vector<Slope> merge_slopes(std::vector<Slope> kept, const std::vector<Slope>& measured) {
+  for (const Slope& slope : measured) {
+    const auto older = std::find_if(kept.begin(), kept.end(), [&](const Slope& one) {
+      return one.description.name == slope.description.name;
+    });
+    if (older == kept.end()) kept.push_back(slope);
+    else *older = slope;
+  }
+  return kept;
+}
+
+}  // namespace pearchute::lab::capacity
