--- a/src/lab/capacity/slopes_file.cpp
+++ b/src/lab/capacity/slopes_file.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t longest_section = 49;  // of inih, which would cut it silently
 constexpr std::size_t longest_text = 150;    // leaves room for a key before the line's limit of 199
 constexpr std::string_view point_key = "point_";
+constexpr std::string_view source_key = "source";  // then source_2 and so on, where one line is too short
 
 double number(std::string_view name, std::string_view text) {
   double value = 0;
@@ -49,15 +50,21 @@
 struct Section {
   Slope slope;
   std::set<std::string> keys;
+  std::size_t source_lines = 0;
 };
 
+std::string source_key_of(std::size_t line) {
+  return line == 1 ? std::string(source_key) : std::string(source_key) + "_" + std::to_string(line);
+}
+
 void take(Section& section, const std::string& name, const std::string& text) {
   Slope& slope = section.slope;
   SlopeDescription& description = slope.description;
-  const std::map<std::string_view, std::string*> texts = {
-      {"role", &description.role}, {"quantity", &description.quantity},
-      {"unit", &description.unit}, {"driver", &description.driver},
-      {"source", &slope.source},   {"driver_unit", &description.driver_unit}};
+  const std::map<std::string_view, std::string*> texts = {{"role", &description.role},
+                                                          {"quantity", &description.quantity},
+                                                          {"unit", &description.unit},
+                                                          {"driver", &description.driver},
+                                                          {"driver_unit", &description.driver_unit}};
   const std::map<std::string_view, double*> numbers = {{"a", &slope.a},
                                                        {"b", &slope.b},
                                                        {"c", &slope.c},
@@ -73,8 +80,12 @@
     slope.shape = shape_by_name(text);
   } else if (name == std::string(point_key) + std::to_string(slope.points.size() + 1)) {
     slope.points.push_back(point(name, text));
+  } else if (name == source_key_of(section.source_lines + 1)) {
+    if (section.source_lines > 0) slope.source += " ";
+    slope.source += text;
+    ++section.source_lines;
   } else {
-    throw SlopeError("'" + name + "' is not known in [" + description.name + "], or a point is out of order");
+    throw SlopeError("'" + name + "' is not known in [" + description.name + "], or comes out of order");
   }
   section.keys.insert(name);
 }
@@ -88,20 +99,37 @@
   check_slope(section.slope);
 }
 
+// Whether an INI file gives the text back: one line, no blanks at its ends or twice, nothing that the
+// library takes for a comment.
+bool is_plain(const std::string& text) {
+  if (text.empty() || text.front() == ' ' || text.back() == ' ') return false;
+  if (text.find('\n') != std::string::npos || text.find('\t') != std::string::npos) return false;
+  return text.find("  ") == std::string::npos && text.find(" ;") == std::string::npos;
+}
+
 void check_writable(const Slope& slope) {
   check_slope(slope);
   const SlopeDescription& description = slope.description;
-  if (description.name.size() > longest_section)
-    throw SlopeError("[" + description.name + "] has a name over " + std::to_string(longest_section) +
-                     " characters");
-  for (const std::string* text :
-       {&description.name, &description.role, &description.quantity, &description.unit, &description.driver,
-        &description.driver_unit, &slope.source}) {
-    const bool plain = std::none_of(text->begin(), text->end(),
-                                    [](char one) { return one == '\n' || one == ';' || one == ']'; });
-    const bool trimmed = !text->empty() && text->front() != ' ' && text->back() != ' ';
-    if (!plain || !trimmed || text->size() > longest_text)
+  if (description.name.size() > longest_section || description.name.find(']') != std::string::npos)
+    throw SlopeError("[" + description.name + "] is no name of a section, or over " +
+                     std::to_string(longest_section) + " characters");
+  for (const std::string* text : {&description.name, &description.role, &description.quantity,
+                                  &description.unit, &description.driver, &description.driver_unit})
+    if (!is_plain(*text) || text->size() > longest_text)
       throw SlopeError("[" + description.name + "] has a text that an INI file can't hold: '" + *text + "'");
+  if (!is_plain(slope.source))
+    throw SlopeError("[" + description.name + "] has a source that an INI file can't hold: '" + slope.source +
+                     "'");
+}
+
+// Broken at blanks, so that no line is longer than the library reads.
+void write_source(std::ostream& out, std::string_view source) {
+  for (std::size_t line = 1; !source.empty(); ++line) {
+    std::size_t end = source.size();
+    if (end > longest_text) end = source.rfind(' ', longest_text);
+    if (end == std::string_view::npos) throw SlopeError("'source' has a part that is longer than a line");
+    out << source_key_of(line) << " = " << source.substr(0, end) << "\n";
+    source.remove_prefix(std::min(end + 1, source.size()));
   }
 }
 
@@ -124,7 +152,7 @@
   out << "left_out_measured = " << shortest(slope.left_out.value) << "\n";
   out << "left_out_predicted = " << shortest(slope.predicted) << "\n";
   out << "left_out_error = " << shortest(slope.error) << "\n";
-  out << "source = " << slope.source << "\n";
+  write_source(out, slope.source);
 }
 
 }  // namespace
--- a/src/lab/capacity/slopes_file.h
+++ b/src/lab/capacity/slopes_file.h
@@ -1,6 +1,7 @@
 // Slopes in an INI file: one section for each slope, [manager.statement_cpu.by_engines], with the keys role,
 // quantity, unit, driver, driver_unit, shape, a, b, c, point_1 = driver:value and so on, left_out (a driver),
-// left_out_measured, left_out_predicted, left_out_error and source. All are needed; no other is known. A file
+// left_out_measured, left_out_predicted, left_out_error and source (source_2 and so on where
+// one line is too short for it). All are needed; no other is known. A file
 // without sections is a file in which nothing has been measured yet. The section is the slope's bare name,
 // since the library that reads INI cuts a section's name at 49 characters and a line at 199.
 #pragma once
