--- /dev/null
+++ b/src/lab/capacity/capacity_command.cpp
@@ -0,0 +1,74 @@
+#include "lab/capacity/capacity_command.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <system_error>
+
+#include "errors/error.h"
+#include "lab/capacity/capacity_page.h"
+#include "lab/capacity/slopes_file.h"
+#include "lab/capacity/target.h"
+
+namespace pearchute::lab::capacity {
+
+namespace {
+
+std::string read_page(const std::string& path) {
+  std::ifstream in(path);
+  std::ostringstream text;
+  text << in.rdbuf();
+  if (!in) throw SettingsError("can't be read", path, "see that it is there and that this user may read it");
+  return text.str();
+}
+
+void write_page(const std::string& path, const std::string& text) {
+  const std::string beside = path + ".new";
+  std::ofstream out(beside, std::ios::trunc);
+  out << text;
+  out.close();
+  std::error_code error;
+  if (out) std::filesystem::rename(beside, path, error);
+  if (!out || error) throw SystemError("can't be written", path);
+}
+
+void check_options(const CapacityCommand& command) {
+  if (command.write && command.check) throw UsageError("--write and --check exclude each other");
+  if (command.page.empty() && (command.write || command.check))
+    throw UsageError("--write and --check need --page FILE");
+  if (!command.page.empty() && !command.write && !command.check)
+    throw UsageError("--page FILE needs --write or --check");
+}
+
+// Slopes that don't suffice are the fault of their file; the page's own faults are the page's.
+std::vector<PageSection> sections_of(const CapacityCommand& command) {
+  const Target target = read_target(command.target);
+  const std::vector<Slope> slopes = read_slopes(command.slopes);
+  try {
+    return page_sections(target, slopes);
+  } catch (const SlopeError& error) {
+    throw SlopeError::within(command.slopes, error);
+  }
+}
+
+}  // namespace
+
+int run(const CapacityCommand& command, std::ostream& out) {
+  check_options(command);
+  const std::vector<PageSection> sections = sections_of(command);
+  if (command.page.empty()) {
+    for (const PageSection& section : sections)
+      out << "## " << section.name << "\n\n" << section.text << "\n";
+    return 0;
+  }
+  const std::string page = read_page(command.page);
+  try {
+    if (command.check) check_page(page, sections);
+    else write_page(command.page, rewrite_page(page, sections));
+  } catch (const SettingsError& error) {
+    throw SettingsError::within(command.page, error);
+  }
+  return 0;
+}
+
+}  // namespace pearchute::lab::capacity
--- /dev/null
+++ b/src/lab/capacity/capacity_command.h
@@ -0,0 +1,20 @@
+// The laboratory's command `capacity`: reads slopes and target, and prints, writes or checks the page.
+#pragma once
+
+#include <ostream>
+#include <string>
+
+namespace pearchute::lab::capacity {
+
+struct CapacityCommand {
+  std::string slopes = "docs/capacity/slopes.ini";
+  std::string target = "docs/capacity/target.ini";
+  std::string page;  // empty: the sections are printed
+  bool write = false;
+  bool check = false;
+};
+
+// The exit status. Throws a typed error for bad input and for a page that is not what was worked out.
+int run(const CapacityCommand& command, std::ostream& out);
+
+}  // namespace pearchute::lab::capacity
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -9,6 +9,7 @@
 #include <map>
 
 #include "errors/error.h"
+#include "lab/capacity/capacity_command.h"
 #include "lab/measurements/measurements.h"
 #include "lab/stand_ins/admin_endpoints.h"
 #include "lab/stand_ins/test_cluster.h"
@@ -123,11 +124,21 @@
   site->add_option("--rate", rate, "jobs a second")->check(CLI::Range(0.0, 5000.0));
   site->add_option("--for", seconds, "0: until interrupted")->type_name("S");
   CLI::App* shown = app.add_subcommand("demo", "shows the main job in a few seconds");
-  for (CLI::App* one : {measure, site, shown}) one->fallthrough();
+  capacity::CapacityCommand capacity_command;
+  CLI::App* capacity_app =
+      app.add_subcommand("capacity", "works docs/CAPACITY.md out of measured slopes and the target");
+  capacity_app->add_option("--slopes", capacity_command.slopes)->type_name("FILE")->capture_default_str();
+  capacity_app->add_option("--target", capacity_command.target)->type_name("FILE")->capture_default_str();
+  capacity_app->add_option("--page", capacity_command.page, "without it the tables are printed")
+      ->type_name("FILE");
+  capacity_app->add_flag("--write", capacity_command.write, "replaces the page's sections");
+  capacity_app->add_flag("--check", capacity_command.check, "fails where the page says something else");
+  for (CLI::App* one : {measure, site, shown, capacity_app}) one->fallthrough();
   CLI11_PARSE(app, argc, argv);
   pearchute::net::start_log("lab");
   spdlog::set_level(spdlog::level::err);
   try {
+    if (capacity_app->parsed()) return capacity::run(capacity_command, std::cout);
     if (shown->parsed()) return demo(bench);
     if (site->parsed()) return up(bench, managers, engines, rate, seconds);
     return measurements.at(name)(bench);
