--- /dev/null
+++ b/tests/test_slope_fits.cpp
@@ -0,0 +1,176 @@
+// Slopes: fits by tables, the size left out, what is too little, their file and each way in which it is bad.
+#include <cassert>
+#include <cmath>
+#include <filesystem>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "capacity_bench.h"
+#include "lab/capacity/slope.h"
+#include "lab/capacity/slopes_file.h"
+
+using namespace pearchute::lab::capacity;
+
+namespace {
+
+const std::string scratch_file = "test_slope_fits.ini";
+
+SlopeDescription description(const std::string& name) {
+  return {name, "manager", "processor time of a statement", "us/statement", "engines known", "engines"};
+}
+
+struct FitCase {
+  const char* name;
+  std::vector<double> drivers;
+  std::function<double(double)> value;
+  Shape shape;
+  double a, b, c, tolerance;
+};
+
+void fits_have_the_shape_of_their_points() {
+  const std::vector<double> five = {80, 160, 320, 640, 1024};
+  const std::vector<double> six = {10, 20, 40, 80, 120, 160};
+  const std::vector<FitCase> cases = {
+      {"constant", five, [](double) { return 40.0; }, Shape::constant, 40, 0, 0, 1e-6},
+      {"linear", five, [](double x) { return 50 + 0.25 * x; }, Shape::linear, 50, 0.25, 0, 1e-6},
+      {"falling line", five, [](double x) { return 500 - 0.25 * x; }, Shape::linear, 500, -0.25, 0, 1e-6},
+      {"quadratic", six, [](double x) { return 3 + 2 * x + 0.5 * x * x; }, Shape::quadratic, 3, 2, 0.5, 1e-4},
+      {"power", five, [](double x) { return 3 * std::pow(x, 1.5); }, Shape::power, 3, 1.5, 0, 1e-4},
+      {"nearly a line", five,
+       [](double x) { return (50 + 0.25 * x) * (static_cast<int>(x) % 3 == 0 ? 1.005 : 1.0); }, Shape::linear,
+       50, 0.25, 0, 0.1}};
+  for (const FitCase& one : cases) {
+    const Slope slope =
+        fit_slope(description(one.name), points_of(one.drivers, one.value), one.drivers.size() - 2);
+    assert(slope.shape == one.shape);
+    assert(close_to(slope.a, one.a, one.tolerance));
+    assert(close_to(slope.b, one.b, one.tolerance));
+    assert(close_to(slope.c, one.c, one.tolerance));
+    assert(slope.points.size() == one.drivers.size() - 1);
+    assert(slope.left_out.driver == one.drivers[one.drivers.size() - 2]);
+    assert(close_to(slope.at(200), one.value(200), std::max(1e-4, one.tolerance)));
+    check_slope(slope);
+  }
+}
+
+void the_size_left_out_is_predicted() {
+  // A line through 80, 160 and 640 gives 1024 the value 306; 340 was measured there.
+  const Slope slope =
+      fit_slope(description("s"), {{1024, 340}, {80, 70}, {640, 210}, {160, 90}}, 0, "a table");
+  assert(slope.shape == Shape::linear && close_to(slope.a, 50) && close_to(slope.b, 0.25));
+  assert(close_to(slope.predicted, 306) && close_to(slope.error, 0.1));
+  assert(slope.points.front().driver == 80 && slope.source == "a table");
+  assert(slope.covers(80) && slope.covers(1024) && !slope.covers(79) && !slope.covers(1025));
+}
+
+void beyond_the_range_a_cost_is_told_too_high() {
+  const std::vector<double> five = {80, 160, 320, 640, 1024};
+  const Slope falling =
+      fit_slope(description("s"), points_of(five, [](double x) { return 500 - 0.25 * x; }), 4);
+  assert(close_to(falling.at(4000), 244));
+  const Slope steep = fit_slope(description("s"), points_of(five, [](double x) { return x - 60; }), 4);
+  assert(steep.at(10) == 0);
+}
+
+void too_little_is_no_slope() {
+  const SlopeDescription one = description("s.t");
+  const std::string remedy = "pearchute-lab measure slopes";
+  must_say(error_of([&] { fit_slope(one, {{1, 1}, {4, 4}, {8, 8}}, 0); }), {"[s.t]", "3 sizes", remedy});
+  must_say(error_of([&] {
+             fit_slope(one, {{1, 1}, {2, 2}, {4, 4}, {7, 7}}, 0);
+           }),
+           {"[s.t]", "factor", remedy});
+  must_say(error_of([&] { fit_slope(one, {{1, 1}, {2, 2}, {8, 4}, {8, 7}}, 0); }), {"[s.t]", "one size"});
+  must_say(error_of([&] { fit_slope(one, {{1, 1}, {2, -2}, {4, 4}, {8, 8}}, 0); }), {"[s.t]", "negative"});
+  must_say(error_of([&] { fit_slope(one, {{-1, 1}, {2, 2}, {4, 4}, {8, 8}}, 0); }), {"[s.t]", "negative"});
+  must_say(error_of([&] { fit_slope(one, {{1, 1}, {2, NAN}, {4, 4}, {8, 8}}, 0); }), {"[s.t]", "no number"});
+  must_say(error_of([&] { fit_slope(one, {{1, 1}, {2, 2}, {4, 4}, {8, 8}}, 4); }), {"[s.t]", "leaves out"});
+  SlopeDescription unnamed = one;
+  unnamed.unit = "";
+  must_say(error_of([&] { fit_slope(unnamed, {{1, 1}, {2, 2}, {4, 4}, {8, 8}}, 0); }), {"[s.t]", "'unit'"});
+}
+
+std::vector<Slope> two_slopes() {
+  SlopeDescription longest = description("manager.heartbeat_bytes.by_engines_connected");
+  std::string source = "measured; the median of three";
+  for (int i = 0; i < 40; ++i) source += " windows of 1.5 s";
+  return {fit_slope(description("manager.statement_cpu.by_engines"),
+                    {{80, 95.1234567}, {160, 111.3}, {320, 147.9}, {740, 225}, {1024, 290.25}}, 3, "one run"),
+          fit_slope(longest, {{1, 0.1}, {3, 0.9}, {9, 8.1}, {27, 72.9}, {81, 656.1}}, 4, source)};
+}
+
+void a_file_gives_back_what_was_written() {
+  const std::vector<Slope> slopes = two_slopes();
+  write_slopes(scratch_file, slopes);
+  assert(read_slopes(scratch_file) == slopes);
+  const std::string text = read_file(scratch_file);
+  write_slopes(scratch_file, read_slopes(scratch_file));
+  assert(read_file(scratch_file) == text);
+  write_slopes(scratch_file, {});
+  assert(read_slopes(scratch_file).empty());
+
+  Slope newer = slopes[0];
+  newer.source = "another run";
+  const std::vector<Slope> merged = merge_slopes(slopes, {newer});
+  assert(merged.size() == 2 && merged[0] == newer && merged[1] == slopes[1]);
+  assert(merge_slopes({}, slopes) == slopes);
+}
+
+void a_bad_slopes_file_is_refused() {
+  write_slopes(scratch_file, two_slopes());
+  const std::string good = read_file(scratch_file);
+  const std::string section = "[manager.statement_cpu.by_engines]";
+  struct Case {
+    std::string from, to;
+    std::vector<std::string> parts;
+  };
+  const std::vector<Case> cases = {
+      {"unit = us/statement\n", "", {section, "'unit' is missing", "measure slopes"}},
+      {"source = one run\n", "", {section, "'source' is missing"}},
+      {"left_out_error", "left_out_wrong", {":", "'left_out_wrong' is not known in " + section}},
+      {"a = ", "a = x", {"'a' is no number", "measure slopes"}},
+      {"shape = linear", "shape = cubic", {"'shape' is constant, linear, quadratic or power, not cubic"}},
+      {"point_1 = 80:95.1235", "point_1 = 80", {"'point_1' is driver:value"}},
+      {"point_1 = 80:95.1235", "point_1 = 80:-95", {section, "negative value"}},
+      {"point_1 = 80:95.1235", "point_1 = -80:95", {section, "negative driver"}},
+      {"point_2 = ", "point_3 = ", {"'point_3'", "out of order"}},
+      {"point_2 = 160:111.3\npoint_3 = 320:147.9\npoint_4 = 1024:290.25\n", "", {section, "2 sizes"}},
+      {"role = manager\n", "role = manager\nrole = manager\n", {"'role' comes twice"}},
+      {"left_out_measured = 225", "left_out_measured = 200", {section, "'left_out_error'"}},
+      {"a = ", "a = 1", {section, "'left_out_predicted'"}},
+      {"[manager.statement", "nonsense\n[manager.statement", {":3", "neither"}},
+      {"[manager.statement", "x = 1\n[manager.statement", {"before the first"}}};
+  for (const Case& one : cases) {
+    write_file(scratch_file, with(good, one.from, one.to));
+    std::vector<std::string> parts = one.parts;
+    parts.push_back(scratch_file);
+    must_say(error_of([] { read_slopes(scratch_file); }), parts);
+  }
+  write_file(scratch_file, good + good);
+  must_say(error_of([] { read_slopes(scratch_file); }), {scratch_file, "comes twice"});
+  must_say(error_of([] { read_slopes("not_there.ini"); }), {"not_there.ini", "can't be read"});
+
+  Slope unwritable = two_slopes()[0];
+  unwritable.description.name = std::string(60, 'n');
+  must_say(error_of([&] { write_slopes(scratch_file, {unwritable}); }), {"characters"});
+  unwritable = two_slopes()[0];
+  unwritable.source = "one ; comment";
+  must_say(error_of([&] { write_slopes(scratch_file, {unwritable}); }), {"source"});
+  must_say(error_of([&] {
+             write_slopes(scratch_file, {two_slopes()[0], two_slopes()[0]});
+           }),
+           {"comes twice"});
+}
+
+}  // namespace
+
+int main() {
+  fits_have_the_shape_of_their_points();
+  the_size_left_out_is_predicted();
+  beyond_the_range_a_cost_is_told_too_high();
+  too_little_is_no_slope();
+  a_file_gives_back_what_was_written();
+  a_bad_slopes_file_is_refused();
+  std::filesystem::remove(scratch_file);
+}
