A lost region has to be graceful, not to hold; coefficients that are noise are 0

A line through the origin came out with an offset in the seventh digit, which is that of its points. A region lost at the peak is no miss of the target: it is told with its factor, and the overload run shows whether it is graceful. Both tests pass.

--- a/src/lab/capacity/capacity_page.cpp
+++ b/src/lab/capacity/capacity_page.cpp
@@ -175,6 +175,8 @@
     case Verdict::missed:
       if (!one.factor) return std::string("missed: `") + nothing_carries_this + "`";
       return "**missed by a factor of " + number_text(*one.factor) + "**";
+    case Verdict::graceful_over:
+      return number_text(*one.factor) + " times the limit: has to be graceful, which the overload run shows";
     case Verdict::not_measured:
       return "not measured";
   }
--- a/src/lab/capacity/slope.cpp
+++ b/src/lab/capacity/slope.cpp
@@ -20,6 +20,7 @@
 constexpr double line_is_good_enough = 0.02;
 constexpr double clearly_better = 0.5;
 constexpr std::size_t least_points_of_a_quadratic = 5;
+constexpr double noise = 1e-9;     // relative: what is smaller comes of the arithmetic
 constexpr double rounding = 1e-6;  // relative, between a kept value and the same worked out again
 
 struct Coefficients {
@@ -136,7 +137,8 @@
   }
   const double mean = mean_value(points);
   const double root_mean_square = std::sqrt(squares / static_cast<double>(points.size()));
-  return mean > 0 ? root_mean_square / mean : root_mean_square;
+  const double error = mean > 0 ? root_mean_square / mean : root_mean_square;
+  return error < noise ? 0 : error;
 }
 
 Shape simplest_shape(const std::vector<SlopePoint>& points) {
@@ -191,6 +193,20 @@
                             std::to_string(static_cast<int>(least_factor)) + " of its driver");
 }
 
+// Without coefficients that are mere noise.
+Coefficients cleaned(const Coefficients& fit, const std::vector<SlopePoint>& points) {
+  double most_driver = 0;
+  double most_value = 0;
+  for (const SlopePoint& point : points) {
+    most_driver = std::max(most_driver, point.driver);
+    most_value = std::max(most_value, point.value);
+  }
+  const auto clean = [&](double coefficient, double factor) {
+    return std::abs(coefficient) * factor < noise * most_value ? 0 : rounded(coefficient, coefficient_digits);
+  };
+  return {clean(fit.a, 1), clean(fit.b, most_driver), clean(fit.c, most_driver * most_driver)};
+}
+
 double relative_error(double predicted, double measured) {
   if (measured == 0) return predicted == 0 ? 0 : 1;
   return std::abs(predicted - measured) / measured;
@@ -250,10 +266,14 @@
             [](const SlopePoint& one, const SlopePoint& other) { return one.driver < other.driver; });
   slope.points = std::move(points);
   slope.shape = simplest_shape(slope.points);
-  const Coefficients coefficients = fit(slope.shape, slope.points).value();
-  slope.a = rounded(coefficients.a, coefficient_digits);
-  slope.b = rounded(coefficients.b, coefficient_digits);
-  slope.c = rounded(coefficients.c, coefficient_digits);
+  Coefficients coefficients = fit(slope.shape, slope.points).value();
+  if (slope.shape == Shape::power)
+    coefficients = {rounded(coefficients.a, coefficient_digits), rounded(coefficients.b, coefficient_digits),
+                    0};
+  else coefficients = cleaned(coefficients, slope.points);
+  slope.a = coefficients.a;
+  slope.b = coefficients.b;
+  slope.c = coefficients.c;
   slope.predicted = rounded(slope.at(slope.left_out.driver), coefficient_digits);
   slope.error = rounded(relative_error(slope.predicted, slope.left_out.value), coefficient_digits);
   return slope;
--- a/tests/test_capacity.cpp
+++ b/tests/test_capacity.cpp
@@ -183,6 +183,13 @@
   for (std::size_t i = 1; i < model.misses.size(); ++i)
     assert(!model.misses[i - 1].factor ||
            (model.misses[i].factor && *model.misses[i - 1].factor >= *model.misses[i].factor));
+  target.statements = 700'000;
+  const CapacityModel overloaded = work_out(target, small_slopes());
+  const char* const at_the_peak = "statements a second, at the peak";
+  assert(requirement_of(overloaded, at_the_peak).verdict == Verdict::missed);
+  const Requirement& region = requirement_of(overloaded, "statements a second, with the larger region lost");
+  assert(region.verdict == Verdict::graceful_over);
+  for (const Requirement& miss : overloaded.misses) assert(miss.bullet != region.bullet);
   assert(model.before_and_after.empty() && model.spreading == Spreading::all_with_all);
 }
 
--- a/tests/test_slope_fits.cpp
+++ b/tests/test_slope_fits.cpp
@@ -37,6 +37,7 @@
       {"falling line", five, [](double x) { return 500 - 0.25 * x; }, Shape::linear, 500, -0.25, 0, 1e-6},
       {"quadratic", six, [](double x) { return 3 + 2 * x + 0.5 * x * x; }, Shape::quadratic, 3, 2, 0.5, 1e-4},
       {"power", five, [](double x) { return 3 * std::pow(x, 1.5); }, Shape::power, 3, 1.5, 0, 1e-4},
+      {"through the origin", five, [](double x) { return x / 3; }, Shape::linear, 0, 1 / 3.0, 0, 1e-6},
       {"nearly a line", five,
        [](double x) { return (50 + 0.25 * x) * (static_cast<int>(x) % 3 == 0 ? 1.005 : 1.0); }, Shape::linear,
        50, 0.25, 0, 0.1}};
