Readings of a process's processor time, memory and descriptors for measurements

Slopes and overload need the processor time of a statement; the ticks of /proc/PID/stat are 10 ms apart, so schedstat of each thread is added up instead.

--- /dev/null
+++ b/src/lab/load/process_usage.cpp
@@ -0,0 +1,100 @@
+#include "lab/load/process_usage.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <system_error>
+
+namespace pearchute::lab {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+std::size_t entries_of(const fs::path& folder) {
+  std::error_code error;
+  std::size_t count = 0;
+  for (fs::directory_iterator at(folder, error); !error && at != fs::directory_iterator();
+       at.increment(error))
+    ++count;
+  return count;
+}
+
+// The first number of a thread's schedstat is its time on a processor in nanoseconds. A thread that has ended
+// is no longer listed; the processes measured here keep theirs.
+std::chrono::nanoseconds cpu_time_of_threads(const fs::path& tasks) {
+  std::error_code error;
+  std::uint64_t total = 0;
+  for (fs::directory_iterator at(tasks, error); !error && at != fs::directory_iterator();
+       at.increment(error)) {
+    std::ifstream file(at->path() / "schedstat");
+    std::uint64_t nanoseconds = 0;
+    if (file >> nanoseconds) total += nanoseconds;
+  }
+  return std::chrono::nanoseconds(total);
+}
+
+}  // namespace
+
+std::optional<ProcessUsage> read_process_usage(pid_t process) {
+  const fs::path folder = "/proc/" + std::to_string(process);
+  ProcessUsage usage;
+  std::ifstream status(folder / "status");
+  bool has_memory = false;  // a process that has ended but was not waited for has none
+  for (std::string line; std::getline(status, line);) {
+    const auto number = [&](const char* name, std::uint64_t& value) {
+      if (!line.starts_with(name)) return false;
+      value = std::stoull(line.substr(std::string(name).size()));
+      return true;
+    };
+    if (number("VmRSS:", usage.resident_kb)) has_memory = true;
+    number("VmHWM:", usage.peak_resident_kb);
+    number("Threads:", usage.threads);
+  }
+  if (!has_memory) return std::nullopt;
+  usage.cpu_time = cpu_time_of_threads(folder / "task");
+  usage.taken_at = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now().time_since_epoch());
+  usage.descriptors = entries_of(folder / "fd");
+  return usage;
+}
+
+double cpu_share_between(const ProcessUsage& earlier, const ProcessUsage& later) {
+  const auto passed = std::chrono::duration<double>(later.taken_at - earlier.taken_at);
+  if (passed.count() <= 0) return 0;
+  return std::chrono::duration<double>(later.cpu_time - earlier.cpu_time) / passed;
+}
+
+bool ProcessUsageSampler::sample() {
+  const std::optional<ProcessUsage> usage = read_process_usage(process_);
+  if (!usage) return false;
+  if (samples_.size() < most_samples) samples_.push_back(*usage);
+  else samples_.back() = *usage;
+  return true;
+}
+
+double ProcessUsageSampler::mean_cpu_share() const {
+  return samples_.size() < 2 ? 0 : cpu_share_between(samples_.front(), samples_.back());
+}
+
+double ProcessUsageSampler::most_cpu_share() const {
+  double most = 0;
+  for (std::size_t i = 1; i < samples_.size(); ++i)
+    most = std::max(most, cpu_share_between(samples_[i - 1], samples_[i]));
+  return most;
+}
+
+std::uint64_t ProcessUsageSampler::most_resident_kb() const {
+  std::uint64_t most = 0;
+  for (const ProcessUsage& usage : samples_) most = std::max(most, usage.resident_kb);
+  return most;
+}
+
+std::uint64_t ProcessUsageSampler::most_descriptors() const {
+  std::uint64_t most = 0;
+  for (const ProcessUsage& usage : samples_) most = std::max(most, usage.descriptors);
+  return most;
+}
+
+}  // namespace pearchute::lab
