An open-loop load on one manager, with engines and a checker that bear it; measure overload

The stand-ins share one loop and their checker walks its whole record: at 6,000 statements a second they take a full core while the manager takes a tenth. Here the clients and the engines have several threads, intended times are kept, the generator's own lag is part of the result and voids it above 5 ms at the 99th percentile, and the checker's cost for a statement doesn't grow with how many there are.

--- /dev/null
+++ b/src/lab/load/client_connection.cpp
@@ -0,0 +1,130 @@
+#include "lab/load/client_connection.h"
+
+#include <cstdlib>
+#include <utility>
+
+namespace pearchute::lab {
+
+namespace {
+
+constexpr int most_link_retries = 3;
+
+int status_of(const net::Message& message) {
+  return std::atoi(message.first_line.substr(message.first_line.find(' ') + 1).c_str());
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(net::Loop& loop, const Poco::Net::SocketAddress& manager, Owner& owner)
+    : loop_(loop), manager_(manager), owner_(owner) {
+  connect();
+}
+
+void ClientConnection::connect() {
+  opened_ = false;
+  was_idle_ = false;
+  reader_ = net::MessageReader(net::MessageReader::Side::requests);
+  loop_.retire(std::move(wire_));
+  wire_ = std::make_unique<net::Wire>(loop_, manager_, *this);
+}
+
+void ClientConnection::send(ClientStatement statement) {
+  statement_ = std::move(statement);
+  link_.clear();
+  busy_ = true;
+  sent_ = false;
+  answer_begun_ = false;
+  retries_ = 0;
+  was_idle_ = opened_;
+  if (opened_) put_out();
+}
+
+void ClientConnection::wire_opened() {
+  opened_ = true;
+  if (!busy_) return owner_.connection_idle(*this);
+  if (!sent_ && !owner_.worth_sending(statement_)) {
+    busy_ = false;
+    owner_.statement_unreached(*this);
+    return owner_.connection_idle(*this);
+  }
+  put_out();
+}
+
+void ClientConnection::put_out() {
+  if (!sent_) owner_.statement_sent(*this);
+  sent_ = true;
+  wire_->send(link_.empty() ? statement_.request : link_request());
+}
+
+std::string ClientConnection::link_request() const { return "GET " + link_ + " HTTP/1.1\r\nHost: a\r\n\r\n"; }
+
+void ClientConnection::wire_brought(std::string_view bytes) {
+  while (!bytes.empty()) {
+    answer_begun_ = busy_;
+    const auto status = reader_.feed(bytes);
+    if (status == net::MessageReader::Status::more) return;
+    if (status != net::MessageReader::Status::whole) return wire_ended();
+    const net::Message message = std::move(reader_.message());
+    reader_.next();
+    received(message);
+    if (!wire_ || wire_->closed()) return;
+  }
+}
+
+void ClientConnection::received(const net::Message& message) {
+  const int status = status_of(message);
+  const bool closes = message.header("connection") == "close";
+  if (!busy_ || !opened_) {
+    // The manager may end a connection on which nothing is open with a word of its own.
+    if (closes && (status == 503 || status == 408)) owner_.connection_turned_away();
+    else owner_.answered_nobody();
+    if (closes) owner_.connection_over(*this);
+    return;
+  }
+  constexpr std::string_view link_mark = "\"link\":\"";
+  const std::size_t link = message.body.find(link_mark);
+  if (status == 200 && link != std::string::npos) {
+    const std::size_t start = link + link_mark.size();
+    link_ = message.body.substr(start, message.body.find('"', start) - start);
+    retries_ = 0;
+    answer_begun_ = false;
+    return put_out();
+  }
+  const bool aborted = message.body.find("\"abort\"") != std::string::npos;
+  const bool later = message.body.find("\"TryLater\"") != std::string::npos;
+  if (status == 429 || status == 503 || later) {
+    const bool advised = !message.header("retry-after-ms").empty();
+    return end(advised ? StatementAnswer::rejected_with_advice : StatementAnswer::rejected_without_advice,
+               message.body, closes);
+  }
+  const bool done = status == 200 && !aborted;
+  end(done ? StatementAnswer::done : StatementAnswer::failed, message.body, closes);
+}
+
+void ClientConnection::end(StatementAnswer answer, std::string_view body, bool closes) {
+  busy_ = false;
+  owner_.statement_answered(*this, answer, body);
+  if (closes) owner_.connection_over(*this);
+  else owner_.connection_idle(*this);
+}
+
+void ClientConnection::wire_ended() {
+  if (!busy_) return owner_.connection_over(*this);
+  if (!opened_ && link_.empty()) {
+    busy_ = false;
+    owner_.statement_unreached(*this);
+    return owner_.connection_over(*this);
+  }
+  const bool crossed = link_.empty() && was_idle_ && !answer_begun_ && retries_ == 0;
+  const bool link_again = !link_.empty() && retries_ < most_link_retries;
+  if (crossed || link_again) {
+    ++retries_;
+    answer_begun_ = false;
+    return connect();
+  }
+  busy_ = false;
+  owner_.statement_lost(*this);
+  owner_.connection_over(*this);
+}
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/load/latency_histogram.cpp
@@ -0,0 +1,42 @@
+#include "lab/load/latency_histogram.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pearchute::lab {
+
+namespace {
+
+// From 1 us to 1000 s; 1024 bins over nine decades are 2% wide each.
+constexpr double least_us = 1;
+constexpr double most_us = 1e9;
+constexpr unsigned bin_count = 1024;
+
+}  // namespace
+
+LatencyHistogram::LatencyHistogram() : bins_(std::tuple{LogAxis(bin_count, least_us, most_us)}) {}
+
+void LatencyHistogram::add(std::chrono::microseconds latency) {
+  bins_(std::max(static_cast<double>(latency.count()), least_us));
+  ++count_;
+  max_ = std::max(max_, latency);
+}
+
+void LatencyHistogram::merge(const LatencyHistogram& other) {
+  bins_ += other.bins_;
+  count_ += other.count_;
+  max_ = std::max(max_, other.max_);
+}
+
+double LatencyHistogram::quantile_ms(double quantile) const {
+  if (count_ == 0) return 0;
+  const auto rank = static_cast<std::uint64_t>(std::ceil(quantile * static_cast<double>(count_)));
+  std::uint64_t seen = 0;
+  for (int bin = 0; bin < static_cast<int>(bin_count); ++bin) {
+    seen += bins_.at(bin);
+    if (seen >= rank) return std::min(bins_.axis().bin(bin).upper() / 1000, max_ms());
+  }
+  return max_ms();
+}
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/load/load_cluster.cpp
@@ -0,0 +1,182 @@
+#include "lab/load/load_cluster.h"
+
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "errors/error.h"
+#include "lab/stand_ins/test_cluster.h"
+
+namespace pearchute::lab {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t address_number = 240;  // apart from those of TestCluster
+constexpr milliseconds ready_within(20'000);
+constexpr milliseconds between_checks(2);
+
+// One call of the manager's check; false where it can't be reached or says no.
+bool says_ready(const std::string& address) {
+  try {
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(address), Poco::Timespan(0, 200'000));
+    socket.setReceiveTimeout(Poco::Timespan(0, 200'000));
+    const std::string request = "GET /check HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    char answer[64];
+    const int length = socket.receiveBytes(answer, sizeof answer);
+    const std::string_view text(answer, static_cast<std::size_t>(std::max(length, 0)));
+    return text.starts_with("HTTP/1.1 200");
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
+json class_settings(const char* name, const char* repeat, double worth, milliseconds longest) {
+  const auto give_up = std::chrono::duration_cast<std::chrono::microseconds>(longest).count();
+  return json{{"name", name},   {"repeat", repeat},  {"keyScope", "all"}, {"window", 9'000'000},
+              {"slo", 600'000}, {"giveUp", give_up}, {"worth", worth},    {"byArrival", false}};
+}
+
+}  // namespace
+
+LoadCluster::LoadCluster(const LoadClusterSpec& spec) : spec_(spec) {
+  ::signal(SIGPIPE, SIG_IGN);
+  char folder[] = "/tmp/pearchute-load-XXXXXX";
+  if (!::mkdtemp(folder)) throw SystemError("no folder for the laboratory's files", "/tmp");
+  folder_ = folder;
+  configuration_ = folder_ + "/manager.json";
+  log_ = folder_ + "/manager.log";
+  manager_address_ = free_address(address_number);
+  EnginePoolSpec engines = spec_.engines;
+  engines.once_classes.push_back(class_run_once);
+  engines_ = std::make_unique<StandInEnginePool>(engines, executions_);
+  channel_thread_.on([this] {
+    channel_ = std::make_unique<StandInChannel>(channel_thread_.loop());
+    channel_->tell(members(), true);
+  });
+  write_configuration();
+  start();
+  try {
+    wait_until_ready();
+  } catch (...) {
+    stop();
+    throw;
+  }
+}
+
+LoadCluster::~LoadCluster() { stop(); }
+
+void LoadCluster::stop() {
+  if (manager_runs()) {
+    ::kill(process_, SIGKILL);
+    ::waitpid(process_, nullptr, 0);
+  }
+  channel_thread_.on([this] {
+    channel_.reset();
+    channel_thread_.loop().settle();
+  });
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+std::vector<StandInChannel::Member> LoadCluster::members() const {
+  std::vector<StandInChannel::Member> members;
+  for (std::size_t i = 0; i < engines_->addresses().size(); ++i)
+    members.push_back({"e" + std::to_string(i + 1), engines_->addresses()[i], "east", "std", "active"});
+  for (int i = 0; i < spec_.unused_engines; ++i)
+    members.push_back({"u" + std::to_string(i + 1), "127.0.0.1:9", "east", "std", "leaving"});
+  return members;
+}
+
+void LoadCluster::write_configuration() const {
+  const milliseconds longest = spec_.longest_timeout;
+  const json known = StandInChannel::event(1, members(), true);
+  const json configuration = {{"name", "loaded"},
+                              {"listen", manager_address_},
+                              {"seed", std::to_string(spec_.seed)},
+                              {"limits", {{"sockets", spec_.sockets}, {"memory_mb", spec_.memory_mb}}},
+                              {"channel", channel_->address()},
+                              {"known", {{"cursor", 1}, {"cmds", json::array({known})}}},
+                              {"settings",
+                               {{"classes",
+                                 {class_settings(class_of_low_value, "pure", 1, longest),
+                                  class_settings(class_of_high_value, "pure", 10, longest),
+                                  class_settings(class_run_once, "side_effect", 2, longest)}},
+                                {"hostTypes", {"std"}},
+                                {"failureDomains", {"east"}},
+                                {"zone", "east"},
+                                {"me", 0},
+                                {"nInstances", 1},
+                                {"obligations", {{"stopSendingWithin", 500'000}, {"orderPause", 100'000}}},
+                                {"familyInfo",
+                                 {{"coresByKind", {spec_.engines.cores}},
+                                  {"sizeMb", {spec_.engines.memory_mb}},
+                                  {"takesGrants", true},
+                                  {"takesPriority", true},
+                                  {"grantCap", 0.5}}},
+                                {"limits",
+                                 {{"attemptsCap", 3},
+                                  {"cancel", true},
+                                  {"connectTimeout", 250'000},
+                                  {"idleClose", 15'000'000},
+                                  {"streamsPerConn", 4},
+                                  {"retryAfter", true},
+                                  {"maxRetryAfter", 500'000}}}}}};
+  std::ofstream(configuration_) << configuration.dump(1) << "\n";
+}
+
+void LoadCluster::start() {
+  const pid_t parent = ::getpid();
+  const int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  process_ = ::fork();
+  if (process_ < 0) throw SystemError("no process for the manager", spec_.pearchuted);
+  if (process_ > 0) {
+    ::close(log);
+    return;
+  }
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a laboratory that dies leaves nothing running
+  if (::getppid() != parent) ::_exit(127);
+  ::dup2(log, STDERR_FILENO);
+  ::dup2(log, STDOUT_FILENO);
+  ::close_range(3, ~0U, 0);
+  ::execl(spec_.pearchuted.c_str(), "pearchuted", "--config", configuration_.c_str(),
+          static_cast<char*>(nullptr));
+  ::_exit(127);
+}
+
+bool LoadCluster::manager_runs() {
+  if (process_ <= 0) return false;
+  if (::waitpid(process_, nullptr, WNOHANG) == 0) return true;
+  process_ = -1;
+  return false;
+}
+
+void LoadCluster::wait_until_ready() {
+  const auto from = std::chrono::steady_clock::now();
+  while (!says_ready(manager_address_)) {
+    if (!manager_runs() || std::chrono::steady_clock::now() > from + ready_within) {
+      std::ifstream log(log_);
+      std::string last;
+      for (std::string line; std::getline(log, line);) last = line;
+      throw TestClusterError("the manager does not serve; it last said: " + last, spec_.pearchuted);
+    }
+    std::this_thread::sleep_for(between_checks);
+  }
+  time_to_ready_ = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - from);
+}
+
+}  // namespace pearchute::lab
