Stand-in engines and list channels count their bytes and connections

The slopes of the control side need what managers exchange at rest, as seen from the other end. Additive; no behaviour of the stand-ins changes.

--- a/src/lab/stand_ins/engine.cpp
+++ b/src/lab/stand_ins/engine.cpp
@@ -39,7 +39,9 @@
     std::string out;
     net::append_command(out, words);
     if (cut > 0) out.resize(std::min(cut, out.size()));
-    if (wire_) wire_->send(out);
+    if (!wire_) return;
+    engine_.bytes_sent_ += out.size();
+    wire_->send(out);
   }
   void fall_mute() { mute_ = true; }
   void say_on() {  // for as long as anybody listens
@@ -51,6 +53,7 @@
   }
   void wire_ended() override { engine_.forget(*this); }
   void wire_brought(std::string_view bytes) override {
+    engine_.bytes_received_ += bytes.size();
     const bool sound = reader_.feed(bytes, [&](std::vector<std::string>& words) {
       if (mute_) return;
       if (words[0] == "there" && words.size() == 2) ++engine_.signs_, say({words[1], "PONG", "-", ""});
--- a/src/lab/stand_ins/engine.h
+++ b/src/lab/stand_ins/engine.h
@@ -48,6 +48,9 @@
   std::uint64_t hung() const { return hung_; }
   std::uint64_t signs() const { return signs_; }  // of life that it was asked for
   std::size_t running() const { return running_.size() + waiting_.size(); }
+  std::size_t connections() const { return lines_.size(); }          // open now
+  std::uint64_t bytes_received() const { return bytes_received_; }  // over all connections so far
+  std::uint64_t bytes_sent() const { return bytes_sent_; }
 
  private:
   class Line;
@@ -83,6 +86,7 @@
   std::vector<Run> waiting_;
   double granted_mb_ = 0;
   std::uint64_t next_ = 1, begun_ = 0, given_up_ = 0, hung_ = 0, signs_ = 0;
+  std::uint64_t bytes_received_ = 0, bytes_sent_ = 0;
   std::map<std::string, int> begun_jobs_;
   std::set<std::string> given_up_jobs_, reset_jobs_;  // of faults and tests: a few
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/lab/stand_ins/engine_list_channel.cpp
+++ b/src/lab/stand_ins/engine_list_channel.cpp
@@ -10,7 +10,10 @@
     wire_ = std::make_unique<net::Wire>(channel.loop_, socket, *this);
   }
   std::unique_ptr<net::Wire> give_wire() { return std::move(wire_); }
-  void wire_brought(std::string_view bytes) override { http_.feed(bytes); }
+  void wire_brought(std::string_view bytes) override {
+    channel_.bytes_received_ += bytes.size();
+    http_.feed(bytes);
+  }
   void wire_ended() override { channel_.forget(*this); }
   void called(const std::string&, const std::string&, net::Message& message) override {
     told_ = static_cast<std::size_t>(std::atoll(std::string(message.header("last-event-id")).c_str()));
@@ -21,21 +24,26 @@
       return channel_.forget(*this);
     }
     open_ = true;
-    wire_->send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n");
+    write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n");
     send();
   }
   void refused_call(int) override { channel_.forget(*this); }
   void send() {
     if (!open_ || stranded_ || channel_.silent_) return;
     for (; told_ < channel_.events_.size(); ++told_)
-      wire_->send("id: " + std::to_string(told_ + 1) + "\ndata: " + channel_.events_[told_] + "\n\n");
+      write("id: " + std::to_string(told_ + 1) + "\ndata: " + channel_.events_[told_] + "\n\n");
   }
   void comment() {
-    if (open_ && !stranded_ && !channel_.silent_) wire_->send(": still here\n\n");
+    if (open_ && !stranded_ && !channel_.silent_) write(": still here\n\n");
   }
   void strand() { stranded_ = true; }
 
  private:
+  void write(const std::string& bytes) {
+    channel_.bytes_sent_ += bytes.size();
+    wire_->send(bytes);
+  }
+
   StandInChannel& channel_;
   net::HttpServerSide http_{*this};
   std::unique_ptr<net::Wire> wire_;
--- a/src/lab/stand_ins/engine_list_channel.h
+++ b/src/lab/stand_ins/engine_list_channel.h
@@ -31,6 +31,8 @@
   void fall_silent(bool silent) { silent_ = silent; }
   void strand();  // the streams that are open fall silent for good, and stay open
   std::size_t streams() const { return lines_.size(); }
+  std::uint64_t bytes_received() const { return bytes_received_; }  // over all streams so far
+  std::uint64_t bytes_sent() const { return bytes_sent_; }
 
  private:
   class Line;
@@ -44,7 +46,7 @@
   std::map<Line*, std::unique_ptr<Line>> lines_;
   net::DeferredDeletion<Line> gone_;
   bool silent_ = false, cut_next_ = false;
-  std::uint64_t asked_from_ = 0, asked_ = 0;
+  std::uint64_t asked_from_ = 0, asked_ = 0, bytes_received_ = 0, bytes_sent_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
