--- /dev/null
+++ b/src/lab/measurements/slopes_manager_control.cpp
@@ -0,0 +1,273 @@
+#include "lab/measurements/slopes_manager_control.h"
+
+#include <signal.h>
+
+#include <algorithm>
+
+#include "errors/error.h"
+#include "lab/measurements/process_cpu_clock.h"
+#include "lab/measurements/stand_in_load.h"
+#include "lab/stand_ins/test_cluster.h"
+
+namespace pearchute::lab {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds warm_up{500};
+// A start has read its list and is at rest well within this time, at a thousand engines too.
+constexpr milliseconds start_window{1200};
+constexpr milliseconds between_list_events{80};
+// A manager asks a connection for a sign of life where an open statement has been silent for 400 ms.
+constexpr milliseconds until_signs{700};
+constexpr milliseconds signs_window{800};
+constexpr milliseconds statement_length{6000};
+
+std::string milliseconds_text(milliseconds time) { return std::to_string(time.count()) + " ms"; }
+
+ClusterSpec cluster_of(const Bench& bench, int engines) {
+  ClusterSpec spec;
+  spec.engines = engines;
+  spec.seed = bench.seed;
+  spec.pearchuted = bench.programs + "/pearchuted";
+  spec.sockets = 2 * engines + 512;
+  spec.manager_memory_mb = 256;
+  spec.slowest = milliseconds(30'000);
+  return spec;
+}
+
+// A statement that is never run twice and is not asked after before it ends.
+Ask long_statement(milliseconds length) {
+  Ask ask;
+  ask.type = "once";
+  ask.statement = "UPDATE work=" + std::to_string(length.count()) + " a_1.t";
+  ask.patience = milliseconds(25'000);
+  ask.cost_ms = static_cast<double>(length.count());
+  return ask;
+}
+
+// One manager over a number of stand-in engines, and the windows that are measured there.
+class ManagerUnderMeasure {
+ public:
+  ManagerUnderMeasure(const Bench& bench, const ManagerControlPlan& plan, int engines)
+      : plan_(plan), engines_(engines), cluster_(cluster_of(bench, engines)) {
+    cluster_.must_serve(static_cast<std::uint64_t>(engines));
+    cluster_.rest(warm_up);
+  }
+
+  void measure_rest(SeriesSet& series) {
+    const double cpu = median_of(plan_.windows, [&] {
+      const CpuMeter meter(manager());
+      const std::uint64_t bytes = bytes_exchanged();
+      cluster_.rest(plan_.rest_window);
+      rest_bytes_.push_back(static_cast<double>(bytes_exchanged() - bytes) / meter.seconds());
+      return meter.microseconds_per_second();
+    });
+    rest_cpu_ = cpu;
+    std::ranges::sort(rest_bytes_);
+    series.add("manager.control_cpu_at_rest.by_engines", engines_, cpu);
+    series.add("manager.control_bytes_at_rest.by_engines", engines_, rest_bytes_[rest_bytes_.size() / 2]);
+  }
+
+  void measure_list_events(SeriesSet& series) {
+    measure_events(series, "manager.list_event", true);
+    measure_events(series, "manager.list_change", false);
+  }
+
+  void measure_status_calls(SeriesSet& series) {
+    const double cpu = median_of(plan_.windows, [&] {
+      const CpuMeter meter(manager());
+      for (int i = 0; i < plan_.status_calls; ++i) cluster_.status(0);
+      return (meter.microseconds() - rest_cpu_ * meter.seconds()) / plan_.status_calls;
+    });
+    series.add("manager.status_call_cpu.by_engines", engines_, cpu);
+  }
+
+  // The processor time of a start up to the moment at which the manager is at rest.
+  double start_cpu() {
+    return median_of(plan_.windows, [&] {
+      cluster_.signal(0, SIGKILL);
+      if (!cluster_.until([&] { return cluster_.ended(0) != -1; }))
+        throw TestClusterError("a manager does not end", cluster_.folder());
+      cluster_.start(0);
+      const CpuMeter meter(manager());
+      cluster_.rest(start_window);
+      const double used = process_total() - rest_cpu_ * meter.seconds();
+      cluster_.must_serve(static_cast<std::uint64_t>(engines_));
+      return used;
+    });
+  }
+
+  // Opens a connection to each engine by one long statement for each, and counts what that costs beyond the
+  // same statements over connections that are open. The second time the statements last: the signs of life
+  // are counted then.
+  void measure_connections(SeriesSet& series, double start_cpu_difference) {
+    const double opening = dispatch_cpu(milliseconds(1500));
+    const std::size_t connected = engines_connected();
+    if (!quiet()) throw TestClusterError("statements do not end", cluster_.folder());
+    const double reusing = dispatch_cpu(statement_length);
+    series.add("manager.handshake_cpu.by_engines", engines_,
+               std::max(0.0, start_cpu_difference + opening - reusing));
+    connected_share_ = static_cast<double>(connected) / engines_;
+    cluster_.rest(until_signs);
+    const double bytes = median_of(plan_.windows, [&] {
+      const std::uint64_t before = engine_bytes();
+      const Time from = steady_now();
+      cluster_.rest(signs_window);
+      return static_cast<double>(engine_bytes() - before) /
+             std::chrono::duration<double>(steady_now() - from).count();
+    });
+    series.add("manager.heartbeat_bytes.by_engines_connected", static_cast<double>(engines_connected()),
+               bytes);
+    if (!quiet()) throw TestClusterError("statements do not end", cluster_.folder());
+  }
+
+  double rest_cpu() const { return rest_cpu_; }
+  double connected_share() const { return connected_share_; }
+  TestCluster& cluster() { return cluster_; }
+
+ private:
+  pid_t manager() { return cluster_.managers()[0].process; }
+
+  double process_total() {
+    return std::chrono::duration<double, std::micro>(process_cpu_time(manager())).count();
+  }
+
+  void measure_events(SeriesSet& series, const std::string& name, bool whole_list) {
+    std::uint64_t bytes = 0;
+    const double cpu = median_of(plan_.windows, [&] {
+      const CpuMeter meter(manager());
+      const std::uint64_t sent_before = cluster_.on([&] { return cluster_.channel().bytes_sent(); });
+      for (int event = 0; event < plan_.list_events; ++event) {
+        cluster_.on([&] { send_event(event, whole_list); });
+        cluster_.rest(between_list_events);
+      }
+      bytes = cluster_.on([&] { return cluster_.channel().bytes_sent(); }) - sent_before;
+      return (meter.microseconds() - rest_cpu_ * meter.seconds()) / plan_.list_events;
+    });
+    series.add(name + "_cpu.by_engines", engines_, cpu);
+    series.add(name + "_bytes.by_engines", engines_, static_cast<double>(bytes) / plan_.list_events);
+  }
+
+  // One engine's phase changes: told by itself, or within the whole list.
+  void send_event(int number, bool whole_list) {
+    const std::size_t changed = static_cast<std::size_t>(number / 2) % static_cast<std::size_t>(engines_);
+    const std::string phase = number % 2 == 0 ? "leaving" : "active";
+    if (!whole_list) return cluster_.channel().tell({cluster_.member(changed, phase)}, false);
+    std::vector<StandInChannel::Member> members = cluster_.members_now();
+    members[changed].phase = phase;
+    cluster_.channel().tell(members, true);
+  }
+
+  // The manager's processor time from when a statement for each engine is offered until all run.
+  double dispatch_cpu(milliseconds length) {
+    const std::uint64_t begun_before = statements_begun();
+    const CpuMeter meter(manager());
+    cluster_.on([&] {
+      for (int i = 0; i < engines_; ++i) cluster_.crowd().ask(0, long_statement(length), {});
+    });
+    const auto all_begun = [&] {
+      return statements_begun_on_loop() >= begun_before + static_cast<std::uint64_t>(engines_);
+    };
+    if (!cluster_.until(all_begun, length))
+      throw TestClusterError("the statements of a measurement did not all begin in time", cluster_.folder());
+    return meter.microseconds() - rest_cpu_ * meter.seconds();
+  }
+
+  bool quiet() { return cluster_.quiet(statement_length + std::chrono::seconds(10)); }
+
+  std::uint64_t statements_begun_on_loop() {
+    std::uint64_t begun = 0;
+    for (const auto& engine : cluster_.engines()) begun += engine->begun();
+    return begun;
+  }
+  std::uint64_t statements_begun() {
+    return cluster_.on([&] { return statements_begun_on_loop(); });
+  }
+  std::size_t engines_connected() {
+    return cluster_.on([&] {
+      return static_cast<std::size_t>(
+          std::ranges::count_if(cluster_.engines(), [](const auto& one) { return one->connections() > 0; }));
+    });
+  }
+  std::uint64_t engine_bytes() {
+    return cluster_.on([&] {
+      std::uint64_t bytes = 0;
+      for (const auto& engine : cluster_.engines()) bytes += engine->bytes_received() + engine->bytes_sent();
+      return bytes;
+    });
+  }
+  std::uint64_t bytes_exchanged() {
+    return engine_bytes() + cluster_.on([&] {
+             return cluster_.channel().bytes_received() + cluster_.channel().bytes_sent();
+           });
+  }
+
+  const ManagerControlPlan& plan_;
+  const int engines_;
+  TestCluster cluster_;
+  std::vector<double> rest_bytes_;
+  double rest_cpu_ = 0, connected_share_ = 0;
+};
+
+void declare(SeriesSet& series) {
+  const std::string setting =
+      "one pearchuted over stand-in engines on loopback, no client load, the front's five checks a second "
+      "included; median of windows";
+  series.declare("manager.control_cpu_at_rest.by_engines", "us/s", "engines known", setting);
+  series.declare("manager.control_bytes_at_rest.by_engines", "bytes/s", "engines known",
+                 "both ways at the stand-in list channel and engines; no client load, so no connection to an "
+                 "engine is open");
+  const std::string whole = "the whole list in one event, one engine's phase changed; " + setting;
+  series.declare("manager.list_event_cpu.by_engines", "us/event", "engines known", whole);
+  series.declare("manager.list_event_bytes.by_engines", "bytes/event", "engines known", whole);
+  const std::string change = "an event with the one engine that changed; " + setting;
+  series.declare("manager.list_change_cpu.by_engines", "us/event", "engines known", change);
+  series.declare("manager.list_change_bytes.by_engines", "bytes/event", "engines known", change);
+  series.declare("manager.heartbeat_bytes.by_engines_connected", "bytes/s", "engines connected",
+                 "signs of life both ways, one statement open and silent at each engine; without an open "
+                 "statement a manager asks for none");
+  series.declare("manager.status_call_cpu.by_engines", "us/call", "engines known",
+                 "status calls one after another over the admin channel; " + setting);
+  series.declare("manager.handshake_cpu.by_engines", "us", "engines known",
+                 "a start with the list less a start with an empty one, within " +
+                     milliseconds_text(start_window) +
+                     ", and one statement for each engine over new connections less the same over open ones; "
+                     "a manager connects to an engine with its first statement there");
+}
+
+}  // namespace
+
+std::vector<MeasuredSeries> measure_manager_control_slopes(const Bench& bench,
+                                                           const ManagerControlPlan& plan) {
+  SeriesSet series;
+  declare(series);
+  double start_with_none = 0;
+  {
+    SeriesSet unused;
+    declare(unused);
+    ManagerUnderMeasure none(bench, plan, 0);
+    none.measure_rest(unused);
+    start_with_none = none.start_cpu();
+  }
+  double largest_share = 0, least_connected = 1;
+  for (const int engines : plan.engines) {
+    ManagerUnderMeasure manager(bench, plan, engines);
+    StandInLoadMeter stand_ins(manager.cluster());
+    manager.measure_rest(series);
+    manager.measure_list_events(series);
+    manager.measure_status_calls(series);
+    manager.measure_connections(series, manager.start_cpu() - start_with_none);
+    stand_ins.require_below_bound(largest_share);
+    least_connected = std::min(least_connected, manager.connected_share());
+  }
+  series.append_to_source("manager.handshake_cpu.by_engines",
+                          std::to_string(least_connected) + " of the engines were connected at least");
+  std::vector<MeasuredSeries> all = series.take();
+  for (MeasuredSeries& one : all)
+    one.source += "; the stand-ins used " + std::to_string(largest_share) + " of a core at most";
+  return all;
+}
+
+}  // namespace pearchute::lab
