--- a/src/lab/measurements/slopes_manager_control.cpp
+++ b/src/lab/measurements/slopes_manager_control.cpp
@@ -43,7 +43,6 @@
   ask.type = "once";
   ask.statement = "UPDATE work=" + std::to_string(length.count()) + " a_1.t";
   ask.patience = milliseconds(25'000);
-  ask.cost_ms = static_cast<double>(length.count());
   return ask;
 }
 
@@ -170,8 +169,13 @@
     const auto all_begun = [&] {
       return statements_begun_on_loop() >= begun_before + static_cast<std::uint64_t>(engines_);
     };
-    if (!cluster_.until(all_begun, length))
-      throw TestClusterError("the statements of a measurement did not all begin in time", cluster_.folder());
+    if (!cluster_.until(all_begun, length)) {
+      const HistoryChecker::Verdict verdict = cluster_.verdict();
+      throw TestClusterError(std::to_string(statements_begun() - begun_before) + " of " +
+                                 std::to_string(engines_) + " statements began in time, " +
+                                 std::to_string(verdict.refused) + " were refused",
+                             cluster_.folder());
+    }
     return meter.microseconds() - rest_cpu_ * meter.seconds();
   }
 
