--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -112,6 +112,8 @@
   for (const auto& [known, run] : measurements) names.push_back(known);
   measure->add_option("name", name)->required()->check(CLI::IsMember(names));
   measure->add_option("--size", bench.size, "how many, where not as documented");
+  measure->add_option("--group", bench.group, "of slopes: one group only");
+  measure->add_option("--out", bench.out, "of slopes: the file of slopes to write");
   app.add_option("--seed", bench.seed);
   app.add_option("--programs", bench.programs, "the folder of pearchuted and pearchutectl");
   int managers = 3, engines = 4, seconds = 0;
--- a/src/lab/measurements/measure_slopes.cpp
+++ b/src/lab/measurements/measure_slopes.cpp
@@ -1,19 +1,81 @@
-// What each role costs against what drives it.
+// What each role costs against what drives it: the groups of slopes, one after another, each slope fitted
+// with one size left out, as one JSON object and as a file of slopes.
+#include "lab/measurements/measure_slopes.h"
+
+#include <algorithm>
+#include <filesystem>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
-#include "lab/measurements/measurements.h"
+#include "errors/error.h"
+#include "lab/capacity/slopes_file.h"
+#include "lab/measurements/slopes_agent.h"
+#include "lab/measurements/slopes_channel_engine.h"
 #include "lab/measurements/slopes_manager_control.h"
+#include "lab/measurements/slopes_operator.h"
 
 namespace pearchute::lab {
 
+using capacity::Slope;
+
+namespace {
+
+std::vector<Slope> fit_all(const std::vector<MeasuredSeries>& measured) {
+  std::vector<Slope> slopes;
+  slopes.reserve(measured.size());
+  for (const MeasuredSeries& series : measured) slopes.push_back(fit_series(series));
+  return slopes;
+}
+
+}  // namespace
+
+const std::vector<SlopeGroup>& slope_groups() {
+  static const std::vector<SlopeGroup> groups = {
+      {"manager-control", [](const Bench& bench) { return fit_all(measure_manager_control_slopes(bench)); }},
+      {"agent", [](const Bench& bench) { return fit_all(measure_agent_slopes(bench)); }},
+      {"channel-engine", [](const Bench& bench) { return fit_all(measure_channel_engine_slopes(bench)); }},
+      {"operator", [](const Bench& bench) { return fit_all(measure_operator_slopes(bench)); }},
+  };
+  return groups;
+}
+
+nlohmann::json slope_as_json(const Slope& slope) {
+  nlohmann::json points = nlohmann::json::array();
+  for (const capacity::SlopePoint& point : slope.points) points.push_back({point.driver, point.value});
+  return {{"unit", slope.description.unit},
+          {"driver", slope.description.driver},
+          {"shape", capacity::shape_name(slope.shape)},
+          {"a", slope.a},
+          {"b", slope.b},
+          {"c", slope.c},
+          {"points", points},
+          {"left_out", {slope.left_out.driver, slope.left_out.value}},
+          {"predicted", slope.predicted},
+          {"error", slope.error},
+          {"source", slope.source}};
+}
+
+void write_measured_slopes(const std::string& path, const std::vector<Slope>& measured) {
+  std::vector<Slope> kept;
+  if (std::filesystem::exists(path)) kept = capacity::read_slopes(path);
+  capacity::write_slopes(path, capacity::merge_slopes(std::move(kept), measured));
+}
+
 int measure_slopes(const Bench& bench) {
-  nlohmann::json told;
-  for (const MeasuredSeries& series : measure_manager_control_slopes(bench)) {
-    nlohmann::json points = nlohmann::json::array();
-    for (const MeasuredPoint& point : series.points) points.push_back({point.size, point.value});
-    told[series.name] = {{"unit", series.unit}, {"points", points}, {"source", series.source}};
+  std::vector<Slope> measured;
+  for (const SlopeGroup& group : slope_groups()) {
+    if (!bench.group.empty() && bench.group != group.name) continue;
+    const std::vector<Slope> of_group = group.measure(bench);
+    measured.insert(measured.end(), of_group.begin(), of_group.end());
+  }
+  if (measured.empty()) {
+    std::string known;
+    for (const SlopeGroup& group : slope_groups()) known += (known.empty() ? "" : ", ") + group.name;
+    throw UsageError("'" + bench.group + "' is no group of slopes; there are " + known);
   }
+  if (!bench.out.empty()) write_measured_slopes(bench.out, measured);
+  nlohmann::json told;
+  for (const Slope& slope : measured) told[slope.description.name] = slope_as_json(slope);
   std::cout << told.dump() << std::endl;
   return 0;
 }
--- a/src/lab/measurements/measurements.h
+++ b/src/lab/measurements/measurements.h
@@ -11,6 +11,8 @@
   std::uint64_t seed = 1;
   int size = 0;          // 0: as documented
   std::string programs;  // the folder of the programs
+  std::string group;     // of slopes; empty: all
+  std::string out;       // a file of slopes to write; empty: none
 };
 
 int measure_drain(const Bench& bench);
--- /dev/null
+++ b/src/lab/measurements/slopes_agent.cpp
@@ -0,0 +1,229 @@
+#include "lab/measurements/slopes_agent.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+
+#include "errors/error.h"
+#include "lab/load/process_usage.h"
+#include "lab/measurements/process_cpu_clock.h"
+#include "lab/measurements/stand_in_load.h"
+#include "lab/simulations/gossip_simulation.h"
+#include "lab/stand_ins/agent_cluster.h"
+
+namespace pearchute::lab {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// Longer than the pause after which an agent asks again one that did not answer while all were starting.
+constexpr milliseconds warm_up{2500};
+constexpr seconds ready_within{60};
+
+ClusterSpec cluster_of(const Bench& bench, int instances) {
+  ClusterSpec spec;
+  spec.managers = instances;
+  spec.engines = 2;
+  spec.seed = bench.seed;
+  spec.starts_managers = false;
+  spec.pearchuted = bench.programs + "/pearchuted";
+  spec.pearchute_agent = bench.programs + "/pearchute-agent";
+  return spec;
+}
+
+// How many transactions have changed a SQLite file with a rollback journal: the file change counter of its
+// header, four bytes at offset 24, most significant first.
+std::uint32_t transactions_written(const std::string& database) {
+  constexpr std::streamoff counter_at = 24;
+  std::ifstream file(database, std::ios::binary);
+  std::array<char, 4> bytes{};
+  file.seekg(counter_at);
+  if (!file.read(bytes.data(), bytes.size())) return 0;
+  std::uint32_t counter = 0;
+  for (const char byte : bytes) counter = counter << 8 | static_cast<unsigned char>(byte);
+  return counter;
+}
+
+// Agents as processes with their instances, and relays between them that count bytes.
+class AgentsUnderMeasure {
+ public:
+  struct Usage {
+    double bytes = 0, cpu = 0, memory = 0, writes = 0;  // of one agent, on average
+  };
+
+  AgentsUnderMeasure(const Bench& bench, int agents, int instances_each)
+      : cluster_(cluster_of(bench, agents * instances_each), static_cast<std::size_t>(agents), true) {
+    if (!wait_for([&] { return cluster_.all_serve() && all_fresh(); }, ready_within))
+      throw TestClusterError("the agents do not come to know each other", cluster_.world.folder());
+    cluster_.world.rest(warm_up);
+  }
+
+  Usage measure(const AgentPlan& plan) {
+    StandInLoadMeter stand_ins(cluster_.world);
+    std::vector<double> bytes;
+    std::vector<double> writes;
+    Usage usage;
+    usage.cpu = median_of(plan.windows, [&] {
+      std::vector<CpuMeter> meters;
+      for (const Agent& agent : cluster_.agents) meters.emplace_back(agent.process);
+      const std::uint64_t relayed_before = relayed_bytes();
+      const std::uint64_t writes_before = writes_so_far();
+      cluster_.world.rest(plan.window);
+      const double agent_seconds = meters.front().seconds() * static_cast<double>(meters.size());
+      bytes.push_back(static_cast<double>(relayed_bytes() - relayed_before) / agent_seconds);
+      writes.push_back(static_cast<double>(writes_so_far() - writes_before) / agent_seconds);
+      double cpu = 0;
+      for (const CpuMeter& meter : meters) cpu += meter.microseconds_per_second();
+      return cpu / static_cast<double>(meters.size());
+    });
+    usage.bytes = median(bytes);
+    usage.writes = median(writes);
+    usage.memory = mean_memory_kb();
+    stand_ins.require_below_bound(largest_stand_in_share_);
+    return usage;
+  }
+
+  std::uint64_t writes_so_far() const {
+    std::uint64_t writes = 0;
+    for (const Agent& agent : cluster_.agents)
+      writes += transactions_written(cluster_.world.folder() + "/" + agent.name + ".db");
+    return writes;
+  }
+  double largest_stand_in_share() const { return largest_stand_in_share_; }
+
+ private:
+  static double median(std::vector<double> values) {
+    std::ranges::sort(values);
+    return values[values.size() / 2];
+  }
+  bool all_fresh() {
+    return std::ranges::all_of(cluster_.agents, [&](Agent& agent) {
+      const auto shown = agent.show();
+      if (!shown) return false;
+      const auto fresh =
+          std::ranges::count_if(shown->heard(), [](const auto& one) { return one.freshness() == "fresh"; });
+      return static_cast<std::size_t>(fresh) + 1 >= cluster_.agents.size();
+    });
+  }
+  std::uint64_t relayed_bytes() {
+    return cluster_.world.on([&] { return cluster_.relays->bytes(); });
+  }
+  double mean_memory_kb() const {
+    double sum = 0;
+    for (const Agent& agent : cluster_.agents) {
+      const auto usage = read_process_usage(agent.process);
+      if (!usage) throw TestClusterError(agent.name + " has ended", cluster_.world.folder());
+      sum += static_cast<double>(usage->resident_kb);
+    }
+    return sum / static_cast<double>(cluster_.agents.size());
+  }
+
+  AgentCluster cluster_;
+  double largest_stand_in_share_ = 0;
+};
+
+// Encoded messages of the simulated exchange, without what TLS and HTTP/2 add.
+double simulated_bytes_per_second(const Bench& bench, int agents) {
+  GossipSimulation::Shape shape;
+  shape.seed = bench.seed;
+  shape.agents = agents;
+  shape.instances_each = 1;
+  shape.troubled = seconds(1);
+  shape.calm = seconds(20);
+  return GossipSimulation(shape).play().bytes_a_second;
+}
+
+void declare(SeriesSet& series) {
+  const std::string by_agents =
+      "agents as processes with one instance each, TLS over relays on loopback, at rest, mean of the agents, "
+      "median of windows";
+  const std::string bytes = by_agents +
+                            "; bytes between agents with TLS and HTTP/2, their own instances' admin channels "
+                            "not counted; what one agent sends another receives, so both are one mean";
+  series.declare({"agent.bytes_sent.by_agents", "agent", "bytes sent to other agents", "bytes/s",
+                  "agents of the fleet", "agents"},
+                 bytes);
+  series.declare({"agent.bytes_received.by_agents", "agent", "bytes received from other agents", "bytes/s",
+                  "agents of the fleet", "agents"},
+                 bytes);
+  series.declare({"agent.cpu.by_agents", "agent", "processor time", "us/s", "agents of the fleet", "agents"},
+                 by_agents);
+  series.declare(
+      {"agent.memory.by_agents", "agent", "resident memory", "kB", "agents of the fleet", "agents"},
+      by_agents);
+  const std::string by_instances =
+      "two agents as processes, each with so many instances, TLS over relays on loopback, at rest, mean of "
+      "the agents, median of windows";
+  const auto instances = [&](const std::string& name, const std::string& quantity, const std::string& unit) {
+    series.declare({name, "agent", quantity, unit, "instances of an agent", "instances"}, by_instances);
+  };
+  instances("agent.bytes_sent.by_instances", "bytes sent to other agents", "bytes/s");
+  instances("agent.cpu.by_instances", "processor time", "us/s");
+  instances("agent.memory.by_instances", "resident memory", "kB");
+  instances("agent.disk_writes.by_instances", "transactions written to its store", "writes/s");
+}
+
+void measure_by_agents(const Bench& bench, const AgentPlan& plan, SeriesSet& series) {
+  double share = 0;
+  double measured = 0;
+  for (const int number : plan.agents) {
+    AgentsUnderMeasure agents(bench, number, 1);
+    const AgentsUnderMeasure::Usage usage = agents.measure(plan);
+    series.add("agent.bytes_sent.by_agents", number, usage.bytes);
+    series.add("agent.bytes_received.by_agents", number, usage.bytes);
+    series.add("agent.cpu.by_agents", number, usage.cpu);
+    series.add("agent.memory.by_agents", number, usage.memory);
+    share = std::max(share, agents.largest_stand_in_share());
+    measured = usage.bytes;
+  }
+  const std::string busy = "the relays used " + std::to_string(share) + " of a core at most";
+  for (const char* name : {"agent.bytes_sent.by_agents", "agent.bytes_received.by_agents",
+                           "agent.cpu.by_agents", "agent.memory.by_agents"})
+    series.append_to_source(name, busy);
+  if (plan.simulated_agents.empty() || plan.agents.empty()) return;
+  const int overlap = plan.agents.back();
+  const double simulated_overlap = simulated_bytes_per_second(bench, overlap);
+  for (const int number : plan.simulated_agents) {
+    const double simulated = simulated_bytes_per_second(bench, number);
+    series.add("agent.bytes_sent.by_agents", number, simulated);
+    series.add("agent.bytes_received.by_agents", number, simulated);
+  }
+  const std::string remark = "from " + std::to_string(plan.simulated_agents.front()) +
+                             " agents on simulated, encoded messages only: at " + std::to_string(overlap) +
+                             " agents processes sent " + std::to_string(static_cast<int>(measured)) +
+                             " and the simulation " + std::to_string(static_cast<int>(simulated_overlap)) +
+                             " bytes/s";
+  series.append_to_source("agent.bytes_sent.by_agents", remark);
+  series.append_to_source("agent.bytes_received.by_agents", remark);
+}
+
+void measure_by_instances(const Bench& bench, const AgentPlan& plan, SeriesSet& series) {
+  constexpr int agents_of_a_point = 2;
+  std::string starts;
+  for (const int number : plan.instances) {
+    AgentsUnderMeasure agents(bench, agents_of_a_point, number);
+    starts += (starts.empty() ? "" : ", ") + std::to_string(agents.writes_so_far() / agents_of_a_point) +
+              " for " + std::to_string(number);
+    const AgentsUnderMeasure::Usage usage = agents.measure(plan);
+    series.add("agent.bytes_sent.by_instances", number, usage.bytes);
+    series.add("agent.cpu.by_instances", number, usage.cpu);
+    series.add("agent.memory.by_instances", number, usage.memory);
+    series.add("agent.disk_writes.by_instances", number, usage.writes);
+  }
+  series.append_to_source("agent.disk_writes.by_instances",
+                          "transactions from a first start until all instances serve: " + starts);
+}
+
+}  // namespace
+
+std::vector<MeasuredSeries> measure_agent_slopes(const Bench& bench, const AgentPlan& plan) {
+  SeriesSet series;
+  declare(series);
+  measure_by_agents(bench, plan, series);
+  measure_by_instances(bench, plan, series);
+  return series.take();
+}
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/measurements/slopes_agent.h
@@ -0,0 +1,23 @@
+// What an agent exchanges, uses and writes at rest, against the agents of the fleet and against the instances
+// that it owns.
+#pragma once
+
+#include <chrono>
+#include <vector>
+
+#include "lab/measurements/measurements.h"
+#include "lab/measurements/slopes_series.h"
+
+namespace pearchute::lab {
+
+struct AgentPlan {
+  std::vector<int> agents = {3, 6, 12, 24};                 // as processes, one instance each
+  std::vector<int> simulated_agents = {50, 100, 200, 400};  // in the simulated exchange
+  std::vector<int> instances = {2, 4, 8, 16};               // of each of two agents
+  int windows = 3;                                          // of which the median counts
+  std::chrono::milliseconds window{2500};
+};
+
+std::vector<MeasuredSeries> measure_agent_slopes(const Bench& bench, const AgentPlan& plan = {});
+
+}  // namespace pearchute::lab
--- a/src/lab/measurements/slopes_manager_control.cpp
+++ b/src/lab/measurements/slopes_manager_control.cpp
@@ -22,7 +22,11 @@
 // A manager asks a connection for a sign of life where an open statement has been silent for 400 ms.
 constexpr milliseconds until_signs{700};
 constexpr milliseconds signs_window{800};
-constexpr milliseconds statement_length{6000};
+constexpr milliseconds first_statement_length{2000};
+constexpr milliseconds statement_length{4500};
+// A burst of a thousand would be turned away in part.
+constexpr int statements_at_once = 16;
+constexpr milliseconds between_statements{12};
 
 std::string milliseconds_text(milliseconds time) { return std::to_string(time.count()) + " ms"; }
 
@@ -31,18 +35,22 @@
   spec.engines = engines;
   spec.seed = bench.seed;
   spec.pearchuted = bench.programs + "/pearchuted";
-  spec.sockets = 2 * engines + 512;
+  // A third of the descriptors may be clients with an open statement, and each engine gets one.
+  spec.sockets = 4 * engines + 512;
   spec.manager_memory_mb = 256;
+  // Statements that last for seconds are turned away where they can't be within their SLA time.
+  spec.sla_time = milliseconds(15'000);
   spec.slowest = milliseconds(30'000);
   return spec;
 }
 
-// A statement that is never run twice and is not asked after before it ends.
+// A statement that is never run twice.
 Ask long_statement(milliseconds length) {
   Ask ask;
   ask.type = "once";
   ask.statement = "UPDATE work=" + std::to_string(length.count()) + " a_1.t";
   ask.patience = milliseconds(25'000);
+  ask.cost_ms = static_cast<double>(length.count());
   return ask;
 }
 
@@ -56,17 +64,18 @@
   }
 
   void measure_rest(SeriesSet& series) {
+    // The channel's comments come once a second: they are counted over all windows together.
+    const CpuMeter whole(manager());
+    const std::uint64_t bytes = bytes_exchanged();
     const double cpu = median_of(plan_.windows, [&] {
       const CpuMeter meter(manager());
-      const std::uint64_t bytes = bytes_exchanged();
       cluster_.rest(plan_.rest_window);
-      rest_bytes_.push_back(static_cast<double>(bytes_exchanged() - bytes) / meter.seconds());
       return meter.microseconds_per_second();
     });
+    const double bytes_per_second = static_cast<double>(bytes_exchanged() - bytes) / whole.seconds();
     rest_cpu_ = cpu;
-    std::ranges::sort(rest_bytes_);
     series.add("manager.control_cpu_at_rest.by_engines", engines_, cpu);
-    series.add("manager.control_bytes_at_rest.by_engines", engines_, rest_bytes_[rest_bytes_.size() / 2]);
+    series.add("manager.control_bytes_at_rest.by_engines", engines_, bytes_per_second);
   }
 
   void measure_list_events(SeriesSet& series) {
@@ -102,7 +111,7 @@
   // same statements over connections that are open. The second time the statements last: the signs of life
   // are counted then.
   void measure_connections(SeriesSet& series, double start_cpu_difference) {
-    const double opening = dispatch_cpu(milliseconds(1500));
+    const double opening = dispatch_cpu(first_statement_length);
     const std::size_t connected = engines_connected();
     if (!quiet()) throw TestClusterError("statements do not end", cluster_.folder());
     const double reusing = dispatch_cpu(statement_length);
@@ -163,9 +172,13 @@
   double dispatch_cpu(milliseconds length) {
     const std::uint64_t begun_before = statements_begun();
     const CpuMeter meter(manager());
-    cluster_.on([&] {
-      for (int i = 0; i < engines_; ++i) cluster_.crowd().ask(0, long_statement(length), {});
-    });
+    for (int offered = 0; offered < engines_; offered += statements_at_once) {
+      const int now = std::min(statements_at_once, engines_ - offered);
+      cluster_.on([&] {
+        for (int i = 0; i < now; ++i) cluster_.crowd().ask(0, long_statement(length), {});
+      });
+      cluster_.rest(between_statements);
+    }
     const auto all_begun = [&] {
       return statements_begun_on_loop() >= begun_before + static_cast<std::uint64_t>(engines_);
     };
@@ -203,15 +216,13 @@
     });
   }
   std::uint64_t bytes_exchanged() {
-    return engine_bytes() + cluster_.on([&] {
-             return cluster_.channel().bytes_received() + cluster_.channel().bytes_sent();
-           });
+    return engine_bytes() +
+           cluster_.on([&] { return cluster_.channel().bytes_received() + cluster_.channel().bytes_sent(); });
   }
 
   const ManagerControlPlan& plan_;
   const int engines_;
   TestCluster cluster_;
-  std::vector<double> rest_bytes_;
   double rest_cpu_ = 0, connected_share_ = 0;
 };
 
@@ -219,26 +230,32 @@
   const std::string setting =
       "one pearchuted over stand-in engines on loopback, no client load, the front's five checks a second "
       "included; median of windows";
-  series.declare("manager.control_cpu_at_rest.by_engines", "us/s", "engines known", setting);
-  series.declare("manager.control_bytes_at_rest.by_engines", "bytes/s", "engines known",
-                 "both ways at the stand-in list channel and engines; no client load, so no connection to an "
-                 "engine is open");
+  const auto by_engines = [&](const std::string& name, const std::string& quantity, const std::string& unit,
+                              const std::string& source) {
+    series.declare({"manager." + name + ".by_engines", "manager", quantity, unit, "engines known", "engines"},
+                   source);
+  };
+  by_engines("control_cpu_at_rest", "processor time at rest", "us/s", setting);
+  by_engines("control_bytes_at_rest", "bytes exchanged at rest", "bytes/s",
+             "over the whole of the windows, both ways at the stand-in list channel and engines; no client "
+             "load, so no connection to an engine is open; the front's checks not counted");
   const std::string whole = "the whole list in one event, one engine's phase changed; " + setting;
-  series.declare("manager.list_event_cpu.by_engines", "us/event", "engines known", whole);
-  series.declare("manager.list_event_bytes.by_engines", "bytes/event", "engines known", whole);
+  by_engines("list_event_cpu", "processor time of an event with the whole list", "us/event", whole);
+  by_engines("list_event_bytes", "bytes of an event with the whole list", "bytes/event", whole);
   const std::string change = "an event with the one engine that changed; " + setting;
-  series.declare("manager.list_change_cpu.by_engines", "us/event", "engines known", change);
-  series.declare("manager.list_change_bytes.by_engines", "bytes/event", "engines known", change);
-  series.declare("manager.heartbeat_bytes.by_engines_connected", "bytes/s", "engines connected",
+  by_engines("list_change_cpu", "processor time of an event with one engine", "us/event", change);
+  by_engines("list_change_bytes", "bytes of an event with one engine", "bytes/event", change);
+  by_engines("status_call_cpu", "processor time of a status call", "us/call",
+             "status calls one after another over the admin channel; " + setting);
+  by_engines("handshake_cpu", "processor time of a start and of a connection to each engine", "us",
+             "a start with the list less a start with an empty one, within " +
+                 milliseconds_text(start_window) +
+                 ", and one statement for each engine over new connections less the same over open ones; a "
+                 "manager connects to an engine with its first statement there");
+  series.declare({"manager.heartbeat_bytes.by_engines_connected", "manager", "bytes of signs of life",
+                  "bytes/s", "engines connected", "engines"},
                  "signs of life both ways, one statement open and silent at each engine; without an open "
                  "statement a manager asks for none");
-  series.declare("manager.status_call_cpu.by_engines", "us/call", "engines known",
-                 "status calls one after another over the admin channel; " + setting);
-  series.declare("manager.handshake_cpu.by_engines", "us", "engines known",
-                 "a start with the list less a start with an empty one, within " +
-                     milliseconds_text(start_window) +
-                     ", and one statement for each engine over new connections less the same over open ones; "
-                     "a manager connects to an engine with its first statement there");
 }
 
 }  // namespace
--- a/src/lab/measurements/slopes_manager_control.h
+++ b/src/lab/measurements/slopes_manager_control.h
@@ -11,9 +11,9 @@
 namespace pearchute::lab {
 
 struct ManagerControlPlan {
-  std::vector<int> engines = {80, 160, 1024};
+  std::vector<int> engines = {80, 160, 320, 640, 1024};
   int windows = 3;  // of which the median counts
-  std::chrono::milliseconds rest_window{200};
+  std::chrono::milliseconds rest_window{1500};
   int list_events = 10;   // in a window
   int status_calls = 50;  // in a window
 };
--- a/src/lab/measurements/slopes_series.cpp
+++ b/src/lab/measurements/slopes_series.cpp
@@ -6,18 +6,13 @@
 
 namespace pearchute::lab {
 
-void SeriesSet::declare(const std::string& name, const std::string& unit, const std::string& driver,
-                        const std::string& source) {
-  MeasuredSeries series;
-  series.name = name;
-  series.unit = unit;
-  series.driver = driver;
-  series.source = source;
-  series_.push_back(std::move(series));
+void SeriesSet::declare(const capacity::SlopeDescription& description, const std::string& source) {
+  series_.push_back({description, source, {}});
 }
 
 void SeriesSet::add(const std::string& name, double size, double value) {
-  find(name).points.push_back({size, value});
+  // The difference of two readings may come out below nothing where there is hardly anything to measure.
+  find(name).points.push_back({size, std::max(0.0, value)});
 }
 
 void SeriesSet::append_to_source(const std::string& name, const std::string& remark) {
@@ -25,19 +20,21 @@
 }
 
 std::vector<MeasuredSeries> SeriesSet::take() {
-  for (MeasuredSeries& series : series_) {
-    std::ranges::sort(series.points, {}, &MeasuredPoint::size);
-    if (series.points.size() >= 2) series.held_out_size = series.points[series.points.size() - 2].size;
-  }
+  for (MeasuredSeries& series : series_) std::ranges::sort(series.points, {}, &capacity::SlopePoint::driver);
   return std::move(series_);
 }
 
 MeasuredSeries& SeriesSet::find(const std::string& name) {
-  const auto found = std::ranges::find(series_, name, &MeasuredSeries::name);
+  const auto found = std::ranges::find(series_, name, [](const auto& one) { return one.description.name; });
   if (found == series_.end()) throw SystemError("the slope '" + name + "' is not declared");
   return *found;
 }
 
+capacity::Slope fit_series(const MeasuredSeries& series) {
+  const std::size_t left_out = series.points.size() < 2 ? 0 : series.points.size() - 2;
+  return capacity::fit_slope(series.description, series.points, left_out, series.source);
+}
+
 double median_of(int count, const std::function<double()>& measure_window) {
   std::vector<double> results;
   results.reserve(static_cast<std::size_t>(count));
--- a/src/lab/stand_ins/engine.h
+++ b/src/lab/stand_ins/engine.h
@@ -48,7 +48,7 @@
   std::uint64_t hung() const { return hung_; }
   std::uint64_t signs() const { return signs_; }  // of life that it was asked for
   std::size_t running() const { return running_.size() + waiting_.size(); }
-  std::size_t connections() const { return lines_.size(); }          // open now
+  std::size_t connections() const { return lines_.size(); }         // open now
   std::uint64_t bytes_received() const { return bytes_received_; }  // over all connections so far
   std::uint64_t bytes_sent() const { return bytes_sent_; }
 
--- a/src/lab/stand_ins/test_cluster.cpp
+++ b/src/lab/stand_ins/test_cluster.cpp
@@ -112,9 +112,10 @@
 void TestCluster::write_configuration(std::size_t number, const std::string& channel) {
   const Manager& manager = managers_[number];
   const auto slowest = std::chrono::duration_cast<std::chrono::microseconds>(site_.slowest).count();
+  const auto sla_time = std::chrono::duration_cast<std::chrono::microseconds>(site_.sla_time).count();
   const auto type = [&](const char* name, const char* repeat, bool in_order, double worth) {
-    return json{{"name", name},   {"repeat", repeat},  {"keyScope", "all"}, {"window", 9'000'000},
-                {"slo", 600'000}, {"giveUp", slowest}, {"worth", worth},    {"byArrival", in_order}};
+    return json{{"name", name},    {"repeat", repeat},  {"keyScope", "all"}, {"window", 9'000'000},
+                {"slo", sla_time}, {"giveUp", slowest}, {"worth", worth},    {"byArrival", in_order}};
   };
   json known = json::array();
   if (site_.knows_list) known.push_back(StandInChannel::event(1, members_now(), true));
--- a/src/lab/stand_ins/test_cluster.h
+++ b/src/lab/stand_ins/test_cluster.h
@@ -27,6 +27,7 @@
   std::string pearchute_agent;
   bool starts_managers = true;                // else agents do
   std::chrono::milliseconds slowest{4000};    // the longest job timeout
+  std::chrono::milliseconds sla_time{600};    // of each reservation type
   int sockets = 512, manager_memory_mb = 48;  // what a manager is told that it may have
   bool knows_list = false;                    // the whole list stands in its configuration, too
 };
