--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -106,14 +106,16 @@
       {"drain", measure_drain},     {"fleet-status", measure_fleet_status},
       {"rollout", measure_rollout}, {"managers", measure_managers},
       {"list", measure_list},       {"word", measure_word},
-      {"parts", measure_parts},
-      {"overload", measure_overload}};
+      {"parts", measure_parts},      {"overload", measure_overload},
+      {"slopes", measure_slopes}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
   std::vector<std::string> names;
   for (const auto& [known, run] : measurements) names.push_back(known);
   measure->add_option("name", name)->required()->check(CLI::IsMember(names));
   measure->add_option("--size", bench.size, "how many, where not as documented");
+  measure->add_option("--group", bench.group, "of slopes: one group only");
+  measure->add_option("--out", bench.out, "of slopes: the file of slopes to write");
   app.add_option("--seed", bench.seed);
   app.add_option("--programs", bench.programs, "the folder of pearchuted and pearchutectl");
   int managers = 3, engines = 4, seconds = 0;
--- a/src/lab/measurements/measurements.h
+++ b/src/lab/measurements/measurements.h
@@ -11,6 +11,8 @@
   std::uint64_t seed = 1;
   int size = 0;          // 0: as documented
   std::string programs;  // the folder of the programs
+  std::string group;     // of slopes; empty: all
+  std::string out;       // a file of slopes to write; empty: none
 };
 
 int measure_drain(const Bench& bench);
@@ -21,5 +23,6 @@
 int measure_word(const Bench& bench);
 int measure_parts(const Bench& bench);
 int measure_overload(const Bench& bench);
+int measure_slopes(const Bench& bench);
 
 }  // namespace pearchute::lab
