--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -2,7 +2,10 @@
 
 #include <SQLiteCpp/SQLiteCpp.h>
 
+#include <iterator>
 #include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
 
 namespace pearchute::store {
 
@@ -81,6 +84,31 @@
   return plan;
 }
 
+std::string joined(const std::vector<std::string>& digests) {
+  std::string text;
+  for (const std::string& one : digests) text += (text.empty() ? "" : " ") + one;
+  return text;
+}
+
+std::vector<std::string> split(const std::string& text) {
+  std::istringstream words(text);
+  return {std::istream_iterator<std::string>(words), {}};
+}
+
+void bind_mark(SQLite::Statement& statement, int first, const fleet::ConfigMark& mark) {
+  statement.bind(first, static_cast<std::int64_t>(mark.epoch));
+  statement.bind(first + 1, static_cast<std::int64_t>(mark.number));
+  statement.bind(first + 2, mark.digest);
+}
+
+fleet::ConfigMark mark_at(SQLite::Statement& row, int first) {
+  fleet::ConfigMark mark;
+  mark.epoch = static_cast<std::uint64_t>(row.getColumn(first).getInt64());
+  mark.number = static_cast<std::uint64_t>(row.getColumn(first + 1).getInt64());
+  mark.digest = row.getColumn(first + 2).getString();
+  return mark;
+}
+
 }  // namespace
 
 Store::Store(std::string path, std::function<void(const char*)> passes)
@@ -120,7 +148,7 @@
     SQLite::Transaction probe(*database_);
     database_->exec("CREATE TABLE IF NOT EXISTS probe (x); DROP TABLE probe;");
     probe.commit();
-    instances(), processes(), rollouts(1), incarnation();
+    instances(), processes(), rollouts(1), incarnation(), config();
     return Opened::usable;
   } catch (const SQLite::Exception& error) {
     const int code = error.getErrorCode();
@@ -153,6 +181,16 @@
   if (from < 3) database_->exec("ALTER TABLE process ADD COLUMN version INTEGER NOT NULL DEFAULT 0;");
   if (from < 4)
     database_->exec("CREATE TABLE speaker (one INTEGER PRIMARY KEY, incarnation INTEGER NOT NULL);");
+  if (from < 5) {
+    database_->exec(
+        "CREATE TABLE configuration (one INTEGER PRIMARY KEY, epoch INTEGER NOT NULL, number INTEGER NOT "
+        "NULL,"
+        " digest TEXT NOT NULL, author TEXT NOT NULL, ancestors TEXT NOT NULL, content BLOB NOT NULL);"
+        "CREATE TABLE superseded_configuration (epoch INTEGER NOT NULL, number INTEGER NOT NULL,"
+        " digest TEXT NOT NULL, by_epoch INTEGER NOT NULL, by_number INTEGER NOT NULL,"
+        " by_digest TEXT NOT NULL, author TEXT NOT NULL, ancestors TEXT NOT NULL,"
+        " PRIMARY KEY (epoch, number, digest));");
+  }
 }
 
 bool Store::transact(const std::function<void()>& what) {
@@ -253,6 +291,54 @@
   });
 }
 
+bool Store::write_config(const fleet::ConfigReplica::State& state) {
+  return transact([&] {
+    database_->exec("DELETE FROM configuration; DELETE FROM superseded_configuration;");
+    for (const fleet::SupersededConfig& record : state.superseded) {
+      SQLite::Statement put(*database_, "INSERT INTO superseded_configuration VALUES (?,?,?,?,?,?,?,?)");
+      bind_mark(put, 1, record.mark);
+      bind_mark(put, 4, record.by);
+      put.bind(7, record.author);
+      put.bind(8, joined(record.ancestors));
+      put.exec();
+    }
+    if (!state.current) return;
+    const fleet::ConfigDocument& current = *state.current;
+    SQLite::Statement put(*database_, "INSERT INTO configuration VALUES (1,?,?,?,?,?,?)");
+    bind_mark(put, 1, current.mark);
+    put.bind(4, current.author);
+    put.bind(5, joined(current.ancestors));
+    put.bind(6, current.content.data(), static_cast<int>(current.content.size()));
+    put.exec();
+  });
+}
+
+fleet::ConfigReplica::State Store::config() const {
+  fleet::ConfigReplica::State state;
+  SQLite::Statement records(*database_,
+                            "SELECT * FROM superseded_configuration ORDER BY epoch, number, digest");
+  while (records.executeStep()) {
+    fleet::SupersededConfig& record = state.superseded.emplace_back();
+    record.mark = mark_at(records, 0);
+    record.by = mark_at(records, 3);
+    record.author = records.getColumn(6).getString();
+    record.ancestors = split(records.getColumn(7).getString());
+  }
+  SQLite::Statement row(*database_, "SELECT * FROM configuration WHERE one = 1");
+  if (!row.executeStep()) return state;
+  fleet::ConfigDocument current;
+  current.mark = mark_at(row, 1);
+  current.author = row.getColumn(4).getString();
+  current.ancestors = split(row.getColumn(5).getString());
+  const SQLite::Column content = row.getColumn(6);
+  current.content.assign(static_cast<const char*>(content.getBlob()),
+                         static_cast<std::size_t>(content.getBytes()));
+  if (!fleet::is_intact(current))
+    throw std::runtime_error("the configuration version is not what its digest says");
+  state.current = std::move(current);
+  return state;
+}
+
 std::uint64_t Store::incarnation() const {
   SQLite::Statement get(*database_, "SELECT incarnation FROM speaker WHERE one = 1");
   return get.executeStep() ? static_cast<std::uint64_t>(get.getColumn(0).getInt64()) : 0;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/config_version.h"
 #include "fleet/lease_owner.h"
 #include "fleet/rollout.h"
 
@@ -45,7 +46,7 @@
   // Creates the file, or brings an older one to this version. `fault` says what is wrong where it is not
   // usable; the file is left as it is.
   Opened open(std::string& fault);
-  static constexpr int version = 4;
+  static constexpr int version = 5;
   static const std::vector<const char*>& points();
 
   // False where it can't be written (see fault()): nothing of it is, then.
@@ -54,12 +55,16 @@
   bool forget(const std::string& instance);
   bool write_rollout(const KeptRollout& rollout);
   bool write_incarnation(std::uint64_t incarnation);  // under which this agent speaks
+  // The current version of the configuration and the records of superseded ones, in one transaction.
+  bool write_config(const fleet::ConfigReplica::State& state);
   const std::string& fault() const { return fault_; }
 
   std::map<std::string, fleet::LeaseOwner::Kept> instances() const;
   std::map<std::string, Process> processes() const;
   std::uint64_t incarnation() const;                          // the last that was written; 0: none
   std::vector<KeptRollout> rollouts(std::size_t most) const;  // the newest first
+  // Throws std::runtime_error where a document is not what its digest says.
+  fleet::ConfigReplica::State config() const;
 
  private:
   bool transact(const std::function<void()>& what);
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -125,6 +125,58 @@
   assert(SQLite::Database(path).execAndGet("PRAGMA user_version").getInt() == 99);
 }
 
+// ---- Versions of the configuration
+
+fleet::ConfigReplica::State config_state(const std::string& content, std::uint64_t number) {
+  fleet::ConfigDocument document;
+  document.mark.epoch = 1, document.mark.number = number;
+  document.author = "a1", document.content = content;
+  document.ancestors = {std::string(32, 'a'), std::string(32, 'b')};
+  document.mark.digest = fleet::digest_of(document);
+  fleet::SupersededConfig record;
+  record.mark = {1, number - 1, std::string(32, 'c')}, record.by = document.mark, record.author = "a2";
+  record.ancestors = {std::string(32, 'd')};
+  return {document, {record}};
+}
+
+void configuration() {
+  const std::string path = folder + "/c.db";
+  const auto first = config_state(std::string("any \0 byte \xff", 12), 4), second = config_state("", 5);
+  {  // A file of version 4 had none.
+    Store store(path);
+    assert(open(store) == Store::Opened::usable);
+    SQLite::Database(path, SQLite::OPEN_READWRITE)
+        .exec("DROP TABLE configuration; DROP TABLE superseded_configuration; PRAGMA user_version = 4;");
+  }
+  {
+    Store store(path);
+    assert(open(store) == Store::Opened::usable && !store.config().current);
+    assert(store.write_config(first) && store.config() == first);
+  }
+  // A kill at each point leaves the version and the records as before, or both as after.
+  for (const char* point : Store::points()) {
+    const pid_t child = fork();
+    if (child == 0) {
+      Store store(path, [&](const char* at) {
+        if (std::string(at) == point) raise(SIGKILL);
+      });
+      open(store);
+      store.write_config(second);
+      _exit(0);
+    }
+    int status = 0;
+    waitpid(child, &status, 0);
+    assert(WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL);
+    Store store(path);
+    assert(open(store) == Store::Opened::usable);
+    assert(store.config() == (std::string(point) == "committed" ? second : first));
+  }
+  // A document that is not what its digest says is damage, and is told as such.
+  SQLite::Database(path, SQLite::OPEN_READWRITE).exec("UPDATE configuration SET content = 'other';");
+  Store store(path);
+  assert(open(store) == Store::Opened::damaged);
+}
+
 void damage() {
   const std::string path = folder + "/d.db";
   {
@@ -177,6 +229,7 @@
   written_and_read();
   kills();
   older_and_newer();
+  configuration();
   damage();
   std::filesystem::remove_all(folder);
 }
