--- a/src/fleet/config_spread.cpp
+++ b/src/fleet/config_spread.cpp
@@ -78,6 +78,7 @@
   std::erase_if(peers_, [&](const auto& one) {
     if (peers.contains(one.first)) return false;
     open_ -= one.second.open;
+    pushes_.erase(one.first);
     return true;
   });
   for (const auto& [name, place] : peers) peers_[name].place = place;
@@ -90,6 +91,7 @@
   members_hash_ = hash.value();
   if (members_ == before) return;
   acknowledgements_.assign(members_.size(), {});
+  acknowledgements_hash_ = hash_of(acknowledgements_);
   std::erase_if(heard_, [&](const std::string& name) { return !peers_.contains(name); });
   acknowledge(now);
 }
@@ -116,8 +118,9 @@
     ++open_;
     begun.push_back(name);
   };
-  for (auto& [name, peer] : peers_) {
-    if (peer.push && !peer.open && open_ < most_open) begin(name, peer);
+  for (const std::string& name : pushes_) {
+    Peer& peer = peers_.at(name);
+    if (!peer.open && open_ < most_open) begin(name, peer);
   }
   if (now < next_exchange_ || peers_.empty()) return begun;
   const Span interval = active(now) || !verified() ? active_interval : rest_interval;
@@ -130,8 +133,8 @@
 }
 
 Span ConfigSpread::next(Span now) const {
-  const bool pushes = open_ < most_open && std::ranges::any_of(peers_, [](const auto& one) {
-                        return one.second.push && !one.second.open;
+  const bool pushes = open_ < most_open && std::ranges::any_of(pushes_, [this](const std::string& name) {
+                        return !peers_.at(name).open;
                       });
   return pushes ? now : std::max(now, next_exchange_);
 }
@@ -141,7 +144,7 @@
   message.from = self_;
   message.mark = replica_.mark();
   message.members = members_hash_;
-  message.acknowledged = hash_of(acknowledgements_);
+  message.acknowledged = acknowledgements_hash_;
   message.superseded_hash = hash_of(replica_.state().superseded);
   return message;
 }
@@ -157,8 +160,7 @@
 
 ConfigMessage ConfigSpread::question(Span now, const std::string& peer) const {
   ConfigMessage message = marks();
-  const auto at = peers_.find(peer);
-  if (at != peers_.end() && at->second.push) message.document = shared_;
+  if (pushes_.contains(peer)) message.document = shared_;
   if (active(now) && shared_) message.acknowledgements = acknowledgements_to_send();
   return message;
 }
@@ -183,10 +185,11 @@
   heard_.insert(peer);
   const bool behind = shared_ && answer.mark < replica_.mark();
   // An answer that carries an older mark than was pushed comes from a peer that could not write it.
-  const bool refused = behind && at->second.push;
+  const bool refused = behind && pushes_.contains(peer);
   if (refused) ++at->second.failed_pushes;
   else at->second.failed_pushes = 0;
-  at->second.push = behind && at->second.failed_pushes < most_failed_pushes;
+  if (behind && at->second.failed_pushes < most_failed_pushes) pushes_.insert(peer);
+  else pushes_.erase(peer);
   if (shared_ && answer.mark == replica_.mark()) copies_.insert(peer);
   const ConfigMessage own = marks();
   const bool lacks =
@@ -200,9 +203,8 @@
   if (at == peers_.end() || !at->second.open) return;
   at->second.open = false;
   --open_;
-  if (!at->second.push) return;
-  at->second.push = ++at->second.failed_pushes < most_failed_pushes;
-  if (at->second.push) return;
+  if (!pushes_.contains(peer) || ++at->second.failed_pushes < most_failed_pushes) return;
+  pushes_.erase(peer);
   // Somebody else in that zone may be reached.
   at->second.failed_pushes = 0;
   if (active(now)) push_to_some(peers_in(at->second.place.zone, true), 1);
@@ -237,7 +239,9 @@
     news = true;
   }
   acknowledge(now);
-  if (news) changed(now);
+  if (!news) return;
+  acknowledgements_hash_ = hash_of(acknowledgements_);
+  changed(now);
 }
 
 // ---- Changes
@@ -251,10 +255,12 @@
   shared_ = std::make_shared<const ConfigDocument>(*replica_.current());
   copies_.clear();
   acknowledgements_.assign(members_.size(), {});
+  acknowledgements_hash_ = hash_of(acknowledgements_);
   own_revision_heard_ = 0;
   acknowledge(now);
   changed(now);
-  for (auto& [name, peer] : peers_) peer.push = false, peer.failed_pushes = 0;
+  pushes_.clear();
+  for (auto& [name, peer] : peers_) peer.failed_pushes = 0;
   push_to_some(peers_in(place_.zone, true), pushes_in_zone);
   if (!author) return push_to_some(peers_in(place_.zone, false), pushes_elsewhere);
   std::set<std::string> zones;
@@ -273,7 +279,7 @@
 
 void ConfigSpread::push_to_some(const std::vector<std::string>& candidates, std::size_t number) {
   for (std::size_t i = 0; i < number && !candidates.empty(); ++i)
-    peers_.at(candidates[random_() % candidates.size()]).push = true;
+    pushes_.insert(candidates[random_() % candidates.size()]);
 }
 
 void ConfigSpread::acknowledge(Span now) {
@@ -293,6 +299,7 @@
   next.revision = std::max(own.revision, own_revision_heard_) + 1;
   own_revision_heard_ = 0;
   own = next;
+  acknowledgements_hash_ = hash_of(acknowledgements_);
   changed(now);
 }
 
--- a/src/fleet/config_spread.h
+++ b/src/fleet/config_spread.h
@@ -112,7 +112,7 @@
  private:
   struct Peer {
     ConfigPlace place;
-    bool open = false, push = false;
+    bool open = false;
     int failed_pushes = 0;
   };
   bool active(Span now) const { return now < active_until_; }
@@ -136,10 +136,12 @@
   std::vector<std::string> members_;  // all agents, this one included, in order
   std::uint64_t members_hash_ = 0;
   ConfigAcknowledgements acknowledgements_;
+  std::uint64_t acknowledgements_hash_ = 0;
   std::uint32_t own_revision_heard_ = 0;  // of what others know of this agent, from before a restart
   std::vector<InstanceConfig> instances_;
   bool instances_known_ = false;
   std::set<std::string> heard_, copies_;
+  std::set<std::string> pushes_;  // peers that are to have the current version, and are not known to
   Span next_exchange_{}, active_until_{};
   std::size_t open_ = 0;
 };
