Configuration versions reach running managers by their agents

Agents exchange versions by Synchronize, keep them in their store, merge them into each instance's base and ask its manager by the admin call Configure. The manager checks the candidate as a start would, puts it in its file's place, applies what SIGHUP applies and tells the version in its status. Off unless the agent's settings say so.

--- a/src/agent/agent_config.cpp
+++ b/src/agent/agent_config.cpp
@@ -17,6 +17,8 @@
       else if (name == "control") charter.control = keys::reach_in(text);
       else if (name == "listen") charter.listen = keys::reach_in(text);
       else if (name == "exchange") charter.exchanges = ini::yes(name, text);
+      else if (name == "configuration") charter.configures = ini::yes(name, text);
+      else if (name == "zone") charter.zone = text;
       else throw ini::Error("'" + name + "' is not known in [agent]");
       if (name == "control" && charter.control.tls) throw ini::Error("'control' is a Unix socket");
       if (name == "listen" && !charter.listen.tls) throw ini::Error("'listen' is tls:host:port");
@@ -24,6 +26,10 @@
       return;
     }
     if (section.starts_with("peer ") && section.size() > 5 && section.find(' ', 5) == std::string::npos) {
+      if (name == "zone") {
+        charter.peer_zones[section.substr(5)] = text;
+        return;
+      }
       if (name != "control") throw ini::Error("'" + name + "' is not known in [peer NAME]");
       charter.peers[section.substr(5)] = keys::reach_in(text);
       return;
@@ -50,6 +56,12 @@
       if (!admins.insert(text).second) throw ini::Error("another instance has the admin address " + text);
     } else if (name == "zone") {
       owned.zone = text;
+    } else if (name == "configuration") {
+      if (!text.starts_with("/")) throw ini::Error("'configuration' is no absolute path");
+      owned.configuration = text;
+    } else if (name == "configuration.base") {
+      if (!text.starts_with("/")) throw ini::Error("'configuration.base' is no absolute path");
+      owned.configuration_base = text;
     } else if (name == "log") {
       owned.log = text;
     } else if (name == "wanted") {
@@ -67,10 +79,18 @@
   for (const auto& [name, reach] : charter.peers) tls = tls || reach.tls;
   if (const std::string lacks = keys::missing(charter.tls); tls && !lacks.empty())
     throw ini::Error("'" + lacks + "' is missing in [tls]", file);
+  for (const auto& [name, zone] : charter.peer_zones) {
+    if (!charter.peers.contains(name)) throw ini::Error("peer " + name + " has no 'control'", file);
+  }
   if (charter.peers.contains(charter.name)) throw ini::Error("this agent is its own peer", file);
   if (charter.instances.empty()) throw ini::Error("no instance is named", file);
   for (const auto& [name, owned] : charter.instances) {
     if (owned.admin.text.empty()) throw ini::Error("instance " + name + " has no 'admin'", file);
+    if (owned.configuration.empty() != owned.configuration_base.empty())
+      throw ini::Error("instance " + name + " needs both 'configuration' and 'configuration.base'", file);
+    if (!owned.configuration.empty() && owned.configuration == owned.configuration_base)
+      throw ini::Error("instance " + name + " has one file as 'configuration' and 'configuration.base'",
+                       file);
     if (!owned.commands.contains(owned.version))
       throw ini::Error("instance " + name + " has no command of version " + std::to_string(owned.version),
                        file);
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <random>
 
+#include "agent/config_service.h"
 #include "agent/coordinator.h"
 #include "agent/gossip_service.h"
 #include "agent/grpc_credentials.h"
@@ -32,11 +33,12 @@
 class Service final : public v1::Agent::Service {
  public:
   Service(net::EventLoopThread& stage, ProcessSupervisor& supervisor, Coordinator& coordinator,
-          GossipService* gossip, const AgentConfig& charter)
+          GossipService* gossip, ConfigService* configuration, const AgentConfig& charter)
       : loop_thread_(stage),
         supervisor_(supervisor),
         coordinator_(coordinator),
         gossip_(gossip),
+        configuration_(configuration),
         name_(charter.name),
         revocations_(charter.tls) {}
 
@@ -62,6 +64,23 @@
     if (!gossip_) return {grpc::StatusCode::FAILED_PRECONDITION, "this agent exchanges no word"};
     return on(*context, Act::look, "", [&] { gossip_->answer(*question, *bulletin); });
   }
+  grpc::Status Synchronize(grpc::ServerContext* context, const v1::ConfigMessage* question,
+                           v1::ConfigMessage* answer) override {
+    if (!configuration_) return no_configuration();
+    if (caller_of(*context).role != fleet::Role::agent)
+      return {grpc::StatusCode::PERMISSION_DENIED, "only agents exchange versions of the configuration"};
+    return on(*context, Act::change, "", [&] { configuration_->synchronize(*question, *answer); });
+  }
+  grpc::Status PublishConfig(grpc::ServerContext* context, const v1::ConfigPublication* publication,
+                             v1::ConfigPublished* published) override {
+    if (!configuration_) return no_configuration();
+    return on(*context, publication->new_epoch() ? Act::take_over : Act::change, "",
+              [&] { configuration_->publish(*publication, *published); });
+  }
+  grpc::Status ShowConfig(grpc::ServerContext* context, const v1::Empty*, v1::ConfigShown* shown) override {
+    if (!configuration_) return no_configuration();
+    return on(*context, Act::look, "", [&] { configuration_->show(*shown); });
+  }
   grpc::Status Claim(grpc::ServerContext* context, const v1::ClaimAsk* ask, v1::ClaimAnswer* to) override {
     return on(*context, ask->take_over() ? Act::take_over : Act::change, ask->who(), [&] {
       if (ask->lease_ms() > 24 * 3600 * 1000) throw MessageError("a lease out of bounds");
@@ -113,6 +132,9 @@
 
  private:
   using Act = fleet::Act;
+  static grpc::Status no_configuration() {
+    return {grpc::StatusCode::FAILED_PRECONDITION, "this agent takes no part in configuration versions"};
+  }
   template <class What>
   grpc::Status on(const grpc::ServerContext& context, Act act, const std::string& as, What what) {
     const Caller caller = caller_of(context);
@@ -153,23 +175,26 @@
   ProcessSupervisor& supervisor_;
   Coordinator& coordinator_;
   GossipService* const gossip_;
+  ConfigService* const configuration_;
   const std::string name_;
   Revocations revocations_;
 };
 
 // A file that can't be used leaves all as it was.
 void read_again(const std::string& file, const AgentConfig& charter, net::EventLoopThread& stage,
-                ProcessSupervisor& supervisor, Peers& peers, GossipService* gossip) {
+                ProcessSupervisor& supervisor, Peers& peers, GossipService* gossip,
+                ConfigService* configuration) {
   try {
     const AgentConfig next = read_agent_config(file);
     const bool other = next.name != charter.name || next.state != charter.state ||
                        next.control.text != charter.control.text || next.listen.text != charter.listen.text ||
-                       next.exchanges != charter.exchanges;
+                       next.exchanges != charter.exchanges || next.configures != charter.configures;
     if (other)
       spdlog::warn("the agent's name, state, places and exchange take effect at its next start only");
     const auto told = stage.on([&] {
       peers.change(next);
       if (gossip) gossip->change(next);
+      if (configuration) configuration->change(next);
       return supervisor.change(next);
     });
     for (const std::string& word : told) spdlog::info("{}", word);
@@ -189,6 +214,7 @@
   std::unique_ptr<Peers> peers;
   std::unique_ptr<Coordinator> coordinator;
   std::unique_ptr<GossipService> gossip;
+  std::unique_ptr<ConfigService> configuration;
   stage.on([&] {
     supervisor = std::make_unique<ProcessSupervisor>(stage.loop(), charter);
     peers = std::make_unique<Peers>(stage, charter);
@@ -197,8 +223,10 @@
     const std::uint64_t seed = static_cast<std::uint64_t>(chance()) << 32 | chance();
     if (charter.exchanges)
       gossip = std::make_unique<GossipService>(stage, charter, *supervisor, *peers, seed);
+    if (charter.configures)
+      configuration = std::make_unique<ConfigService>(stage, charter, *supervisor, *peers, seed + 1);
   });
-  Service service(stage, *supervisor, *coordinator, gossip.get(), charter);
+  Service service(stage, *supervisor, *coordinator, gossip.get(), configuration.get(), charter);
   grpc::ServerBuilder builder;
   // Bounds: of threads, of a message (the largest is a plan of some thousand instances), and of idle
   // connections.
@@ -221,10 +249,11 @@
     ::usleep(50'000);
     if (!asked_to_read_again) continue;
     asked_to_read_again = 0;
-    read_again(file, charter, stage, *supervisor, *peers, gossip.get());
+    read_again(file, charter, stage, *supervisor, *peers, gossip.get(), configuration.get());
   }
   server->Shutdown(std::chrono::system_clock::now() + milliseconds(500));
-  stage.on([&] { gossip.reset(), coordinator.reset(), peers.reset(), supervisor.reset(); });
+  stage.on(
+      [&] { configuration.reset(), gossip.reset(), coordinator.reset(), peers.reset(), supervisor.reset(); });
   spdlog::info("agent {} ends; its instances go on", charter.name);
   return 0;
 }
--- a/src/daemon/admin_binding.cpp
+++ b/src/daemon/admin_binding.cpp
@@ -10,6 +10,7 @@
 #include "admin.pb.h"
 #include "admin/admin_server.h"
 #include "admin/orders_file.h"
+#include "daemon/configuration_binding.h"
 #include "fleet/drains.h"
 #include "fleet/quiescence.h"
 
@@ -84,13 +85,14 @@
                            public fleet::Drains::Host,
                            public fleet::Rest::Host {
  public:
-  AdminBinding(const admin::Terms& terms, const net::Program::Parts& parts)
+  AdminBinding(const admin::Terms& terms, const std::string& file, const net::Program::Parts& parts)
       : parts_(parts),
         terms_(terms),
         started_unix_(unix_now()),
         orders_file_(terms.orders_file),
         drains_(*this),
         rest_(*this, terms.notice),
+        configuration_(file),
         admin_server_(parts.loop, terms, *this) {
     parts_.front.on_remark([this](std::string_view text) { tell("remark", "", text); });
     if (!terms.orders_file.empty()) remember();
@@ -135,6 +137,7 @@
     tell("phase", "", net::Program::word_for(phase));
   }
   void looked(Span now) override {
+    configuration_.looked();
     if (phase_ < net::Program::Phase::leaving) rest_.looked(now, parts_.front.idle());
   }
 
@@ -207,6 +210,8 @@
         return set_log_level(call.log_level().level(), reply);
       case Call::kWatch:
         return watch(reply);
+      case Call::kConfigure:
+        return configuration_.configure(call.configure(), reply);
       case Call::WHAT_NOT_SET:
         break;
     }
@@ -256,6 +261,7 @@
     status.set_trouble(damage_.empty() ? unwritten_ : damage_);
     status.set_memory_kb(memory_kb());
     status.set_descriptors(parts_.loop.descriptors());
+    configuration_.tell(status);
   }
 
   static void fill(admin::v1::Order& to, const fleet::Held& held, Span now) {
@@ -438,13 +444,16 @@
   admin::OrdersFile orders_file_;
   fleet::Drains drains_;
   fleet::Rest rest_;
+  ConfigurationBinding configuration_;
   admin::AdminServer admin_server_;
 };
 
 }  // namespace
 
-net::Program::MakeAnnex governor_by(const admin::Terms& terms) {
-  return [terms](const net::Program::Parts& parts) { return std::make_unique<AdminBinding>(terms, parts); };
+net::Program::MakeAnnex governor_by(const admin::Terms& terms, const std::string& file) {
+  return [terms, file](const net::Program::Parts& parts) {
+    return std::make_unique<AdminBinding>(terms, file, parts);
+  };
 }
 
 }  // namespace pearchute::daemon
--- a/src/daemon/admin_binding.h
+++ b/src/daemon/admin_binding.h
@@ -8,6 +8,7 @@
 
 namespace pearchute::daemon {
 
-net::Program::MakeAnnex governor_by(const admin::Terms& terms);
+// `file` is the program's configuration.
+net::Program::MakeAnnex governor_by(const admin::Terms& terms, const std::string& file);
 
 }  // namespace pearchute::daemon
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -42,7 +42,7 @@
     return app.exit(error) == 0 ? 0 : 2;
   }
   pearchute::net::Program::MakeAnnex annex;
-  if (!admin.empty()) annex = pearchute::daemon::governor_by(pearchute::admin::read_terms(admin));
+  if (!admin.empty()) annex = pearchute::daemon::governor_by(pearchute::admin::read_terms(admin), file);
   if (!check.empty()) {
     Program::check(check);
     std::cout << check << ": usable\n";
--- a/src/lab/stand_ins/agent_cluster.cpp
+++ b/src/lab/stand_ins/agent_cluster.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 
 #include "errors/error.h"
@@ -103,12 +104,15 @@
   return list.rollouts_size() == 1 ? list.rollouts(0) : agent::v1::Rollout();
 }
 
-AgentCluster::AgentCluster(const ClusterSpec& site, std::size_t number, bool relayed)
+AgentCluster::AgentCluster(const ClusterSpec& site, std::size_t number, bool relayed, bool configured)
     : world(site),
       authority(world.folder() + "/keys"),
       agents(number),
       site_(site),
-      managers_each_((static_cast<std::size_t>(site.managers) + number - 1) / number) {
+      managers_each_((static_cast<std::size_t>(site.managers) + number - 1) / number),
+      configured_(configured) {
+  for (const auto& manager : world.managers())
+    std::filesystem::copy_file(manager.configuration, manager.configuration + ".base");
   authority.init("site", std::chrono::hours(24));
   for (std::size_t a = 0; a < agents.size(); ++a) {
     Agent& one = agents[a];
@@ -146,7 +150,9 @@
   std::ofstream charter(one.charter);
   charter << "[agent]\nname = " << one.name << "\nstate = " << world.folder() << "/" << one.name
           << ".db\ncontrol = " << one.control << "\nlisten = tls:" << one.listen
-          << "\nexchange = " << (relays ? "yes" : "no") << "\n[tls]\nauthority = " << authority.path("ca.pem")
+          << "\nexchange = " << (relays ? "yes" : "no")
+          << "\nconfiguration = " << (configured_ ? "yes" : "no") << "\nzone = z-" << one.name
+          << "\n[tls]\nauthority = " << authority.path("ca.pem")
           << "\ncertificate = " << authority.path(one.name + ".pem")
           << "\nkey = " << authority.path(one.name + ".key") << "\nrevoked = " << authority.path("ca.crl")
           << "\n";
@@ -154,7 +160,7 @@
     if (peer.name == one.name || no_peers.contains({one.name, peer.name})) continue;
     const std::string at =
         relays ? world.on([&] { return relays->at(one.name, peer.name).address(); }) : peer.listen;
-    charter << "[peer " << peer.name << "]\ncontrol = tls:" << at << "\n";
+    charter << "[peer " << peer.name << "]\ncontrol = tls:" << at << "\nzone = z-" << peer.name << "\n";
   }
   for (std::size_t m = 0; m < world.managers().size(); ++m) {
     if (agents[owner_of(m)].name != one.name) continue;
@@ -163,6 +169,9 @@
     charter << "[instance " << manager.name << "]\nadmin = unix:" << manager.admin
             << "\nzone = " << manager.zone << "\ncommand = " << command_of(m) << "\nlog = " << manager.log
             << "\n";
+    if (configured_)
+      charter << "configuration = " << manager.configuration
+              << "\nconfiguration.base = " << manager.configuration << ".base\n";
     if (const auto at = more.find(manager.name); at != more.end()) charter << at->second << "\n";
   }
 }
--- a/src/lab/stand_ins/agent_cluster.h
+++ b/src/lab/stand_ins/agent_cluster.h
@@ -55,7 +55,9 @@
 class AgentCluster {
  public:
   // With relays the agents exchange word, each by a relay of its own to each other one.
-  explicit AgentCluster(const ClusterSpec& site, std::size_t number = 3, bool relayed = false);
+  // Where they are configured they spread versions of the configuration, over a base beside each manager's.
+  explicit AgentCluster(const ClusterSpec& site, std::size_t number = 3, bool relayed = false,
+                        bool configured = false);
   ~AgentCluster();
   // `more` are further lines of its instances' sections.
   void write_charter(const Agent& one, const std::map<std::string, std::string>& more = {});
@@ -82,6 +84,7 @@
  private:
   const ClusterSpec site_;
   const std::size_t managers_each_;
+  const bool configured_;
 };
 
 }  // namespace pearchute::lab
