--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -107,7 +107,7 @@
       {"rollout", measure_rollout}, {"managers", measure_managers},
       {"list", measure_list},       {"word", measure_word},
       {"parts", measure_parts},      {"overload", measure_overload},
-      {"slopes", measure_slopes}};
+      {"slopes", measure_slopes},    {"configuration", measure_configuration}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
   std::vector<std::string> names;
--- a/src/lab/measurements/measurements.h
+++ b/src/lab/measurements/measurements.h
@@ -24,5 +24,6 @@
 int measure_parts(const Bench& bench);
 int measure_overload(const Bench& bench);
 int measure_slopes(const Bench& bench);
+int measure_configuration(const Bench& bench);
 
 }  // namespace pearchute::lab
