--- /dev/null
+++ b/src/fleet/level_gossip.cpp
@@ -0,0 +1,222 @@
+#include "fleet/level_gossip.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace pearchute::fleet {
+
+namespace {
+
+// The schedulers of one agent must not draw the same numbers.
+constexpr std::uint64_t sibling_seed_offset = 0x9E3779B97F4A7C15ULL;
+
+}  // namespace
+
+LevelGossip::LevelGossip(GossipState::Host& host, std::string self, std::uint64_t incarnation,
+                         std::uint64_t seed, std::shared_ptr<const Topology> topology)
+    : self_(std::move(self)),
+      state_(host, self_, incarnation, seed),
+      group_scheduler_(seed),
+      sibling_schedulers_{AntiEntropyScheduler(seed + sibling_seed_offset),
+                          AntiEntropyScheduler(seed + 2 * sibling_seed_offset),
+                          AntiEntropyScheduler(seed + 3 * sibling_seed_offset)} {
+  set_topology(std::move(topology));
+}
+
+void LevelGossip::set_topology(std::shared_ptr<const Topology> topology) {
+  topology_ = std::move(topology);
+  placement_ = topology_->placement(self_).value_or(Placement{});
+  const std::vector<std::string>& members = topology_->ranked_members(placement_.group);
+  std::set<std::string> peers(members.begin(), members.end());
+  peers.erase(self_);
+  state_.charter(peers);
+  group_scheduler_.charter(peers);
+  summaries_.set_topology(topology_);
+  std::erase_if(contact_turns_, [&](const auto& one) { return !topology_->contains(one.first); });
+}
+
+void LevelGossip::say(const std::vector<StatusReport>& reports) {
+  state_.say(reports);
+  has_reported_ = true;
+}
+
+// ---- Who aggregates
+
+std::vector<std::string> LevelGossip::aggregator_candidates(Span now, Level level) const {
+  std::set<std::string> alive;
+  if (level == Level::group) {
+    for (const std::string& member : topology_->ranked_members(placement_.group)) {
+      if (state_.known(now, member).freshness == Freshness::fresh) alive.insert(member);
+    }
+  } else {
+    for (const Unit& child : topology_->children(placement_.at(level))) {
+      for (const std::string& writer : summaries_.fresh_writers(now, child)) alive.insert(writer);
+    }
+  }
+  alive.insert(self_);
+  std::vector<std::string> result;
+  for (const std::string& member : topology_->ranked_members(placement_.at(level))) {
+    if (result.size() < aggregators_per_unit && alive.contains(member)) result.push_back(member);
+  }
+  return result;
+}
+
+bool LevelGossip::aggregates(Span now, Level level) const {
+  if (!has_reported_ || !state_.speaks() || !topology_->contains(self_)) return false;
+  for (const Level below : {Level::group, Level::zone, Level::region}) {
+    if (below > level) break;
+    const std::vector<std::string> candidates = aggregator_candidates(now, below);
+    if (std::ranges::find(candidates, self_) == candidates.end()) return false;
+  }
+  return true;
+}
+
+void LevelGossip::publish_unit(Span now, const Unit& unit, const GroupStatus& status) {
+  StatusSummary summary;
+  summary.unit = unit;
+  summary.writer = self_;
+  summary.version = {state_.known(now, self_).mark.incarnation, ++summary_number_};
+  summary.made_at = now;
+  summary.age_when_made = status.age;
+  summary.counts = status.counts;
+  summaries_.publish(now, summary);
+  own_summaries_.push_back(std::move(summary));
+}
+
+void LevelGossip::publish(Span now) {
+  own_summaries_.clear();
+  if (!aggregates(now, Level::group)) return;
+  publish_unit(now, placement_.group,
+               summarize_group(state_, topology_->ranked_members(placement_.group), now));
+  for (const Level level : {Level::zone, Level::region}) {
+    if (!aggregates(now, level)) return;
+    const Unit& unit = placement_.at(level);
+    publish_unit(now, unit, summaries_.combine(now, topology_->children(unit)));
+  }
+}
+
+// ---- Whom to ask for what
+
+LevelGossip::Beat LevelGossip::beat(Span now) {
+  Beat result;
+  state_.woken(now);
+  summaries_.expire(now);
+  const bool summary_turn = beats_++ % beats_per_summary == 0;
+  if (summary_turn) publish(now);
+  ask_group(now, result.questions);
+  for (const Level level : {Level::group, Level::zone, Level::region}) {
+    if (summary_turn) ask_siblings(now, level, result.questions);
+  }
+  result.next = group_scheduler_.next(now);
+  return result;
+}
+
+void LevelGossip::ask_group(Span now, std::vector<OutgoingQuestion>& questions) {
+  bool with_summaries = true;  // one of each round is enough
+  for (const std::string& peer : group_scheduler_.due(now)) {
+    LevelQuestion question{self_, state_.marks(), std::nullopt};
+    if (std::exchange(with_summaries, false)) question.summary_marks = marks_for(now, peer);
+    questions.push_back({{peer, std::nullopt}, std::move(question)});
+  }
+}
+
+AntiEntropyScheduler& LevelGossip::siblings_at(Level level) {
+  return sibling_schedulers_[static_cast<std::size_t>(level)];
+}
+
+void LevelGossip::ask_siblings(Span now, Level level, std::vector<OutgoingQuestion>& questions) {
+  std::map<std::string, Unit> siblings;
+  if (aggregates(now, level)) {
+    for (const Unit& sibling : topology_->siblings(placement_.at(level)))
+      siblings.emplace(to_string(sibling), sibling);
+  }
+  std::set<std::string> names;
+  for (const auto& [name, sibling] : siblings) names.insert(name);
+  siblings_at(level).charter(names);
+  for (const std::string& name : siblings_at(level).due(now)) {
+    const Unit& sibling = siblings.at(name);
+    const std::string contact = contact_of(sibling);
+    LevelQuestion question{self_, std::nullopt, marks_for(now, contact)};
+    questions.push_back({{contact, sibling}, std::move(question)});
+  }
+}
+
+// The known writers for the unit, and after those that are of no use, its members by their rank.
+std::string LevelGossip::contact_of(const Unit& sibling) const {
+  std::vector<std::string> candidates = summaries_.writers(sibling);
+  std::ranges::copy(topology_->ranked_members(sibling), std::back_inserter(candidates));
+  const auto turn = contact_turns_.find(sibling);
+  return candidates[(turn == contact_turns_.end() ? 0 : turn->second) % candidates.size()];
+}
+
+// Both sides compute the same, so that neither tells what the other has no use for.
+std::vector<Unit> LevelGossip::units_shared_with(const std::string& peer) const {
+  const std::optional<Placement> theirs = topology_->placement(peer);
+  if (!theirs) return {};
+  std::vector<Unit> result = topology_->siblings(placement_.region);
+  result.push_back(placement_.region);
+  const auto add = [&](const std::vector<Unit>& units) {
+    std::ranges::copy(units, std::back_inserter(result));
+  };
+  if (theirs->region == placement_.region) add(topology_->children(placement_.region));
+  if (theirs->group == placement_.group) result.push_back(placement_.group);
+  else if (theirs->zone == placement_.zone) add(topology_->children(placement_.zone));
+  return result;
+}
+
+std::vector<SummaryMark> LevelGossip::marks_for(Span now, const std::string& peer) const {
+  std::vector<SummaryMark> marks;
+  for (const Unit& unit : units_shared_with(peer)) {
+    if (const auto mark = summaries_.mark(now, unit)) marks.push_back(*mark);
+  }
+  return marks;
+}
+
+// ---- Answers
+
+LevelAnswer LevelGossip::answer(Span now, const LevelQuestion& question) {
+  LevelAnswer result;
+  const std::optional<Placement> theirs = topology_->placement(question.asker);
+  if (!theirs) return result;
+  if (question.status_versions && theirs->group == placement_.group)
+    result.reports = state_.answer(now, *question.status_versions);
+  if (!question.summary_marks) return result;
+  std::map<Unit, const SummaryMark*> marks;
+  for (const SummaryMark& mark : *question.summary_marks) marks[mark.unit] = &mark;
+  for (const Unit& unit : units_shared_with(question.asker)) {
+    const auto mark = marks.find(unit);
+    auto delta = summaries_.answer(now, unit, mark == marks.end() ? nullptr : mark->second);
+    if (delta) result.summaries.push_back(std::move(*delta));
+  }
+  return result;
+}
+
+void LevelGossip::merge(Span now, Span asked, const std::string& teller, const LevelAnswer& answer) {
+  state_.heard(now, asked, answer.reports);
+  for (const SummaryDelta& delta : answer.summaries) {
+    // Nobody else writes under this agent's name; its own past is of no use to it.
+    if (delta.summary.writer != self_) summaries_.merge(now, asked, teller, delta);
+  }
+}
+
+void LevelGossip::completed(Span now, const QuestionId& id) {
+  if (!id.sibling) return group_scheduler_.answered(now, id.peer);
+  siblings_at(id.sibling->level).answered(now, to_string(*id.sibling));
+  if (summaries_.freshness(now, *id.sibling) != Freshness::fresh) ++contact_turns_[*id.sibling];
+}
+
+void LevelGossip::missed(Span now, const QuestionId& id) {
+  if (!id.sibling) return group_scheduler_.missed(now, id.peer);
+  siblings_at(id.sibling->level).missed(now, to_string(*id.sibling));
+  ++contact_turns_[*id.sibling];
+}
+
+GroupStatus LevelGossip::fleet_status(Span now) const {
+  std::vector<Unit> regions = topology_->siblings(placement_.region);
+  regions.push_back(placement_.region);
+  return summaries_.combine(now, regions);
+}
+
+}  // namespace pearchute::fleet
--- /dev/null
+++ b/src/fleet/status_summary.cpp
@@ -0,0 +1,263 @@
+#include "fleet/status_summary.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace pearchute::fleet {
+
+namespace {
+
+using std::chrono::seconds;
+
+// Field tags, lengths and numbers of a message, on average; names come on top.
+constexpr std::size_t unit_overhead = 8;
+constexpr std::size_t mark_overhead = 10;
+constexpr std::size_t summary_overhead = 36;
+
+std::size_t varint_size(std::uint64_t value) {
+  return 1 + static_cast<std::size_t>(std::bit_width(value) / 7);
+}
+std::size_t unit_size(const Unit& unit) { return unit_overhead + unit.region.size() + unit.zone.size(); }
+
+bool finite_share(const StatusCounts& counts) {
+  return std::isfinite(counts.traffic) && std::isfinite(counts.done_traffic) && counts.traffic >= 0 &&
+         counts.done_traffic >= 0;
+}
+
+}  // namespace
+
+void StatusCounts::add(const StatusReport& report) {
+  ++by_condition[static_cast<std::size_t>(report.condition)];
+  traffic += report.traffic;
+  done_traffic += report.traffic * report.done;
+  open += report.open;
+}
+
+void StatusCounts::add(const StatusCounts& other) {
+  for (std::size_t n = 0; n < condition_count; ++n) by_condition[n] += other.by_condition[n];
+  traffic += other.traffic;
+  done_traffic += other.done_traffic;
+  open += other.open;
+  agents_fresh += other.agents_fresh;
+  agents_old += other.agents_old;
+  agents_unknown += other.agents_unknown;
+}
+
+std::size_t encoded_size(const SummaryDelta& delta) {
+  const StatusCounts& counts = delta.summary.counts;
+  std::size_t size = summary_overhead + unit_size(delta.summary.unit) + delta.summary.writer.size();
+  for (const std::uint32_t count : counts.by_condition) size += count == 0 ? 0 : 1 + varint_size(count);
+  size += 2 * sizeof(double) + 3;
+  size += varint_size(counts.open) + varint_size(counts.agents_fresh) + varint_size(counts.agents_old) +
+          varint_size(counts.agents_unknown);
+  return size;
+}
+
+std::size_t encoded_size(const SummaryMark& mark) { return mark_overhead + unit_size(mark.unit); }
+
+GroupStatus summarize_group(const GossipState& state, const std::vector<std::string>& members, Span now) {
+  GroupStatus status;
+  for (const std::string& member : members) {
+    const GossipState::Known known = state.known(now, member);
+    if (known.freshness == Freshness::unknown) ++status.counts.agents_unknown;
+    if (known.freshness == Freshness::old) ++status.counts.agents_old;
+    if (known.freshness != Freshness::fresh) continue;
+    ++status.counts.agents_fresh;
+    status.age = std::max(status.age, known.age.value_or(Span(0)));
+    for (const auto& [instance, report] : state.words(member)) status.counts.add(report);
+  }
+  return status;
+}
+
+FreshnessLimits freshness_limits(Level level) {
+  switch (level) {
+    case Level::group:
+      return {seconds(6), seconds(30)};
+    case Level::zone:
+      return {seconds(9), seconds(45)};
+    case Level::region:
+      return {seconds(12), seconds(60)};
+  }
+  return {};
+}
+
+void SummaryStore::set_topology(std::shared_ptr<const Topology> topology) {
+  topology_ = std::move(topology);
+  std::erase_if(units_, [&](const auto& unit) { return !topology_->contains(unit.first); });
+  for (auto& [unit, writers] : units_)
+    std::erase_if(writers, [&](const auto& one) { return !acceptable(one.second.summary); });
+  std::erase_if(clocks_, [&](const auto& one) { return !topology_->contains(one.first); });
+}
+
+bool SummaryStore::acceptable(const StatusSummary& summary) const {
+  const std::optional<Placement> writer = topology_->placement(summary.writer);
+  if (!writer || writer->at(summary.unit.level) != summary.unit) return false;
+  // Nobody can count more agents than it was configured with, by a margin for lists that differ.
+  const std::size_t configured = topology_->ranked_members(summary.unit).size();
+  return summary.counts.agents() <= 2 * configured + Topology::max_group_size &&
+         summary.age_when_made >= Span(0) && finite_share(summary.counts);
+}
+
+// When all that is counted was so, by this agent's clock.
+std::optional<Span> SummaryStore::as_of(Span now, const Entry& entry) const {
+  if (entry.disputed) return std::nullopt;
+  const StatusSummary& summary = entry.summary;
+  if (entry.own) return summary.made_at - summary.age_when_made;
+  const auto clock = clocks_.find(summary.writer);
+  if (clock == clocks_.end()) return std::nullopt;
+  const std::optional<Span> offset = clock->second.offset(now, summary.version.incarnation);
+  if (!offset) return std::nullopt;
+  return std::min(summary.made_at + *offset, entry.received) - summary.age_when_made;
+}
+
+void SummaryStore::publish(Span now, const StatusSummary& own) {
+  if (!acceptable(own)) return;
+  auto& writers = units_[own.unit];
+  writers[own.writer] = {own, now, true, false};
+  drop_excess_writers(writers, own.writer);
+}
+
+bool SummaryStore::merge(Span now, Span asked, const std::string& teller, const SummaryDelta& delta) {
+  const StatusSummary& summary = delta.summary;
+  if (!acceptable(summary)) return false;
+  // By what the teller says it was made so long ago, or later.
+  const Span made = asked - std::max(delta.age - summary.age_when_made, Span(0));
+  clocks_[summary.writer].claim(now, summary.version.incarnation, teller, teller == summary.writer,
+                                made - summary.made_at);
+  auto& writers = units_[summary.unit];
+  const auto [at, is_new] = writers.try_emplace(summary.writer, Entry{summary, now, false, false});
+  Entry& held = at->second;
+  if (is_new) {
+    drop_excess_writers(writers, summary.writer);
+    return true;
+  }
+  if (held.own || summary.version < held.summary.version) return false;
+  if (summary.version > held.summary.version) {
+    held = {summary, now, false, false};
+    return true;
+  }
+  // One writer never says two things under one version. Everybody keeps the same one and reads neither.
+  if (held.summary != summary) held.disputed = true;
+  const auto rank = [](const StatusSummary& one) {
+    return std::tie(one.made_at, one.age_when_made, one.counts);
+  };
+  if (rank(held.summary) < rank(summary)) held.summary = summary;
+  return false;
+}
+
+void SummaryStore::drop_excess_writers(std::map<std::string, Entry>& writers, const std::string& keep) {
+  while (writers.size() > max_writers) {
+    auto oldest = writers.end();
+    for (auto at = writers.begin(); at != writers.end(); ++at) {
+      if (at->first == keep || at->second.own) continue;
+      if (oldest == writers.end() || at->second.received < oldest->second.received) oldest = at;
+    }
+    if (oldest == writers.end()) return;
+    writers.erase(oldest);
+  }
+}
+
+// A summary that is told by nobody any more goes: a writer that lost its disk is not held back by its past.
+void SummaryStore::expire(Span now) {
+  for (auto& [unit, writers] : units_) {
+    const Span limit = freshness_limits(unit.level).old;
+    std::erase_if(writers, [&](const auto& one) { return now - one.second.received > limit; });
+  }
+}
+
+std::optional<SummaryStore::Selected> SummaryStore::selected(Span now, const Unit& unit) const {
+  const auto at = units_.find(unit);
+  if (at == units_.end()) return std::nullopt;
+  std::vector<Selected> proven;
+  for (const auto& [writer, entry] : at->second) {
+    if (const std::optional<Span> when = as_of(now, entry)) proven.push_back({&entry.summary, *when});
+  }
+  if (proven.empty()) return std::nullopt;
+  const Span youngest = std::ranges::max(proven, {}, &Selected::as_of).as_of;
+  std::erase_if(proven, [&](const Selected& one) { return one.as_of < youngest - coverage_window; });
+  return std::ranges::max(proven, {}, [](const Selected& one) {
+    return std::tuple(one.summary->counts.agents_fresh, one.as_of, one.summary->writer);
+  });
+}
+
+Freshness SummaryStore::freshness(Span now, const Unit& unit) const {
+  const std::optional<Selected> best = selected(now, unit);
+  if (!best) return Freshness::unknown;
+  const FreshnessLimits limits = freshness_limits(unit.level);
+  const Span age = now - best->as_of;
+  if (age > limits.old) return Freshness::unknown;
+  return age <= limits.fresh ? Freshness::fresh : Freshness::old;
+}
+
+std::vector<std::string> SummaryStore::fresh_writers(Span now, const Unit& unit) const {
+  std::vector<std::string> result;
+  const auto at = units_.find(unit);
+  if (at == units_.end()) return result;
+  for (const auto& [writer, entry] : at->second) {
+    const std::optional<Span> when = as_of(now, entry);
+    if (when && now - *when <= freshness_limits(unit.level).fresh) result.push_back(writer);
+  }
+  return result;
+}
+
+std::vector<std::string> SummaryStore::writers(const Unit& unit) const {
+  std::vector<std::string> result;
+  const auto at = units_.find(unit);
+  if (at == units_.end()) return result;
+  for (const auto& [writer, entry] : at->second) result.push_back(writer);
+  return result;
+}
+
+std::optional<SummaryVersion> SummaryStore::version(const Unit& unit, const std::string& writer) const {
+  const auto at = units_.find(unit);
+  if (at == units_.end()) return std::nullopt;
+  const auto entry = at->second.find(writer);
+  if (entry == at->second.end()) return std::nullopt;
+  return entry->second.summary.version;
+}
+
+std::optional<SummaryMark> SummaryStore::mark(Span now, const Unit& unit) const {
+  const std::optional<Selected> best = selected(now, unit);
+  if (!best) return std::nullopt;
+  return SummaryMark{unit, now - best->as_of, best->summary->counts.agents_fresh};
+}
+
+std::optional<SummaryDelta> SummaryStore::answer(Span now, const Unit& unit,
+                                                 const SummaryMark* theirs) const {
+  const std::optional<Selected> best = selected(now, unit);
+  if (!best) return std::nullopt;
+  const Span age = now - best->as_of;
+  if (age > freshness_limits(unit.level).old) return std::nullopt;
+  if (theirs) {
+    const bool younger = age + min_gain < theirs->age;
+    const bool covers_more =
+        best->summary->counts.agents_fresh > theirs->agents_fresh && age < theirs->age + coverage_window;
+    if (!younger && !covers_more) return std::nullopt;
+  }
+  return SummaryDelta{*best->summary, age};
+}
+
+GroupStatus SummaryStore::combine(Span now, const std::vector<Unit>& parts) const {
+  GroupStatus status;
+  for (const Unit& part : parts) {
+    const std::optional<Selected> best = selected(now, part);
+    if (!best || freshness(now, part) != Freshness::fresh) {
+      status.counts.agents_unknown += static_cast<std::uint32_t>(topology_->ranked_members(part).size());
+      continue;
+    }
+    status.counts.add(best->summary->counts);
+    status.age = std::max(status.age, now - best->as_of);
+  }
+  return status;
+}
+
+std::size_t SummaryStore::size() const {
+  std::size_t sum = 0;
+  for (const auto& [unit, writers] : units_) sum += writers.size();
+  return sum;
+}
+
+}  // namespace pearchute::fleet
