Simulation and measurement of status by levels

Agents at simulated time with loss, kills, stops, cuts of agents, zones and regions, slow and deceiving aggregators; summaries are checked from outside by what each agent really stated.

--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -105,7 +105,7 @@
       {"drain", measure_drain},     {"fleet-status", measure_fleet_status},
       {"rollout", measure_rollout}, {"managers", measure_managers},
       {"list", measure_list},       {"word", measure_word},
-      {"parts", measure_parts}};
+      {"parts", measure_parts},     {"levels", measure_levels}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
   std::vector<std::string> names;
--- /dev/null
+++ b/src/lab/measurements/measure_levels.cpp
@@ -0,0 +1,131 @@
+// Status of all with all, as it is, against status by levels: bytes that an agent sends per second, how soon
+// a change is in the fleet's summary everywhere, and how soon all is fresh again after each fault. Simulated
+// time: the figures depend on the seed only, not on the machine.
+#include <algorithm>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "lab/measurements/measurements.h"
+#include "lab/simulations/gossip_simulation.h"
+#include "lab/simulations/level_simulation.h"
+
+namespace pearchute::lab {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int sizes_before[] = {25, 50, 100, 200};
+constexpr int sizes_after[] = {5, 50, 100, 200, 630, 1260};
+constexpr int histories = 200;  // of small fleets with random trouble
+constexpr double byte_target = 13'000;
+constexpr int target_agents = 630;
+
+double in_ms(fleet::Span span) { return static_cast<double>(span.count()) / 1000; }
+
+double max_in_ms(const std::vector<fleet::Span>& spans) {
+  return spans.empty() ? 0 : in_ms(std::ranges::max(spans));
+}
+
+nlohmann::json before(std::uint64_t seed, int agents, bool& well) {
+  GossipSimulation::Shape shape;
+  shape.seed = seed;
+  shape.agents = agents;
+  shape.instances_each = 2;
+  shape.troubled = seconds(1);
+  const GossipSimulation::Result result = GossipSimulation(shape).play();
+  well = well && result.clean();
+  return {{"agents", agents},
+          {"bytes_per_s_mean", static_cast<std::uint64_t>(result.bytes_a_second)},
+          {"spread_ms_max", max_in_ms(result.spread)},
+          {"settle_ms", in_ms(result.settled)}};
+}
+
+nlohmann::json after(std::uint64_t seed, int agents, bool& well) {
+  LevelSimulation::Shape shape;
+  shape.seed = seed;
+  shape.agents = agents;
+  shape.zones = agents < 7 ? 1 : 7;
+  shape.regions = agents < 7 ? 1 : 2;
+  if (agents >= target_agents)
+    shape.faults.assign(std::begin(LevelSimulation::all_faults), std::end(LevelSimulation::all_faults));
+  const LevelSimulation::Result result = LevelSimulation(shape).play();
+  for (const std::string& fault : result.faults) std::cerr << agents << " agents: " << fault << "\n";
+  well = well && result.clean();
+  nlohmann::json recovered = nlohmann::json::object(), blind = nlohmann::json::object();
+  for (const LevelSimulation::Recovery& recovery : result.recoveries) {
+    const std::string name(LevelSimulation::name_of(recovery.fault));
+    recovered[name] = in_ms(recovery.recovered);
+    blind[name] = recovery.cut_off_blind;
+  }
+  return {{"agents", agents},
+          {"regions", shape.regions},
+          {"zones", shape.zones},
+          {"bytes_per_s_mean", static_cast<std::uint64_t>(result.bytes_mean)},
+          {"bytes_per_s_max", static_cast<std::uint64_t>(result.bytes_max)},
+          {"bytes_received_per_s_max", static_cast<std::uint64_t>(result.received_max)},
+          {"messages_per_s_mean", result.messages_mean},
+          {"messages_per_s_max", result.messages_max},
+          {"meets_target", result.bytes_max < byte_target},
+          {"spread_ms_max", max_in_ms(result.spread)},
+          {"settle_ms", in_ms(result.settled)},
+          {"fleet_age_ms_max", in_ms(result.age_max)},
+          {"summaries_kept_max", result.summaries_kept_max},
+          {"recovered_ms", recovered},
+          {"blind_in_own_region", blind},
+          {"never_said", result.never_said},
+          {"stale_as_fresh", result.stale_as_fresh},
+          {"overruled", result.overruled},
+          {"unsettled", result.unsettled},
+          {"checks", result.checks}};
+}
+
+nlohmann::json random_trouble(std::uint64_t seed, int number, bool& well) {
+  std::uint64_t never_said = 0, stale = 0, overruled = 0, unsettled = 0, checks = 0;
+  std::vector<fleet::Span> settled;
+  for (int n = 0; n < number; ++n) {
+    LevelSimulation::Shape shape;
+    shape.seed = seed * 100'000 + static_cast<std::uint64_t>(n);
+    shape.agents = 8 + n % 40;
+    shape.loss = shape.doubled = 0.1;
+    shape.kills = shape.stops = shape.cuts = shape.unit_cuts = shape.slow = true;
+    shape.liar = n % 2 == 1;
+    shape.troubled = seconds(60);
+    shape.measured = seconds(1);
+    shape.changes = 0;
+    const LevelSimulation::Result result = LevelSimulation(shape).play();
+    for (const std::string& fault : result.faults)
+      std::cerr << "seed " << shape.seed << ": " << fault << "\n";
+    never_said += result.never_said;
+    stale += result.stale_as_fresh;
+    overruled += result.overruled;
+    unsettled += result.unsettled;
+    checks += result.checks;
+    settled.push_back(result.settled);
+    well = well && result.clean();
+  }
+  return {{"histories", number},
+          {"never_said", never_said},
+          {"stale_as_fresh", stale},
+          {"overruled", overruled},
+          {"unsettled", unsettled},
+          {"checks", checks},
+          {"settle_ms_max", max_in_ms(settled)}};
+}
+
+}  // namespace
+
+int measure_levels(const Bench& bench) {
+  bool well = true;
+  nlohmann::json told;
+  told["before"] = nlohmann::json::array();
+  for (const int agents : sizes_before) told["before"].push_back(before(bench.seed, agents, well));
+  told["after"] = nlohmann::json::array();
+  for (const int agents : sizes_after) told["after"].push_back(after(bench.seed, agents, well));
+  told["trouble"] = random_trouble(bench.seed, bench.size > 0 ? bench.size : histories, well);
+  std::cout << told.dump() << std::endl;
+  return well ? 0 : 1;
+}
+
+}  // namespace pearchute::lab
--- a/src/lab/measurements/measurements.h
+++ b/src/lab/measurements/measurements.h
@@ -20,5 +20,6 @@
 int measure_list(const Bench& bench);
 int measure_word(const Bench& bench);
 int measure_parts(const Bench& bench);
+int measure_levels(const Bench& bench);
 
 }  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/simulations/level_simulation.cpp
@@ -0,0 +1,464 @@
+#include "lab/simulations/level_simulation.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "lab/simulations/level_checker.h"
+#include "lab/simulations/timeline.h"
+
+namespace pearchute::lab {
+
+using namespace fleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Span poll_interval = milliseconds(100);
+constexpr Span start_window = seconds(1);
+
+// Payload sizes as GossipSimulation estimates them, with real lengths of names on top.
+constexpr std::size_t message_overhead = 16;
+constexpr std::size_t version_overhead = 20;
+constexpr std::size_t delta_overhead = 48;
+constexpr std::size_t entry_overhead = 24;
+constexpr std::size_t report_overhead = 64;
+
+std::size_t size_of(const LevelQuestion& question) {
+  std::size_t size = message_overhead + question.asker.size();
+  if (question.status_versions) {
+    for (const auto& [agent, version] : *question.status_versions) size += version_overhead + agent.size();
+  }
+  if (question.summary_marks) {
+    for (const SummaryMark& mark : *question.summary_marks) size += encoded_size(mark);
+  }
+  return size;
+}
+
+std::size_t size_of(const LevelAnswer& answer) {
+  std::size_t size = message_overhead;
+  for (const ReportDelta& delta : answer.reports) {
+    size += delta_overhead + delta.agent.size();
+    for (const Entry& entry : delta.entries)
+      size += entry_overhead + entry.instance.size() +
+              (entry.word ? report_overhead + entry.word->zone.size() : 0);
+  }
+  for (const SummaryDelta& delta : answer.summaries) size += encoded_size(delta);
+  return size;
+}
+
+}  // namespace
+
+std::string_view LevelSimulation::name_of(Fault fault) {
+  constexpr std::string_view names[] = {
+      "aggregator_killed", "aggregator_slow", "aggregator_cut_one_way", "aggregator_understates_ages",
+      "zone_cut",          "region_cut",      "third_restarted"};
+  return names[static_cast<int>(fault)];
+}
+
+struct LevelSimulation::Impl {
+  struct Node final : GossipState::Host {
+    std::size_t number = 0;
+    std::string name;
+    Member member;
+    Span offset{};  // its steady clock against the simulation's
+    std::uint64_t disk = 0, older_copy = 0;
+    std::unique_ptr<LevelGossip> gossip;  // none: it is dead
+    std::uint64_t life = 0;
+    bool stopped = false, slow = false, liar = false;
+    std::deque<std::function<void()>> deferred;  // what would have happened while it was stopped
+    std::map<std::string, StatusReport> instances;
+    std::uint64_t sent = 0, received = 0, messages = 0;
+
+    bool keep_incarnation(std::uint64_t incarnation) override {
+      older_copy = disk;
+      disk = incarnation;
+      return true;
+    }
+    void told(const std::string&, std::string_view) override {}
+  };
+
+  explicit Impl(const Shape& s) : shape(s), chance(static_cast<std::knuth_b::result_type>(s.seed)) {
+    std::vector<Member> members;
+    for (int n = 0; n < shape.agents; ++n) {
+      auto& node = nodes.emplace_back(std::make_unique<Node>());
+      const int zone = n % shape.zones;
+      node->number = static_cast<std::size_t>(n);
+      node->name = "agent-" + std::to_string(1000 + n);
+      node->member = {node->name, "region-" + std::to_string(zone % shape.regions),
+                      "zone-" + std::to_string(zone)};
+      node->offset = milliseconds(draw(1'000'000));
+      by_name[node->name] = node.get();
+      members.push_back(node->member);
+      for (int i = 0; i < shape.instances_each; ++i) {
+        StatusReport report;
+        report.instance = node->name + "-" + std::to_string(i);
+        report.zone = node->member.zone;
+        report.condition = Condition::serving;
+        report.life = 1;
+        node->instances[report.instance] = report;
+      }
+    }
+    topology = std::make_shared<const Topology>(members);
+    // They start within a second, as after a power cut.
+    for (const auto& node : nodes) after(milliseconds(draw(1000)), [this, one = node.get()] { start(*one); });
+  }
+
+  std::uint64_t draw(std::uint64_t below) { return chance() % below; }
+  bool by(double share) { return static_cast<double>(draw(1'000'000)) < share * 1e6; }
+  Span own_now(const Node& node) const { return now + node.offset; }
+  void after(Span delay, std::function<void()> what) { time.at(now + delay, std::move(what)); }
+  // For a node as it lives now; one that is stopped does it when it goes on.
+  void after_at(Span delay, Node& node, std::function<void()> what) {
+    after(delay, [&node, life = node.life, what = std::move(what)] {
+      if (node.life != life || !node.gossip) return;
+      if (node.stopped) node.deferred.push_back(what);
+      else what();
+    });
+  }
+
+  // ---- Agents
+
+  void start(Node& node) {
+    ++node.life;
+    node.stopped = false;
+    node.deferred.clear();
+    node.gossip = std::make_unique<LevelGossip>(node, node.name, node.disk, draw(1ULL << 40), topology);
+    beat(node);
+  }
+  void kill(Node& node) {
+    node.gossip.reset();
+    ++node.life;
+    checker.ended(now, node.name);
+  }
+  void resume(Node& node) {
+    if (!std::exchange(node.stopped, false)) return;
+    for (auto deferred = std::exchange(node.deferred, {}); const auto& what : deferred) what();
+  }
+  void say(Node& node) {
+    std::vector<StatusReport> reports;
+    for (const auto& [name, report] : node.instances) reports.push_back(report);
+    node.gossip->say(reports);
+    record(node);
+  }
+  void record(Node& node) {
+    const GossipState& state = node.gossip->group_state();
+    checker.stated(now, node.name, state.known(own_now(node), node.name).mark, state.words(node.name));
+  }
+  void beat(Node& node) {
+    say(node);
+    const LevelGossip::Beat beat_result = node.gossip->beat(own_now(node));
+    checker.written(now, own_now(node), *node.gossip, *topology);
+    for (const OutgoingQuestion& question : beat_result.questions) ask(node, question);
+    after_at(beat_result.next - own_now(node), node, [this, &node] { beat(node); });
+  }
+
+  // ---- Messages
+
+  void carry(Node& from, Node& to, std::size_t size, const std::function<void()>& arrives) {
+    from.sent += size;
+    ++from.messages;
+    const int copies = by(shape.doubled) ? 2 : 1;
+    for (int n = 0; n < copies; ++n) {
+      if (cut.contains({from.number, to.number}) || by(shape.loss)) continue;
+      Span delay = milliseconds(1 + draw(by(0.05) ? 2500 : 20));
+      if (from.slow || to.slow) delay += milliseconds(500 + draw(2500));
+      after_at(delay, to, [&to, size, arrives] {
+        to.received += size;
+        arrives();
+      });
+    }
+  }
+  void ask(Node& node, const OutgoingQuestion& outgoing) {
+    Node& peer = *by_name.at(outgoing.id.peer);
+    const Span asked = own_now(node);
+    const auto over = std::make_shared<bool>(false);  // answered once, or its deadline
+    carry(node, peer, size_of(outgoing.question), [this, &node, &peer, asked, over, outgoing] {
+      const LevelAnswer told = answer(peer, outgoing.question);
+      carry(peer, node, size_of(told), [this, &node, asked, over, told, id = outgoing.id] {
+        hear(node, asked, id, told, *over);
+        *over = true;
+      });
+    });
+    after_at(AntiEntropyScheduler::answers_within, node, [this, &node, over, id = outgoing.id] {
+      if (!std::exchange(*over, true)) node.gossip->missed(own_now(node), id);
+    });
+  }
+  LevelAnswer answer(Node& peer, const LevelQuestion& question) {
+    LevelAnswer told = peer.gossip->answer(own_now(peer), question);
+    for (SummaryDelta& delta : told.summaries) {
+      if (peer.liar) delta.age = Span(0);
+      if (!shape.age_from_sending) continue;
+      delta.age -= delta.summary.age_when_made;
+      delta.summary.age_when_made = Span(0);
+    }
+    return told;
+  }
+  // A copy that comes late is merged all the same: it must change nothing for the worse.
+  void hear(Node& node, Span asked, const QuestionId& id, const LevelAnswer& told, bool late) {
+    node.gossip->merge(own_now(node), asked, id.peer, told);
+    record(node);
+    for (const SummaryDelta& delta : told.summaries)
+      checker.believed(now, own_now(node), *node.gossip, delta.summary.unit);
+    result.summaries_kept_max =
+        std::max<std::uint64_t>(result.summaries_kept_max, node.gossip->summaries().size());
+    if (!late) node.gossip->completed(own_now(node), id);
+  }
+
+  // ---- What all know
+
+  bool sees_all(const Node& node, const StatusCounts& truth) const {
+    if (!node.gossip) return false;
+    const StatusCounts known = node.gossip->fleet_status(own_now(node)).counts;
+    return known.agents_fresh == nodes.size() && known.by_condition == truth.by_condition;
+  }
+  StatusCounts truth() const {
+    StatusCounts counts;
+    for (const auto& node : nodes) {
+      for (const auto& [name, report] : node->instances) counts.add(report);
+    }
+    return counts;
+  }
+  bool all_see_all() const {
+    const StatusCounts counts = truth();
+    return std::ranges::all_of(nodes, [&](const auto& node) { return sees_all(*node, counts); });
+  }
+  // How long it takes; at most the limit.
+  Span until_all_see_all(Span limit) {
+    const Span from = now;
+    while (!all_see_all() && now - from < limit) time.run(now + poll_interval);
+    return now - from;
+  }
+
+  // ---- Trouble
+
+  Node& any() { return *nodes[draw(nodes.size())]; }
+  void change(Node& node) {
+    StatusReport& report =
+        std::next(node.instances.begin(), static_cast<std::ptrdiff_t>(draw(node.instances.size())))->second;
+    report.condition = static_cast<Condition>(draw(condition_count));
+    ++report.life;
+    report.open = draw(100);
+  }
+  void cut_between(const std::function<bool(const Node&)>& inside, bool one_way) {
+    for (const auto& a : nodes) {
+      for (const auto& b : nodes) {
+        if (!inside(*a) || inside(*b)) continue;
+        cut.insert({a->number, b->number});
+        if (!one_way) cut.insert({b->number, a->number});
+      }
+    }
+  }
+  void restart_later(Node& node, Span delay) {
+    after(delay, [this, &node] {
+      if (!node.gossip) start(node);
+    });
+  }
+  void strike() {
+    Node& node = any();
+    switch (draw(6)) {
+      case 0:
+        if (!shape.kills || !node.gossip) break;
+        kill(node);
+        if (by(0.3)) node.disk = 0;                     // lost
+        else if (by(0.3)) node.disk = node.older_copy;  // an older copy put back
+        restart_later(node, milliseconds(100 + draw(8000)));
+        break;
+      case 1:
+        if (!shape.stops || !node.gossip || node.stopped) break;
+        node.stopped = true;
+        after(milliseconds(100 + draw(20'000)), [this, &node, life = node.life] {
+          if (node.life == life) resume(node);
+        });
+        break;
+      case 2:
+        if (!shape.cuts) break;
+        cut_between([&](const Node& one) { return one.number == node.number; }, by(0.5));
+        heal_later();
+        break;
+      case 3:
+        if (!shape.unit_cuts || by(0.5)) break;
+        if (by(0.5))
+          cut_between([&](const Node& one) { return one.member.zone == node.member.zone; }, by(0.3));
+        else cut_between([&](const Node& one) { return one.member.region == node.member.region; }, by(0.3));
+        heal_later();
+        break;
+      case 4:
+        if (!shape.slow || node.slow) break;
+        node.slow = true;
+        after(milliseconds(1000 + draw(10'000)), [&node] { node.slow = false; });
+        break;
+      default:
+        break;
+    }
+  }
+  void heal_later() {
+    after(milliseconds(500 + draw(15'000)), [this] { cut.clear(); });
+  }
+  void trouble() {
+    if (shape.liar) top_aggregator().liar = true;
+    while (now < shape.troubled) {
+      time.run(std::min(now + milliseconds(50 + draw(400)), shape.troubled));
+      if (by(0.5)) change(any());
+      strike();
+    }
+    cut.clear();
+    shape.loss = 0;
+    for (const auto& node : nodes) {
+      node->slow = false;
+      if (!node->gossip) start(*node);
+      resume(*node);
+    }
+  }
+  // The agent that ranks highest in its region among the first of its groups' candidates.
+  Node& top_aggregator() {
+    const Unit region{Level::region, nodes.front()->member.region, {}, 0};
+    for (const std::string& name : topology->ranked_members(region)) {
+      const Unit group = topology->placement(name)->group;
+      if (topology->ranked_members(group).front() == name) return *by_name.at(name);
+    }
+    return *nodes.front();
+  }
+
+  // ---- Single faults
+
+  void inject(Fault fault) {
+    Node& top = top_aggregator();
+    const auto in_zone = [&top](const Node& one) { return one.member.zone == top.member.zone; };
+    const auto in_region = [&top](const Node& one) { return one.member.region == top.member.region; };
+    switch (fault) {
+      case Fault::aggregator_killed:
+        return kill(top);
+      case Fault::aggregator_slow:
+        top.slow = true;
+        return;
+      case Fault::aggregator_cut_one_way:
+        return cut_between([&top](const Node& one) { return one.number == top.number; }, true);
+      case Fault::aggregator_understates_ages:
+        top.liar = true;
+        return;
+      case Fault::zone_cut:
+        return cut_between(in_zone, false);
+      case Fault::region_cut:
+        return cut_between(in_region, false);
+      case Fault::third_restarted:
+        for (const auto& node : nodes) {
+          if (node->number % 3 == 0) kill(*node);
+        }
+        return;
+    }
+  }
+  void heal() {
+    cut.clear();
+    for (const auto& node : nodes) {
+      node->slow = node->liar = false;
+      if (!node->gossip) start(*node);
+    }
+  }
+  std::uint64_t blind_in_own_region() const {
+    return static_cast<std::uint64_t>(std::ranges::count_if(nodes, [&](const auto& node) {
+      return node->gossip && node->gossip->summaries().freshness(
+                                 own_now(*node), node->gossip->placement().region) != Freshness::fresh;
+    }));
+  }
+  void play_fault(Fault fault) {
+    Recovery& recovery = result.recoveries.emplace_back();
+    recovery.fault = fault;
+    inject(fault);
+    // Everything restarts at once: there is nothing to wait for.
+    if (fault != Fault::third_restarted) time.run(now + shape.fault_length);
+    recovery.cut_off_blind = fault == Fault::third_restarted ? 0 : blind_in_own_region();
+    heal();
+    recovery.recovered = until_all_see_all(shape.calm);
+  }
+
+  // ---- What it costs
+
+  void measure_bytes() {
+    for (const auto& node : nodes) node->sent = node->received = node->messages = 0;
+    const Span from = now;
+    while (now - from < shape.measured) {
+      time.run(now + seconds(1));
+      for (const auto& node : nodes)
+        result.age_max = std::max(result.age_max, node->gossip->fleet_status(own_now(*node)).age);
+    }
+    const double span = std::chrono::duration<double>(now - from).count();
+    for (const auto& node : nodes) {
+      const double sent = static_cast<double>(node->sent) / span;
+      const double messages = static_cast<double>(node->messages) / span;
+      result.bytes_mean += sent / static_cast<double>(nodes.size());
+      result.bytes_max = std::max(result.bytes_max, sent);
+      result.received_max = std::max(result.received_max, static_cast<double>(node->received) / span);
+      result.messages_mean += messages / static_cast<double>(nodes.size());
+      result.messages_max = std::max(result.messages_max, messages);
+    }
+  }
+  void measure_changes() {
+    for (int n = 0; n < shape.changes; ++n) {
+      StatusReport& report = any().instances.begin()->second;
+      report.condition = report.condition == Condition::down ? Condition::serving : Condition::down;
+      ++report.life;
+      result.spread.push_back(until_all_see_all(shape.calm));
+    }
+  }
+  void conclude() {
+    const StatusCounts counts = truth();
+    for (const auto& node : nodes) {
+      if (!sees_all(*node, counts)) note(result.unsettled, node->name + " does not see all");
+      for (const auto& writer : nodes) {
+        if (!writer->gossip || !node->gossip) continue;
+        for (const StatusSummary& own : writer->gossip->own_summaries()) {
+          const auto known = node->gossip->summaries().version(own.unit, writer->name);
+          if (known && *known > own.version)
+            note(result.overruled, writer->name + " is overruled by its past");
+        }
+      }
+    }
+    result.never_said = checker.never_said;
+    result.stale_as_fresh = checker.stale_as_fresh;
+    result.checks = checker.checks;
+    result.summaries_written = checker.written_count;
+    for (const std::string& fault : checker.faults) result.faults.push_back(fault);
+    for (const auto& node : nodes) result.digest = (result.digest ^ node->sent) * 1099511628211ULL;
+    result.digest = (result.digest ^ checker.checks) * 1099511628211ULL;
+  }
+  void note(std::uint64_t& count, const std::string& what) {
+    if (++count == 1) result.faults.push_back(std::to_string(now.count() / 1000) + " ms: " + what);
+  }
+
+  Result play() {
+    if (shape.troubled > Span(0)) trouble();
+    else time.run(start_window);
+    result.settled = until_all_see_all(shape.calm);
+    if (all_see_all()) {
+      measure_bytes();
+      measure_changes();
+      for (const Fault fault : shape.faults) play_fault(fault);
+      // Whatever was said before its fault was over is gone from the answers by now.
+      time.run(now + seconds(2));
+    }
+    conclude();
+    return result;
+  }
+
+  Shape shape;
+  std::knuth_b chance;
+  Timeline time;
+  const Span& now = time.now;
+  std::shared_ptr<const Topology> topology;
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::map<std::string, Node*> by_name;
+  std::set<std::pair<std::size_t, std::size_t>> cut;
+  LevelChecker checker;
+  Result result;
+};
+
+LevelSimulation::LevelSimulation(const Shape& shape) : impl_(std::make_unique<Impl>(shape)) {}
+LevelSimulation::~LevelSimulation() = default;
+LevelSimulation::Result LevelSimulation::play() { return impl_->play(); }
+
+}  // namespace pearchute::lab
