--- a/src/fleet/level_gossip.cpp
+++ b/src/fleet/level_gossip.cpp
@@ -73,7 +73,7 @@
   return true;
 }
 
-void LevelGossip::publish_unit(Span now, const Unit& unit, const GroupStatus& status) {
+StatusSummary LevelGossip::publish_unit(Span now, const Unit& unit, const GroupStatus& status) {
   StatusSummary summary;
   summary.unit = unit;
   summary.writer = self_;
@@ -82,19 +82,21 @@
   summary.age_when_made = status.age;
   summary.counts = status.counts;
   summaries_.publish(now, summary);
-  own_summaries_.push_back(std::move(summary));
+  return summary;
 }
 
-void LevelGossip::publish(Span now) {
-  own_summaries_.clear();
-  if (!aggregates(now, Level::group)) return;
-  publish_unit(now, placement_.group,
-               summarize_group(state_, topology_->ranked_members(placement_.group), now));
+std::vector<StatusSummary> LevelGossip::publish(Span now) {
+  std::vector<StatusSummary> written;
+  if (!aggregates(now, Level::group)) return written;
+  const Unit& group = placement_.group;
+  const std::vector<std::string>& members = topology_->ranked_members(group);
+  written.push_back(publish_unit(now, group, summarize_group(state_, members, now)));
   for (const Level level : {Level::zone, Level::region}) {
-    if (!aggregates(now, level)) return;
+    if (!aggregates(now, level)) break;
     const Unit& unit = placement_.at(level);
-    publish_unit(now, unit, summaries_.combine(now, topology_->children(unit)));
+    written.push_back(publish_unit(now, unit, summaries_.combine(now, topology_->children(unit))));
   }
+  return written;
 }
 
 // ---- Whom to ask for what
@@ -104,7 +106,7 @@
   state_.woken(now);
   summaries_.expire(now);
   const bool summary_turn = beats_++ % beats_per_summary == 0;
-  if (summary_turn) publish(now);
+  if (summary_turn) result.written = publish(now);
   ask_group(now, result.questions);
   for (const Level level : {Level::group, Level::zone, Level::region}) {
     if (summary_turn) ask_siblings(now, level, result.questions);
--- a/src/fleet/level_gossip.h
+++ b/src/fleet/level_gossip.h
@@ -63,7 +63,8 @@
 
   struct Beat {
     std::vector<OutgoingQuestion> questions;
-    Span next{};  // when to call again
+    std::vector<StatusSummary> written;  // the summaries that this beat has made, smallest unit first
+    Span next{};                         // when to call again
   };
   Beat beat(Span now);
   LevelAnswer answer(Span now, const LevelQuestion& question);
@@ -81,14 +82,13 @@
   const GossipState& group_state() const { return state_; }
   const Placement& placement() const { return placement_; }
   const std::string& self() const { return self_; }
-  std::vector<StatusSummary> own_summaries() const { return own_summaries_; }  // as last written
 
  private:
   std::vector<Unit> units_shared_with(const std::string& peer) const;
   std::vector<SummaryMark> marks_for(Span now, const std::string& peer) const;
   std::vector<std::string> aggregator_candidates(Span now, Level level) const;
-  void publish(Span now);
-  void publish_unit(Span now, const Unit& unit, const GroupStatus& status);
+  std::vector<StatusSummary> publish(Span now);
+  StatusSummary publish_unit(Span now, const Unit& unit, const GroupStatus& status);
   void ask_group(Span now, std::vector<OutgoingQuestion>& questions);
   void ask_siblings(Span now, Level level, std::vector<OutgoingQuestion>& questions);
   AntiEntropyScheduler& siblings_at(Level level);
@@ -103,7 +103,6 @@
   // One for each level, so that many groups don't delay word of other regions. Units go by to_string().
   std::array<AntiEntropyScheduler, 3> sibling_schedulers_;
   std::map<Unit, std::size_t> contact_turns_;
-  std::vector<StatusSummary> own_summaries_;
   std::uint64_t beats_ = 0, summary_number_ = 0;
   bool has_reported_ = false;
 };
--- a/src/lab/measurements/measure_levels.cpp
+++ b/src/lab/measurements/measure_levels.cpp
@@ -71,6 +71,7 @@
           {"spread_ms_max", max_in_ms(result.spread)},
           {"settle_ms", in_ms(result.settled)},
           {"fleet_age_ms_max", in_ms(result.age_max)},
+          {"gap_share", result.gap_share},
           {"summaries_kept_max", result.summaries_kept_max},
           {"recovered_ms", recovered},
           {"blind_in_own_region", blind},
--- a/src/lab/simulations/level_checker.h
+++ b/src/lab/simulations/level_checker.h
@@ -24,7 +24,8 @@
               const std::map<std::string, fleet::StatusReport>& reports);
   void ended(Span now, const std::string& agent);
   // The summaries that an agent has just written, smallest unit first. `own_now` is by its own clock.
-  void written(Span now, Span own_now, const fleet::LevelGossip& writer, const fleet::Topology& topology);
+  void written(Span now, Span own_now, const fleet::LevelGossip& writer, const fleet::Topology& topology,
+               const std::vector<fleet::StatusSummary>& summaries);
   // What a reader believes of a unit. `own_now` is by the reader's own clock.
   void believed(Span now, Span own_now, const fleet::LevelGossip& reader, const fleet::Unit& unit);
 
--- a/src/lab/simulations/level_simulation.h
+++ b/src/lab/simulations/level_simulation.h
@@ -67,6 +67,7 @@
     std::vector<fleet::Span> spread;  // from a change until every agent's fleet summary has it
     fleet::Span age_max{};            // of the fleet's summary, at any agent, without faults
     std::vector<Recovery> recoveries;
+    double gap_share = 0;  // of the looks at it that lacked some agent, without faults
     std::uint64_t digest = 0;
     std::vector<std::string> faults;  // the first few, in words
     bool clean() const { return never_said + stale_as_fresh + overruled + unsettled == 0; }
