--- a/src/fleet/level_gossip.cpp
+++ b/src/fleet/level_gossip.cpp
@@ -105,23 +105,20 @@
   Beat result;
   state_.woken(now);
   summaries_.expire(now);
-  const bool summary_turn = beats_++ % beats_per_summary == 0;
-  if (summary_turn) result.written = publish(now);
+  result.written = publish(now);
   ask_group(now, result.questions);
-  for (const Level level : {Level::group, Level::zone, Level::region}) {
-    if (summary_turn) ask_siblings(now, level, result.questions);
+  if (beats_++ % beats_per_sibling_round == 0) {
+    ask_siblings(now, Level::group, result.questions);
+    ask_siblings(now, Level::zone, result.questions);
   }
+  ask_siblings(now, Level::region, result.questions);
   result.next = group_scheduler_.next(now);
   return result;
 }
 
 void LevelGossip::ask_group(Span now, std::vector<OutgoingQuestion>& questions) {
-  bool with_summaries = true;  // one of each round is enough
-  for (const std::string& peer : group_scheduler_.due(now)) {
-    LevelQuestion question{self_, state_.marks(), std::nullopt};
-    if (std::exchange(with_summaries, false)) question.summary_marks = marks_for(now, peer);
-    questions.push_back({{peer, std::nullopt}, std::move(question)});
-  }
+  for (const std::string& peer : group_scheduler_.due(now))
+    questions.push_back({{peer, std::nullopt}, {self_, state_.marks(), marks_for(now, peer)}});
 }
 
 AntiEntropyScheduler& LevelGossip::siblings_at(Level level) {
@@ -148,6 +145,9 @@
 // The known writers for the unit, and after those that are of no use, its members by their rank.
 std::string LevelGossip::contact_of(const Unit& sibling) const {
   std::vector<std::string> candidates = summaries_.writers(sibling);
+  // Not all begin with the same one.
+  std::ranges::sort(candidates, std::greater<>(),
+                    [&](const std::string& writer) { return rendezvous_weight(self_, writer); });
   std::ranges::copy(topology_->ranked_members(sibling), std::back_inserter(candidates));
   const auto turn = contact_turns_.find(sibling);
   return candidates[(turn == contact_turns_.end() ? 0 : turn->second) % candidates.size()];
@@ -185,10 +185,10 @@
   if (question.status_versions && theirs->group == placement_.group)
     result.reports = state_.answer(now, *question.status_versions);
   if (!question.summary_marks) return result;
-  std::map<Unit, const SummaryMark*> marks;
+  std::map<std::uint64_t, const SummaryMark*> marks;
   for (const SummaryMark& mark : *question.summary_marks) marks[mark.unit] = &mark;
   for (const Unit& unit : units_shared_with(question.asker)) {
-    const auto mark = marks.find(unit);
+    const auto mark = marks.find(id_of(unit));
     auto delta = summaries_.answer(now, unit, mark == marks.end() ? nullptr : mark->second);
     if (delta) result.summaries.push_back(std::move(*delta));
   }
@@ -206,7 +206,13 @@
 void LevelGossip::completed(Span now, const QuestionId& id) {
   if (!id.sibling) return group_scheduler_.answered(now, id.peer);
   siblings_at(id.sibling->level).answered(now, to_string(*id.sibling));
-  if (summaries_.freshness(now, *id.sibling) != Freshness::fresh) ++contact_turns_[*id.sibling];
+  const bool of_use = summaries_.freshness(now, *id.sibling) == Freshness::fresh;
+  const std::size_t writers = summaries_.writers(*id.sibling).size();
+  std::size_t& turn = contact_turns_[*id.sibling];
+  ++turn;
+  // While the writers themselves answer, they are asked in turn.
+  if (of_use && turn <= writers) turn %= writers;
+  else if (of_use) --turn;
 }
 
 void LevelGossip::missed(Span now, const QuestionId& id) {
--- a/src/fleet/level_gossip.h
+++ b/src/fleet/level_gossip.h
@@ -49,8 +49,8 @@
  public:
   // One may fail without a gap in the summaries.
   static constexpr std::size_t aggregators_per_unit = 2;
-  // Summaries are written, and siblings asked, at every second beat of the scheduler.
-  static constexpr std::uint64_t beats_per_summary = 2;
+  // Sibling groups and zones, which are many, are asked at every second beat; regions at each.
+  static constexpr std::uint64_t beats_per_sibling_round = 2;
 
   // As for GossipState: the incarnation is the last one on disk, the seed another at each start.
   LevelGossip(GossipState::Host& host, std::string self, std::uint64_t incarnation, std::uint64_t seed,
--- a/src/fleet/status_summary.cpp
+++ b/src/fleet/status_summary.cpp
@@ -14,7 +14,7 @@
 
 // Field tags, lengths and numbers of a message, on average; names come on top.
 constexpr std::size_t unit_overhead = 8;
-constexpr std::size_t mark_overhead = 10;
+constexpr std::size_t mark_overhead = 5;
 constexpr std::size_t summary_overhead = 36;
 
 std::size_t varint_size(std::uint64_t value) {
@@ -56,7 +56,10 @@
   return size;
 }
 
-std::size_t encoded_size(const SummaryMark& mark) { return mark_overhead + unit_size(mark.unit); }
+std::size_t encoded_size(const SummaryMark& mark) {
+  const auto age_ms = static_cast<std::uint64_t>(std::max<Span::rep>(0, mark.age.count() / 1000));
+  return mark_overhead + sizeof(mark.unit) + varint_size(age_ms) + varint_size(mark.agents_fresh);
+}
 
 GroupStatus summarize_group(const GossipState& state, const std::vector<std::string>& members, Span now) {
   GroupStatus status;
@@ -77,9 +80,9 @@
     case Level::group:
       return {seconds(6), seconds(30)};
     case Level::zone:
-      return {seconds(9), seconds(45)};
+      return {seconds(10), seconds(50)};
     case Level::region:
-      return {seconds(12), seconds(60)};
+      return {seconds(15), seconds(75)};
   }
   return {};
 }
@@ -222,7 +225,7 @@
 std::optional<SummaryMark> SummaryStore::mark(Span now, const Unit& unit) const {
   const std::optional<Selected> best = selected(now, unit);
   if (!best) return std::nullopt;
-  return SummaryMark{unit, now - best->as_of, best->summary->counts.agents_fresh};
+  return SummaryMark{id_of(unit), now - best->as_of, best->summary->counts.agents_fresh};
 }
 
 std::optional<SummaryDelta> SummaryStore::answer(Span now, const Unit& unit,
--- a/src/fleet/status_summary.h
+++ b/src/fleet/status_summary.h
@@ -64,7 +64,7 @@
 
 // What the asker selected for a unit: enough for the other to see whether it has something better.
 struct SummaryMark {
-  Unit unit;
+  std::uint64_t unit = 0;  // id_of()
   Span age{};
   std::uint32_t agents_fresh = 0;
 };
@@ -91,7 +91,7 @@
   // Two are expected to write; more than these are dropped, the oldest first.
   static constexpr std::size_t max_writers = 4;
   // A summary that is younger by less than this is not worth an answer.
-  static constexpr Span min_gain = std::chrono::milliseconds(700);
+  static constexpr Span min_gain = std::chrono::milliseconds(1000);
   // Within this much of the youngest the one that covers more agents is selected: an agent that has just
   // started, or is cut off, writes a young summary of itself alone.
   static constexpr Span coverage_window = std::chrono::seconds(2);
--- a/src/fleet/topology.cpp
+++ b/src/fleet/topology.cpp
@@ -47,6 +47,8 @@
   return text;
 }
 
+std::uint64_t id_of(const Unit& unit) { return mix(fnv1a(fnv_offset, to_string(unit))); }
+
 const Unit& Placement::at(Level level) const {
   if (level == Level::group) return group;
   return level == Level::zone ? zone : region;
--- a/src/fleet/topology.h
+++ b/src/fleet/topology.h
@@ -33,6 +33,8 @@
   auto operator<=>(const Unit&) const = default;
 };
 std::string to_string(const Unit& unit);
+// Short name of a unit in messages; the same everywhere.
+std::uint64_t id_of(const Unit& unit);
 
 // The units that contain a member, from the smallest to the largest.
 struct Placement {
@@ -46,9 +48,9 @@
 class Topology {
  public:
   // Groups hold about this many members,
-  static constexpr std::size_t target_group_size = 12;
+  static constexpr std::size_t target_group_size = 10;
   // and never more than this many: it bounds what status costs within a group.
-  static constexpr std::size_t max_group_size = 14;
+  static constexpr std::size_t max_group_size = 12;
 
   Topology() = default;
   // Of members with the same name the last one counts.
--- /dev/null
+++ b/tests/test_levels.cpp
@@ -0,0 +1,298 @@
+// Status by levels: placement, summaries and their ages by tables, the exchange by seeded histories, and a
+// broken variant that the checks have to catch.
+#include <algorithm>
+#include <cassert>
+#include <cstdio>
+#include <memory>
+#include <set>
+
+#include "fleet/level_gossip.h"
+#include "fleet/status_summary.h"
+#include "fleet/topology.h"
+#include "fleet/writer_clock.h"
+#include "lab/simulations/level_simulation.h"
+
+using namespace pearchute::fleet;
+using pearchute::lab::LevelSimulation;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+std::vector<Member> fleet_of(int agents, int regions = 2, int zones = 7) {
+  std::vector<Member> members;
+  for (int n = 0; n < agents; ++n) {
+    const int zone = n % zones;
+    members.push_back({"agent-" + std::to_string(1000 + n), "region-" + std::to_string(zone % regions),
+                       "zone-" + std::to_string(zone)});
+  }
+  return members;
+}
+
+std::size_t moved(const Topology& before, const Topology& after, const std::vector<Member>& members) {
+  return static_cast<std::size_t>(std::ranges::count_if(members, [&](const Member& member) {
+    const auto was = before.placement(member.name), is = after.placement(member.name);
+    return was && is && was->group != is->group;
+  }));
+}
+
+void groups_are_bounded() {
+  for (const int agents : {1, 2, 5, 13, 50, 200, 630, 1260}) {
+    const Topology topology(fleet_of(agents));
+    std::size_t sum = 0;
+    for (const Unit& unit : topology.units()) {
+      if (unit.level != Level::group) continue;
+      assert(topology.ranked_members(unit).size() <= Topology::max_group_size);
+      sum += topology.ranked_members(unit).size();
+    }
+    assert(sum == static_cast<std::size_t>(agents));
+  }
+  assert(!Topology({}).placement("nobody") && Topology({}).units().empty());
+}
+
+void placement_depends_on_the_list_only() {
+  std::vector<Member> members = fleet_of(630);
+  const Topology one(members);
+  std::ranges::reverse(members);
+  members.push_back(members.front());  // named twice
+  const Topology other(members);
+  for (const Member& member : members)
+    assert(one.placement(member.name)->group == other.placement(member.name)->group);
+  for (const Unit& unit : one.units()) {
+    assert(one.ranked_members(unit) == other.ranked_members(unit));
+    for (const Unit& sibling : one.siblings(unit)) assert(sibling.level == unit.level && sibling != unit);
+  }
+  const Unit region{Level::region, "region-0", {}, 0};
+  assert(one.children(region).size() == 4 && one.siblings(region).size() == 1);
+}
+
+void few_move_when_members_come_or_go() {
+  std::vector<Member> members = fleet_of(630);
+  const Topology before(members);
+  const std::vector<Member> without_one(members.begin() + 1, members.end());
+  assert(moved(before, Topology(without_one), members) <= Topology::max_group_size);
+  // One more group in a zone takes its share, and what the bound displaces, in that zone only.
+  std::vector<Member> with_more = members;
+  for (int n = 0; n < 20; ++n) with_more.push_back({"new-" + std::to_string(n), "region-0", "zone-0"});
+  assert(moved(before, Topology(with_more), members) <= 60);
+}
+
+// ---- Summaries
+
+const Unit zone_0{Level::zone, "region-0", "zone-0", 0};
+const std::vector<Member> four = {{"a", "region-0", "zone-0"},
+                                  {"b", "region-0", "zone-0"},
+                                  {"c", "region-0", "zone-0"},
+                                  {"d", "region-0", "zone-0"}};
+
+StatusSummary summary_of(const std::string& writer, std::uint64_t number, Span made_at,
+                         std::uint32_t fresh = 4, Span age = milliseconds(500)) {
+  StatusSummary summary;
+  summary.unit = zone_0;
+  summary.writer = writer;
+  summary.version = {1ULL << 32, number};
+  summary.made_at = made_at;
+  summary.age_when_made = age;
+  summary.counts.agents_fresh = fresh;
+  summary.counts.by_condition[static_cast<std::size_t>(Condition::serving)] = fresh;
+  return summary;
+}
+
+SummaryStore store_of_four() {
+  SummaryStore store;
+  store.set_topology(std::make_shared<const Topology>(four));
+  return store;
+}
+
+void merging_is_a_semilattice() {
+  struct Arrival {
+    std::string teller;
+    SummaryDelta delta;
+  };
+  std::vector<Arrival> arrivals;
+  for (std::uint64_t number = 1; number <= 3; ++number) {
+    for (const std::string writer : {"a", "b"}) {
+      const SummaryDelta delta{summary_of(writer, number, seconds(number)), milliseconds(600)};
+      arrivals.push_back({writer, delta});
+    }
+  }
+  std::vector<std::size_t> order = {0, 1, 2, 3, 4, 5};
+  do {
+    SummaryStore store = store_of_four();
+    for (int repeat = 0; repeat < 2; ++repeat) {
+      for (const std::size_t n : order)
+        store.merge(seconds(100), seconds(100), arrivals[n].teller, arrivals[n].delta);
+    }
+    assert(store.size() == 2);
+    assert(store.version(zone_0, "a")->number == 3 && store.version(zone_0, "b")->number == 3);
+    assert(store.selected(seconds(100), zone_0)->summary->counts.agents_fresh == 4);  // never added up
+  } while (std::ranges::next_permutation(order).found);
+}
+
+void two_contents_under_one_version_are_not_read() {
+  SummaryStore one = store_of_four(), other = store_of_four();
+  const SummaryDelta first{summary_of("a", 1, seconds(1), 4), milliseconds(500)};
+  const SummaryDelta second{summary_of("a", 1, seconds(1), 3), milliseconds(500)};
+  one.merge(seconds(9), seconds(9), "a", first);
+  one.merge(seconds(9), seconds(9), "a", second);
+  other.merge(seconds(9), seconds(9), "a", second);
+  other.merge(seconds(9), seconds(9), "a", first);
+  for (SummaryStore* store : {&one, &other}) {
+    assert(!store->selected(seconds(9), zone_0) &&
+           store->freshness(seconds(9), zone_0) == Freshness::unknown);
+    store->merge(seconds(9), seconds(9), "a", {summary_of("a", 2, seconds(2)), milliseconds(500)});
+    assert(store->selected(seconds(9), zone_0));
+  }
+}
+
+void strangers_and_nonsense_are_not_accepted() {
+  SummaryStore store = store_of_four();
+  StatusSummary stranger = summary_of("z", 1, seconds(1));
+  assert(!store.merge(seconds(9), seconds(9), "a", {stranger, {}}));
+  StatusSummary elsewhere = summary_of("a", 1, seconds(1));
+  elsewhere.unit.zone = "zone-1";
+  assert(!store.merge(seconds(9), seconds(9), "a", {elsewhere, {}}));
+  assert(!store.merge(seconds(9), seconds(9), "a", {summary_of("a", 1, seconds(1), 1000), {}}));
+  assert(!store.merge(seconds(9), seconds(9), "a", {summary_of("a", 1, seconds(1), 4, seconds(-1)), {}}));
+  assert(store.size() == 0);
+}
+
+void ages_count_from_the_oldest_report() {
+  SummaryStore store = store_of_four();
+  // Made 0.2 s before it was asked for, of reports up to 2 s old.
+  const SummaryDelta delta{summary_of("a", 1, seconds(1), 4, seconds(2)), milliseconds(2200)};
+  store.merge(milliseconds(50'100), seconds(50), "a", delta);
+  assert(seconds(50) - store.selected(milliseconds(50'100), zone_0)->as_of == milliseconds(2200));
+  const Span limit = freshness_limits(Level::zone).fresh;
+  assert(store.freshness(seconds(48) + limit - milliseconds(300), zone_0) == Freshness::fresh);
+  assert(store.freshness(seconds(48) + limit, zone_0) == Freshness::old);
+  store.expire(seconds(200));
+  assert(store.size() == 0);
+}
+
+void one_teller_can_not_make_it_younger() {
+  SummaryStore store = store_of_four();
+  const SummaryDelta honest{summary_of("a", 1, seconds(1)), seconds(8)};
+  const SummaryDelta deceiving{summary_of("a", 1, seconds(1)), milliseconds(500)};
+  // Until two have told it, or its writer, nothing is known of its age.
+  for (int n = 0; n < 3; ++n) store.merge(seconds(50), seconds(50), "b", deceiving);
+  assert(store.freshness(seconds(50), zone_0) == Freshness::unknown);
+  store.merge(seconds(50), seconds(50), "c", honest);
+  assert(seconds(50) - store.selected(seconds(50), zone_0)->as_of == seconds(8));
+  // Nor can it later, for any other version.
+  store.merge(seconds(60), seconds(60), "b", {summary_of("a", 2, seconds(2)), Span(0)});
+  assert(store.selected(seconds(60), zone_0)->summary->version.number == 2);
+  assert(seconds(60) - store.selected(seconds(60), zone_0)->as_of >= seconds(17));
+  // Its own writer is believed about its own clock.
+  store.merge(seconds(60), seconds(60), "a", {summary_of("a", 3, seconds(19)), milliseconds(600)});
+  assert(seconds(60) - store.selected(seconds(60), zone_0)->as_of == milliseconds(600));
+}
+
+void clocks_are_claimed_for_a_while() {
+  WriterClock clock;
+  clock.claim(seconds(1), 7, "b", false, seconds(100));
+  assert(!clock.offset(seconds(1), 7));
+  clock.claim(seconds(1), 7, "c", false, seconds(90));
+  assert(clock.offset(seconds(1), 7) == seconds(90) && !clock.offset(seconds(1), 8));
+  for (int n = 0; n < 10; ++n) clock.claim(seconds(2), 7, "b", false, seconds(1000 + n));
+  assert(clock.offset(seconds(2), 7) <= seconds(90));
+  assert(!clock.offset(seconds(62), 7));  // too long ago
+  clock.claim(seconds(63), 8, "b", false, seconds(5));
+  clock.claim(seconds(63), 7, "c", false, seconds(5));  // of the process before
+  assert(!clock.offset(seconds(63), 7) && !clock.offset(seconds(63), 8));
+}
+
+void coverage_decides_among_the_young() {
+  SummaryStore store = store_of_four();
+  store.merge(seconds(50), seconds(50), "a", {summary_of("a", 1, seconds(1), 4), milliseconds(1500)});
+  store.merge(seconds(50), seconds(50), "b", {summary_of("b", 1, seconds(1), 1), milliseconds(500)});
+  assert(store.selected(seconds(50), zone_0)->summary->writer == "a");
+  store.merge(seconds(53), seconds(53), "b", {summary_of("b", 2, seconds(4), 1), milliseconds(500)});
+  assert(store.selected(seconds(53), zone_0)->summary->writer == "b");
+  // Only what is better is told.
+  const SummaryMark better{id_of(zone_0), milliseconds(600), 4}, worse{id_of(zone_0), seconds(5), 1};
+  assert(!store.answer(seconds(53), zone_0, &better) && store.answer(seconds(53), zone_0, &worse));
+  assert(store.answer(seconds(53), zone_0, nullptr));
+}
+
+void unknown_is_not_zero() {
+  SummaryStore store = store_of_four();
+  const GroupStatus status = store.combine(seconds(1), {zone_0});
+  assert(status.counts.agents_unknown == 4 && status.counts.agents_fresh == 0);
+}
+
+// ---- Histories
+
+LevelSimulation::Shape trouble(std::uint64_t seed) {
+  LevelSimulation::Shape shape;
+  shape.seed = seed;
+  shape.agents = 5 + static_cast<int>(seed % 30);
+  shape.loss = shape.doubled = 0.1;
+  shape.kills = shape.stops = shape.cuts = shape.unit_cuts = shape.slow = true;
+  shape.liar = seed % 2 == 1;
+  shape.troubled = seconds(40);
+  shape.measured = seconds(1);
+  shape.changes = 1;
+  return shape;
+}
+
+void print(std::uint64_t seed, const LevelSimulation::Result& result) {
+  for (const std::string& fault : result.faults)
+    std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), fault.c_str());
+}
+
+void histories_are_clean() {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    const LevelSimulation::Result result = LevelSimulation(trouble(seed)).play();
+    if (!result.clean()) print(seed, result);
+    assert(result.clean() && result.checks > 0 && result.summaries_written > 0);
+  }
+}
+
+void faults_are_recovered_from() {
+  LevelSimulation::Shape shape;
+  shape.agents = 60;
+  shape.zones = 4;
+  shape.faults.assign(std::begin(LevelSimulation::all_faults), std::end(LevelSimulation::all_faults));
+  const LevelSimulation::Result result = LevelSimulation(shape).play();
+  if (!result.clean()) print(shape.seed, result);
+  assert(result.clean() && result.recoveries.size() == std::size(LevelSimulation::all_faults));
+  for (const LevelSimulation::Recovery& recovery : result.recoveries) {
+    // A zone or region that is cut off goes on by itself, and whatever else fails blinds nobody to its own.
+    if (recovery.fault == LevelSimulation::Fault::region_cut) assert(recovery.cut_off_blind == 0);
+    assert(recovery.recovered < shape.calm);
+  }
+}
+
+void same_seed_same_history() {
+  const std::uint64_t first = LevelSimulation(trouble(3)).play().digest;
+  assert(first == LevelSimulation(trouble(3)).play().digest);
+  assert(first != LevelSimulation(trouble(4)).play().digest);
+}
+
+void age_from_sending_is_caught() {
+  LevelSimulation::Shape shape = trouble(2);
+  shape.age_from_sending = true;
+  assert(LevelSimulation(shape).play().stale_as_fresh > 0);
+}
+
+}  // namespace
+
+int main() {
+  groups_are_bounded();
+  placement_depends_on_the_list_only();
+  few_move_when_members_come_or_go();
+  merging_is_a_semilattice();
+  two_contents_under_one_version_are_not_read();
+  strangers_and_nonsense_are_not_accepted();
+  ages_count_from_the_oldest_report();
+  one_teller_can_not_make_it_younger();
+  clocks_are_claimed_for_a_while();
+  coverage_decides_among_the_young();
+  unknown_is_not_zero();
+  histories_are_clean();
+  faults_are_recovered_from();
+  same_seed_same_history();
+  age_from_sending_is_caught();
+  std::printf("ok\n");
+}
