measure scale: real managers and agents beside racks of hollow hosts, faults by seed

A hollow host runs the agent's own control code (ProcessSupervisor, Peers, GossipService) and a manager's admin channel, list subscription and engine connections without clients; a rack of them is one process. Peers takes a channel factory, so that agents of one process share a channel for each target.

--- a/src/agent/peers.cpp
+++ b/src/agent/peers.cpp
@@ -1,14 +1,17 @@
 #include "agent/peers.h"
 
-#include "agent/grpc_credentials.h"
+#include <utility>
 
 namespace pearchute::agent {
 
-Peers::Peers(net::EventLoopThread& stage, const AgentConfig& charter)
-    : loop_thread_(stage), config_(charter), calls_(std::make_shared<Calls>()) {
-  stubs_[config_.name] = v1::Agent::NewStub(channel_to(config_.control, config_.name, config_.tls));
+Peers::Peers(net::EventLoopThread& stage, const AgentConfig& charter, ChannelFactory open_channel)
+    : loop_thread_(stage),
+      config_(charter),
+      open_channel_(std::move(open_channel)),
+      calls_(std::make_shared<Calls>()) {
+  stubs_[config_.name] = v1::Agent::NewStub(open_channel_(config_.control, config_.name, config_.tls));
   for (const auto& [name, reach] : config_.peers)
-    stubs_[name] = v1::Agent::NewStub(channel_to(reach, name, config_.tls));
+    stubs_[name] = v1::Agent::NewStub(open_channel_(reach, name, config_.tls));
 }
 
 // No call's end may reach a stage that has gone.
@@ -22,7 +25,7 @@
   for (const auto& [name, reach] : next.peers) {
     const auto known = config_.peers.find(name);
     if (known != config_.peers.end() && known->second.text == reach.text) continue;
-    stubs_[name] = v1::Agent::NewStub(channel_to(reach, name, config_.tls));
+    stubs_[name] = v1::Agent::NewStub(open_channel_(reach, name, config_.tls));
     config_.peers[name] = reach;
   }
 }
--- a/src/agent/peers.h
+++ b/src/agent/peers.h
@@ -15,13 +15,18 @@
 
 #include "agent.grpc.pb.h"
 #include "agent/agent_config.h"
+#include "agent/grpc_credentials.h"
 #include "net/event_loop_thread.h"
 
 namespace pearchute::agent {
 
+// Opens the channel to one agent; channel_to, unless many agents of one process share their channels.
+using ChannelFactory = std::function<std::shared_ptr<grpc::Channel>(
+    const keys::Reach& reach, const std::string& name, const keys::Files& files)>;
+
 class Peers {
  public:
-  Peers(net::EventLoopThread& stage, const AgentConfig& charter);
+  Peers(net::EventLoopThread& stage, const AgentConfig& charter, ChannelFactory open_channel = channel_to);
   ~Peers();  // calls off what is open, and waits until its ends are handed over
   Peers(const Peers&) = delete;
   Peers& operator=(const Peers&) = delete;
@@ -66,6 +71,7 @@
   };
   net::EventLoopThread& loop_thread_;
   AgentConfig config_;
+  const ChannelFactory open_channel_;
   const std::shared_ptr<Calls> calls_;
   std::map<std::string, std::unique_ptr<v1::Agent::Stub>> stubs_;
 };
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -10,6 +10,7 @@
 
 #include "errors/error.h"
 #include "lab/measurements/measurements.h"
+#include "lab/scale/hollow_hosts.h"
 #include "lab/stand_ins/admin_endpoints.h"
 #include "lab/stand_ins/test_cluster.h"
 #include "net/log.h"
@@ -105,13 +106,16 @@
       {"drain", measure_drain},     {"fleet-status", measure_fleet_status},
       {"rollout", measure_rollout}, {"managers", measure_managers},
       {"list", measure_list},       {"word", measure_word},
-      {"parts", measure_parts}};
+      {"parts", measure_parts},     {"scale", measure_scale}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
   std::vector<std::string> names;
   for (const auto& [known, run] : measurements) names.push_back(known);
   measure->add_option("name", name)->required()->check(CLI::IsMember(names));
   measure->add_option("--size", bench.size, "how many, where not as documented");
+  measure->add_option("--faults", bench.faults, "of 'scale': ordinary,rack,zone,regions,third,primary");
+  measure->add_option("--predicted", bench.predicted, "of 'scale': predicted figures, JSON")
+      ->type_name("FILE");
   app.add_option("--seed", bench.seed);
   app.add_option("--programs", bench.programs, "the folder of pearchuted and pearchutectl");
   int managers = 3, engines = 4, seconds = 0;
@@ -122,6 +126,9 @@
   site->add_option("--engines", engines)->check(CLI::Range(1, 1024));
   site->add_option("--rate", rate, "jobs a second")->check(CLI::Range(0.0, 5000.0));
   site->add_option("--for", seconds, "0: until interrupted")->type_name("S");
+  std::string hollow_spec;
+  CLI::App* hollow = app.add_subcommand("hollow-hosts", "")->group("");  // started by 'measure scale' only
+  hollow->add_option("--spec", hollow_spec)->required();
   CLI::App* shown = app.add_subcommand("demo", "shows the main job in a few seconds");
   for (CLI::App* one : {measure, site, shown}) one->fallthrough();
   CLI11_PARSE(app, argc, argv);
@@ -129,6 +136,7 @@
   spdlog::set_level(spdlog::level::err);
   try {
     if (shown->parsed()) return demo(bench);
+    if (hollow->parsed()) return run_hollow_hosts(hollow_spec);
     if (site->parsed()) return up(bench, managers, engines, rate, seconds);
     return measurements.at(name)(bench);
   } catch (const std::exception& error) {
--- a/src/lab/measurements/measurements.h
+++ b/src/lab/measurements/measurements.h
@@ -9,8 +9,10 @@
 
 struct Bench {
   std::uint64_t seed = 1;
-  int size = 0;          // 0: as documented
-  std::string programs;  // the folder of the programs
+  int size = 0;           // 0: as documented
+  std::string programs;   // the folder of the programs
+  std::string faults;     // of a scale run, by name; empty: all
+  std::string predicted;  // the file of a scale run's predicted figures
 };
 
 int measure_drain(const Bench& bench);
@@ -20,5 +22,6 @@
 int measure_list(const Bench& bench);
 int measure_word(const Bench& bench);
 int measure_parts(const Bench& bench);
+int measure_scale(const Bench& bench);
 
 }  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/scale/hollow_hosts.cpp
@@ -0,0 +1,240 @@
+#include "lab/scale/hollow_hosts.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "errors/error.h"
+#include "lab/scale/hollow_agent.h"
+#include "lab/scale/hollow_manager.h"
+#include "service/flatten.h"
+
+namespace pearchute::lab {
+
+using nlohmann::json;
+
+namespace {
+
+HollowCommand command_in(const std::string& word) {
+  return service::one_of<HollowCommand>("command", word,
+                                        {{"look", HollowCommand::look},
+                                         {"cut", HollowCommand::cut},
+                                         {"heal", HollowCommand::heal},
+                                         {"restart", HollowCommand::restart}});
+}
+
+json read_json(const std::string& file) {
+  std::ifstream in(file);
+  if (!in) throw SettingsError("can't be read", file);
+  return json::parse(in);
+}
+
+class HollowHosts {
+ public:
+  explicit HollowHosts(const HollowHostsSpec& spec)
+      : spec_(spec),
+        configuration_(read_json(spec.manager_configuration)),
+        settings_(configuration_.at("settings")),
+        deployment_(service::decode(settings_.values())) {
+    for (const PlannedHost& host : spec_.hosts) {
+      HollowManager::Spec manager;
+      manager.name = host.manager, manager.admin_path = manager_socket(spec_.folder, host.manager);
+      manager.channel = configuration_.at("channel").get<std::string>();
+      manager.engine_connections = spec_.engine_connections, manager.seed = next_seed();
+      loop_thread_.on([&] {
+        managers_[host.manager] = std::make_unique<HollowManager>(loop_thread_.loop(), deployment_, manager);
+      });
+    }
+    for (const PlannedHost& host : spec_.hosts) start_agent(host);
+  }
+
+  json answer(const json& line) {
+    switch (command_in(line.at("command").get<std::string>())) {
+      case HollowCommand::look:
+        return look(line);
+      case HollowCommand::cut:
+      case HollowCommand::heal:
+        set_cut(line.at("command") == word_for(HollowCommand::cut));
+        return json::object();
+      case HollowCommand::restart:
+        restart(line.at("agents").get<std::set<std::string>>());
+        return json::object();
+    }
+    return json::object();
+  }
+
+ private:
+  std::uint64_t next_seed() { return spec_.seed * 1'000'003 + ++seeds_drawn_; }
+
+  agent::AgentConfig config_of(const PlannedHost& host) const {
+    agent::AgentConfig config;
+    config.name = host.agent, config.state = spec_.folder + "/" + host.agent + ".db";
+    config.exchanges = true;
+    config.control = keys::reach_in("unix:" + agent_socket(spec_.folder, host.agent));
+    agent::Owned& owned = config.instances[host.manager];
+    owned.admin = admin::place_in("unix:" + manager_socket(spec_.folder, host.manager));
+    owned.zone = host.zone.name;
+    owned.commands[1] = "exec false";
+    owned.wanted = false;  // observed, never started
+    for (const auto& [peer, region] : spec_.regions) {
+      if (peer == host.agent) continue;
+      const bool away = regions_cut_ && region != host.zone.region;
+      config.peers[peer] =
+          keys::reach_in("unix:" + (away ? spec_.silent_socket : agent_socket(spec_.folder, peer)));
+    }
+    return config;
+  }
+
+  void start_agent(const PlannedHost& host) {
+    agents_[host.agent] =
+        std::make_unique<HollowAgent>(loop_thread_, config_of(host), channels_, traffic_, next_seed());
+  }
+
+  void restart(const std::set<std::string>& names) {
+    for (const PlannedHost& host : spec_.hosts) {
+      if (!names.contains(host.agent)) continue;
+      agents_.erase(host.agent);
+      loop_thread_.on([&] { managers_.at(host.manager)->restart(); });
+      start_agent(host);
+    }
+  }
+
+  void set_cut(bool cut) {
+    regions_cut_ = cut;
+    for (const PlannedHost& host : spec_.hosts) agents_.at(host.agent)->change(config_of(host));
+  }
+
+  json look(const json& line) {
+    Expected expected;
+    expected.down = line.at("down").get<std::set<std::string>>();
+    expected.regions_cut = line.at("regions_cut").get<bool>();
+    Knowledge knowledge;
+    for (const auto& [name, agent] : agents_) {
+      const agent::v1::Shown shown = loop_thread_.on([&] { return agent->known(); });
+      std::set<std::string> fresh;
+      for (const auto& heard : shown.heard()) {
+        if (heard.freshness() == "fresh") fresh.insert(heard.agent());
+      }
+      knowledge.add(compare(name, fresh, expected));
+    }
+    json told = {{"observers", knowledge.observers},
+                 {"not_fresh", knowledge.not_fresh},
+                 {"stale_as_fresh", knowledge.stale_as_fresh}};
+    told["traffic"] = json::object();
+    for (const auto& [name, counted] : traffic_.counted())
+      told["traffic"][name] = {counted.sent, counted.received};
+    std::size_t connections = 0, least_engines = SIZE_MAX;
+    loop_thread_.on([&] {
+      for (const auto& [name, manager] : managers_) {
+        connections += manager->engine_connections();
+        least_engines = std::min(least_engines, manager->engines_listed());
+      }
+    });
+    told["engine_connections"] = connections, told["least_engines"] = least_engines;
+    return told;
+  }
+
+  Knowledge compare(const std::string& observer, const std::set<std::string>& fresh,
+                    const Expected& expected) const {
+    Knowledge knowledge;
+    knowledge.observers = 1;
+    for (const auto& [agent, region] : spec_.regions) {
+      if (agent == observer) continue;
+      const bool reached = expected.reaches(spec_.regions, observer, agent);
+      knowledge.not_fresh += reached && !fresh.contains(agent);
+      knowledge.stale_as_fresh += !reached && fresh.contains(agent);
+    }
+    return knowledge;
+  }
+
+  const HollowHostsSpec spec_;
+  const json configuration_;
+  const service::FlatValues settings_;
+  const service::Deployment deployment_;
+  bool regions_cut_ = false;
+  std::uint64_t seeds_drawn_ = 0;
+  SharedChannels channels_;
+  ControlTraffic traffic_;
+  net::EventLoopThread loop_thread_;
+  std::map<std::string, std::unique_ptr<HollowManager>> managers_;
+  std::map<std::string, std::unique_ptr<HollowAgent>> agents_;
+};
+
+}  // namespace
+
+std::string_view word_for(HollowCommand command) {
+  constexpr std::string_view words[] = {"look", "cut", "heal", "restart"};
+  return words[static_cast<int>(command)];
+}
+
+std::string agent_socket(const std::string& folder, const std::string& agent) {
+  return folder + "/" + agent + ".sock";
+}
+std::string manager_socket(const std::string& folder, const std::string& manager) {
+  return folder + "/" + manager + ".admin";
+}
+
+bool Expected::reaches(const std::map<std::string, Region>& regions, const std::string& observer,
+                       const std::string& agent) const {
+  if (down.contains(agent)) return false;
+  return !regions_cut || regions.at(observer) == regions.at(agent);
+}
+
+void Knowledge::add(const Knowledge& other) {
+  observers += other.observers;
+  not_fresh += other.not_fresh;
+  stale_as_fresh += other.stale_as_fresh;
+}
+
+json to_json(const HollowHostsSpec& spec) {
+  json hosts = json::array(), regions = json::object();
+  for (const PlannedHost& host : spec.hosts) {
+    hosts.push_back({{"agent", host.agent},
+                     {"manager", host.manager},
+                     {"zone", host.zone.name},
+                     {"region", static_cast<int>(host.zone.region)}});
+  }
+  for (const auto& [agent, region] : spec.regions) regions[agent] = static_cast<int>(region);
+  return {{"folder", spec.folder},
+          {"manager_configuration", spec.manager_configuration},
+          {"silent_socket", spec.silent_socket},
+          {"seed", spec.seed},
+          {"engine_connections", spec.engine_connections},
+          {"hosts", hosts},
+          {"regions", regions}};
+}
+
+HollowHostsSpec hollow_hosts_spec(const json& from) {
+  HollowHostsSpec spec;
+  from.at("folder").get_to(spec.folder);
+  from.at("manager_configuration").get_to(spec.manager_configuration);
+  from.at("silent_socket").get_to(spec.silent_socket);
+  from.at("seed").get_to(spec.seed);
+  from.at("engine_connections").get_to(spec.engine_connections);
+  for (const json& one : from.at("hosts")) {
+    PlannedHost& host = spec.hosts.emplace_back();
+    one.at("agent").get_to(host.agent), one.at("manager").get_to(host.manager);
+    one.at("zone").get_to(host.zone.name);
+    host.zone.region = static_cast<Region>(one.at("region").get<int>());
+  }
+  for (const auto& [agent, region] : from.at("regions").items())
+    spec.regions[agent] = static_cast<Region>(region.get<int>());
+  return spec;
+}
+
+int run_hollow_hosts(const std::string& spec_file) {
+  std::signal(SIGPIPE, SIG_IGN);
+  HollowHosts hosts(hollow_hosts_spec(read_json(spec_file)));
+  std::cout << json{{"ready", true}}.dump() << std::endl;
+  for (std::string line; std::getline(std::cin, line);)
+    std::cout << hosts.answer(json::parse(line)).dump() << std::endl;
+  // Its agents and managers end as a crash would have it: nothing is waited for.
+  ::_exit(0);
+}
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/scale/hollow_manager.cpp
@@ -0,0 +1,157 @@
+#include "lab/scale/hollow_manager.h"
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+#include "admin.pb.h"
+#include "engines/resp.h"
+
+namespace pearchute::lab {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::chrono::seconds sign_every(1);
+
+std::uint64_t unix_ms() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+// FNV-1a, started by a seed: which engines a manager connects to is the same on every machine.
+std::uint64_t hash_of(std::uint64_t seed, const std::string& text) {
+  std::uint64_t hash = 1469598103934665603ULL ^ (seed * 0x9E3779B97F4A7C15ULL);
+  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+  return hash;
+}
+
+}  // namespace
+
+// A connection that asks its engine for a sign of life each second, and opens anew where it has ended.
+class HollowManager::EngineConnection final : public net::Wire::User, public net::EngineTalk::Listener {
+ public:
+  EngineConnection(net::Loop& loop, std::string address) : loop_(loop), address_(std::move(address)) {
+    beat();
+  }
+  ~EngineConnection() override { close(); }
+  bool open() const { return wire_ && wire_->opened(); }
+
+ private:
+  void wire_brought(std::string_view bytes) override {
+    std::string out;
+    if (!talk_->feed(bytes, out)) return close();
+    wire_->send(out);
+  }
+  void wire_ended() override { close(); }
+  void talk_ended(net::DispatchKey, Outcome, std::vector<std::string>) override {}
+  void talk_progress(net::DispatchKey, double) override {}
+  void talk_spill(net::DispatchKey, double) override {}
+  void talk_wait(net::DispatchKey, Wait) override {}
+
+  void close() {
+    if (wire_) loop_.retire(std::move(wire_));
+  }
+  void beat() {
+    if (!wire_) {
+      talk_ = std::make_unique<net::EngineTalk>(*this);
+      try {
+        wire_ = std::make_unique<net::Wire>(loop_, Poco::Net::SocketAddress(address_), *this);
+      } catch (const Poco::Exception&) {
+        wire_.reset();
+      }
+    }
+    if (wire_) {
+      std::string out;
+      talk_->ask_for_a_sign(out);
+      wire_->send(out);
+    }
+    loop_.at(loop_.now() + sign_every, [this, alive = std::weak_ptr<bool>(alive_)] {
+      if (!alive.expired()) beat();
+    });
+  }
+
+  net::Loop& loop_;
+  const std::string address_;
+  std::unique_ptr<net::EngineTalk> talk_;
+  std::unique_ptr<net::Wire> wire_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+HollowManager::HollowManager(net::Loop& loop, const service::Deployment& deployment, const Spec& spec)
+    : loop_(loop),
+      spec_(spec),
+      list_(deployment, milliseconds(unix_ms()) - std::chrono::duration_cast<milliseconds>(loop.now())),
+      feed_(loop, spec.channel, list_, *this, counters_) {
+  open_admin_channel();
+  feed_.open();
+}
+
+HollowManager::~HollowManager() = default;
+
+void HollowManager::open_admin_channel() {
+  admin::Terms terms;
+  terms.listen = admin::place_in("unix:" + spec_.admin_path);
+  started_unix_ms_ = unix_ms();
+  admin_server_ = std::make_unique<admin::AdminServer>(loop_, terms, *this);
+}
+
+void HollowManager::restart() {
+  admin_server_.reset();
+  connections_.clear();
+  open_admin_channel();
+  // A feed opens its stream anew when its channel's address is written otherwise: here with a leading zero.
+  channel_renamed_ = !channel_renamed_;
+  std::string channel = spec_.channel;
+  if (channel_renamed_) channel.insert(channel.rfind(':') + 1, "0");
+  feed_.move_to(channel);
+  choose_engines();
+}
+
+std::size_t HollowManager::engine_connections() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(connections_, [](const auto& one) { return one.second->open(); }));
+}
+
+void HollowManager::answer(const admin::v1::Call& call, admin::v1::Reply& reply) {
+  if (!call.has_who() && !call.has_status()) {
+    reply.set_outcome(admin::v1::unknown_call);
+    return;
+  }
+  admin::v1::Identity& identity =
+      call.has_who() ? *reply.mutable_identity() : *reply.mutable_status()->mutable_identity();
+  identity.set_name(spec_.name), identity.set_build("hollow");
+  identity.set_phase("serving"), identity.set_rest("serving");
+  identity.set_started_unix_ms(started_unix_ms_), identity.set_protocol(1);
+  if (!call.has_status()) return;
+  reply.mutable_status()->set_counters("{}");
+  reply.mutable_status()->set_engines_up(engines_.size());
+}
+
+void HollowManager::list_changed(ListNews news, const std::vector<net::Member>& members) {
+  if (news == ListNews::complete) engines_.clear();
+  for (const net::Member& member : members) {
+    if (member.engine.state == EngineState::up) engines_[member.name] = member.address;
+    else engines_.erase(member.name);
+  }
+  choose_engines();
+}
+
+void HollowManager::choose_engines() {
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  for (const auto& [name, address] : engines_) ranked.emplace_back(hash_of(spec_.seed, name), name);
+  std::ranges::sort(ranked);
+  if (ranked.size() > spec_.engine_connections) ranked.resize(spec_.engine_connections);
+  std::erase_if(connections_, [&](const auto& one) {
+    return std::ranges::none_of(ranked, [&](const auto& chosen) { return chosen.second == one.first; });
+  });
+  for (const auto& [rank, name] : ranked) {
+    if (connections_.contains(name)) continue;
+    connections_[name] = std::make_unique<EngineConnection>(loop_, engines_.at(name));
+  }
+}
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/scale/hollow_rack.cpp
@@ -0,0 +1,108 @@
+#include "lab/scale/hollow_rack.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "errors/error.h"
+#include "lab/checkers/history_checker.h"
+
+namespace pearchute::lab {
+
+namespace {
+
+// A rack of thirty agents writes thirty databases at its start, on a disk that others use as well.
+constexpr std::chrono::seconds answers_within(60);
+constexpr std::uint64_t seeds_of_a_start = 7919;
+
+}  // namespace
+
+HollowRack::HollowRack(std::string program, HollowHostsSpec spec, std::size_t number)
+    : program_(std::move(program)),
+      file_(spec.folder + "/rack" + std::to_string(number) + ".json"),
+      log_(spec.folder + "/rack" + std::to_string(number) + ".log"),
+      spec_(std::move(spec)) {}
+
+HollowRack::~HollowRack() { kill(); }
+
+void HollowRack::start() {
+  spec_.seed += seeds_of_a_start * starts_++;
+  std::ofstream(file_) << to_json(spec_).dump() << "\n";
+  int input[2], output[2];
+  if (::pipe2(input, O_CLOEXEC) != 0) throw SystemError("no pipe to a process of hollow hosts");
+  if (::pipe2(output, O_CLOEXEC) != 0) {
+    ::close(input[0]), ::close(input[1]);
+    throw SystemError("no pipe to a process of hollow hosts");
+  }
+  const pid_t parent = ::getpid();
+  process_ = ::fork();
+  if (process_ == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent) ::_exit(127);
+    const int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    ::dup2(input[0], STDIN_FILENO), ::dup2(output[1], STDOUT_FILENO), ::dup2(log, STDERR_FILENO);
+    ::close_range(3, ~0U, 0);
+    ::execl(program_.c_str(), "pearchute-lab", "hollow-hosts", "--spec", file_.c_str(),
+            static_cast<char*>(nullptr));
+    ::_exit(127);
+  }
+  ::close(input[0]), ::close(output[1]);
+  input_ = input[1], output_ = output[0];
+  if (process_ < 0) {
+    close_pipes();
+    throw SystemError("no process of hollow hosts");
+  }
+}
+
+void HollowRack::ready() { receive(); }
+
+void HollowRack::close_pipes() {
+  if (input_ >= 0) ::close(input_);
+  if (output_ >= 0) ::close(output_);
+  input_ = output_ = -1;
+  read_ahead_.clear();
+}
+
+void HollowRack::kill() {
+  if (process_ <= 0) return;
+  ::kill(process_, SIGKILL);
+  ::waitpid(process_, nullptr, 0);
+  process_ = -1;
+  close_pipes();
+}
+
+void HollowRack::send(const nlohmann::json& command) {
+  const std::string line = command.dump() + "\n";
+  std::string_view rest = line;
+  while (!rest.empty()) {
+    const ssize_t written = ::write(input_, rest.data(), rest.size());
+    if (written <= 0) throw TestClusterError("a process of hollow hosts takes no command", log_);
+    rest.remove_prefix(static_cast<std::size_t>(written));
+  }
+}
+
+nlohmann::json HollowRack::receive() {
+  const Time end = steady_now() + answers_within;
+  std::size_t line_end;
+  while ((line_end = read_ahead_.find('\n')) == std::string::npos) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - steady_now()).count();
+    pollfd one{output_, POLLIN, 0};
+    if (left <= 0 || ::poll(&one, 1, static_cast<int>(left)) <= 0)
+      throw TestClusterError("a process of hollow hosts does not answer", log_);
+    char buffer[16384];
+    const ssize_t got = ::read(output_, buffer, sizeof buffer);
+    if (got <= 0) throw TestClusterError("a process of hollow hosts has ended", log_);
+    read_ahead_.append(buffer, static_cast<std::size_t>(got));
+  }
+  const std::string line = read_ahead_.substr(0, line_end);
+  read_ahead_.erase(0, line_end + 1);
+  return nlohmann::json::parse(line);
+}
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/scale/scale_cluster.cpp
@@ -0,0 +1,229 @@
+#include "lab/scale/scale_cluster.h"
+
+#include <grpcpp/grpcpp.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "errors/error.h"
+
+namespace pearchute::lab {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+ClusterSpec cluster_spec(const ScalePlan& plan, const std::string& programs, std::uint64_t seed) {
+  ClusterSpec spec;
+  spec.managers = plan.real_managers(), spec.engines = plan.engines(), spec.seed = seed;
+  spec.zones = ScalePlan::zone_names();
+  spec.pearchuted = programs + "/pearchuted", spec.pearchute_agent = programs + "/pearchute-agent";
+  spec.starts_managers = false;
+  spec.sockets = 1024 + 2 * plan.engines(), spec.manager_memory_mb = 256;
+  return spec;
+}
+
+}  // namespace
+
+ScaleCluster::ScaleCluster(const ScalePlan& plan, const std::string& programs, std::uint64_t seed)
+    : plan_(plan),
+      programs_(programs),
+      world_(cluster_spec(plan, programs, seed)),
+      silent_(std::make_unique<SilentPlace>(world_.folder() + "/silent.sock")) {
+  if (plan_.processes() > ScalePlan::most_processes)
+    throw UsageError("the run would take " + std::to_string(plan_.processes()) + " processes");
+  for (std::size_t n = 0; n < plan_.real_agents().size(); ++n) {
+    Agent& agent = *real_agents_.emplace_back(std::make_unique<Agent>());
+    agent.name = plan_.real_agents()[n].name, agent.program = programs_ + "/pearchute-agent";
+    agent.charter = world_.folder() + "/" + agent.name + ".ini";
+    agent.control = "unix:" + agent_socket(world_.folder(), agent.name);
+    write_charter(n, false);
+    agent.start();
+    agent.stub =
+        agent::v1::Agent::NewStub(grpc::CreateChannel(agent.control, grpc::InsecureChannelCredentials()));
+  }
+  std::set<std::size_t> all;
+  for (std::size_t r = 0; r < plan_.racks().size(); ++r) {
+    HollowHostsSpec spec;
+    spec.folder = world_.folder(), spec.manager_configuration = world_.managers()[0].configuration;
+    spec.silent_socket = world_.folder() + "/silent.sock";
+    spec.seed = seed * 1'000'000 + r * 1000;
+    spec.hosts = plan_.racks()[r].hosts, spec.regions = plan_.regions();
+    racks_.push_back(std::make_unique<HollowRack>(programs_ + "/pearchute-lab", std::move(spec), r));
+    all.insert(r);
+  }
+  start_racks(all);
+}
+
+ScaleCluster::~ScaleCluster() {
+  racks_.clear();
+  for (const auto& agent : real_agents_) agent->end(SIGKILL);
+}
+
+void ScaleCluster::write_charter(std::size_t number, bool cut) {
+  const PlannedRealAgent& self = plan_.real_agents()[number];
+  const Agent& agent = *real_agents_[number];
+  std::ofstream charter(agent.charter);
+  charter << "[agent]\nname = " << agent.name << "\nstate = " << world_.folder() << "/" << agent.name
+          << ".db\ncontrol = " << agent.control << "\nexchange = yes\n";
+  for (const auto& [peer, region] : plan_.regions()) {
+    if (peer == agent.name) continue;
+    const bool away = cut && region != self.region;
+    charter << "[peer " << peer << "]\ncontrol = unix:"
+            << (away ? world_.folder() + "/silent.sock" : agent_socket(world_.folder(), peer)) << "\n";
+  }
+  const std::size_t each = world_.managers().size() / plan_.real_agents().size();
+  for (std::size_t m = number * each; m < (number + 1) * each; ++m) {
+    const TestCluster::Manager& manager = world_.managers()[m];
+    charter << "[instance " << manager.name << "]\nadmin = unix:" << manager.admin
+            << "\nzone = " << manager.zone << "\ncommand = exec " << programs_ << "/pearchuted --config "
+            << manager.configuration << " --admin " << manager.admin_file << "\nlog = " << manager.log
+            << "\n";
+  }
+}
+
+void ScaleCluster::kill_racks(const std::set<std::size_t>& racks) {
+  for (const std::size_t rack : racks) racks_[rack]->kill();
+}
+
+void ScaleCluster::start_racks(const std::set<std::size_t>& racks) {
+  for (const std::size_t rack : racks) racks_[rack]->start();
+  for (const std::size_t rack : racks) racks_[rack]->ready();
+}
+
+std::set<std::string> ScaleCluster::agents_of(const std::set<std::size_t>& racks) const {
+  std::set<std::string> names;
+  for (const std::size_t rack : racks) {
+    for (const PlannedHost& host : plan_.racks()[rack].hosts) names.insert(host.agent);
+  }
+  return names;
+}
+
+void ScaleCluster::restart_hosts(const std::vector<PlannedHost>& hosts) {
+  std::map<std::size_t, std::set<std::string>> by_rack;
+  for (const PlannedHost& host : hosts) by_rack[host.rack].insert(host.agent);
+  for (const auto& [rack, agents] : by_rack)
+    racks_[rack]->send({{"command", word_for(HollowCommand::restart)}, {"agents", agents}});
+  for (const auto& [rack, agents] : by_rack) racks_[rack]->receive();
+}
+
+void ScaleCluster::restart_real_agent(std::size_t number) {
+  real_agents_[number]->end(SIGKILL);
+  real_agents_[number]->start();
+}
+
+void ScaleCluster::cut_regions(bool cut) {
+  for (std::size_t n = 0; n < real_agents_.size(); ++n) {
+    write_charter(n, cut);
+    ::kill(real_agents_[n]->process, SIGHUP);
+  }
+  ask_all({{"command", word_for(cut ? HollowCommand::cut : HollowCommand::heal)}});
+}
+
+void ScaleCluster::ask_all(const json& command, std::vector<json>* answers) {
+  for (const auto& rack : racks_) {
+    if (rack->runs()) rack->send(command);
+  }
+  for (const auto& rack : racks_) {
+    if (!rack->runs()) continue;
+    json answer = rack->receive();
+    if (answers) answers->push_back(std::move(answer));
+  }
+}
+
+Knowledge ScaleCluster::look_at_real(const Expected& expected) {
+  Knowledge knowledge;
+  for (const auto& agent : real_agents_) {
+    const auto shown = agent->show();
+    ++knowledge.observers;
+    std::set<std::string> fresh;
+    if (shown) {
+      for (const auto& heard : shown->heard()) {
+        if (heard.freshness() == "fresh") fresh.insert(heard.agent());
+      }
+    }
+    for (const auto& [peer, region] : plan_.regions()) {
+      if (peer == agent->name) continue;
+      const bool reached = expected.reaches(plan_.regions(), agent->name, peer);
+      knowledge.not_fresh += reached && !fresh.contains(peer);
+      knowledge.stale_as_fresh += !reached && fresh.contains(peer);
+    }
+  }
+  return knowledge;
+}
+
+Knowledge ScaleCluster::look(const Expected& expected) {
+  std::vector<json> answers;
+  ask_all({{"command", word_for(HollowCommand::look)},
+           {"down", expected.down},
+           {"regions_cut", expected.regions_cut}},
+          &answers);
+  Knowledge knowledge = look_at_real(expected);
+  for (const json& answer : answers) {
+    knowledge.add({answer.at("observers").get<std::size_t>(), answer.at("not_fresh").get<std::size_t>(),
+                   answer.at("stale_as_fresh").get<std::size_t>()});
+  }
+  return knowledge;
+}
+
+std::optional<milliseconds> ScaleCluster::until_all_fresh(std::chrono::seconds within) {
+  const Time begun = steady_now();
+  while (steady_now() - begun < within) {
+    const Time looked = steady_now();
+    if (look({}).not_fresh == 0) return std::chrono::duration_cast<milliseconds>(looked - begun);
+    world_.rest(milliseconds(100));
+  }
+  return std::nullopt;
+}
+
+std::map<std::string, std::uint64_t> ScaleCluster::bytes_sent() {
+  std::vector<json> answers;
+  ask_all({{"command", word_for(HollowCommand::look)}, {"down", json::array()}, {"regions_cut", false}},
+          &answers);
+  std::map<std::string, std::uint64_t> sent;
+  for (const json& answer : answers) {
+    for (const auto& [agent, counted] : answer.at("traffic").items())
+      sent[agent] += counted.at(0).get<std::uint64_t>();
+  }
+  return sent;
+}
+
+std::vector<ScaleCluster::Usage> ScaleCluster::hollow_usage() const {
+  std::vector<Usage> all;
+  for (const auto& rack : racks_) all.push_back({usage_of(rack->process()), rack->spec().hosts.size()});
+  return all;
+}
+
+std::vector<ScaleCluster::Usage> ScaleCluster::real_agent_usage() const {
+  std::vector<Usage> all;
+  const std::size_t each = static_cast<std::size_t>(plan_.real_managers()) / real_agents_.size();
+  for (const auto& agent : real_agents_) all.push_back({usage_of(agent->process), each});
+  return all;
+}
+
+std::vector<ScaleCluster::Usage> ScaleCluster::real_manager_usage() {
+  std::vector<Usage> all;
+  for (std::size_t m = 0; m < world_.managers().size(); ++m) {
+    admin::v1::Call who;
+    who.mutable_who();
+    const auto process = static_cast<pid_t>(world_.call(m, who).identity().pid());
+    all.push_back({process > 0 ? usage_of(process) : ProcessUsage{}, 1});
+  }
+  return all;
+}
+
+std::size_t ScaleCluster::processes() const { return plan_.processes() + 1; }
+
+double ScaleCluster::memory_share() {
+  std::uint64_t kb = usage_of(::getpid()).memory_kb;
+  for (const auto& all : {hollow_usage(), real_agent_usage(), real_manager_usage()}) {
+    for (const Usage& one : all) kb += one.used.memory_kb;
+  }
+  return static_cast<double>(kb) / static_cast<double>(machine_memory_kb());
+}
+
+}  // namespace pearchute::lab
--- /dev/null
+++ b/src/lab/scale/scale_faults.h
@@ -0,0 +1,50 @@
+// What is caused in a scale run, each by the plan's seed, and how long it takes until every agent knows every
+// other one as fresh again. Meanwhile it is checked from outside that nobody calls fresh what can't be.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/scale/scale_cluster.h"
+
+namespace pearchute::lab {
+
+enum class ScaleFault { ordinary, rack, zone, regions, third, primary };
+std::string_view word_for(ScaleFault fault);
+std::vector<ScaleFault> all_scale_faults();
+// "third,zone"; empty: all. Throws UsageError.
+std::vector<ScaleFault> scale_faults_in(const std::string& text);
+
+class FaultInjector {
+ public:
+  FaultInjector(ScaleCluster& cluster, const ScalePlan& plan) : cluster_(cluster), plan_(plan) {}
+
+  // Until all is known again, from the moment the fault is over; none where the bound is passed. Not for a
+  // change of primary, which measure_primary_change() has.
+  std::optional<std::chrono::milliseconds> strike(ScaleFault fault);
+  std::uint64_t stale_as_fresh() const { return stale_as_fresh_; }
+
+ private:
+  void hold(const Expected& expected);
+  void lose_racks(const std::set<std::size_t>& racks);
+  void restart_one_by_one();
+
+  ScaleCluster& cluster_;
+  const ScalePlan& plan_;
+  std::uint64_t stale_as_fresh_ = 0;
+};
+
+// The engine at home for a group of tables fails and leaves the list.
+struct PrimaryChange {
+  std::string home;
+  double home_share = 0;  // of the group's statements that it had before
+  // From its end to the first statement of those that are all served on time again; none: not within the
+  // bound.
+  std::optional<std::chrono::milliseconds> over;
+};
+PrimaryChange measure_primary_change(TestCluster& world);
+
+}  // namespace pearchute::lab
