measure scale: restarted agents count as known by their new incarnation, cold engines are watched

A host that comes back within three seconds was taken for known by its earlier word. The engine that was at home for a group of tables comes back cold, and the work that it is sent is checked against the rule from its own record.

--- a/src/lab/measurements/measure_scale.cpp
+++ b/src/lab/measurements/measure_scale.cpp
@@ -22,6 +22,7 @@
 constexpr seconds known_at_start_within(120);
 constexpr seconds measured_at_rest(10);
 constexpr double statements_a_second_of_a_manager = 25;
+constexpr int table_groups = 40;
 constexpr double most_memory_share = 0.5;
 
 // Usage of some processes, at the beginning and the end of a span of rest.
@@ -77,8 +78,11 @@
   FaultInjector injector(cluster, plan);
   for (const ScaleFault fault : faults) {
     if (fault == ScaleFault::primary) {
-      const PrimaryChange change = measure_primary_change(cluster.world());
+      const PrimaryChange change =
+          measure_primary_change(cluster.world(), scale_cold_rule(), ClusterSpec{}.cores);
       result.primary_change = change.over, result.primary_home_share = change.home_share;
+      result.cold_over_limit = change.cold_over_limit;
+      result.cold_most_of_limit = change.cold_most_of_limit;
     } else {
       result.recovered[std::string(word_for(fault))] = injector.strike(fault);
     }
@@ -86,6 +90,17 @@
   result.stale_as_fresh = injector.stale_as_fresh();
 }
 
+// Short and long statements of many groups of tables.
+std::vector<Ask> traffic() {
+  std::vector<Ask> mix;
+  for (int group = 1; group <= table_groups; ++group) {
+    const std::string table = "a_" + std::to_string(group) + ".t";
+    mix.push_back({"quick", "SELECT work=5 FROM " + table, milliseconds(2000), 0, 5, 8});
+    mix.push_back({"report", "SELECT work=30 FROM " + table, milliseconds(3500), 0, 30, 32});
+  }
+  return mix;
+}
+
 }  // namespace
 
 int measure_scale(const Bench& bench) {
@@ -95,10 +110,11 @@
   result.managers = plan.managers(), result.engines = plan.engines(), result.agents = plan.agents();
   result.real_managers = plan.real_managers(), result.real_agents = plan.real_agents().size();
   result.hollow_processes = plan.racks().size();
+  const Time begun = steady_now();
   ScaleCluster cluster(plan, bench.programs, bench.seed);
   TestCluster& world = cluster.world();
   world.must_serve(static_cast<std::uint64_t>(plan.engines()));
-  result.all_fresh_at_start = cluster.until_all_fresh(known_at_start_within);
+  result.all_fresh_at_start = cluster.until_all_fresh(begun, known_at_start_within);
   result.processes = cluster.processes();
   result.memory_share = cluster.memory_share();
   if (result.memory_share > most_memory_share)
@@ -106,11 +122,8 @@
                            "choose a smaller --size");
   measure_rest(cluster, result);
 
-  world.on([&] {
-    world.crowd().offer(statements_a_second_of_a_manager * plan.real_managers(),
-                        {{"quick", "SELECT work=5 FROM a_1.t", milliseconds(2000), 0, 5, 8},
-                         {"report", "SELECT work=30 FROM a_2.t", milliseconds(3500), 0, 30, 32}});
-  });
+  const double rate = statements_a_second_of_a_manager * plan.real_managers();
+  world.on([&] { world.crowd().offer(rate, traffic()); });
   strike_all(cluster, plan, faults, result);
   world.on([&] { world.crowd().offer(0, {}); });
   world.quiet();
--- a/src/lab/scale/hollow_agent.h
+++ b/src/lab/scale/hollow_agent.h
@@ -55,6 +55,8 @@
   // Peers that are reached elsewhere from now on.
   void change(const agent::AgentConfig& next);
   const std::string& name() const { return config_.name; }
+  // Under which it speaks: another one after each start. On the loop.
+  std::uint64_t incarnation() const { return supervisor_->store().incarnation(); }
   // What this agent knows of the others. On the loop.
   agent::v1::Shown known() const;
 
--- a/src/lab/scale/hollow_hosts.cpp
+++ b/src/lab/scale/hollow_hosts.cpp
@@ -53,6 +53,15 @@
     for (const PlannedHost& host : spec_.hosts) start_agent(host);
   }
 
+  // By agent.
+  json incarnations() {
+    json all = json::object();
+    loop_thread_.on([&] {
+      for (const auto& [name, agent] : agents_) all[name] = agent->incarnation();
+    });
+    return all;
+  }
+
   json answer(const json& line) {
     switch (command_in(line.at("command").get<std::string>())) {
       case HollowCommand::look:
@@ -63,7 +72,7 @@
         return json::object();
       case HollowCommand::restart:
         restart(line.at("agents").get<std::set<std::string>>());
-        return json::object();
+        return incarnations();
     }
     return json::object();
   }
@@ -113,14 +122,19 @@
     Expected expected;
     expected.down = line.at("down").get<std::set<std::string>>();
     expected.regions_cut = line.at("regions_cut").get<bool>();
+    line.at("incarnations").get_to(expected.incarnations);
+    // All in one turn of the loop: on a loaded machine each turn is long.
+    std::map<std::string, agent::v1::Shown> all;
+    loop_thread_.on([&] {
+      for (const auto& [name, agent] : agents_) all[name] = agent->known();
+    });
     Knowledge knowledge;
-    for (const auto& [name, agent] : agents_) {
-      const agent::v1::Shown shown = loop_thread_.on([&] { return agent->known(); });
-      std::set<std::string> fresh;
+    for (const auto& [name, shown] : all) {
+      std::map<std::string, std::uint64_t> fresh;
       for (const auto& heard : shown.heard()) {
-        if (heard.freshness() == "fresh") fresh.insert(heard.agent());
+        if (heard.freshness() == "fresh") fresh[heard.agent()] = heard.incarnation();
       }
-      knowledge.add(compare(name, fresh, expected));
+      knowledge.add(compare(spec_.regions, name, fresh, expected));
     }
     json told = {{"observers", knowledge.observers},
                  {"not_fresh", knowledge.not_fresh},
@@ -139,19 +153,6 @@
     return told;
   }
 
-  Knowledge compare(const std::string& observer, const std::set<std::string>& fresh,
-                    const Expected& expected) const {
-    Knowledge knowledge;
-    knowledge.observers = 1;
-    for (const auto& [agent, region] : spec_.regions) {
-      if (agent == observer) continue;
-      const bool reached = expected.reaches(spec_.regions, observer, agent);
-      knowledge.not_fresh += reached && !fresh.contains(agent);
-      knowledge.stale_as_fresh += !reached && fresh.contains(agent);
-    }
-    return knowledge;
-  }
-
   const HollowHostsSpec spec_;
   const json configuration_;
   const service::FlatValues settings_;
@@ -191,6 +192,25 @@
   stale_as_fresh += other.stale_as_fresh;
 }
 
+Knowledge compare(const std::map<std::string, Region>& regions, const std::string& observer,
+                  const std::map<std::string, std::uint64_t>& fresh, const Expected& expected) {
+  Knowledge knowledge;
+  knowledge.observers = 1;
+  for (const auto& [agent, region] : regions) {
+    if (agent == observer) continue;
+    const auto known = fresh.find(agent);
+    if (!expected.reaches(regions, observer, agent)) {
+      knowledge.stale_as_fresh += known != fresh.end();
+      continue;
+    }
+    const auto speaks_under = expected.incarnations.find(agent);
+    const bool earlier_life = known != fresh.end() && speaks_under != expected.incarnations.end() &&
+                              known->second < speaks_under->second;
+    knowledge.not_fresh += known == fresh.end() || earlier_life;
+  }
+  return knowledge;
+}
+
 json to_json(const HollowHostsSpec& spec) {
   json hosts = json::array(), regions = json::object();
   for (const PlannedHost& host : spec.hosts) {
@@ -230,7 +250,7 @@
 int run_hollow_hosts(const std::string& spec_file) {
   std::signal(SIGPIPE, SIG_IGN);
   HollowHosts hosts(hollow_hosts_spec(read_json(spec_file)));
-  std::cout << json{{"ready", true}}.dump() << std::endl;
+  std::cout << hosts.incarnations().dump() << std::endl;
   for (std::string line; std::getline(std::cin, line);)
     std::cout << hosts.answer(json::parse(line)).dump() << std::endl;
   // Its agents and managers end as a crash would have it: nothing is waited for.
--- a/src/lab/scale/hollow_hosts.h
+++ b/src/lab/scale/hollow_hosts.h
@@ -32,10 +32,12 @@
 enum class HollowCommand { look, cut, heal, restart };
 std::string_view word_for(HollowCommand command);
 
-// What is looked for: agents that are down for now, and whether the regions are cut off from each other.
+// What is looked for: agents that are down for now, whether the regions are cut off from each other, and
+// under which incarnation an agent speaks, as far as that is known.
 struct Expected {
   std::set<std::string> down;
   bool regions_cut = false;
+  std::map<std::string, std::uint64_t> incarnations;
   // Whether `observer` has a way to `agent`.
   bool reaches(const std::map<std::string, Region>& regions, const std::string& observer,
                const std::string& agent) const;
@@ -49,6 +51,10 @@
   void add(const Knowledge& other);
 };
 
+// What one observer knows: of each agent that it calls fresh, the incarnation.
+Knowledge compare(const std::map<std::string, Region>& regions, const std::string& observer,
+                  const std::map<std::string, std::uint64_t>& fresh, const Expected& expected);
+
 // The process itself; returns its exit status.
 int run_hollow_hosts(const std::string& spec_file);
 
--- a/src/lab/scale/hollow_rack.cpp
+++ b/src/lab/scale/hollow_rack.cpp
@@ -60,8 +60,6 @@
   }
 }
 
-void HollowRack::ready() { receive(); }
-
 void HollowRack::close_pipes() {
   if (input_ >= 0) ::close(input_);
   if (output_ >= 0) ::close(output_);
--- a/src/lab/scale/hollow_rack.h
+++ b/src/lab/scale/hollow_rack.h
@@ -18,9 +18,9 @@
   HollowRack(const HollowRack&) = delete;
   HollowRack& operator=(const HollowRack&) = delete;
 
-  void start();  // returns at once; the first answer is waited for by ready()
-  void ready();  // throws TestClusterError where it does not come up
-  void kill();   // at once, without a goodbye
+  // Returns at once. The first answer, unasked, is the incarnations of its agents.
+  void start();
+  void kill();  // at once, without a goodbye
   bool runs() const { return process_ > 0; }
   pid_t process() const { return process_; }
   const HollowHostsSpec& spec() const { return spec_; }
--- a/src/lab/scale/primary_change.cpp
+++ b/src/lab/scale/primary_change.cpp
@@ -13,10 +13,12 @@
 
 namespace {
 
-constexpr milliseconds probe_every(25);
-constexpr seconds watched_before(4);
+// Seldom enough for the group to have few homes: one that draws more than its part is given more.
+constexpr milliseconds probe_every(100);
+constexpr seconds watched_before(6);
 constexpr seconds over_within(20);
-constexpr std::size_t on_time_in_a_row = 40;
+constexpr std::size_t on_time_in_a_row = 20;
+const char* const group_statement = "SELECT work=5 FROM a_77.t";
 // On time is within twice what 99 of 100 took before, and at least this: a loaded machine's own delays.
 constexpr milliseconds least_on_time(100);
 
@@ -38,7 +40,7 @@
       if (!world_.crowd().up(manager)) return;
       const auto probe = std::make_shared<Probe>();
       probe->sent = steady_now();
-      const Ask ask{"quick", "SELECT work=5 FROM primary_1.t", milliseconds(2000), 0, 5, 8};
+      const Ask ask{"quick", group_statement, milliseconds(2000), 0, 5, 8};
       probe->statement = world_.crowd().ask(manager, ask, [probe](std::optional<Answer> answer) {
         probe->answered = steady_now();
         probe->over = true, probe->done = answer == Answer::done;
@@ -97,9 +99,24 @@
   std::size_t next_manager_ = 0;
 };
 
+// Each window that begins with a statement.
+void check_cold(TestCluster& world, std::size_t engine, Time since, const ColdRule& rule, int cores,
+                PrimaryChange& change) {
+  const auto begun = world.on([&] { return world.engines()[engine]->begun_work(); });
+  for (auto first = begun.begin(); first != begun.end(); ++first) {
+    if (first->at < since) continue;
+    double work_ms = 0;
+    for (auto at = first; at != begun.end() && at->at <= first->at + rule.window; ++at)
+      work_ms += at->work_ms;
+    const double share = work_ms / rule.most_work_ms(cores);
+    change.cold_over_limit += share > 1;
+    change.cold_most_of_limit = std::max(change.cold_most_of_limit, share);
+  }
+}
+
 }  // namespace
 
-PrimaryChange measure_primary_change(TestCluster& world) {
+PrimaryChange measure_primary_change(TestCluster& world, const ColdRule& cold, int cores) {
   Probes probes(world);
   for (const Time end = steady_now() + watched_before; steady_now() < end;) probes.send();
   PrimaryChange change;
@@ -118,6 +135,13 @@
       break;
     }
   }
+  const Time back = steady_now();
+  world.on([&world, engine = home] {
+    world.engines()[engine]->live();
+    world.channel().tell({world.member(engine)}, false);
+  });
+  while (steady_now() - back < cold.lasts) probes.send();
+  check_cold(world, home, back, cold, cores, change);
   return change;
 }
 
--- a/src/lab/scale/scale_cluster.cpp
+++ b/src/lab/scale/scale_cluster.cpp
@@ -23,12 +23,20 @@
   spec.zones = ScalePlan::zone_names();
   spec.pearchuted = programs + "/pearchuted", spec.pearchute_agent = programs + "/pearchute-agent";
   spec.starts_managers = false;
+  spec.fleet_managers = plan.managers(), spec.cold = scale_cold_rule();
   spec.sockets = 1024 + 2 * plan.engines(), spec.manager_memory_mb = 256;
   return spec;
 }
 
 }  // namespace
 
+ColdRule scale_cold_rule() {
+  ColdRule rule;
+  rule.lasts = std::chrono::seconds(5), rule.window = std::chrono::seconds(1);
+  rule.share = 0.1, rule.multiple = 2.5;
+  return rule;
+}
+
 ScaleCluster::ScaleCluster(const ScalePlan& plan, const std::string& programs, std::uint64_t seed)
     : plan_(plan),
       programs_(programs),
@@ -92,7 +100,7 @@
 
 void ScaleCluster::start_racks(const std::set<std::size_t>& racks) {
   for (const std::size_t rack : racks) racks_[rack]->start();
-  for (const std::size_t rack : racks) racks_[rack]->ready();
+  for (const std::size_t rack : racks) learn_incarnations(racks_[rack]->receive());
 }
 
 std::set<std::string> ScaleCluster::agents_of(const std::set<std::size_t>& racks) const {
@@ -108,7 +116,11 @@
   for (const PlannedHost& host : hosts) by_rack[host.rack].insert(host.agent);
   for (const auto& [rack, agents] : by_rack)
     racks_[rack]->send({{"command", word_for(HollowCommand::restart)}, {"agents", agents}});
-  for (const auto& [rack, agents] : by_rack) racks_[rack]->receive();
+  for (const auto& [rack, agents] : by_rack) learn_incarnations(racks_[rack]->receive());
+}
+
+void ScaleCluster::learn_incarnations(const json& told) {
+  for (const auto& [agent, incarnation] : told.items()) incarnations_[agent] = incarnation;
 }
 
 void ScaleCluster::restart_real_agent(std::size_t number) {
@@ -139,19 +151,13 @@
   Knowledge knowledge;
   for (const auto& agent : real_agents_) {
     const auto shown = agent->show();
-    ++knowledge.observers;
-    std::set<std::string> fresh;
+    std::map<std::string, std::uint64_t> fresh;
     if (shown) {
       for (const auto& heard : shown->heard()) {
-        if (heard.freshness() == "fresh") fresh.insert(heard.agent());
+        if (heard.freshness() == "fresh") fresh[heard.agent()] = heard.incarnation();
       }
     }
-    for (const auto& [peer, region] : plan_.regions()) {
-      if (peer == agent->name) continue;
-      const bool reached = expected.reaches(plan_.regions(), agent->name, peer);
-      knowledge.not_fresh += reached && !fresh.contains(peer);
-      knowledge.stale_as_fresh += !reached && fresh.contains(peer);
-    }
+    knowledge.add(compare(plan_.regions(), agent->name, fresh, expected));
   }
   return knowledge;
 }
@@ -160,7 +166,8 @@
   std::vector<json> answers;
   ask_all({{"command", word_for(HollowCommand::look)},
            {"down", expected.down},
-           {"regions_cut", expected.regions_cut}},
+           {"regions_cut", expected.regions_cut},
+           {"incarnations", expected.incarnations}},
           &answers);
   Knowledge knowledge = look_at_real(expected);
   for (const json& answer : answers) {
@@ -170,11 +177,11 @@
   return knowledge;
 }
 
-std::optional<milliseconds> ScaleCluster::until_all_fresh(std::chrono::seconds within) {
-  const Time begun = steady_now();
-  while (steady_now() - begun < within) {
+std::optional<milliseconds> ScaleCluster::until_all_fresh(Time since, std::chrono::seconds within) {
+  const Expected all_speak{{}, false, incarnations_};
+  while (steady_now() - since < within) {
     const Time looked = steady_now();
-    if (look({}).not_fresh == 0) return std::chrono::duration_cast<milliseconds>(looked - begun);
+    if (look(all_speak).not_fresh == 0) return std::chrono::duration_cast<milliseconds>(looked - since);
     world_.rest(milliseconds(100));
   }
   return std::nullopt;
@@ -182,7 +189,10 @@
 
 std::map<std::string, std::uint64_t> ScaleCluster::bytes_sent() {
   std::vector<json> answers;
-  ask_all({{"command", word_for(HollowCommand::look)}, {"down", json::array()}, {"regions_cut", false}},
+  ask_all({{"command", word_for(HollowCommand::look)},
+           {"down", json::array()},
+           {"regions_cut", false},
+           {"incarnations", json::object()}},
           &answers);
   std::map<std::string, std::uint64_t> sent;
   for (const json& answer : answers) {
--- a/src/lab/scale/scale_cluster.h
+++ b/src/lab/scale/scale_cluster.h
@@ -18,6 +18,9 @@
 
 namespace pearchute::lab {
 
+// The rule that real managers are given for engines that are new to the list.
+ColdRule scale_cold_rule();
+
 class ScaleCluster {
  public:
   // `programs` is the folder of pearchuted, pearchute-agent and pearchute-lab.
@@ -40,7 +43,8 @@
 
   Knowledge look(const Expected& expected);
   // Until every agent knows every other one as fresh; none where that takes longer than `within`.
-  std::optional<std::chrono::milliseconds> until_all_fresh(std::chrono::seconds within);
+  // Counted from `since`, on the machine's steady clock.
+  std::optional<std::chrono::milliseconds> until_all_fresh(Time since, std::chrono::seconds within);
 
   // Bytes that each agent has sent so far, as counted at the hollow ones.
   std::map<std::string, std::uint64_t> bytes_sent();
@@ -58,6 +62,7 @@
   void write_charter(std::size_t number, bool cut);
   void ask_all(const nlohmann::json& command, std::vector<nlohmann::json>* answers = nullptr);
   Knowledge look_at_real(const Expected& expected);
+  void learn_incarnations(const nlohmann::json& told);
 
   const ScalePlan plan_;
   const std::string programs_;
@@ -65,6 +70,7 @@
   std::unique_ptr<SilentPlace> silent_;
   std::vector<std::unique_ptr<Agent>> real_agents_;
   std::vector<std::unique_ptr<HollowRack>> racks_;
+  std::map<std::string, std::uint64_t> incarnations_;  // of the hollow agents, by name
 };
 
 }  // namespace pearchute::lab
--- a/src/lab/scale/scale_faults.cpp
+++ b/src/lab/scale/scale_faults.cpp
@@ -49,31 +49,24 @@
 
 std::optional<milliseconds> FaultInjector::strike(ScaleFault fault) {
   const auto salt = static_cast<std::uint64_t>(fault) + 1;
-  switch (fault) {
-    case ScaleFault::ordinary:
-      restart_one_by_one();
-      break;
-    case ScaleFault::rack:
-      lose_racks(plan_.draw_racks(1, salt));
-      break;
-    case ScaleFault::zone:
-      lose_racks(plan_.racks_in_zone(plan_.draw_zone(salt)));
-      break;
-    case ScaleFault::regions:
-      cluster_.cut_regions(true);
-      hold({{}, true});
-      cluster_.cut_regions(false);
-      break;
-    case ScaleFault::third: {
-      const std::set<std::size_t> racks = plan_.draw_third(salt);
-      cluster_.kill_racks(racks);
-      cluster_.start_racks(racks);
-      break;
+  const Time mended = [&] {
+    switch (fault) {
+      case ScaleFault::ordinary:
+        return restart_one_by_one();
+      case ScaleFault::rack:
+        return lose_racks(plan_.draw_racks(1, salt));
+      case ScaleFault::zone:
+        return lose_racks(plan_.racks_in_zone(plan_.draw_zone(salt)));
+      case ScaleFault::regions:
+        return cut_regions();
+      case ScaleFault::third:
+        return restart_third(salt);
+      case ScaleFault::primary:
+        break;
     }
-    case ScaleFault::primary:
-      throw UsageError("a change of primary is no fault of agents");
-  }
-  return cluster_.until_all_fresh(known_again_within);
+    throw UsageError("a change of primary is no fault of agents");
+  }();
+  return cluster_.until_all_fresh(mended, known_again_within);
 }
 
 // Once word that was fresh when the fault struck has to have grown old, nobody may call it fresh.
@@ -86,18 +79,40 @@
   }
 }
 
-void FaultInjector::lose_racks(const std::set<std::size_t>& racks) {
+Time FaultInjector::lose_racks(const std::set<std::size_t>& racks) {
+  cluster_.kill_racks(racks);
+  hold({cluster_.agents_of(racks), false, {}});
+  const Time mended = steady_now();
+  cluster_.start_racks(racks);
+  return mended;
+}
+
+Time FaultInjector::cut_regions() {
+  cluster_.cut_regions(true);
+  hold({{}, true, {}});
+  const Time mended = steady_now();
+  cluster_.cut_regions(false);
+  return mended;
+}
+
+Time FaultInjector::restart_third(std::uint64_t salt) {
+  const std::set<std::size_t> racks = plan_.draw_third(salt);
   cluster_.kill_racks(racks);
-  hold({cluster_.agents_of(racks), false});
+  const Time mended = steady_now();
   cluster_.start_racks(racks);
+  return mended;
 }
 
-void FaultInjector::restart_one_by_one() {
+Time FaultInjector::restart_one_by_one() {
+  Time mended = steady_now();
   for (const PlannedHost& host : plan_.draw_hosts(ordinary_restarts, 0)) {
+    mended = steady_now();
     cluster_.restart_hosts({host});
     cluster_.world().rest(between_restarts);
   }
+  mended = steady_now();
   cluster_.restart_real_agent(0);
+  return mended;
 }
 
 }  // namespace pearchute::lab
--- a/src/lab/scale/scale_report.cpp
+++ b/src/lab/scale/scale_report.cpp
@@ -89,6 +89,7 @@
   told["recovered_ms"] = json::object();
   for (const auto& [fault, time] : result.recovered) told["recovered_ms"][fault] = in_ms(time);
   told["cold_over_limit"] = result.cold_over_limit ? json(*result.cold_over_limit) : json();
+  told["cold_most_of_limit"] = result.cold_most_of_limit;
   told["predicted_error_max"] = result.predicted_error_max ? json(*result.predicted_error_max) : json();
   return told;
 }
--- a/src/lab/scale/scale_report.h
+++ b/src/lab/scale/scale_report.h
@@ -29,6 +29,7 @@
   std::map<std::string, std::optional<std::chrono::milliseconds>> recovered;
   std::uint64_t sent = 0, done = 0, lost = 0, doubled = 0, stale_as_fresh = 0;
   std::optional<std::uint64_t> cold_over_limit;  // none: no cold engine was watched
+  double cold_most_of_limit = 0;
   std::optional<double> predicted_error_max;
   double memory_share = 0;
 };
--- a/src/lab/stand_ins/engine.cpp
+++ b/src/lab/stand_ins/engine.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t most_begun_work = 4096;
+
 // The value behind `name=` in a statement or a list of fields.
 std::string value_of(std::string_view text, std::string_view name) {
   const std::string mark = std::string(name) + "=";
@@ -144,6 +146,8 @@
   Run run{&line, words[1], 0, 0, 1, value_of(words[3], "fault"), next_++};
   if (record_) record_->begun(name_, run.job);
   run.work_ms = number_of(words[3], "work", 5) * faults_.slow;
+  begun_work_.push_back({steady_now(), run.work_ms});
+  if (begun_work_.size() > most_begun_work) begun_work_.pop_front();
   run.grant_mb = number_of(words[2], "workmem", 0);
   run.rows = static_cast<int>(number_of(words[3], "pages", 1));
   const double drawn = std::generate_canonical<double, 32>(chance_);
--- a/src/lab/stand_ins/engine.h
+++ b/src/lab/stand_ins/engine.h
@@ -3,6 +3,7 @@
 // the record what it saw.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -45,6 +46,12 @@
     const auto at = begun_jobs_.find(job);
     return at == begun_jobs_.end() ? 0 : at->second;
   }
+  // When and how much, of the last few thousand statements.
+  struct BegunWork {
+    Time at{};
+    double work_ms = 0;
+  };
+  const std::deque<BegunWork>& begun_work() const { return begun_work_; }
   std::uint64_t hung() const { return hung_; }
   std::uint64_t signs() const { return signs_; }  // of life that it was asked for
   std::size_t running() const { return running_.size() + waiting_.size(); }
@@ -84,6 +91,7 @@
   double granted_mb_ = 0;
   std::uint64_t next_ = 1, begun_ = 0, given_up_ = 0, hung_ = 0, signs_ = 0;
   std::map<std::string, int> begun_jobs_;
+  std::deque<BegunWork> begun_work_;
   std::set<std::string> given_up_jobs_, reset_jobs_;  // of faults and tests: a few
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/lab/stand_ins/test_cluster.cpp
+++ b/src/lab/stand_ins/test_cluster.cpp
@@ -132,7 +132,7 @@
                           {"failureDomains", site_.zones},
                           {"zone", manager.zone},
                           {"me", number},
-                          {"nInstances", site_.managers},
+                          {"nInstances", site_.fleet_managers > 0 ? site_.fleet_managers : site_.managers},
                           {"obligations", {{"stopSendingWithin", 500'000}, {"orderPause", 100'000}}},
                           {"familyInfo",
                            {{"coresByKind", {site_.cores}},
@@ -148,6 +148,14 @@
                             {"streamsPerConn", 4},
                             {"retryAfter", true},
                             {"maxRetryAfter", 500'000}}}}}};
+  if (site_.cold.lasts.count() > 0) {
+    const auto in_us = [](milliseconds time) {
+      return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+    };
+    json& obligations = configuration["settings"]["obligations"];
+    obligations["cold"] = in_us(site_.cold.lasts), obligations["fall"] = in_us(site_.cold.window);
+    obligations["coldFrom"] = site_.cold.share, obligations["tipMultiple"] = site_.cold.multiple;
+  }
   std::ofstream(manager.configuration) << configuration.dump(1) << "\n";
 }
 
--- a/src/lab/stand_ins/test_cluster.h
+++ b/src/lab/stand_ins/test_cluster.h
@@ -17,6 +17,15 @@
 
 namespace pearchute::lab {
 
+// How much work engines that are new to the list may be sent; none without a time.
+struct ColdRule {
+  std::chrono::milliseconds lasts{0}, window{0};
+  double share = 1, multiple = 0;  // of what the engine's cores can do, within a window
+  double most_work_ms(int cores) const {
+    return multiple * share * cores * static_cast<double>(window.count());
+  }
+};
+
 struct ClusterSpec {
   int managers = 1, engines = 2;
   std::vector<std::string> zones = {"east", "west"};  // engines and managers in turn
@@ -29,6 +38,8 @@
   std::chrono::milliseconds slowest{4000};    // the longest job timeout
   int sockets = 512, manager_memory_mb = 48;  // what a manager is told that it may have
   bool knows_list = false;                    // the whole list stands in its configuration, too
+  int fleet_managers = 0;                     // that the managers know of; 0: those of this site
+  ColdRule cold;
 };
 
 class TestCluster {
