--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -106,7 +106,8 @@
       {"drain", measure_drain},     {"fleet-status", measure_fleet_status},
       {"rollout", measure_rollout}, {"managers", measure_managers},
       {"list", measure_list},       {"word", measure_word},
-      {"parts", measure_parts},     {"scale", measure_scale}};
+      {"parts", measure_parts},     {"scale", measure_scale},
+      {"configuration", measure_configuration}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
   std::vector<std::string> names;
--- a/src/lab/measurements/measurements.h
+++ b/src/lab/measurements/measurements.h
@@ -23,5 +23,6 @@
 int measure_word(const Bench& bench);
 int measure_parts(const Bench& bench);
 int measure_scale(const Bench& bench);
+int measure_configuration(const Bench& bench);
 
 }  // namespace pearchute::lab
