--- a/src/lab/load/process_usage.cpp
+++ b/src/lab/checkers/process_usage.cpp
@@ -1,6 +1,7 @@
-#include "lab/load/process_usage.h"
+#include "lab/checkers/process_usage.h"
 
 #include <algorithm>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
 #include <string>
@@ -21,21 +22,22 @@
   return count;
 }
 
-// The first number of a thread's schedstat is its time on a processor in nanoseconds. A thread that has ended
-// is no longer listed; the processes measured here keep theirs.
-std::chrono::nanoseconds cpu_time_of_threads(const fs::path& tasks) {
-  std::error_code error;
-  std::uint64_t total = 0;
-  for (fs::directory_iterator at(tasks, error); !error && at != fs::directory_iterator();
-       at.increment(error)) {
-    std::ifstream file(at->path() / "schedstat");
-    std::uint64_t nanoseconds = 0;
-    if (file >> nanoseconds) total += nanoseconds;
-  }
-  return std::chrono::nanoseconds(total);
+}  // namespace
+
+std::optional<std::chrono::nanoseconds> cpu_time_of(pid_t process) {
+  clockid_t clock{};
+  timespec used{};
+  if (::clock_getcpuclockid(process, &clock) != 0 || ::clock_gettime(clock, &used) != 0) return std::nullopt;
+  return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
 }
 
-}  // namespace
+std::uint64_t machine_memory_kb() {
+  std::ifstream meminfo("/proc/meminfo");
+  for (std::string line; std::getline(meminfo, line);) {
+    if (line.starts_with("MemTotal:")) return std::stoull(line.substr(9));
+  }
+  return 0;
+}
 
 std::optional<ProcessUsage> read_process_usage(pid_t process) {
   const fs::path folder = "/proc/" + std::to_string(process);
@@ -53,7 +55,7 @@
     number("Threads:", usage.threads);
   }
   if (!has_memory) return std::nullopt;
-  usage.cpu_time = cpu_time_of_threads(folder / "task");
+  usage.cpu_time = cpu_time_of(process).value_or(std::chrono::nanoseconds(0));
   usage.taken_at = std::chrono::duration_cast<std::chrono::microseconds>(
       std::chrono::steady_clock::now().time_since_epoch());
   usage.descriptors = entries_of(folder / "fd");
--- a/src/lab/load/process_usage.h
+++ b/src/lab/checkers/process_usage.h
@@ -13,8 +13,7 @@
 // What one process has used by a moment of the steady clock.
 struct ProcessUsage {
   std::chrono::microseconds taken_at{};
-  // Time on a processor over all threads, by the scheduler's own count in nanoseconds (schedstat). It is
-  // exact where the ticks of /proc/PID/stat are 10 ms apart.
+  // Time on a processor over all threads, those that have ended among them, by the process's own clock.
   std::chrono::nanoseconds cpu_time{};
   std::uint64_t resident_kb = 0;
   std::uint64_t peak_resident_kb = 0;
@@ -22,6 +21,11 @@
   std::uint64_t threads = 0;
 };
 
+// Nothing where there is no such process.
+std::optional<std::chrono::nanoseconds> cpu_time_of(pid_t process);
+
+std::uint64_t machine_memory_kb();
+
 // Nothing where the process is gone or is not ours to read.
 std::optional<ProcessUsage> read_process_usage(pid_t process);
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -11,6 +11,7 @@
 #include "errors/error.h"
 #include "lab/capacity/capacity_command.h"
 #include "lab/measurements/measurements.h"
+#include "lab/scale/hollow_hosts.h"
 #include "lab/stand_ins/admin_endpoints.h"
 #include "lab/stand_ins/test_cluster.h"
 #include "net/log.h"
@@ -106,9 +107,9 @@
       {"drain", measure_drain},     {"fleet-status", measure_fleet_status},
       {"rollout", measure_rollout}, {"managers", measure_managers},
       {"list", measure_list},       {"word", measure_word},
-      {"parts", measure_parts},      {"overload", measure_overload},
-      {"slopes", measure_slopes},    {"configuration", measure_configuration},
-      {"levels", measure_levels}};
+      {"parts", measure_parts},     {"overload", measure_overload},
+      {"slopes", measure_slopes},   {"configuration", measure_configuration},
+      {"levels", measure_levels},   {"scale", measure_scale}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
   std::vector<std::string> names;
@@ -117,6 +118,9 @@
   measure->add_option("--size", bench.size, "how many, where not as documented");
   measure->add_option("--group", bench.group, "of slopes: one group only");
   measure->add_option("--out", bench.out, "of slopes: the file of slopes to write");
+  measure->add_option("--faults", bench.faults, "of 'scale': ordinary,rack,zone,regions,third,primary");
+  measure->add_option("--predicted", bench.predicted, "of 'scale': predicted figures, JSON")
+      ->type_name("FILE");
   app.add_option("--seed", bench.seed);
   app.add_option("--programs", bench.programs, "the folder of pearchuted and pearchutectl");
   int managers = 3, engines = 4, seconds = 0;
@@ -127,6 +131,9 @@
   site->add_option("--engines", engines)->check(CLI::Range(1, 1024));
   site->add_option("--rate", rate, "jobs a second")->check(CLI::Range(0.0, 5000.0));
   site->add_option("--for", seconds, "0: until interrupted")->type_name("S");
+  std::string hollow_spec;
+  CLI::App* hollow = app.add_subcommand("hollow-hosts", "")->group("");  // started by 'measure scale' only
+  hollow->add_option("--spec", hollow_spec)->required();
   CLI::App* shown = app.add_subcommand("demo", "shows the main job in a few seconds");
   capacity::CapacityCommand capacity_command;
   CLI::App* capacity_app =
@@ -144,6 +151,7 @@
   try {
     if (capacity_app->parsed()) return capacity::run(capacity_command, std::cout);
     if (shown->parsed()) return demo(bench);
+    if (hollow->parsed()) return run_hollow_hosts(hollow_spec);
     if (site->parsed()) return up(bench, managers, engines, rate, seconds);
     return measurements.at(name)(bench);
   } catch (const std::exception& error) {
--- a/src/lab/measurements/measure_overload.cpp
+++ b/src/lab/measurements/measure_overload.cpp
@@ -5,9 +5,9 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "lab/checkers/process_usage.h"
 #include "lab/load/load_cluster.h"
 #include "lab/load/load_generator.h"
-#include "lab/load/process_usage.h"
 #include "lab/measurements/measurements.h"
 
 namespace pearchute::lab {
--- a/src/lab/measurements/measurements.h
+++ b/src/lab/measurements/measurements.h
@@ -9,10 +9,12 @@
 
 struct Bench {
   std::uint64_t seed = 1;
-  int size = 0;          // 0: as documented
-  std::string programs;  // the folder of the programs
-  std::string group;     // of slopes; empty: all
-  std::string out;       // a file of slopes to write; empty: none
+  int size = 0;           // 0: as documented
+  std::string programs;   // the folder of the programs
+  std::string group;      // of slopes; empty: all
+  std::string out;        // a file of slopes to write; empty: none
+  std::string faults;     // of a scale run, by name; empty: all
+  std::string predicted;  // the file of a scale run's predicted figures
 };
 
 int measure_drain(const Bench& bench);
@@ -24,6 +26,7 @@
 int measure_parts(const Bench& bench);
 int measure_overload(const Bench& bench);
 int measure_slopes(const Bench& bench);
+int measure_scale(const Bench& bench);
 int measure_configuration(const Bench& bench);
 int measure_levels(const Bench& bench);
 
--- a/src/lab/measurements/process_cpu_clock.cpp
+++ b/src/lab/measurements/process_cpu_clock.cpp
@@ -1,18 +1,16 @@
 #include "lab/measurements/process_cpu_clock.h"
 
-#include <ctime>
 #include <string>
 
 #include "errors/error.h"
+#include "lab/checkers/process_usage.h"
 
 namespace pearchute::lab {
 
 std::chrono::nanoseconds process_cpu_time(pid_t process) {
-  clockid_t clock{};
-  timespec used{};
-  if (::clock_getcpuclockid(process, &clock) != 0 || ::clock_gettime(clock, &used) != 0)
-    throw SystemError("no processor clock of process " + std::to_string(process));
-  return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+  const auto used = cpu_time_of(process);
+  if (!used) throw SystemError("no processor clock of process " + std::to_string(process));
+  return *used;
 }
 
 CpuMeter::CpuMeter(pid_t process)
--- a/src/lab/measurements/slopes_agent.cpp
+++ b/src/lab/measurements/slopes_agent.cpp
@@ -5,7 +5,7 @@
 #include <fstream>
 
 #include "errors/error.h"
-#include "lab/load/process_usage.h"
+#include "lab/checkers/process_usage.h"
 #include "lab/measurements/process_cpu_clock.h"
 #include "lab/measurements/stand_in_load.h"
 #include "lab/simulations/gossip_simulation.h"
--- a/tests/test_load.cpp
+++ b/tests/test_load.cpp
@@ -11,7 +11,7 @@
 #include "lab/checkers/history_checker.h"
 #include "lab/load/load_cluster.h"
 #include "lab/load/load_generator.h"
-#include "lab/load/process_usage.h"
+#include "lab/checkers/process_usage.h"
 
 using namespace pearchute;
 using namespace pearchute::lab;
