--- a/src/lab/capacity/capacity_command.cpp
+++ b/src/lab/capacity/capacity_command.cpp
@@ -2,6 +2,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <sstream>
 #include <system_error>
 
@@ -33,6 +34,7 @@
 }
 
 void check_options(const CapacityCommand& command) {
+  if (command.predict && !command.page.empty()) throw UsageError("--predict and --page exclude each other");
   if (command.write && command.check) throw UsageError("--write and --check exclude each other");
   if (command.page.empty() && (command.write || command.check))
     throw UsageError("--write and --check need --page FILE");
@@ -51,10 +53,34 @@
   }
 }
 
+// Only what has a value: a scale run compares what is there.
+nlohmann::json prediction_as_json(const ScalePrediction& prediction) {
+  nlohmann::json told = nlohmann::json::object();
+  const auto add = [&](const char* name, const Figure& figure) {
+    if (figure.value) told[name] = *figure.value;
+  };
+  add("control_bytes_per_s_mean", prediction.control_bytes_per_s_mean);
+  add("control_cpu_share_max", prediction.control_cpu_share_max);
+  add("control_memory_mb_max", prediction.control_memory_mb_max);
+  return told;
+}
+
+int predict(const CapacityCommand& command, std::ostream& out) {
+  const Target target = read_target(command.target);
+  const std::vector<Slope> slopes = read_slopes(command.slopes);
+  try {
+    out << prediction_as_json(predict_scale(target, slopes, *command.predict)).dump() << std::endl;
+  } catch (const SlopeError& error) {
+    throw SlopeError::within(command.slopes, error);
+  }
+  return 0;
+}
+
 }  // namespace
 
 int run(const CapacityCommand& command, std::ostream& out) {
   check_options(command);
+  if (command.predict) return predict(command, out);
   const std::vector<PageSection> sections = sections_of(command);
   if (command.page.empty()) {
     for (const PageSection& section : sections)
--- a/src/lab/capacity/capacity_command.h
+++ b/src/lab/capacity/capacity_command.h
@@ -1,9 +1,12 @@
 // The laboratory's command `capacity`: reads slopes and target, and prints, writes or checks the page.
 #pragma once
 
+#include <optional>
 #include <ostream>
 #include <string>
 
+#include "lab/capacity/prediction.h"
+
 namespace pearchute::lab::capacity {
 
 struct CapacityCommand {
@@ -12,6 +15,7 @@
   std::string page;  // empty: the sections are printed
   bool write = false;
   bool check = false;
+  std::optional<ScaleSize> predict = std::nullopt;  // in place of the page: one JSON object
 };
 
 // The exit status. Throws a typed error for bad input and for a page that is not what was worked out.
--- a/src/lab/capacity/capacity_model.cpp
+++ b/src/lab/capacity/capacity_model.cpp
@@ -71,8 +71,7 @@
   model.target = target;
   model.conditions = conditions(target);
   model.slopes = slopes;
-  const bool has_levels =
-      set.has("agent.levels.bytes_sent.by_agents") && set.has("agent.levels.cpu.by_agents");
+  const bool has_levels = set.has("agent.levels.bytes_sent.by_agents");
   model.spreading = has_levels ? Spreading::levels : Spreading::all_with_all;
 
   const Costs costs(set, target);
--- a/src/lab/capacity/costs.cpp
+++ b/src/lab/capacity/costs.cpp
@@ -40,8 +40,10 @@
 
 Figure Costs::agent_processor(const Condition& condition, double managers_on_machine,
                               Spreading spreading) const {
-  const std::string by_agents =
-      spreading == Spreading::levels ? "agent.levels.cpu.by_agents" : "agent.cpu.by_agents";
+  // As long as the processor time of levels is not measured, that of all with all stands for it.
+  const std::string of_levels = "agent.levels.cpu.by_agents";
+  const bool by_levels = spreading == Spreading::levels && slopes_.has(of_levels);
+  const std::string by_agents = by_levels ? of_levels : "agent.cpu.by_agents";
   return agent_cost(by_agents, "agent.cpu.by_instances", condition, managers_on_machine);
 }
 
--- a/src/lab/capacity/role_tables.cpp
+++ b/src/lab/capacity/role_tables.cpp
@@ -126,10 +126,10 @@
            });
 }
 
-// What the list channel of all managers sends, in KB/s.
+// What the list channel sends to all managers, in KB/s: an event with the whole list to each of them.
 Figure channel_bytes(const Costs& costs, const Condition& condition) {
-  return costs.slopes().at("channel.bytes.by_managers", condition.managers) *
-         (condition.list_events / bytes_in_a_kilobyte);
+  return costs.slopes().at("manager.list_event_bytes.by_engines", condition.engines_known) *
+         (condition.managers * condition.list_events / bytes_in_a_kilobyte);
 }
 
 void add_list_channel(RowBuilder& rows, const Costs& costs) {
@@ -140,6 +140,10 @@
            });
   rows.add(role, "messages", "KB/s to all managers", "engines/list",
            [&](const Condition& one) { return channel_bytes(costs, one); });
+  rows.add(role, "messages", "KB for one event to all managers, with the engines of its measurement",
+           "the same, as a check", [&](const Condition& one) {
+             return costs.slopes().at("channel.bytes.by_managers", one.managers) * (1 / bytes_in_a_kilobyte);
+           });
   rows.add_missing(role, "messages", "a list in each region while they are cut off");
 }
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -133,11 +133,20 @@
       ->type_name("FILE");
   capacity_app->add_flag("--write", capacity_command.write, "replaces the page's sections");
   capacity_app->add_flag("--check", capacity_command.check, "fails where the page says something else");
+  capacity::ScaleSize scale_size{630, 740, 630};
+  bool predict = false, levels = false;
+  capacity_app->add_flag("--predict", predict, "prints what a scale run of that size should measure");
+  capacity_app->add_option("--managers", scale_size.managers)->check(CLI::PositiveNumber);
+  capacity_app->add_option("--engines", scale_size.engines)->check(CLI::PositiveNumber);
+  capacity_app->add_option("--agents", scale_size.agents)->check(CLI::PositiveNumber);
+  capacity_app->add_flag("--levels", levels, "status is spread by levels");
   for (CLI::App* one : {measure, site, shown, capacity_app}) one->fallthrough();
   CLI11_PARSE(app, argc, argv);
   pearchute::net::start_log("lab");
   spdlog::set_level(spdlog::level::err);
   try {
+    if (levels) scale_size.spreading = capacity::Spreading::levels;
+    if (predict) capacity_command.predict = scale_size;
     if (capacity_app->parsed()) return capacity::run(capacity_command, std::cout);
     if (shown->parsed()) return demo(bench);
     if (site->parsed()) return up(bench, managers, engines, rate, seconds);
--- a/tests/test_capacity.cpp
+++ b/tests/test_capacity.cpp
@@ -11,6 +11,7 @@
 #include "lab/capacity/capacity_command.h"
 #include "lab/capacity/capacity_model.h"
 #include "lab/capacity/capacity_page.h"
+#include "lab/capacity/prediction.h"
 #include "lab/capacity/slope_set.h"
 #include "lab/capacity/slopes_file.h"
 #include "lab/capacity/target.h"
@@ -207,6 +208,12 @@
   // 10 + 4 * 70 ms and two round trips of 60 ms
   const Requirement& configuration = requirement_of(model, "changes of configuration");
   assert(close_to(*configuration.need->value, 410) && configuration.verdict == Verdict::carried_and_shown);
+  // Without the levels' processor time, that of all with all stands for it.
+  const std::vector<Slope> bytes_only =
+      merge_slopes(small_slopes(), {line("agent.levels.bytes_sent.by_agents", "bytes/s", 30, 1)});
+  const CapacityModel without_processor = work_out(small_target(), bytes_only);
+  const Requirement& processor = requirement_of(without_processor, "control: processor, one manager");
+  assert(processor.need->value && processor.need->slopes.contains("agent.cpu.by_agents"));
   // 2,100.46875 bytes/s as before, and 100 each way.
   const SlopeSet set(slopes, {});
   const Costs costs(set, model.target);
@@ -214,6 +221,21 @@
   assert(close_to(*costs.control_bytes(peak, 1, Spreading::levels).value, 2.30046875, 1e-9));
 }
 
+void a_scale_run_is_predicted() {
+  const Target target = small_target();
+  const ScaleSize size = {70, 100, 10, Spreading::all_with_all};
+  const ScalePrediction prediction = predict_scale(target, small_slopes(), size);
+  // 5 * 10 agents + 2 * 6 further instances
+  assert(close_to(*prediction.control_bytes_per_s_mean.value, 62));
+  // 500 + 5 * 20 + 3 * 10 / 7 us/s
+  assert(close_to(*prediction.control_cpu_share_max.value, (600 + 30 / 7.0) / 1e6, 1e-9));
+  // (8,000 + 10 * 100 + 20 * 100 + 100 * 10 / 7) kB of 1,024 bytes
+  assert(close_to(*prediction.control_memory_mb_max.value, (11'000 + 1'000 / 7.0) * 1024 / 1e6, 1e-6));
+  const ScaleSize by_levels = {70, 100, 70, Spreading::levels};
+  must_say(error_of([&] { predict_scale(target, small_slopes(), by_levels); }),
+           {"[agent.levels.bytes_sent.by_agents] is missing", "measure slopes"});
+}
+
 void slopes_that_do_not_suffice_are_refused() {
   const Target target = small_target();
   std::vector<Slope> slopes = small_slopes();
@@ -349,6 +371,7 @@
   costs_are_as_worked_by_hand();
   verdicts_follow_from_need_and_limit();
   levels_and_versions_take_over_once_measured();
+  a_scale_run_is_predicted();
   slopes_that_do_not_suffice_are_refused();
   numbers_are_short();
   a_page_is_written_and_checked();
