--- a/src/lab/capacity/capacity_command.cpp
+++ b/src/lab/capacity/capacity_command.cpp
@@ -8,6 +8,7 @@
 
 #include "errors/error.h"
 #include "lab/capacity/capacity_page.h"
+#include "lab/capacity/simulated_slopes.h"
 #include "lab/capacity/slopes_file.h"
 #include "lab/capacity/target.h"
 
@@ -15,7 +16,7 @@
 
 namespace {
 
-std::string read_page(const std::string& path) {
+std::string read_text(const std::string& path) {
   std::ifstream in(path);
   std::ostringstream text;
   text << in.rdbuf();
@@ -34,7 +35,9 @@
 }
 
 void check_options(const CapacityCommand& command) {
-  if (command.predict && !command.page.empty()) throw UsageError("--predict and --page exclude each other");
+  const int tasks =
+      (command.page.empty() ? 0 : 1) + (command.add.empty() ? 0 : 1) + (command.predict ? 1 : 0);
+  if (tasks > 1) throw UsageError("--page, --predict and --add exclude each other");
   if (command.write && command.check) throw UsageError("--write and --check exclude each other");
   if (command.page.empty() && (command.write || command.check))
     throw UsageError("--write and --check need --page FILE");
@@ -65,6 +68,24 @@
   return told;
 }
 
+std::string last_line(std::string text) {
+  while (!text.empty() && text.back() == '\n') text.pop_back();
+  const std::size_t end = text.rfind('\n');
+  return end == std::string::npos ? text : text.substr(end + 1);
+}
+
+int add(const CapacityCommand& command) {
+  const std::string line = last_line(read_text(command.add));
+  std::vector<Slope> measured;
+  try {
+    measured = simulated_slopes(nlohmann::json::parse(line, nullptr, false));
+  } catch (const SlopeError& error) {
+    throw SlopeError::within(command.add, error);
+  }
+  write_slopes(command.slopes, merge_slopes(read_slopes(command.slopes), measured));
+  return 0;
+}
+
 int predict(const CapacityCommand& command, std::ostream& out) {
   const Target target = read_target(command.target);
   const std::vector<Slope> slopes = read_slopes(command.slopes);
@@ -80,6 +101,7 @@
 
 int run(const CapacityCommand& command, std::ostream& out) {
   check_options(command);
+  if (!command.add.empty()) return add(command);
   if (command.predict) return predict(command, out);
   const std::vector<PageSection> sections = sections_of(command);
   if (command.page.empty()) {
@@ -87,7 +109,7 @@
       out << "## " << section.name << "\n\n" << section.text << "\n";
     return 0;
   }
-  const std::string page = read_page(command.page);
+  const std::string page = read_text(command.page);
   try {
     if (command.check) check_page(page, sections);
     else write_page(command.page, rewrite_page(page, sections));
--- a/src/lab/capacity/capacity_command.h
+++ b/src/lab/capacity/capacity_command.h
@@ -1,4 +1,5 @@
-// The laboratory's command `capacity`: reads slopes and target, and prints, writes or checks the page.
+// The laboratory's command `capacity`: reads slopes and target, and prints, writes or checks the page. It
+// also predicts a scale run, and adds what simulations measured to the slopes.
 #pragma once
 
 #include <optional>
@@ -15,6 +16,7 @@
   std::string page;  // empty: the sections are printed
   bool write = false;
   bool check = false;
+  std::string add;  // a simulation's output, whose last line is its JSON object
   std::optional<ScaleSize> predict = std::nullopt;  // in place of the page: one JSON object
 };
 
--- a/src/lab/capacity/costs.cpp
+++ b/src/lab/capacity/costs.cpp
@@ -32,6 +32,9 @@
 
 Figure Costs::agent_bytes_received(const Condition& condition, double managers_on_machine,
                                    Spreading spreading) const {
+  const std::string of_levels = "agent.levels.bytes_received.by_agents";
+  if (spreading == Spreading::levels && slopes_.has(of_levels))
+    return agent_cost(of_levels, "agent.bytes_sent.by_instances", condition, managers_on_machine);
   // What all agents send is what all receive, so that the mean of one is the mean of the other.
   if (spreading == Spreading::levels) return agent_bytes_sent(condition, managers_on_machine, spreading);
   return agent_cost("agent.bytes_received.by_agents", "agent.bytes_sent.by_instances", condition,
--- a/src/lab/capacity/slope.cpp
+++ b/src/lab/capacity/slope.cpp
@@ -253,10 +253,10 @@
 Slope fit_slope(SlopeDescription description, std::vector<SlopePoint> points, std::size_t left_out_index,
                 std::string source) {
   check_description(description);
-  if (left_out_index >= points.size()) refuse(description, "leaves out a size that is not there");
   for (SlopePoint& point : points)
     point = {rounded(point.driver, point_digits), rounded(point.value, point_digits)};
   check_sizes(description, points);
+  if (left_out_index >= points.size()) refuse(description, "leaves out a size that is not there");
   Slope slope;
   slope.description = std::move(description);
   slope.source = std::move(source);
--- a/src/lab/capacity/slope_set.cpp
+++ b/src/lab/capacity/slope_set.cpp
@@ -68,6 +68,7 @@
       {"operator.status_time.by_instances", "ms"},
       {"operator.rollout_time.by_instances", "s"},
       {"agent.levels.bytes_sent.by_agents", "bytes/s", optional},
+      {"agent.levels.bytes_received.by_agents", "bytes/s", optional},
       {"agent.levels.cpu.by_agents", "us/s", optional},
       {"agent.configuration_spread.by_agents", "ms", optional},
       {"fleet.primary_change.by_managers", "ms", optional},
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -133,6 +133,10 @@
       ->type_name("FILE");
   capacity_app->add_flag("--write", capacity_command.write, "replaces the page's sections");
   capacity_app->add_flag("--check", capacity_command.check, "fails where the page says something else");
+  capacity_app
+      ->add_option("--add", capacity_command.add,
+                   "adds slopes from what measure levels or measure configuration printed")
+      ->type_name("FILE");
   capacity::ScaleSize scale_size{630, 740, 630};
   bool predict = false, levels = false;
   capacity_app->add_flag("--predict", predict, "prints what a scale run of that size should measure");
--- a/tests/test_slope_fits.cpp
+++ b/tests/test_slope_fits.cpp
@@ -3,10 +3,14 @@
 #include <cmath>
 #include <filesystem>
 #include <functional>
+#include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include "capacity_bench.h"
+#include "lab/capacity/capacity_command.h"
+#include "lab/capacity/simulated_slopes.h"
 #include "lab/capacity/slope.h"
 #include "lab/capacity/slopes_file.h"
 
@@ -164,6 +168,50 @@
            {"comes twice"});
 }
 
+nlohmann::json levels_output() {
+  nlohmann::json sizes = nlohmann::json::array();
+  for (const int agents : {5, 50, 200, 630, 1260})
+    sizes.push_back({{"agents", agents},
+                     {"bytes_per_s_max", 1000 + 2 * agents},
+                     {"bytes_received_per_s_max", 500 + agents}});
+  return {{"before", nlohmann::json::array()}, {"after", sizes}};
+}
+
+void simulations_give_slopes() {
+  const std::vector<Slope> levels = simulated_slopes(levels_output());
+  assert(levels.size() == 2 && levels[0].description.name == "agent.levels.bytes_sent.by_agents");
+  assert(levels[0].left_out.driver == 630 && close_to(levels[0].at(1000), 3000));
+  assert(close_to(levels[1].at(1000), 1500));
+  nlohmann::json configuration;
+  for (const int agents : {5, 50, 630, 1260})
+    configuration["calm_" + std::to_string(agents)] = {{"agents", agents}, {"in_force_ms_max", 900}};
+  configuration["trouble"] = {{"agents", 9}};
+  const std::vector<Slope> spread = simulated_slopes(configuration);
+  assert(spread.size() == 1 && spread[0].left_out.driver == 630 && close_to(spread[0].at(740), 900));
+
+  nlohmann::json lacking = levels_output();
+  lacking["after"][2].erase("bytes_per_s_max");
+  must_say(error_of([&] { simulated_slopes(lacking); }), {"'bytes_per_s_max'"});
+  lacking["after"] = nlohmann::json::array();
+  must_say(error_of([&] { simulated_slopes(lacking); }), {"0 sizes"});
+  must_say(error_of([&] { simulated_slopes({{"x", 1}}); }), {"neither"});
+  must_say(error_of([&] { simulated_slopes(nlohmann::json()); }), {"no JSON object"});
+
+  // The command adds them to the file, from the last line of what was printed.
+  const std::string output = "test_slope_fits.json";
+  write_file(output, "looks\n" + levels_output().dump() + "\n");
+  write_slopes(scratch_file, two_slopes());
+  CapacityCommand command;
+  command.slopes = scratch_file;
+  command.add = output;
+  std::ostringstream out;
+  assert(run(command, out) == 0 && run(command, out) == 0);
+  assert(read_slopes(scratch_file) == merge_slopes(two_slopes(), levels));
+  write_file(output, "looks\n");
+  must_say(error_of([&] { run(command, out); }), {output, "no JSON object"});
+  std::filesystem::remove(output);
+}
+
 }  // namespace
 
 int main() {
@@ -173,5 +221,6 @@
   too_little_is_no_slope();
   a_file_gives_back_what_was_written();
   a_bad_slopes_file_is_refused();
+  simulations_give_slopes();
   std::filesystem::remove(scratch_file);
 }
