--- a/src/lab/measurements/slopes_channel_engine.h
+++ b/src/lab/measurements/slopes_channel_engine.h
@@ -16,6 +16,7 @@
   int windows = 3;  // of which the median counts
   std::chrono::milliseconds window{800};
   int list_events = 10;
+  std::chrono::milliseconds statement{5000};  // lasts as long as signs of life are counted
 };
 
 std::vector<MeasuredSeries> measure_channel_engine_slopes(const Bench& bench,
--- a/src/lab/measurements/slopes_manager_control.h
+++ b/src/lab/measurements/slopes_manager_control.h
@@ -14,7 +14,10 @@
   std::vector<int> engines = {80, 160, 320, 640, 1024};
   int windows = 3;  // of which the median counts
   std::chrono::milliseconds rest_window{1500};
-  int list_events = 10;   // in a window
+  int list_events = 10;  // in a window
+  // Statements that open connections, and those that wait for as long as signs of life are counted.
+  std::chrono::milliseconds opening_statement{2000};
+  std::chrono::milliseconds waiting_statement{4500};
   int status_calls = 50;  // in a window
 };
 
