--- a/src/fleet/anti_entropy_scheduler.cpp
+++ b/src/fleet/anti_entropy_scheduler.cpp
@@ -24,7 +24,7 @@
     if (at->second.known && !at->second.open && at->second.not_before <= now) ready.push_back(at);
   }
   std::ranges::sort(ready, {}, [](const auto& at) { return std::pair(at->second.asked, at->second.lot); });
-  if (ready.size() > at_once) ready.resize(at_once);
+  if (ready.size() > peers_at_once_) ready.resize(peers_at_once_);
   std::vector<std::string> names;
   for (const auto& at : ready) {
     at->second.open = true, at->second.asked = now, at->second.lot = chance_();
--- a/src/fleet/anti_entropy_scheduler.h
+++ b/src/fleet/anti_entropy_scheduler.h
@@ -24,7 +24,8 @@
   // So soon is one that has come back heard from directly; others that hear it tell of it sooner.
   static constexpr Span longest_pause = std::chrono::seconds(4);
 
-  explicit AntiEntropyScheduler(std::uint64_t seed) : chance_(seed) {}
+  explicit AntiEntropyScheduler(std::uint64_t seed, std::size_t peers_at_once = at_once)
+      : chance_(seed), peers_at_once_(peers_at_once) {}
 
   void charter(const std::set<std::string>& peers);
   // Whom to ask now, and when to look again.
@@ -45,6 +46,7 @@
   Span about(Span span);  // three quarters to five quarters of it: agents that start together drift apart
 
   std::knuth_b chance_;
+  std::size_t peers_at_once_;
   std::map<std::string, Peer> peers_;
 };
 
--- a/src/fleet/level_gossip.cpp
+++ b/src/fleet/level_gossip.cpp
@@ -18,7 +18,7 @@
                          std::uint64_t seed, std::shared_ptr<const Topology> topology)
     : self_(std::move(self)),
       state_(host, self_, incarnation, seed),
-      group_scheduler_(seed),
+      group_scheduler_(seed, group_peers_at_once),
       sibling_schedulers_{AntiEntropyScheduler(seed + sibling_seed_offset),
                           AntiEntropyScheduler(seed + 2 * sibling_seed_offset),
                           AntiEntropyScheduler(seed + 3 * sibling_seed_offset)} {
--- a/src/fleet/level_gossip.h
+++ b/src/fleet/level_gossip.h
@@ -49,6 +49,8 @@
  public:
   // One may fail without a gap in the summaries.
   static constexpr std::size_t aggregators_per_unit = 2;
+  // A group is small: each peer is asked every few beats even so.
+  static constexpr std::size_t group_peers_at_once = 2;
   // Sibling groups and zones, which are many, are asked at every second beat; regions at each.
   static constexpr std::uint64_t beats_per_sibling_round = 2;
 
--- a/src/fleet/topology.h
+++ b/src/fleet/topology.h
@@ -48,9 +48,9 @@
 class Topology {
  public:
   // Groups hold about this many members,
-  static constexpr std::size_t target_group_size = 10;
+  static constexpr std::size_t target_group_size = 8;
   // and never more than this many: it bounds what status costs within a group.
-  static constexpr std::size_t max_group_size = 12;
+  static constexpr std::size_t max_group_size = 10;
 
   Topology() = default;
   // Of members with the same name the last one counts.
--- a/tests/test_levels.cpp
+++ b/tests/test_levels.cpp
@@ -47,7 +47,7 @@
     }
     assert(sum == static_cast<std::size_t>(agents));
   }
-  assert(!Topology({}).placement("nobody") && Topology({}).units().empty());
+  assert(!Topology().placement("nobody") && Topology().units().empty());
 }
 
 void placement_depends_on_the_list_only() {
@@ -184,7 +184,7 @@
   assert(store.selected(seconds(60), zone_0)->summary->version.number == 2);
   assert(seconds(60) - store.selected(seconds(60), zone_0)->as_of >= seconds(17));
   // Its own writer is believed about its own clock.
-  store.merge(seconds(60), seconds(60), "a", {summary_of("a", 3, seconds(19)), milliseconds(600)});
+  store.merge(seconds(60), seconds(60), "a", {summary_of("a", 3, milliseconds(18'400)), milliseconds(600)});
   assert(seconds(60) - store.selected(seconds(60), zone_0)->as_of == milliseconds(600));
 }
 
