--- a/src/fleet/level_gossip.cpp
+++ b/src/fleet/level_gossip.cpp
@@ -77,7 +77,7 @@
   StatusSummary summary;
   summary.unit = unit;
   summary.writer = self_;
-  summary.version = {state_.known(now, self_).mark.incarnation, ++summary_number_};
+  summary.version = {incarnation(now), ++summary_number_};
   summary.made_at = now;
   summary.age_when_made = status.age;
   summary.counts = status.counts;
@@ -118,7 +118,8 @@
 
 void LevelGossip::ask_group(Span now, std::vector<OutgoingQuestion>& questions) {
   for (const std::string& peer : group_scheduler_.due(now))
-    questions.push_back({{peer, std::nullopt}, {self_, state_.marks(), marks_for(now, peer)}});
+    questions.push_back(
+        {{peer, std::nullopt}, {self_, incarnation(now), state_.marks(), marks_for(now, peer)}});
 }
 
 AntiEntropyScheduler& LevelGossip::siblings_at(Level level) {
@@ -137,7 +138,7 @@
   for (const std::string& name : siblings_at(level).due(now)) {
     const Unit& sibling = siblings.at(name);
     const std::string contact = contact_of(sibling);
-    LevelQuestion question{self_, std::nullopt, marks_for(now, contact)};
+    LevelQuestion question{self_, incarnation(now), std::nullopt, marks_for(now, contact)};
     questions.push_back({{contact, sibling}, std::move(question)});
   }
 }
@@ -192,17 +193,28 @@
     auto delta = summaries_.answer(now, unit, mark == marks.end() ? nullptr : mark->second);
     if (delta) result.summaries.push_back(std::move(*delta));
   }
+  auto past = summaries_.past_of(now, question.asker, question.incarnation);
+  if (past) result.summaries.push_back(std::move(*past));
   return result;
 }
 
 void LevelGossip::merge(Span now, Span asked, const std::string& teller, const LevelAnswer& answer) {
   state_.heard(now, asked, answer.reports);
   for (const SummaryDelta& delta : answer.summaries) {
-    // Nobody else writes under this agent's name; its own past is of no use to it.
-    if (delta.summary.writer != self_) summaries_.merge(now, asked, teller, delta);
+    if (delta.summary.writer == self_) go_beyond(now, asked, delta.summary.version);
+    else summaries_.merge(now, asked, teller, delta);
   }
 }
 
+// Its own past is of no use to an agent, but where it is later than the present one nobody would listen.
+void LevelGossip::go_beyond(Span now, Span asked, const SummaryVersion& past) {
+  if (past.incarnation <= incarnation(now)) return;
+  ReportDelta own_past;
+  own_past.agent = self_;
+  own_past.upto.incarnation = past.incarnation;
+  state_.heard(now, asked, {own_past});
+}
+
 void LevelGossip::completed(Span now, const QuestionId& id) {
   if (!id.sibling) return group_scheduler_.answered(now, id.peer);
   siblings_at(id.sibling->level).answered(now, to_string(*id.sibling));
--- a/src/fleet/level_gossip.h
+++ b/src/fleet/level_gossip.h
@@ -24,6 +24,7 @@
 
 struct LevelQuestion {
   std::string asker;
+  std::uint64_t incarnation = 0;  // of the asker; it is told if it has spoken under a later one
   // Absent: the asker does not want the status of instances.
   std::optional<std::map<std::string, ReportVersion>> status_versions;
   // Absent: the asker does not want summaries.
@@ -87,6 +88,8 @@
 
  private:
   std::vector<Unit> units_shared_with(const std::string& peer) const;
+  std::uint64_t incarnation(Span now) const { return state_.known(now, self_).mark.incarnation; }
+  void go_beyond(Span now, Span asked, const SummaryVersion& past);
   std::vector<SummaryMark> marks_for(Span now, const std::string& peer) const;
   std::vector<std::string> aggregator_candidates(Span now, Level level) const;
   std::vector<StatusSummary> publish(Span now);
--- a/src/fleet/status_summary.cpp
+++ b/src/fleet/status_summary.cpp
@@ -243,6 +243,16 @@
   return SummaryDelta{*best->summary, age};
 }
 
+std::optional<SummaryDelta> SummaryStore::past_of(Span now, const std::string& writer,
+                                                  std::uint64_t incarnation) const {
+  for (const auto& [unit, writers] : units_) {
+    const auto entry = writers.find(writer);
+    if (entry != writers.end() && entry->second.summary.version.incarnation > incarnation)
+      return SummaryDelta{entry->second.summary, now - entry->second.received};
+  }
+  return std::nullopt;
+}
+
 GroupStatus SummaryStore::combine(Span now, const std::vector<Unit>& parts) const {
   GroupStatus status;
   for (const Unit& part : parts) {
--- a/src/fleet/status_summary.h
+++ b/src/fleet/status_summary.h
@@ -125,6 +125,8 @@
   std::optional<SummaryMark> mark(Span now, const Unit& unit) const;
   // The selected summary where it is better than what the asker has.
   std::optional<SummaryDelta> answer(Span now, const Unit& unit, const SummaryMark* theirs) const;
+  // What its writer has written under a later incarnation than it has now, having lost its disk.
+  std::optional<SummaryDelta> past_of(Span now, const std::string& writer, std::uint64_t incarnation) const;
   // Sums over the selected fresh summaries of `parts`; the members of the others are counted as unknown.
   GroupStatus combine(Span now, const std::vector<Unit>& parts) const;
   std::size_t size() const;
--- a/src/fleet/writer_clock.cpp
+++ b/src/fleet/writer_clock.cpp
@@ -6,12 +6,13 @@
 
 void WriterClock::claim(Span now, std::uint64_t incarnation, const std::string& teller, bool is_writer,
                         Span offset) {
-  if (incarnation < incarnation_) return;
-  if (incarnation > incarnation_) {
+  std::erase_if(claims_, [&](const Claim& one) { return now - one.made > claim_lifetime; });
+  // What nobody has spoken of for so long does not stand against a writer that has lost its disk.
+  if (incarnation < incarnation_ && !claims_.empty()) return;
+  if (incarnation != incarnation_) {
     incarnation_ = incarnation;
     claims_.clear();
   }
-  std::erase_if(claims_, [&](const Claim& claim) { return now - claim.made > claim_lifetime; });
   const auto same = std::ranges::find(claims_, teller, &Claim::teller);
   const Claim claim{teller, is_writer, offset, now};
   if (same != claims_.end()) {
