--- a/src/fleet/level_gossip.h
+++ b/src/fleet/level_gossip.h
@@ -24,6 +24,7 @@
 
 struct LevelQuestion {
   std::string asker;
+  std::uint64_t incarnation = 0;  // of the asker; it is told if it has spoken under a later one
   // Absent: the asker does not want the status of instances.
   std::optional<std::map<std::string, ReportVersion>> status_versions;
   // Absent: the asker does not want summaries.
@@ -49,6 +50,8 @@
  public:
   // One may fail without a gap in the summaries.
   static constexpr std::size_t aggregators_per_unit = 2;
+  // A group is small: each peer is asked every few beats even so.
+  static constexpr std::size_t group_peers_at_once = 2;
   // Sibling groups and zones, which are many, are asked at every second beat; regions at each.
   static constexpr std::uint64_t beats_per_sibling_round = 2;
 
@@ -85,6 +88,8 @@
 
  private:
   std::vector<Unit> units_shared_with(const std::string& peer) const;
+  std::uint64_t incarnation(Span now) const { return state_.known(now, self_).mark.incarnation; }
+  void go_beyond(Span now, Span asked, const SummaryVersion& past);
   std::vector<SummaryMark> marks_for(Span now, const std::string& peer) const;
   std::vector<std::string> aggregator_candidates(Span now, Level level) const;
   std::vector<StatusSummary> publish(Span now);
