--- a/src/lab/simulations/level_checker.cpp
+++ b/src/lab/simulations/level_checker.cpp
@@ -85,9 +85,11 @@
                            const std::vector<StatusSummary>& summaries) {
   for (const StatusSummary& summary : summaries) {
     const bool of_group = summary.unit.level == Level::group;
-    const Truth truth = of_group ? truth_of_group(now, own_now, writer, topology)
-                                 : truth_of_parts(now, own_now, writer, summary.unit, topology);
+    Truth truth = of_group ? truth_of_group(now, own_now, writer, topology)
+                           : truth_of_parts(now, own_now, writer, summary.unit, topology);
     ++written_count;
+    // Nor for younger than its writer could prove when it wrote it.
+    truth.as_of = std::min(truth.as_of, now - summary.age_when_made);
     if (truth.counts != summary.counts)
       fault(never_said, now, writer.self() + " writes of " + to_string(summary.unit) + " what was not said");
     if (!truths_.emplace(Key{summary.unit, summary.writer, summary.version}, truth).second)
