--- a/tests/test_configuration_agents.cpp
+++ b/tests/test_configuration_agents.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 
+#include "lab/stand_ins/admin_endpoints.h"
 #include "lab/stand_ins/agent_cluster.h"
 
 using namespace pearchute;
@@ -147,6 +148,48 @@
   return parent;
 }
 
+// Whoever brings it, a manager takes nothing older than what it has, and no file but its own.
+void older_is_refused(Fleet& fleet, const std::string& digest) {
+  TestCluster& world = fleet.cluster.world;
+  const admin::v1::ConfigVersion now = world.status(0).config();
+  assert(now.digest() == digest && now.number() > 1);
+  admin::v1::Call call;
+  admin::v1::Configure& older = *call.mutable_configure();
+  older.mutable_version()->set_epoch(now.epoch()), older.mutable_version()->set_number(now.number() - 1);
+  older.mutable_version()->set_digest("ff");
+  older.set_path(world.managers()[0].configuration);
+  admin::v1::Reply reply = world.call(0, call);
+  assert(reply.outcome() == admin::v1::refused && reply.configured().state() == "refused");
+  assert(reply.configured().what().find("newer") != std::string::npos);
+  *older.mutable_version() = now;
+  older.set_path(world.managers()[1].configuration);
+  assert(world.call(0, call).outcome() == admin::v1::refused);
+  older.set_path(world.managers()[0].configuration);
+  assert(world.call(0, call).configured().state() == "in_force" && fleet.in_force(0) == digest);
+}
+
+// Settings that can't be meant: one line that says so, and a status other than 0.
+void bad_settings(const std::string& folder) {
+  const std::string sound = "[agent]\nname = a\nstate = /tmp/a.db\ncontrol = unix:/tmp/a.sock\n";
+  const std::string instance = "[instance n]\nadmin = unix:/tmp/n.sock\ncommand = true\n";
+  const std::pair<const char*, std::string> cases[] = {
+      {"maybe", sound + "configuration = maybe\n" + instance},
+      {"'configuration' is no absolute path", sound + instance + "configuration = n.json\n"},
+      {"'configuration.base' is no absolute path", sound + instance + "configuration.base = n.json\n"},
+      {"needs both", sound + instance + "configuration = /tmp/n.json\n"},
+      {"has one file as",
+       sound + instance + "configuration = /tmp/n.json\nconfiguration.base = /tmp/n.json\n"},
+      {"peer b has no 'control'", sound + "[peer b]\nzone = z\n" + instance}};
+  for (const auto& [wrong, text] : cases) {
+    const std::string file = folder + "/bad.ini";
+    std::ofstream(file) << text;
+    const auto ran =
+        run_program("/bin/sh", {"-c", std::string(PEARCHUTE_AGENT) + " --charter " + file + " --check 2>&1"});
+    if (ran.out.find(wrong) == std::string::npos) std::fprintf(stderr, "%s: %s\n", wrong, ran.out.c_str());
+    assert(ran.status == 1 && ran.out.find(wrong) != std::string::npos);
+  }
+}
+
 // Both sides of a cut publish: each goes on by itself, and afterwards the rule decides for all.
 void cut(Fleet& fleet, const std::string& parent, const std::string& channel) {
   fleet.cluster.world.on([&] { fleet.cluster.relays->split({{"a1"}, {"a2", "a3"}}); });
@@ -188,7 +231,9 @@
   assert(wait_for([&] { return world.on([&] { return channel->streams(); }) == 6; }));
   const std::string second = next_start(fleet, first, address);
   const std::string third = killed_agent(fleet, second, address);
+  older_is_refused(fleet, third);
   cut(fleet, third, address);
+  bad_settings(world.folder());
   assert(world.all_serving(8));
   for (Agent& one : fleet.agents) one.end(SIGTERM);
   world.on([&] { channel.reset(); });
