measure scale: a change of configuration, until every manager has it in force

Hollow agents spread versions with the agents' own ConfigService, and hollow managers take them as running managers do. The small run of test_scale has it in force at 14 managers, and checks that it is told.

--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -103,10 +103,14 @@
   Bench bench;
   bench.programs = std::filesystem::read_symlink("/proc/self/exe").parent_path();
   const std::map<std::string, int (*)(const Bench&)> measurements = {
-      {"drain", measure_drain},     {"fleet-status", measure_fleet_status},
-      {"rollout", measure_rollout}, {"managers", measure_managers},
-      {"list", measure_list},       {"word", measure_word},
-      {"parts", measure_parts},     {"scale", measure_scale},
+      {"drain", measure_drain},
+      {"fleet-status", measure_fleet_status},
+      {"rollout", measure_rollout},
+      {"managers", measure_managers},
+      {"list", measure_list},
+      {"word", measure_word},
+      {"parts", measure_parts},
+      {"scale", measure_scale},
       {"configuration", measure_configuration}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
@@ -114,7 +118,8 @@
   for (const auto& [known, run] : measurements) names.push_back(known);
   measure->add_option("name", name)->required()->check(CLI::IsMember(names));
   measure->add_option("--size", bench.size, "how many, where not as documented");
-  measure->add_option("--faults", bench.faults, "of 'scale': ordinary,rack,zone,regions,third,primary");
+  measure->add_option("--faults", bench.faults,
+                      "of 'scale': ordinary,rack,zone,regions,third,primary,configuration");
   measure->add_option("--predicted", bench.predicted, "of 'scale': predicted figures, JSON")
       ->type_name("FILE");
   app.add_option("--seed", bench.seed);
--- a/src/lab/measurements/measure_scale.cpp
+++ b/src/lab/measurements/measure_scale.cpp
@@ -79,7 +79,9 @@
                 ScaleResult& result) {
   FaultInjector injector(cluster, plan);
   for (const ScaleFault fault : faults) {
-    if (fault == ScaleFault::primary) {
+    if (fault == ScaleFault::configuration) {
+      result.config_in_force = measure_configuration_change(cluster);
+    } else if (fault == ScaleFault::primary) {
       const PrimaryChange change =
           measure_primary_change(cluster.world(), scale_cold_rule(), ClusterSpec{}.cores);
       result.primary_change = change.over, result.primary_home_share = change.home_share;
--- a/src/lab/scale/hollow_agent.cpp
+++ b/src/lab/scale/hollow_agent.cpp
@@ -42,6 +42,18 @@
     });
     return reactor;
   }
+  grpc::ServerUnaryReactor* Synchronize(grpc::CallbackServerContext* context,
+                                        const agent::v1::ConfigMessage* question,
+                                        agent::v1::ConfigMessage* answer) override {
+    grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+    owner_.loop_thread_.post([this, reactor, question, answer] {
+      owner_.configuration_->synchronize(*question, *answer);
+      traffic_.exchanged(question->from(), owner_.name(), question->ByteSizeLong());
+      traffic_.exchanged(owner_.name(), question->from(), answer->ByteSizeLong());
+      reactor->Finish(grpc::Status::OK);
+    });
+    return reactor;
+  }
 
  private:
   HollowAgent& owner_;
@@ -58,6 +70,8 @@
           return channels.open(reach, name, files);
         });
     gossip_ = std::make_unique<agent::GossipService>(loop_thread_, config_, *supervisor_, *peers_, seed);
+    configuration_ =
+        std::make_unique<agent::ConfigService>(loop_thread_, config_, *supervisor_, *peers_, seed);
   });
   service_ = std::make_unique<Service>(*this, traffic);
   grpc::ServerBuilder builder;
@@ -72,6 +86,7 @@
   if (server_) server_->Shutdown(std::chrono::system_clock::now());
   server_.reset();
   loop_thread_.on([this] {
+    configuration_.reset();
     gossip_.reset();
     peers_.reset();
     supervisor_.reset();
@@ -82,6 +97,7 @@
   loop_thread_.on([&] {
     peers_->change(next);
     gossip_->change(next);
+    configuration_->change(next);
   });
 }
 
--- a/src/lab/scale/hollow_agent.h
+++ b/src/lab/scale/hollow_agent.h
@@ -1,6 +1,6 @@
-// A hollow agent: the control code of pearchute-agent (ProcessSupervisor, Peers, GossipService) behind its
-// own gRPC server on a Unix socket, many in one operating-system process. It starts no process: its manager
-// is a hollow one, which it observes over the admin channel.
+// A hollow agent: the control code of pearchute-agent (ProcessSupervisor, Peers, GossipService,
+// ConfigService) behind its own gRPC server on a Unix socket, many in one operating-system process. It starts
+// no process: its manager is a hollow one, which it observes over the admin channel.
 #pragma once
 
 #include <atomic>
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 
+#include "agent/config_service.h"
 #include "agent/gossip_service.h"
 #include "agent/peers.h"
 #include "agent/process_supervisor.h"
@@ -67,6 +68,7 @@
   std::unique_ptr<agent::ProcessSupervisor> supervisor_;
   std::unique_ptr<agent::Peers> peers_;
   std::unique_ptr<agent::GossipService> gossip_;
+  std::unique_ptr<agent::ConfigService> configuration_;
   std::unique_ptr<Service> service_;
   std::unique_ptr<grpc::Server> server_;
 };
--- a/src/lab/scale/hollow_hosts.cpp
+++ b/src/lab/scale/hollow_hosts.cpp
@@ -25,7 +25,8 @@
                                         {{"look", HollowCommand::look},
                                          {"cut", HollowCommand::cut},
                                          {"heal", HollowCommand::heal},
-                                         {"restart", HollowCommand::restart}});
+                                         {"restart", HollowCommand::restart},
+                                         {"configuration", HollowCommand::configuration}});
 }
 
 json read_json(const std::string& file) {
@@ -44,6 +45,7 @@
     for (const PlannedHost& host : spec_.hosts) {
       HollowManager::Spec manager;
       manager.name = host.manager, manager.admin_path = manager_socket(spec_.folder, host.manager);
+      manager.configuration = configuration_file(host);
       manager.channel = configuration_.at("channel").get<std::string>();
       manager.engine_connections = spec_.engine_connections, manager.seed = next_seed();
       loop_thread_.on([&] {
@@ -73,6 +75,8 @@
       case HollowCommand::restart:
         restart(line.at("agents").get<std::set<std::string>>());
         return incarnations();
+      case HollowCommand::configuration:
+        return in_force(line.at("digest").get<std::string>());
     }
     return json::object();
   }
@@ -80,18 +84,35 @@
  private:
   std::uint64_t next_seed() { return spec_.seed * 1'000'003 + ++seeds_drawn_; }
 
+  std::string configuration_file(const PlannedHost& host) const {
+    return spec_.folder + "/" + host.manager + ".json";
+  }
+
+  // How many managers have it.
+  json in_force(const std::string& digest) {
+    std::size_t managers = 0;
+    loop_thread_.on([&] {
+      for (const auto& [name, manager] : managers_) managers += manager->in_force().digest == digest;
+    });
+    return {{"in_force", managers}};
+  }
+
   agent::AgentConfig config_of(const PlannedHost& host) const {
     agent::AgentConfig config;
     config.name = host.agent, config.state = spec_.folder + "/" + host.agent + ".db";
-    config.exchanges = true;
+    config.exchanges = true, config.configures = true;
+    config.zone = host.zone.name;
     config.control = keys::reach_in("unix:" + agent_socket(spec_.folder, host.agent));
     agent::Owned& owned = config.instances[host.manager];
     owned.admin = admin::place_in("unix:" + manager_socket(spec_.folder, host.manager));
     owned.zone = host.zone.name;
     owned.commands[1] = "exec false";
     owned.wanted = false;  // observed, never started
+    owned.configuration = configuration_file(host);
+    owned.configuration_base = spec_.manager_configuration;
     for (const auto& [peer, region] : spec_.regions) {
       if (peer == host.agent) continue;
+      config.peer_zones[peer] = spec_.zones.at(peer);
       const bool away = regions_cut_ && region != host.zone.region;
       config.peers[peer] =
           keys::reach_in("unix:" + (away ? spec_.silent_socket : agent_socket(spec_.folder, peer)));
@@ -169,7 +190,7 @@
 }  // namespace
 
 std::string_view word_for(HollowCommand command) {
-  constexpr std::string_view words[] = {"look", "cut", "heal", "restart"};
+  constexpr std::string_view words[] = {"look", "cut", "heal", "restart", "configuration"};
   return words[static_cast<int>(command)];
 }
 
@@ -226,6 +247,7 @@
           {"seed", spec.seed},
           {"engine_connections", spec.engine_connections},
           {"hosts", hosts},
+          {"zones", spec.zones},
           {"regions", regions}};
 }
 
@@ -236,6 +258,7 @@
   from.at("silent_socket").get_to(spec.silent_socket);
   from.at("seed").get_to(spec.seed);
   from.at("engine_connections").get_to(spec.engine_connections);
+  from.at("zones").get_to(spec.zones);
   for (const json& one : from.at("hosts")) {
     PlannedHost& host = spec.hosts.emplace_back();
     one.at("agent").get_to(host.agent), one.at("manager").get_to(host.manager);
--- a/src/lab/scale/hollow_hosts.h
+++ b/src/lab/scale/hollow_hosts.h
@@ -21,7 +21,8 @@
   std::uint64_t seed = 1;
   std::size_t engine_connections = 2;  // of each manager
   std::vector<PlannedHost> hosts;
-  std::map<std::string, Region> regions;  // of all agents, by name
+  std::map<std::string, Region> regions;     // of all agents, by name
+  std::map<std::string, std::string> zones;  // the same
 };
 nlohmann::json to_json(const HollowHostsSpec& spec);
 HollowHostsSpec hollow_hosts_spec(const nlohmann::json& json);  // throws nlohmann::json::exception
@@ -29,7 +30,7 @@
 std::string agent_socket(const std::string& folder, const std::string& agent);
 std::string manager_socket(const std::string& folder, const std::string& manager);
 
-enum class HollowCommand { look, cut, heal, restart };
+enum class HollowCommand { look, cut, heal, restart, configuration };
 std::string_view word_for(HollowCommand command);
 
 // What is looked for: agents that are down for now, whether the regions are cut off from each other, and
--- a/src/lab/scale/hollow_manager.cpp
+++ b/src/lab/scale/hollow_manager.cpp
@@ -4,9 +4,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <filesystem>
 #include <vector>
 
-#include "admin.pb.h"
 #include "engines/resp.h"
 
 namespace pearchute::lab {
@@ -116,17 +116,41 @@
       std::ranges::count_if(connections_, [](const auto& one) { return one.second->open(); }));
 }
 
+void HollowManager::identify(admin::v1::Identity& identity) const {
+  identity.set_name(spec_.name), identity.set_build("hollow");
+  identity.set_phase("serving"), identity.set_rest("serving");
+  identity.set_started_unix_ms(started_unix_ms_), identity.set_protocol(1);
+}
+
+// As a running manager takes a version: the candidate is put in the file's place, and nothing older is taken.
+// It has no settings that a version could change.
+void HollowManager::configure(const admin::v1::Configure& call, admin::v1::Reply& reply) {
+  fleet::ConfigMark mark;
+  mark.epoch = call.version().epoch(), mark.number = call.version().number();
+  mark.digest = call.version().digest();
+  admin::v1::Configured& configured = *reply.mutable_configured();
+  bool taken = mark == in_force_;
+  if (mark > in_force_) {
+    std::error_code error;
+    std::filesystem::rename(spec_.configuration + ".candidate", spec_.configuration, error);
+    taken = !error;
+    if (taken) in_force_ = mark;
+  }
+  configured.mutable_in_force()->set_epoch(in_force_.epoch);
+  configured.mutable_in_force()->set_number(in_force_.number);
+  configured.mutable_in_force()->set_digest(in_force_.digest);
+  configured.set_state(taken ? "in_force" : "refused");
+  if (!taken) reply.set_outcome(admin::v1::refused);
+}
+
 void HollowManager::answer(const admin::v1::Call& call, admin::v1::Reply& reply) {
-  if (!call.has_who() && !call.has_status()) {
+  if (call.has_who()) return identify(*reply.mutable_identity());
+  if (call.has_configure()) return configure(call.configure(), reply);
+  if (!call.has_status()) {
     reply.set_outcome(admin::v1::unknown_call);
     return;
   }
-  admin::v1::Identity& identity =
-      call.has_who() ? *reply.mutable_identity() : *reply.mutable_status()->mutable_identity();
-  identity.set_name(spec_.name), identity.set_build("hollow");
-  identity.set_phase("serving"), identity.set_rest("serving");
-  identity.set_started_unix_ms(started_unix_ms_), identity.set_protocol(1);
-  if (!call.has_status()) return;
+  identify(*reply.mutable_status()->mutable_identity());
   reply.mutable_status()->set_counters("{}");
   reply.mutable_status()->set_engines_up(engines_.size());
 }
--- a/src/lab/scale/hollow_manager.h
+++ b/src/lab/scale/hollow_manager.h
@@ -6,8 +6,10 @@
 #include <memory>
 #include <string>
 
+#include "admin.pb.h"
 #include "admin/admin_server.h"
 #include "engines/list.h"
+#include "fleet/config_version.h"
 #include "net/driver.h"
 #include "service/deployment.h"
 
@@ -17,6 +19,7 @@
  public:
   struct Spec {
     std::string name, admin_path;
+    std::string configuration;           // its own file; versions come as a candidate beside it
     std::string channel;                 // the address of the channel of the engine list
     std::size_t engine_connections = 2;  // kept open, with a sign of life each second
     std::uint64_t seed = 1;              // draws which engines
@@ -29,18 +32,22 @@
   void restart();
   std::size_t engines_listed() const { return engines_.size(); }
   std::size_t engine_connections() const;
+  const fleet::ConfigMark& in_force() const { return in_force_; }
   std::uint64_t list_events() const { return counters_.list_events; }
 
  private:
   class EngineConnection;
   void answer(const admin::v1::Call& call, admin::v1::Reply& reply) override;
   void list_changed(ListNews news, const std::vector<net::Member>& members) override;
+  void identify(admin::v1::Identity& identity) const;
+  void configure(const admin::v1::Configure& call, admin::v1::Reply& reply);
   void open_admin_channel();
   void choose_engines();
 
   net::Loop& loop_;
   const Spec spec_;
   std::uint64_t started_unix_ms_ = 0;
+  fleet::ConfigMark in_force_;
   bool channel_renamed_ = false;
   net::Counters counters_;
   net::EngineList list_;
--- a/src/lab/scale/scale_cluster.cpp
+++ b/src/lab/scale/scale_cluster.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
@@ -28,6 +29,8 @@
   return spec;
 }
 
+std::string base_of(const TestCluster::Manager& manager) { return manager.configuration + ".base"; }
+
 }  // namespace
 
 ColdRule scale_cold_rule() {
@@ -44,6 +47,8 @@
       silent_(std::make_unique<SilentPlace>(world_.folder() + "/silent.sock")) {
   if (plan_.processes() > ScalePlan::most_processes)
     throw UsageError("the run would take " + std::to_string(plan_.processes()) + " processes");
+  for (const TestCluster::Manager& manager : world_.managers())
+    std::filesystem::copy_file(manager.configuration, base_of(manager));
   for (std::size_t n = 0; n < plan_.real_agents().size(); ++n) {
     Agent& agent = *real_agents_.emplace_back(std::make_unique<Agent>());
     agent.name = plan_.real_agents()[n].name, agent.program = programs_ + "/pearchute-agent";
@@ -54,13 +59,14 @@
     agent.stub =
         agent::v1::Agent::NewStub(grpc::CreateChannel(agent.control, grpc::InsecureChannelCredentials()));
   }
+  const std::map<std::string, std::string> zones = plan_.zone_by_agent();
   std::set<std::size_t> all;
   for (std::size_t r = 0; r < plan_.racks().size(); ++r) {
     HollowHostsSpec spec;
-    spec.folder = world_.folder(), spec.manager_configuration = world_.managers()[0].configuration;
+    spec.folder = world_.folder(), spec.manager_configuration = base_of(world_.managers()[0]);
     spec.silent_socket = world_.folder() + "/silent.sock";
     spec.seed = seed * 1'000'000 + r * 1000;
-    spec.hosts = plan_.racks()[r].hosts, spec.regions = plan_.regions();
+    spec.hosts = plan_.racks()[r].hosts, spec.regions = plan_.regions(), spec.zones = zones;
     racks_.push_back(std::make_unique<HollowRack>(programs_ + "/pearchute-lab", std::move(spec), r));
     all.insert(r);
   }
@@ -75,14 +81,17 @@
 void ScaleCluster::write_charter(std::size_t number, bool cut) {
   const PlannedRealAgent& self = plan_.real_agents()[number];
   const Agent& agent = *real_agents_[number];
+  const std::map<std::string, std::string> zones = plan_.zone_by_agent();
   std::ofstream charter(agent.charter);
   charter << "[agent]\nname = " << agent.name << "\nstate = " << world_.folder() << "/" << agent.name
-          << ".db\ncontrol = " << agent.control << "\nexchange = yes\n";
+          << ".db\ncontrol = " << agent.control
+          << "\nexchange = yes\nconfiguration = yes\nzone = " << self.zone.name << "\n";
   for (const auto& [peer, region] : plan_.regions()) {
     if (peer == agent.name) continue;
-    const bool away = cut && region != self.region;
+    const bool away = cut && region != self.zone.region;
     charter << "[peer " << peer << "]\ncontrol = unix:"
-            << (away ? world_.folder() + "/silent.sock" : agent_socket(world_.folder(), peer)) << "\n";
+            << (away ? world_.folder() + "/silent.sock" : agent_socket(world_.folder(), peer))
+            << "\nzone = " << zones.at(peer) << "\n";
   }
   const std::size_t each = world_.managers().size() / plan_.real_agents().size();
   for (std::size_t m = number * each; m < (number + 1) * each; ++m) {
@@ -90,6 +99,7 @@
     charter << "[instance " << manager.name << "]\nadmin = unix:" << manager.admin
             << "\nzone = " << manager.zone << "\ncommand = exec " << programs_ << "/pearchuted --config "
             << manager.configuration << " --admin " << manager.admin_file << "\nlog = " << manager.log
+            << "\nconfiguration = " << manager.configuration << "\nconfiguration.base = " << base_of(manager)
             << "\n";
   }
 }
@@ -147,6 +157,31 @@
   }
 }
 
+std::size_t ScaleCluster::managers_in_force(const std::string& digest) {
+  std::vector<json> answers;
+  ask_all({{"command", word_for(HollowCommand::configuration)}, {"digest", digest}}, &answers);
+  std::size_t managers = 0;
+  for (const json& answer : answers) managers += answer.at("in_force").get<std::size_t>();
+  for (std::size_t m = 0; m < world_.managers().size(); ++m)
+    managers += world_.status(m).config().digest() == digest;
+  return managers;
+}
+
+std::string ScaleCluster::publish(const std::string& content, const std::string& parent,
+                                  std::string& digest) {
+  agent::v1::ConfigPublication publication;
+  publication.set_content(content), publication.set_parent(parent);
+  publication.set_new_epoch(parent.empty());
+  agent::v1::ConfigPublished published;
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + std::chrono::seconds(5));
+  const grpc::Status status = real_agents_[0]->stub->PublishConfig(&context, publication, &published);
+  if (!status.ok()) return status.error_message();
+  if (published.result() != "accepted") return published.result() + " " + published.fault();
+  digest = published.mark().digest();
+  return "";
+}
+
 Knowledge ScaleCluster::look_at_real(const Expected& expected) {
   Knowledge knowledge;
   for (const auto& agent : real_agents_) {
--- a/src/lab/scale/scale_cluster.h
+++ b/src/lab/scale/scale_cluster.h
@@ -30,7 +30,7 @@
   ScaleCluster& operator=(const ScaleCluster&) = delete;
 
   TestCluster& world() { return world_; }
-  std::vector<std::unique_ptr<HollowRack>>& racks() { return racks_; }
+  std::size_t managers() const { return static_cast<std::size_t>(plan_.managers()); }
 
   void kill_racks(const std::set<std::size_t>& racks);
   void start_racks(const std::set<std::size_t>& racks);  // returns once they answer
@@ -41,6 +41,11 @@
   // way still arrives.
   void cut_regions(bool cut);
 
+  // How many managers, real and hollow, have a version of the configuration in force.
+  std::size_t managers_in_force(const std::string& digest);
+  // At a real agent. Empty where it is taken, else why not; `digest` is that of the version.
+  std::string publish(const std::string& content, const std::string& parent, std::string& digest);
+
   Knowledge look(const Expected& expected);
   // Until every agent knows every other one as fresh; none where that takes longer than `within`.
   // Counted from `since`, on the machine's steady clock.
--- a/src/lab/scale/scale_faults.cpp
+++ b/src/lab/scale/scale_faults.cpp
@@ -13,8 +13,9 @@
 
 namespace {
 
-constexpr ScaleFault every_fault[] = {ScaleFault::ordinary, ScaleFault::rack,  ScaleFault::zone,
-                                      ScaleFault::regions,  ScaleFault::third, ScaleFault::primary};
+constexpr ScaleFault every_fault[] = {ScaleFault::ordinary,     ScaleFault::rack,  ScaleFault::zone,
+                                      ScaleFault::regions,      ScaleFault::third, ScaleFault::primary,
+                                      ScaleFault::configuration};
 constexpr seconds known_again_within(60);
 constexpr seconds held_for(5);
 // From a command until it is in force everywhere: real agents look for a signal twenty times a second.
@@ -26,7 +27,8 @@
 }  // namespace
 
 std::string_view word_for(ScaleFault fault) {
-  constexpr std::string_view words[] = {"ordinary", "rack", "zone", "regions", "third", "primary"};
+  constexpr std::string_view words[] = {"ordinary", "rack",    "zone",         "regions",
+                                        "third",    "primary", "configuration"};
   return words[static_cast<int>(fault)];
 }
 
@@ -41,7 +43,7 @@
         std::ranges::find_if(every_fault, [&](ScaleFault one) { return word_for(one) == word; });
     if (known == std::end(every_fault))
       throw UsageError("'" + word + "' is no fault of a scale run", "--faults",
-                       "write some of ordinary,rack,zone,regions,third,primary");
+                       "write some of ordinary,rack,zone,regions,third,primary,configuration");
     faults.push_back(*known);
   }
   return faults;
@@ -62,9 +64,10 @@
       case ScaleFault::third:
         return restart_third(salt);
       case ScaleFault::primary:
+      case ScaleFault::configuration:
         break;
     }
-    throw UsageError("a change of primary is no fault of agents");
+    throw UsageError("a change of primary or of configuration is no fault of agents");
   }();
   return cluster_.until_all_fresh(mended, known_again_within);
 }
--- a/src/lab/scale/scale_faults.h
+++ b/src/lab/scale/scale_faults.h
@@ -12,7 +12,7 @@
 
 namespace pearchute::lab {
 
-enum class ScaleFault { ordinary, rack, zone, regions, third, primary };
+enum class ScaleFault { ordinary, rack, zone, regions, third, primary, configuration };
 std::string_view word_for(ScaleFault fault);
 std::vector<ScaleFault> all_scale_faults();
 // "third,zone"; empty: all. Throws UsageError.
@@ -53,4 +53,8 @@
 };
 PrimaryChange measure_primary_change(TestCluster& world, const ColdRule& cold, int cores);
 
+// From its publication at one agent until every manager, real and hollow, has a version in force; none where
+// that takes longer than the bound. Settings that a manager takes while it runs, by a few versions in turn.
+std::optional<std::chrono::milliseconds> measure_configuration_change(ScaleCluster& cluster);
+
 }  // namespace pearchute::lab
--- a/src/lab/scale/scale_plan.cpp
+++ b/src/lab/scale/scale_plan.cpp
@@ -54,7 +54,7 @@
                      std::to_string(most_managers) + " managers");
   for (int n = 0; n < real_managers_ / managers_of_a_real_agent; ++n) {
     const Zone& zone = zones()[static_cast<std::size_t>(n * managers_of_a_real_agent) % zones().size()];
-    real_agents_.push_back({"a" + std::to_string(n + 1), zone.region});
+    real_agents_.push_back({"a" + std::to_string(n + 1), zone});
     regions_[real_agents_.back().name] = zone.region;
   }
   const auto hollow = static_cast<std::size_t>(managers - real_managers_);
@@ -77,6 +77,15 @@
 
 std::size_t ScalePlan::agents() const { return regions_.size(); }
 
+std::map<std::string, std::string> ScalePlan::zone_by_agent() const {
+  std::map<std::string, std::string> zones;
+  for (const PlannedRealAgent& agent : real_agents_) zones[agent.name] = agent.zone.name;
+  for (const PlannedRack& rack : racks_) {
+    for (const PlannedHost& host : rack.hosts) zones[host.agent] = rack.zone.name;
+  }
+  return zones;
+}
+
 std::size_t ScalePlan::processes() const {
   return racks_.size() + real_agents_.size() + static_cast<std::size_t>(real_managers_);
 }
--- a/src/lab/scale/scale_plan.h
+++ b/src/lab/scale/scale_plan.h
@@ -33,7 +33,7 @@
 
 struct PlannedRealAgent {
   std::string name;
-  Region region;
+  Zone zone;
 };
 
 class ScalePlan {
@@ -58,6 +58,7 @@
   const std::vector<PlannedRack>& racks() const { return racks_; }
   // By the name of each agent, real and hollow.
   const std::map<std::string, Region>& regions() const { return regions_; }
+  std::map<std::string, std::string> zone_by_agent() const;
 
   // What a fault strikes, drawn by the plan's seed: indices of racks.
   std::set<std::size_t> racks_in_zone(const std::string& zone) const;
--- a/tests/test_scale.cpp
+++ b/tests/test_scale.cpp
@@ -68,7 +68,7 @@
   assert(refuses([] { ScalePlan(ScalePlan::least_managers - 1, 1); }));
   assert(refuses([] { ScalePlan(ScalePlan::most_managers + 1, 1); }));
   assert(ScalePlan(ScalePlan::most_managers, 1).processes() <= ScalePlan::most_processes);
-  assert(scale_faults_in("").size() == 6 && scale_faults_in("zone,third").size() == 2);
+  assert(scale_faults_in("").size() == 7 && scale_faults_in("zone,third").size() == 2);
   assert(refuses([] { scale_faults_in("zone,flood"); }));
 }
 
@@ -77,9 +77,10 @@
   spec.folder = "/tmp/x", spec.seed = 9, spec.engine_connections = 3;
   spec.hosts = {{"h1", "m1", {"south-a", Region::second}, 0}};
   spec.regions = {{"h1", Region::second}, {"a1", Region::first}};
+  spec.zones = {{"h1", "south-a"}, {"a1", "north-a"}};
   const HollowHostsSpec read = hollow_hosts_spec(to_json(spec));
   assert(read.folder == spec.folder && read.seed == 9 && read.engine_connections == 3);
-  assert(read.regions == spec.regions && read.hosts.size() == 1);
+  assert(read.regions == spec.regions && read.zones == spec.zones && read.hosts.size() == 1);
   assert(read.hosts[0].manager == "m1" && read.hosts[0].zone.region == Region::second);
 }
 
@@ -134,7 +135,8 @@
 
 void small_run() {
   const std::string lab = std::filesystem::path(PEARCHUTED).parent_path() / "pearchute-lab";
-  const Ran ran = run_program(lab, {"measure", "scale", "--size", "14", "--faults", "third,regions"});
+  const Ran ran =
+      run_program(lab, {"measure", "scale", "--size", "14", "--faults", "third,regions,configuration"});
   std::cerr << ran.out << ran.seconds << " s\n";
   assert(ran.status == 0);
   const nlohmann::json told = nlohmann::json::parse(ran.out);
@@ -142,6 +144,7 @@
   assert(told["all_fresh_at_start_ms"].is_number());
   assert(told["recovered_ms"]["third"].is_number() && told["recovered_ms"]["regions"].is_number());
   assert(told["lost"] == 0 && told["doubled"] == 0 && told["stale_as_fresh"] == 0);
+  assert(told["config_in_force_ms_max"].is_number());
   assert(told["done"] > 100 && told["control_bytes_per_s_mean"] > 0);
   assert(told["memory_share"] < 0.5);
   assert(run_program(lab, {"measure", "scale", "--size", "3"}).status == 3);
