--- a/src/lab/measurements/measure_scale.cpp
+++ b/src/lab/measurements/measure_scale.cpp
@@ -45,20 +45,21 @@
 }
 
 void measure_rest(ScaleCluster& cluster, ScaleResult& result) {
-  const Time begun = steady_now();
   const auto sent_before = cluster.bytes_sent();
+  const Time begun = steady_now();
   const auto hollow_before = cluster.hollow_usage(), agents_before = cluster.real_agent_usage(),
              managers_before = cluster.real_manager_usage();
   cluster.world().rest(result.managers < small_run ? measured_at_rest_small : measured_at_rest);
   const auto hollow = cluster.hollow_usage(), agents = cluster.real_agent_usage(),
              managers = cluster.real_manager_usage();
+  const double used_ms = std::chrono::duration<double, std::milli>(steady_now() - begun).count();
   const auto sent = cluster.bytes_sent();
-  const double time_s = std::chrono::duration<double>(steady_now() - begun).count();
+  const double sent_s = std::chrono::duration<double>(steady_now() - begun).count();
 
   std::vector<double> hollow_cpu, hollow_memory, agent_cpu, agent_memory, manager_cpu, manager_memory;
-  add_share(hollow_before, hollow, time_s * 1000, hollow_cpu, hollow_memory);
-  add_share(agents_before, agents, time_s * 1000, agent_cpu, agent_memory);
-  add_share(managers_before, managers, time_s * 1000, manager_cpu, manager_memory);
+  add_share(hollow_before, hollow, used_ms, hollow_cpu, hollow_memory);
+  add_share(agents_before, agents, used_ms, agent_cpu, agent_memory);
+  add_share(managers_before, managers, used_ms, manager_cpu, manager_memory);
   result.control_cpu_share_max = std::ranges::max(hollow_cpu);
   result.control_memory_mb_max = std::ranges::max(hollow_memory);
   add_real(manager_cpu, agent_cpu, result.control_cpu_share_max);
@@ -68,7 +69,7 @@
   for (const auto& [agent, bytes] : sent) {
     const auto before = sent_before.find(agent);
     const std::uint64_t earlier = before == sent_before.end() ? 0 : before->second;
-    const double rate = static_cast<double>(bytes - earlier) / time_s;
+    const double rate = static_cast<double>(bytes - earlier) / sent_s;
     result.control_bytes_per_s_max = std::max(result.control_bytes_per_s_max, rate);
     all += rate;
   }
