--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -118,7 +118,8 @@
   measure->add_option("--size", bench.size, "how many, where not as documented");
   measure->add_option("--group", bench.group, "of slopes: one group only");
   measure->add_option("--out", bench.out, "of slopes: the file of slopes to write");
-  measure->add_option("--faults", bench.faults, "of 'scale': ordinary,rack,zone,regions,third,primary");
+  measure->add_option("--faults", bench.faults,
+                      "of 'scale': ordinary,rack,zone,regions,third,primary,configuration");
   measure->add_option("--predicted", bench.predicted, "of 'scale': predicted figures, JSON")
       ->type_name("FILE");
   app.add_option("--seed", bench.seed);
