--- a/src/lab/capacity/slope.cpp
+++ b/src/lab/capacity/slope.cpp
@@ -17,7 +17,7 @@
 constexpr std::array<std::string_view, 4> shape_names = {"constant", "linear", "quadratic", "power"};
 constexpr int point_digits = 6;
 constexpr int coefficient_digits = 9;
-constexpr double line_is_good_enough = 0.02;
+constexpr double good_enough = 0.02;
 constexpr double clearly_better = 0.5;
 constexpr std::size_t least_points_of_a_quadratic = 5;
 constexpr double noise = 1e-6;     // relative: what is smaller comes of points kept to six digits
@@ -142,11 +142,12 @@
 }
 
 Shape simplest_shape(const std::vector<SlopePoint>& points) {
+  const double constant = cross_validated_error(Shape::constant, points).value();
   const double line = cross_validated_error(Shape::linear, points).value();
-  if (cross_validated_error(Shape::constant, points).value() <= line) return Shape::constant;
-  if (line <= line_is_good_enough) return Shape::linear;
-  Shape best = Shape::linear;
-  double to_beat = line * clearly_better;
+  Shape best = constant <= line ? Shape::constant : Shape::linear;
+  const double error_of_simple = std::min(constant, line);
+  if (error_of_simple <= good_enough) return best;
+  double to_beat = error_of_simple * clearly_better;
   for (const Shape shape : {Shape::power, Shape::quadratic}) {
     const std::optional<double> error = cross_validated_error(shape, points);
     if (!error || *error >= to_beat) continue;
--- a/src/lab/capacity/slope.h
+++ b/src/lab/capacity/slope.h
@@ -72,10 +72,9 @@
 
 // Fits by least squares (the power on logarithms) and takes the simplest shape that fits. Each shape's
 // cross-validated error is the root mean square of what it misses each fitted point by when it is fitted to
-// the others, over the mean value. A line is taken unless
-// - a constant's error is no larger, or
-// - the line's error is above 2% and a power (with five points or more also a quadratic that opens upwards)
-//   has an error under half of it.
+// the others, over the mean value. A line is taken, or a constant where its error is no larger. Only where
+// the error of both is above 2%, and that of a power (with five points or more also of a quadratic that opens
+// upwards) is under half of it, that is taken instead.
 // Points and coefficients are kept to six and nine significant digits, so that a file holds them exactly.
 // Throws SlopeError for fewer sizes than least_sizes, a range under least_factor, two points of one size, a
 // value that is negative or no number, or an index that is none.
