--- a/src/lab/capacity/capacity_model.cpp
+++ b/src/lab/capacity/capacity_model.cpp
@@ -30,8 +30,12 @@
       [&](const Condition& condition) { return costs.control_processor(condition, managers, spreading); });
   add("control of a manager, MB", target.control_memory,
       [&](const Condition& condition) { return costs.control_memory(condition, managers); });
-  add("control of a manager, KB/s", target.control_bytes,
-      [&](const Condition& condition) { return costs.control_bytes(condition, managers, spreading); });
+  add("control of a manager, KB/s sent", target.control_bytes, [&](const Condition& condition) {
+    return costs.control_bytes(condition, managers, spreading, Counted::sent);
+  });
+  add("control of a manager, KB/s both ways", target.control_bytes, [&](const Condition& condition) {
+    return costs.control_bytes(condition, managers, spreading, Counted::both_ways);
+  });
   add("the whole machine, cores", target.cores_per_machine, [&](const Condition& condition) {
     const Figure control = costs.control_processor(condition, managers, spreading) * (1 / percent);
     return (control + costs.data_processor(condition)) * managers;
--- a/src/lab/capacity/costs.cpp
+++ b/src/lab/capacity/costs.cpp
@@ -79,10 +79,11 @@
          agent_memory(condition, managers_on_machine) * (1 / managers_on_machine);
 }
 
-Figure Costs::control_bytes(const Condition& condition, double managers_on_machine,
-                            Spreading spreading) const {
-  const Figure agent = agent_bytes_sent(condition, managers_on_machine, spreading) +
-                       agent_bytes_received(condition, managers_on_machine, spreading);
+Figure Costs::control_bytes(const Condition& condition, double managers_on_machine, Spreading spreading,
+                            Counted counted) const {
+  Figure agent = agent_bytes_sent(condition, managers_on_machine, spreading);
+  if (counted == Counted::both_ways)
+    agent = agent + agent_bytes_received(condition, managers_on_machine, spreading);
   const Figure bytes =
       slopes_.at("manager.control_bytes_at_rest.by_engines", condition.engines_known) +
       slopes_.at("manager.list_event_bytes.by_engines", condition.engines_known) * condition.list_events +
--- a/src/lab/capacity/costs.h
+++ b/src/lab/capacity/costs.h
@@ -12,6 +12,9 @@
 // How agents spread what they know of instances.
 enum class Spreading { all_with_all, levels };
 
+// The target does not say which bytes count; both ways of counting are told.
+enum class Counted { sent, both_ways };
+
 class Costs {
  public:
   Costs(const SlopeSet& slopes, const Target& target) : slopes_(slopes), target_(target) {}
@@ -28,8 +31,10 @@
   Figure control_processor(const Condition& condition, double managers_on_machine,
                            Spreading spreading) const;                                  // % of a core
   Figure control_memory(const Condition& condition, double managers_on_machine) const;  // MB
-  Figure control_bytes(const Condition& condition, double managers_on_machine,
-                       Spreading spreading) const;  // KB/s, both ways
+  // KB/s. Of what is sent it is the agent's; the manager's own is measured both ways together, and counts
+  // whole.
+  Figure control_bytes(const Condition& condition, double managers_on_machine, Spreading spreading,
+                       Counted counted) const;
 
   // Of a manager.
   Figure data_processor(const Condition& condition) const;  // cores
--- a/src/lab/capacity/role_tables.cpp
+++ b/src/lab/capacity/role_tables.cpp
@@ -59,10 +59,16 @@
              const double bytes = 2 * one.statements * (target.statement_size + target.answer_size);
              return Figure::of_target(bytes / bytes_in_a_megabyte);
            });
+  const char* const spread = spreading == Spreading::levels ? status_levels : status_spread;
+  rows.add(
+      role, "messages", "control: KB/s sent, agent's share included", spread,
+      [&](const Condition& one) { return costs.control_bytes(one, one_manager, spreading, Counted::sent); },
+      target.control_bytes);
   rows.add(
-      role, "messages", "control: KB/s, both ways, agent's share included",
-      spreading == Spreading::levels ? status_levels : status_spread,
-      [&](const Condition& one) { return costs.control_bytes(one, one_manager, spreading); },
+      role, "messages", "control: KB/s both ways, agent's share included", spread,
+      [&](const Condition& one) {
+        return costs.control_bytes(one, one_manager, spreading, Counted::both_ways);
+      },
       target.control_bytes);
   rows.add(
       role, "processor", "data: cores", "core/control, front/, engines/; one thread",
