--- a/src/lab/capacity/capacity_page.cpp
+++ b/src/lab/capacity/capacity_page.cpp
@@ -43,7 +43,7 @@
 
 std::string figure_text(const Figure& figure) {
   if (!figure.value) return "not measured";
-  return number_text(*figure.value) + (figure.extrapolated ? "†" : "");
+  return number_text(*figure.value) + (figure.extrapolated ? "†" : "") + (figure.simulated ? "‡" : "");
 }
 
 std::string cell_text(const Figure& figure, const std::optional<double>& limit) {
--- a/src/lab/capacity/figure.h
+++ b/src/lab/capacity/figure.h
@@ -11,9 +11,10 @@
   std::optional<double> value;   // none: a slope that it needs was not measured
   std::set<std::string> slopes;  // by name; empty: worked out of the target alone
   bool extrapolated = false;     // a driver lies outside the range in which its slope was measured
+  bool simulated = false;        // one of its slopes comes from a simulation
   double error = 0;              // the largest relative error of its slopes at the size left out
 
-  static Figure of_target(double value) { return {value, {}, false, 0}; }
+  static Figure of_target(double value) { return {value, {}, false, false, 0}; }
 };
 
 // The slopes of both; without a value where one of them has none.
--- a/src/lab/capacity/requirements.cpp
+++ b/src/lab/capacity/requirements.cpp
@@ -28,7 +28,7 @@
   if (!need.value) return requirement;
   requirement.factor = *need.value / limit;
   if (*requirement.factor > 1) requirement.verdict = Verdict::missed;
-  else if (need.extrapolated) requirement.verdict = Verdict::carried_on_paper;
+  else if (need.extrapolated || need.simulated) requirement.verdict = Verdict::carried_on_paper;
   else requirement.verdict = Verdict::carried_and_shown;
   return requirement;
 }
--- a/src/lab/capacity/slope.h
+++ b/src/lab/capacity/slope.h
@@ -17,6 +17,9 @@
 // What an operator can do about a slope that is missing or broken.
 inline constexpr std::string_view measure_again = "measure it anew with pearchute-lab measure slopes";
 
+// In a slope's source: its points come from a simulation, not from processes.
+inline constexpr std::string_view simulated_source = "simulated";
+
 // The value as a function of the driver x.
 enum class Shape {
   constant,   // a
--- a/src/lab/capacity/slope_set.cpp
+++ b/src/lab/capacity/slope_set.cpp
@@ -24,6 +24,7 @@
   sum.value = one.value && other.value ? std::optional<double>(*one.value + *other.value) : std::nullopt;
   sum.slopes.insert(other.slopes.begin(), other.slopes.end());
   sum.extrapolated = one.extrapolated || other.extrapolated;
+  sum.simulated = one.simulated || other.simulated;
   sum.error = std::max(one.error, other.error);
   return sum;
 }
@@ -94,9 +95,10 @@
 
 Figure SlopeSet::at(const std::string& name, double driver) const {
   const auto found = slopes_.find(name);
-  if (found == slopes_.end()) return {std::nullopt, {name}, false, 0};
+  if (found == slopes_.end()) return {std::nullopt, {name}, false, false, 0};
   const Slope& slope = found->second;
-  return {slope.at(driver), {name}, !slope.covers(driver), slope.error};
+  const bool simulated = slope.source.find(simulated_source) != std::string::npos;
+  return {slope.at(driver), {name}, !slope.covers(driver), simulated, slope.error};
 }
 
 Figure SlopeSet::growth(const std::string& name, double from, double to) const {
--- a/tests/test_capacity.cpp
+++ b/tests/test_capacity.cpp
@@ -211,6 +211,11 @@
   // 10 + 4 * 70 ms and two round trips of 60 ms
   const Requirement& configuration = requirement_of(model, "changes of configuration");
   assert(close_to(*configuration.need->value, 410) && configuration.verdict == Verdict::carried_and_shown);
+  // From a simulation the same is on paper only.
+  std::vector<Slope> simulated = slopes;
+  for (Slope& slope : simulated) slope.source = "simulated";
+  const CapacityModel on_paper = work_out(small_target(), simulated);
+  assert(requirement_of(on_paper, "changes of configuration").verdict == Verdict::carried_on_paper);
   // Without the levels' processor time, that of all with all stands for it.
   const std::vector<Slope> bytes_only =
       merge_slopes(small_slopes(), {line("agent.levels.bytes_sent.by_agents", "bytes/s", 30, 1)});
