--- a/src/lab/load/load_cluster.h
+++ b/src/lab/load/load_cluster.h
@@ -24,12 +24,10 @@
 struct LoadClusterSpec {
   std::string pearchuted;  // the program
   EnginePoolSpec engines;
-  // Engines that the manager knows beside those of the pool and never uses: nothing listens there, and the
-  // list says that they are leaving.
-  int unused_engines = 0;
   int sockets = 12'288;  // the manager's descriptors; clients hold half of them, open statements a third
   int memory_mb = 256;
   std::chrono::milliseconds longest_timeout{4000};
+  std::chrono::milliseconds sla_time{600};  // a statement that can't be done in it is turned away at once
   std::uint64_t seed = 1;
 };
 
