--- a/src/lab/load/held_connections.cpp
+++ b/src/lab/load/held_connections.cpp
@@ -61,12 +61,12 @@
   }
 }
 
-void HeldConnections::begin_statements(std::size_t count, const std::string& class_name,
+void HeldConnections::begin_statements(std::size_t first, std::size_t count, const std::string& class_name,
                                        std::chrono::milliseconds work, std::chrono::milliseconds timeout,
                                        std::uint64_t first_id) {
   const std::string cost = std::to_string(work.count());
   const std::string statement = "SELECT work=" + cost + " FROM a_1.t";
-  for (std::size_t i = 0; i < std::min(count, sockets_.size()); ++i) {
+  for (std::size_t i = first; i < std::min(first + count, sockets_.size()); ++i) {
     char id[17];
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(first_id++));
     send_all(sockets_[i], "POST /do/" + class_name + " HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id +
--- a/src/lab/load/held_connections.h
+++ b/src/lab/load/held_connections.h
@@ -23,9 +23,10 @@
   void open_up_to(std::size_t count);
   // Calls the check on each, since the manager closes what has been idle for five seconds.
   void refresh();
-  // Sends a statement on each of the first so many connections, and waits for no answer.
-  void begin_statements(std::size_t count, const std::string& class_name, std::chrono::milliseconds work,
-                        std::chrono::milliseconds timeout, std::uint64_t first_id);
+  // Sends a statement on each of `count` connections from the one numbered `first`, and waits for no answer.
+  void begin_statements(std::size_t first, std::size_t count, const std::string& class_name,
+                        std::chrono::milliseconds work, std::chrono::milliseconds timeout,
+                        std::uint64_t first_id);
   void close();
   std::size_t count() const { return sockets_.size(); }
 
--- a/src/lab/measurements/slopes_manager_data.cpp
+++ b/src/lab/measurements/slopes_manager_data.cpp
@@ -1,5 +1,6 @@
 #include "lab/measurements/slopes_manager_data.h"
 
+#include <algorithm>
 #include <cmath>
 #include <thread>
 
@@ -200,13 +201,18 @@
  public:
   OpenStatements(const LoadClusterSpec& spec, int connections, int statements)
       : cluster_(spec), connections_(cluster_.manager_address()) {
-    constexpr milliseconds work(5000), timeout(9000), begun_within(1700), between_looks(5);
+    constexpr milliseconds work(5000), timeout(9000), begun_within(1700), between_looks(2);
+    constexpr int at_once = 100;  // a larger burst would wait in the manager for longer than it is open
     connections_.open_up_to(static_cast<std::size_t>(connections));
-    const auto from = std::chrono::steady_clock::now();
-    connections_.begin_statements(static_cast<std::size_t>(statements), class_of_low_value, work, timeout,
-                                  first_id);
-    while (begun() < statements && std::chrono::steady_clock::now() < from + begun_within)
-      std::this_thread::sleep_for(between_looks);
+    const auto until = std::chrono::steady_clock::now() + begun_within;
+    for (int sent = 0; sent < statements; sent += at_once) {
+      const int batch = std::min(at_once, statements - sent);
+      connections_.begin_statements(static_cast<std::size_t>(sent), static_cast<std::size_t>(batch),
+                                    class_of_low_value, work, timeout,
+                                    first_id + static_cast<std::uint64_t>(sent));
+      while (begun() < sent + batch && std::chrono::steady_clock::now() < until)
+        std::this_thread::sleep_for(between_looks);
+    }
   }
   LoadCluster& cluster() { return cluster_; }
   int begun() { return static_cast<int>(cluster_.engines().begun()); }
