--- a/src/lab/measurements/measure_slopes.cpp
+++ b/src/lab/measurements/measure_slopes.cpp
@@ -12,6 +12,7 @@
 #include "lab/measurements/slopes_agent.h"
 #include "lab/measurements/slopes_channel_engine.h"
 #include "lab/measurements/slopes_manager_control.h"
+#include "lab/measurements/slopes_manager_data.h"
 #include "lab/measurements/slopes_operator.h"
 
 namespace pearchute::lab {
@@ -32,6 +33,7 @@
 const std::vector<SlopeGroup>& slope_groups() {
   static const std::vector<SlopeGroup> groups = {
       {"manager-control", [](const Bench& bench) { return fit_all(measure_manager_control_slopes(bench)); }},
+      {"manager-data", measure_manager_data_slopes},
       {"agent", [](const Bench& bench) { return fit_all(measure_agent_slopes(bench)); }},
       {"channel-engine", [](const Bench& bench) { return fit_all(measure_channel_engine_slopes(bench)); }},
       {"operator", [](const Bench& bench) { return fit_all(measure_operator_slopes(bench)); }},
--- a/src/lab/measurements/slopes_agent.cpp
+++ b/src/lab/measurements/slopes_agent.cpp
@@ -1,5 +1,7 @@
 #include "lab/measurements/slopes_agent.h"
 
+#include <signal.h>
+
 #include <algorithm>
 #include <array>
 #include <fstream>
@@ -60,6 +62,17 @@
     cluster_.world.rest(warm_up);
   }
 
+  // The instances are ended at once; the cluster would ask one after another to end.
+  ~AgentsUnderMeasure() {
+    const auto instances = cluster_.conditions();
+    for (Agent& agent : cluster_.agents) agent.end(SIGKILL);
+    for (const auto& [name, instance] : instances) {
+      if (instance.pid() > 0) ::kill(static_cast<pid_t>(instance.pid()), SIGKILL);
+    }
+  }
+  AgentsUnderMeasure(const AgentsUnderMeasure&) = delete;
+  AgentsUnderMeasure& operator=(const AgentsUnderMeasure&) = delete;
+
   Usage measure(const AgentPlan& plan) {
     StandInLoadMeter stand_ins(cluster_.world);
     std::vector<double> bytes;
--- a/tests/test_slopes.cpp
+++ b/tests/test_slopes.cpp
@@ -162,5 +162,5 @@
     slopes.insert(slopes.end(), group.begin(), group.end());
   }
   check_file_and_json(slopes);
-  assert(slope_groups().size() == 4);
+  assert(slope_groups().size() == 5);
 }
