--- a/src/lab/measurements/slopes_manager_control.h
+++ b/src/lab/measurements/slopes_manager_control.h
@@ -15,6 +15,8 @@
   int windows = 3;  // of which the median counts
   std::chrono::milliseconds rest_window{1500};
   int list_events = 10;  // in a window
+  // A start has read its list and is at rest well within this time, at a thousand engines too.
+  std::chrono::milliseconds start_window{1200};
   // Statements that open connections, and those that wait for as long as signs of life are counted.
   std::chrono::milliseconds opening_statement{2000};
   std::chrono::milliseconds waiting_statement{4500};
--- a/tests/test_slopes.cpp
+++ b/tests/test_slopes.cpp
@@ -86,6 +86,7 @@
   plan.rest_window = milliseconds(1200);
   plan.list_events = 2;
   plan.status_calls = 4;
+  plan.start_window = milliseconds(400);
   plan.opening_statement = milliseconds(300);
   plan.waiting_statement = milliseconds(1900);
   std::vector<MeasuredSeries> group = measure_manager_control_slopes(bench, plan);
@@ -105,6 +106,7 @@
   plan.simulated_agents = {8};
   plan.instances = {1};
   plan.windows = 1;
+  plan.warm_up = milliseconds(300);
   plan.window = milliseconds(1200);
   std::vector<MeasuredSeries> group = measure_agent_slopes(bench, plan);
   for (MeasuredSeries& series : group) {
