--- a/src/lab/measurements/slopes_manager_data.cpp
+++ b/src/lab/measurements/slopes_manager_data.cpp
@@ -8,7 +8,7 @@
 #include "lab/load/held_connections.h"
 #include "lab/load/load_cluster.h"
 #include "lab/load/load_generator.h"
-#include "lab/load/process_usage.h"
+#include "lab/checkers/process_usage.h"
 
 namespace pearchute::lab {
 
