--- a/src/lab/measurements/slopes_manager_data.cpp
+++ b/src/lab/measurements/slopes_manager_data.cpp
@@ -5,10 +5,10 @@
 #include <thread>
 
 #include "errors/error.h"
+#include "lab/checkers/process_usage.h"
 #include "lab/load/held_connections.h"
 #include "lab/load/load_cluster.h"
 #include "lab/load/load_generator.h"
-#include "lab/checkers/process_usage.h"
 
 namespace pearchute::lab {
 
--- a/src/lab/scale/scale_cluster.h
+++ b/src/lab/scale/scale_cluster.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "lab/scale/hollow_rack.h"
 #include "lab/checkers/process_usage.h"
+#include "lab/scale/hollow_rack.h"
 #include "lab/scale/scale_plan.h"
 #include "lab/stand_ins/admin_endpoints.h"
 #include "lab/stand_ins/agent_cluster.h"
--- a/tests/test_load.cpp
+++ b/tests/test_load.cpp
@@ -9,9 +9,9 @@
 #include <map>
 
 #include "lab/checkers/history_checker.h"
+#include "lab/checkers/process_usage.h"
 #include "lab/load/load_cluster.h"
 #include "lab/load/load_generator.h"
-#include "lab/checkers/process_usage.h"
 
 using namespace pearchute;
 using namespace pearchute::lab;
