--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -128,7 +128,10 @@
   // Guards against overload of any cause: what asks most engine time for its billed value is not taken on.
   // But for what is estimated as small for its type, lest a type that costs more than others goes as a whole.
   const bool small = job.work_ms && held.work_ms <= type.usual_work_ms.value;
-  const bool costly = cost > cut_ && !small;
+  // Exception: where beats come late again and again this manager's own core is short, and what earns less
+  // than the mean is not taken on, small or not. Guards against answers that come late to all; harms none but
+  // by chance.
+  const bool costly = (cost > cut_ && !small) || (beats_late_ >= 2 && cost > mean_cost_);
   // Guards against work that would fill an engine and be lost. Where nothing can be called off, half as much
   // again is allowed for, since a time-out leaves it running; the highest priority hardly feels the crowd.
   const double crowd = priority(held) == 3 ? 1 : fleet_.stretch * (rules_.may_stop ? 1.0 : 1.5);
@@ -857,6 +860,9 @@
 
 void WorkloadManager::beat(Span now) {
   host_.wake_in(milliseconds(100), beat_mark);
+  const bool behind = beat_due_ > Span(0) && now > beat_due_ + std::max<Span>(rules_.round, milliseconds(20));
+  beats_late_ = behind ? std::min(beats_late_ + 1, 10) : std::max(beats_late_ - 1, 0);
+  beat_due_ = now + milliseconds(100);
   // Rates over about five seconds, data sets over ten, the mean cost over a minute.
   job_rate_ *= 0.98, work_taken_ *= 0.998, value_taken_ *= 0.998, data_sets_drawn_ *= 0.99;
   for (double& rate : customer_rate_) rate *= 0.98;
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -171,6 +171,8 @@
   double largest_ = 0;    // recent largest of the same
   double mean_cost_ = 0;  // work for a unit of billed value, over all jobs taken
   double work_taken_ = 0, value_taken_ = 0;
+  Span beat_due_{};     // of the next beat
+  int beats_late_ = 0;  // of late, less those in time
   Mean mean_work_ms_;
   double job_rate_ = 0;  // jobs a second, smoothed
   double probes_due_ = 0;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -268,6 +268,8 @@
   const std::variant<Job, BadRequest> read = job_in(deployment_, type, message);
   if (const auto* refusal = std::get_if<BadRequest>(&read)) return bad(refusal->status, refusal->what);
   Job job = std::get<Job>(read);
+  // The client's time runs from when its call came, which a busy loop reads late.
+  job.time_left -= now - std::min(now, loop_.unread_since());
   if (jobs_.contains(job.id)) return bad(409, "this request is being served");
   // A connection's last job may not be forgotten yet when its next one comes: a few over the limit are taken.
   if (closing_ || away_ || owed_ >= 2 * static_cast<std::size_t>(deployment_.service.most_open) ||
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 #include "net/log.h"
 
@@ -100,9 +101,24 @@
     finishing_.pop_front();
   }
   std::erase_if(finishing_, [](const auto& one) { return one.second->closed(); });
+  worked_until_ = now();
   settling_ = false;
 }
 
+// The poll has brought something. Where it had to wait, nothing lay there before; else what it brought may
+// have come at any time since the last one.
+void Loop::onBusy() {
+  constexpr Span waited = std::chrono::milliseconds(1);
+  const Span last = std::exchange(polled_, now());
+  unread_since_ = polled_ - worked_until_ > waited ? polled_ : last;
+  tick();
+}
+
+void Loop::onTimeout() {
+  polled_ = now();
+  tick();
+}
+
 void Loop::tick() {
   if (!timers_.empty() && now() - timers_.front().when > std::chrono::milliseconds(40)) {
     PEARCHUTE_LOG(spdlog::level::warn, "held up: a timer comes {} ms late",
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -46,6 +46,9 @@
   Loop();
   ~Loop() override;
   Span now() const;
+  // The earliest moment at which bytes that are read now can have come: while the loop is busy they lie
+  // unread.
+  Span unread_since() const { return unread_since_; }
   void at(Span when, std::function<void()> what);
   void soon(std::function<void()> what);    // after the event at hand, before the next
   void retire(std::unique_ptr<Wire> wire);  // closes it; destroyed once no event can be within it
@@ -59,8 +62,8 @@
   std::size_t descriptors() const { return descriptors_; }
 
  protected:
-  void onBusy() override { tick(); }
-  void onTimeout() override { tick(); }
+  void onBusy() override;
+  void onTimeout() override;
   void onIdle() override { tick(); }
 
  private:
@@ -80,6 +83,7 @@
   std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
   std::vector<Timer> timers_;
   std::uint64_t next_order_ = 0;
+  Span polled_{}, worked_until_{}, unread_since_{};
   std::deque<std::function<void()>> soon_;
   std::vector<std::unique_ptr<Wire>> retired_;
   std::deque<std::pair<Span, std::unique_ptr<Wire>>> finishing_;  // until when, oldest first
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -261,7 +261,34 @@
   assert(passed <= 5);
 }
 
+// Where this manager's own core is short, its beats come late; then what earns less than the mean is turned
+// away at once, and taken again when beats are in time.
+void short_of_core() {
+  Bench bench(small_service(), 3);
+  const auto offer = [&](int low, int high) {
+    bench.take(low, 0, 200);   // 200 ms of work for a value of 1
+    bench.take(high, 1, 200);  // and for one of 20
+  };
+  offer(1, 2);
+  assert(bench.dispatches(1) == 1 && bench.dispatches(2) == 1);
+  const auto late_beat = [&] {
+    bench.now += ms(180);
+    bench.pass(ms(0));
+  };
+  late_beat();  // one may be chance
+  offer(3, 4);
+  assert(bench.answers(3) == 0 && bench.answers(4) == 0);
+  late_beat();
+  late_beat();
+  offer(5, 6);
+  assert(bench.throttled(5) && bench.dispatches(5) == 0);
+  assert(bench.answers(6) == 0 && bench.dispatches(6) == 1);
+  bench.pass(ms(600));
+  offer(7, 8);
+  assert(bench.answers(7) == 0 && bench.answers(8) == 0);
+}
+
 int main() {
   sizes(), pool(), told_room(), grants(), release(), overtaking(), ranking(), hopeless(), runs_on();
-  newcomers_use_the_budget(), arrivals_at_a_long_queue();
+  newcomers_use_the_budget(), short_of_core(), arrivals_at_a_long_queue();
 }
