A repeat of a keyed job leaves while its engine still knows it, or not at all

At fault: control.cpp spent() looks at the window when the module decides (two rounds short of it), but engines.cpp keeps a dispatch back until its connection is up and its socket takes it, and sends it then, whatever the time is: up to the settings' connect time-out later.

Change: the module tells until when a keyed repeat may leave (must_leave_within, a round short of the window). The socket's side looks at the time again, since a held-up loop may see the socket first.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -716,6 +716,11 @@
   if (rules_.takes_grants || rules_.takes_priority) {
     host_.set_terms(held.job.id, rules_.takes_grants ? grant : 0, priority(held));
   }
+  // Guards against repeats that wait for a connection and leave when they are not known as such any more.
+  if (held.first_doubt && type.type.effect == Effect::keyed) {
+    const Span last = *held.first_doubt + type.type.repeat_window - rules_.round;
+    host_.must_leave_within(held.job.id, std::max(last - now, Span(1)));
+  }
   host_.dispatch(held.job.id, engine.listed.id, Span(0));
 }
 
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -21,6 +21,9 @@
   virtual ~Host() = default;
   virtual void dispatch(JobId job, EngineId engine, Span time_limit) = 0;  // a limit of 0: the job timeout
   virtual void set_terms(JobId job, double grant_mb, int priority) = 0;    // a grant of 0: the engine chooses
+  // The next dispatch of this job is a repeat that its engine knows for so long: what has not left by then
+  // ends as unreachable. Nothing to do where dispatches leave at once.
+  virtual void must_leave_within(JobId, Span) {}
   virtual void stop_dispatch(JobId job, int number) = 0;
   virtual void throttle(JobId job, Span come_back_in) = 0;
   virtual void cancel_for_good(JobId id) = 0;
--- a/src/engines/engines.cpp
+++ b/src/engines/engines.cpp
@@ -64,13 +64,13 @@
     }
   }
 
-  void want(DispatchKey key, const Want& want, bool again = false) {
+  void want(DispatchKey key, const Want& want, std::optional<Span> leave_by, bool again = false) {
     owner_.on_[key] = this;
     if (busy() == 0) idle_until_ = owner_.loop_.now(), quiet_ = first_quiet;
     // Kept back until the connection is up and its socket takes it, so that one given up by then never
     // leaves.
     kept_back_.push_back({key, want, std::string(want.id), std::string(want.kind), std::string(want.token),
-                          std::string(want.statement), again});
+                          std::string(want.statement), leave_by, again});
     wire_->offer();
   }
 
@@ -107,12 +107,18 @@
 
   void wire_free() override {
     // One at a time, so that only the last that was put out can be with a socket that takes nothing.
-    if (kept_back_.empty()) return;
-    const Kept kept = std::move(kept_back_.front());
-    kept_back_.erase(kept_back_.begin());
-    std::string out;
-    talk_.want(kept.key, kept.want_again(), out);
-    wire_->send(out);
+    while (!kept_back_.empty()) {
+      const Kept kept = std::move(kept_back_.front());
+      kept_back_.erase(kept_back_.begin());
+      // The timer of a held-up loop may come after the socket.
+      if (kept.leave_by && owner_.loop_.now() >= *kept.leave_by) {
+        owner_.end_soon(kept.key, Outcome::unreachable);
+        continue;
+      }
+      std::string out;
+      talk_.want(kept.key, kept.want_again(), out);
+      return wire_->send(out);
+    }
   }
 
   void wire_brought(std::string_view bytes) override {
@@ -157,7 +163,7 @@
       // Guards against resets of new connections, where nothing has left yet: the machine is there, so the
       // same dispatch tries once more. What refuses or does not come up in time is unreachable.
       Link* other = wire_->error() == ECONNRESET && !one.again ? owner_.link_for(engine_, one.id) : nullptr;
-      if (other) other->want(one.key, one.want_again(), true);
+      if (other) other->want(one.key, one.want_again(), one.leave_by, true);
       else talk_ended(one.key, Outcome::unreachable, {});
     }
     talk_.broke(left);
@@ -181,6 +187,7 @@
     DispatchKey key;
     Want want;
     std::string id, kind, token, statement;
+    std::optional<Span> leave_by;
     bool again = false;
     Want want_again() const {
       Want same = want;
@@ -260,13 +267,20 @@
   for (Link* link : links) link->opened() ? link->doubt() : link->lost();
 }
 
-void Engines::want(EngineId engine, DispatchKey key, const Want& want) {
+void Engines::want(EngineId engine, DispatchKey key, const Want& want, std::optional<Span> leave_by) {
   ++counters_.dispatches;
   constexpr double worth_spent = 0.005, most_saved = 4;
   if (limits_.sign_price > 0)
     signs_due_ = std::min(signs_due_ + worth_spent / limits_.sign_price, most_saved);
   Link* link = link_for(engine, want.id);
-  if (link) return link->want(key, want);
+  if (link) {
+    if (leave_by) {
+      loop_.at(*leave_by, [this, alive = alive_, key] {
+        if (*alive) take_back(key, Outcome::unreachable);
+      });
+    }
+    return link->want(key, want, leave_by);
+  }
   // Guards against engines that are blamed for descriptors that ran short here.
   const auto at = places_.find(engine);
   const bool there = at != places_.end() && !at->second.gone;
@@ -352,11 +366,16 @@
 bool Engines::take_back(DispatchKey key, Outcome ends_as) {
   const auto it = on_.find(key);
   if (it == on_.end() || !it->second->take_back(key)) return false;
-  on_.erase(it);
+  end_soon(key, ends_as);
+  return true;
+}
+
+// After the event at hand: who hears of it may send again.
+void Engines::end_soon(DispatchKey key, Outcome ends_as) {
+  on_.erase(key);
   loop_.soon([this, alive = alive_, key, ends_as] {
     if (*alive) listener_.talk_ended(key, ends_as, {});
   });
-  return true;
 }
 
 void Engines::hurry(DispatchKey key, int priority) {
--- a/src/engines/engines.h
+++ b/src/engines/engines.h
@@ -26,7 +26,8 @@
   void place(EngineId engine, const std::string& address);
   void forget(EngineId engine);  // it has gone; what is still open there ends in its own way
   void forget_others(const std::set<EngineId>& named);
-  void want(EngineId engine, DispatchKey key, const Want& want);
+  // What has not left by `leave_by` never does, and ends as unreachable.
+  void want(EngineId engine, DispatchKey key, const Want& want, std::optional<Span> leave_by = {});
   void never_mind(DispatchKey key);  // it still ends once, as stopped if nothing else
   // True where it has not left: it never does, and ends so, after this event.
   bool take_back(DispatchKey key, Outcome ends_as);
@@ -51,6 +52,7 @@
     std::vector<std::unique_ptr<Link>> links;
   };
   Link* link_for(EngineId engine, std::string_view id);
+  void end_soon(DispatchKey key, Outcome ends_as);
   bool make_room();
   bool may_ask();  // a connection for a sign
   void drop(Link& link);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -66,6 +66,7 @@
   // What the module does
   void dispatch(JobId job, EngineId engine, Span time_limit) override;
   void set_terms(JobId job, double grant_mb, int priority) override;
+  void must_leave_within(JobId job, Span span) override;
   void stop_dispatch(JobId job, int number) override;
   void throttle(JobId job, Span come_back_in) override;
   void cancel_for_good(JobId job) override;
@@ -105,6 +106,7 @@
     std::string headers, body;
     double grant_mb = 0;
     int priority = 1;
+    std::optional<Span> leave_by;  // of the next dispatch, or the last
     int dispatches = 0;
     std::vector<Sent> out;
   };
--- a/src/front/front_engines.cpp
+++ b/src/front/front_engines.cpp
@@ -24,6 +24,11 @@
   for (const Sent& sent : job.out) engines_.hurry({id, sent.number}, priority);
 }
 
+void Front::must_leave_within(JobId id, Span span) {
+  const auto it = jobs_.find(id);
+  if (it != jobs_.end()) it->second.leave_by = loop_.now() + span;
+}
+
 void Front::dispatch(JobId id, EngineId engine, Span time_limit) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
@@ -41,7 +46,7 @@
   want.wait_ms = std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(end - now).count());
   want.grant_mb = static_cast<std::int64_t>(std::ceil(job.grant_mb));
   want.priority = job.priority;
-  engines_.want(engine, key, want);
+  engines_.want(engine, key, want, job.leave_by);
   loop_.at(end, [this, key] {
     const auto at = jobs_.find(key.job);
     if (at == jobs_.end()) return;
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -28,6 +28,7 @@
   std::vector<JobId> throttled, cancelled;
   std::vector<std::pair<JobId, int>> stopped;
   std::vector<std::pair<Span, std::uint64_t>> wakes;
+  std::map<JobId, Span> leave_within;
   int probes = 0, subscriptions = 0;
   double grant = 0;
   int priority = 1;
@@ -35,6 +36,7 @@
 
   void dispatch(JobId job, EngineId engine, Span) override { sent.push_back({job, engine, grant, priority}); }
   void set_terms(JobId, double grant_mb, int rank) override { grant = grant_mb, priority = rank; }
+  void must_leave_within(JobId job, Span span) override { leave_within[job] = span; }
   void stop_dispatch(JobId job, int number) override { stopped.push_back({job, number}); }
   void throttle(JobId job, Span) override { throttled.push_back(job); }
   void cancel_for_good(JobId job) override { cancelled.push_back(job); }
--- a/tests/test_daemon.cpp
+++ b/tests/test_daemon.cpp
@@ -198,6 +198,35 @@
   unlink(configuration.c_str());
 }
 
+// A repeat that has to leave by a moment, to an engine whose connection comes up later: it never leaves, and
+// ends as unreachable when its time is over, whether a timer comes first or the socket.
+void repeat_leaves_in_time(EventLoopThread& stage) {
+  Ends listener;
+  Counters counters;
+  LateDoor late;
+  const pearchute::service::LinkLimits limits{std::chrono::seconds(6), std::chrono::seconds(15), 4, 0};
+  std::unique_ptr<Engines> engines;
+  stage.on([&] {
+    engines = std::make_unique<Engines>(stage.loop(), limits, 50, listener, counters);
+    engines->place(EngineId{1}, "127.0.0.1:" + std::to_string(late.port));
+    const auto want = [&](std::uint64_t job, const char* name, std::optional<pearchute::Span> leave_by) {
+      engines->want(EngineId{1}, {JobId{job}, 1},
+                    {.id = name, .kind = "load", .token = "t", .statement = "work=1"}, leave_by);
+    };
+    want(1, "repeat", stage.loop().now() + std::chrono::milliseconds(100));
+    want(2, "first", std::nullopt);
+  });
+  assert(soon([&] { return stage.on([&] { return listener.ends.size() == 1; }); }));
+  stage.on([&] { assert(listener.ends[0] == std::pair(std::uint64_t{1}, Outcome::unreachable)); });
+  late.opens();
+  const std::string came = late.hears("first", std::chrono::seconds(5));
+  assert(came.find("first") != std::string::npos && came.find("repeat") == std::string::npos);
+  stage.on([&] {
+    engines.reset();
+    stage.loop().settle();
+  });
+}
+
 int main() {
   slow_reader();
   EventLoopThread stage;
@@ -216,6 +245,7 @@
   });
   engine_connections(stage, *engine);
   priced_signs(stage);
+  repeat_leaves_in_time(stage);
   const std::string channel_address = stage.on([&] { return channel->address(); });
   const std::string moved_address = stage.on([&] { return moved->address(); });
   int port = 0;
--- a/tests/test_rules.cpp
+++ b/tests/test_rules.cpp
@@ -68,6 +68,8 @@
     bench.now += c.wait;
     bench.end(1, Outcome::error);
     assert((bench.dispatches(1) == 2) == c.goes);
+    // Where it waits for its connection it may leave up to a round before the window's end, and no later.
+    if (c.goes) assert(bench.host.leave_within.at(JobId{1}) == c.window - c.wait - service.round);
   }
 }
 
