--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -15,6 +15,7 @@
 using std::chrono::seconds;
 
 constexpr double infinite = std::numeric_limits<double>::infinity();
+constexpr int overtake_budget = 4;  // the design's starting value
 
 double in_ms(Span span) { return static_cast<double>(span.count()) / 1000; }
 Span from_ms(double ms) { return Span(static_cast<Span::rep>(std::clamp(ms, 0.0, 4e6) * 1000)); }
@@ -127,14 +128,17 @@
   // Guards against overload of any cause: what asks most engine time for its billed value is not taken on.
   // But for what is estimated as small for its type, lest a type that costs more than others goes as a whole.
   const bool small = job.work_ms && held.work_ms <= type.usual_work_ms.value;
-  const bool costly = cost > cut_ && !small;
+  // Exception: where beats come late again and again this manager's own core is short, and what earns less
+  // than the mean is not taken on, small or not. Guards against answers that come late to all; harms none but
+  // by chance.
+  const bool costly = (cost > cut_ && !small) || (beats_late_ >= 2 && cost > mean_cost_);
   // Guards against work that would fill an engine and be lost. Where nothing can be called off, half as much
   // again is allowed for, since a time-out leaves it running; the highest priority hardly feels the crowd.
   const double crowd = priority(held) == 3 ? 1 : fleet_.stretch * (rules_.may_stop ? 1.0 : 1.5);
   const double pace = std::max(1.0, type.best_pace * crowd);
   const bool hopeless = now + from_ms(ideal_ms(held) * pace) > held.sla_end;
   if (costly || hopeless || held_.size() >= longest_queue || held.end <= now) return give_up(now, held);
-  held.held = true, held_[held.turn] = job.id, release(now);
+  held.held = true, held_[held.turn] = job.id, place_newcomer(now, held);
 }
 
 void WorkloadManager::job_withdrawn(Span now, JobId id) {
@@ -325,6 +329,8 @@
   if (const auto turn = turns_.find(mark); turn != turns_.end()) {
     HeldJob& held = jobs_.at(turn->second);
     if (!held.over && !held.streaming && now >= held.end) give_up(now, held);
+  } else if (mark >= job_marks) {
+    return;  // its job has gone: nothing is free by that
   }
   release(now);
 }
@@ -575,8 +581,19 @@
   return size < 0.5 ? 3 : size < 2 ? 2 : size < 6 ? 1 : 0;
 }
 
+// A job that comes frees no room, so what waits goes on to wait: only its own place is looked for. Guards
+// against overload, in which a scan of the queue for each job that comes takes all of the processor.
+void WorkloadManager::place_newcomer(Span now, HeldJob& newcomer) {
+  if (!may_go(now, newcomer) || !place(now, newcomer)) return;
+  bool over_budget = false;
+  for (const auto& [turn, id] : held_) {
+    HeldJob& older = jobs_.at(id);
+    if (may_go(now, older)) over_budget |= ++older.overtaken == overtake_budget + 1;
+  }
+  if (over_budget) release(now);
+}
+
 void WorkloadManager::release(Span now) {
-  constexpr int overtake_budget = 4;  // the design's starting value
   std::vector<HeldJob*> passed;
   std::map<std::pair<TypeId, int>, double> blocked;  // least need that found no room in this scan
   for (auto it = held_.begin(); it != held_.end();) {
@@ -699,6 +716,11 @@
   if (rules_.takes_grants || rules_.takes_priority) {
     host_.set_terms(held.job.id, rules_.takes_grants ? grant : 0, priority(held));
   }
+  // Guards against repeats that wait for a connection and leave when they are not known as such any more.
+  if (held.first_doubt && type.type.effect == Effect::keyed) {
+    const Span last = *held.first_doubt + type.type.repeat_window - rules_.round;
+    host_.must_leave_within(held.job.id, std::max(last - now, Span(1)));
+  }
   host_.dispatch(held.job.id, engine.listed.id, Span(0));
 }
 
@@ -843,6 +865,9 @@
 
 void WorkloadManager::beat(Span now) {
   host_.wake_in(milliseconds(100), beat_mark);
+  const bool behind = beat_due_ > Span(0) && now > beat_due_ + std::max<Span>(rules_.round, milliseconds(20));
+  beats_late_ = behind ? std::min(beats_late_ + 1, 10) : std::max(beats_late_ - 1, 0);
+  beat_due_ = now + milliseconds(100);
   // Rates over about five seconds, data sets over ten, the mean cost over a minute.
   job_rate_ *= 0.98, work_taken_ *= 0.998, value_taken_ *= 0.998, data_sets_drawn_ *= 0.99;
   for (double& rate : customer_rate_) rate *= 0.98;
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -21,6 +21,9 @@
   virtual ~Host() = default;
   virtual void dispatch(JobId job, EngineId engine, Span time_limit) = 0;  // a limit of 0: the job timeout
   virtual void set_terms(JobId job, double grant_mb, int priority) = 0;    // a grant of 0: the engine chooses
+  // The next dispatch of this job is a repeat that its engine knows for so long: what has not left by then
+  // ends as unreachable. Nothing to do where dispatches leave at once.
+  virtual void must_leave_within(JobId, Span) {}
   virtual void stop_dispatch(JobId job, int number) = 0;
   virtual void throttle(JobId job, Span come_back_in) = 0;
   virtual void cancel_for_good(JobId id) = 0;
@@ -117,6 +120,7 @@
   void over(HeldJob& held);
   void forget_if_done(JobId id);
   // The ordinary path
+  void place_newcomer(Span now, HeldJob& newcomer);
   void release(Span now);
   bool place(Span now, HeldJob& held);
   void send(Span now, HeldJob& held, Engine& engine, double grant, bool home);
@@ -170,6 +174,8 @@
   double largest_ = 0;    // recent largest of the same
   double mean_cost_ = 0;  // work for a unit of billed value, over all jobs taken
   double work_taken_ = 0, value_taken_ = 0;
+  Span beat_due_{};     // of the next beat
+  int beats_late_ = 0;  // of late, less those in time
   Mean mean_work_ms_;
   double job_rate_ = 0;  // jobs a second, smoothed
   double probes_due_ = 0;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -9,7 +9,9 @@
 #include <map>
 
 #include "errors/error.h"
+#include "lab/capacity/capacity_command.h"
 #include "lab/measurements/measurements.h"
+#include "lab/scale/hollow_hosts.h"
 #include "lab/stand_ins/admin_endpoints.h"
 #include "lab/stand_ins/test_cluster.h"
 #include "net/log.h"
@@ -105,13 +107,21 @@
       {"drain", measure_drain},     {"fleet-status", measure_fleet_status},
       {"rollout", measure_rollout}, {"managers", measure_managers},
       {"list", measure_list},       {"word", measure_word},
-      {"parts", measure_parts}};
+      {"parts", measure_parts},     {"overload", measure_overload},
+      {"slopes", measure_slopes},   {"configuration", measure_configuration},
+      {"levels", measure_levels},   {"scale", measure_scale}};
   std::string name;
   CLI::App* measure = app.add_subcommand("measure", "runs one measurement; its figures are one JSON object");
   std::vector<std::string> names;
   for (const auto& [known, run] : measurements) names.push_back(known);
   measure->add_option("name", name)->required()->check(CLI::IsMember(names));
   measure->add_option("--size", bench.size, "how many, where not as documented");
+  measure->add_option("--group", bench.group, "of slopes: one group only");
+  measure->add_option("--out", bench.out, "of slopes: the file of slopes to write");
+  measure->add_option("--faults", bench.faults,
+                      "of 'scale': ordinary,rack,zone,regions,third,primary,configuration");
+  measure->add_option("--predicted", bench.predicted, "of 'scale': predicted figures, JSON")
+      ->type_name("FILE");
   app.add_option("--seed", bench.seed);
   app.add_option("--programs", bench.programs, "the folder of pearchuted and pearchutectl");
   int managers = 3, engines = 4, seconds = 0;
@@ -122,13 +132,40 @@
   site->add_option("--engines", engines)->check(CLI::Range(1, 1024));
   site->add_option("--rate", rate, "jobs a second")->check(CLI::Range(0.0, 5000.0));
   site->add_option("--for", seconds, "0: until interrupted")->type_name("S");
+  std::string hollow_spec;
+  CLI::App* hollow = app.add_subcommand("hollow-hosts", "")->group("");  // started by 'measure scale' only
+  hollow->add_option("--spec", hollow_spec)->required();
   CLI::App* shown = app.add_subcommand("demo", "shows the main job in a few seconds");
-  for (CLI::App* one : {measure, site, shown}) one->fallthrough();
+  capacity::CapacityCommand capacity_command;
+  CLI::App* capacity_app =
+      app.add_subcommand("capacity", "works docs/CAPACITY.md out of measured slopes and the target");
+  capacity_app->add_option("--slopes", capacity_command.slopes)->type_name("FILE")->capture_default_str();
+  capacity_app->add_option("--target", capacity_command.target)->type_name("FILE")->capture_default_str();
+  capacity_app->add_option("--page", capacity_command.page, "without it the tables are printed")
+      ->type_name("FILE");
+  capacity_app->add_flag("--write", capacity_command.write, "replaces the page's sections");
+  capacity_app->add_flag("--check", capacity_command.check, "fails where the page says something else");
+  capacity_app
+      ->add_option("--add", capacity_command.add,
+                   "adds slopes from what measure levels or measure configuration printed")
+      ->type_name("FILE");
+  capacity::ScaleSize scale_size{630, 740, 630};
+  bool predict = false, levels = false;
+  capacity_app->add_flag("--predict", predict, "prints what a scale run of that size should measure");
+  capacity_app->add_option("--managers", scale_size.managers)->check(CLI::PositiveNumber);
+  capacity_app->add_option("--engines", scale_size.engines)->check(CLI::PositiveNumber);
+  capacity_app->add_option("--agents", scale_size.agents)->check(CLI::PositiveNumber);
+  capacity_app->add_flag("--levels", levels, "status is spread by levels");
+  for (CLI::App* one : {measure, site, shown, capacity_app}) one->fallthrough();
   CLI11_PARSE(app, argc, argv);
   pearchute::net::start_log("lab");
   spdlog::set_level(spdlog::level::err);
   try {
+    if (levels) scale_size.spreading = capacity::Spreading::levels;
+    if (predict) capacity_command.predict = scale_size;
+    if (capacity_app->parsed()) return capacity::run(capacity_command, std::cout);
     if (shown->parsed()) return demo(bench);
+    if (hollow->parsed()) return run_hollow_hosts(hollow_spec);
     if (site->parsed()) return up(bench, managers, engines, rate, seconds);
     return measurements.at(name)(bench);
   } catch (const std::exception& error) {
--- a/src/lab/stand_ins/engine.cpp
+++ b/src/lab/stand_ins/engine.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t most_begun_work = 4096;
+
 // The value behind `name=` in a statement or a list of fields.
 std::string value_of(std::string_view text, std::string_view name) {
   const std::string mark = std::string(name) + "=";
@@ -39,7 +41,9 @@
     std::string out;
     net::append_command(out, words);
     if (cut > 0) out.resize(std::min(cut, out.size()));
-    if (wire_) wire_->send(out);
+    if (!wire_) return;
+    engine_.bytes_sent_ += out.size();
+    wire_->send(out);
   }
   void fall_mute() { mute_ = true; }
   void say_on() {  // for as long as anybody listens
@@ -51,6 +55,7 @@
   }
   void wire_ended() override { engine_.forget(*this); }
   void wire_brought(std::string_view bytes) override {
+    engine_.bytes_received_ += bytes.size();
     const bool sound = reader_.feed(bytes, [&](std::vector<std::string>& words) {
       if (mute_) return;
       if (words[0] == "there" && words.size() == 2) ++engine_.signs_, say({words[1], "PONG", "-", ""});
@@ -144,6 +149,8 @@
   Run run{&line, words[1], 0, 0, 1, value_of(words[3], "fault"), next_++};
   if (record_) record_->begun(name_, run.job);
   run.work_ms = number_of(words[3], "work", 5) * faults_.slow;
+  begun_work_.push_back({steady_now(), run.work_ms});
+  if (begun_work_.size() > most_begun_work) begun_work_.pop_front();
   run.grant_mb = number_of(words[2], "workmem", 0);
   run.rows = static_cast<int>(number_of(words[3], "pages", 1));
   const double drawn = std::generate_canonical<double, 32>(chance_);
