Agents' bytes are measured over processes only, at five sizes

Change: five sizes of real processes, 3 to 30, one left out; the simulated points are gone, and the test asks that none is there.

--- a/src/lab/measurements/slopes_agent.cpp
+++ b/src/lab/measurements/slopes_agent.cpp
@@ -10,7 +10,6 @@
 #include "lab/checkers/process_usage.h"
 #include "lab/measurements/process_cpu_clock.h"
 #include "lab/measurements/stand_in_load.h"
-#include "lab/simulations/gossip_simulation.h"
 #include "lab/stand_ins/agent_cluster.h"
 
 namespace pearchute::lab {
@@ -135,17 +134,6 @@
   double largest_stand_in_share_ = 0;
 };
 
-// Encoded messages of the simulated exchange, without what TLS and HTTP/2 add.
-double simulated_bytes_per_second(const Bench& bench, int agents) {
-  GossipSimulation::Shape shape;
-  shape.seed = bench.seed;
-  shape.agents = agents;
-  shape.instances_each = 1;
-  shape.troubled = seconds(1);
-  shape.calm = seconds(20);
-  return GossipSimulation(shape).play().bytes_a_second;
-}
-
 void declare(SeriesSet& series) {
   const std::string by_agents =
       "agents as processes with one instance each, TLS over relays on loopback, at rest, mean of the agents, "
@@ -178,7 +166,6 @@
 
 void measure_by_agents(const Bench& bench, const AgentPlan& plan, SeriesSet& series) {
   double share = 0;
-  double measured = 0;
   for (const int number : plan.agents) {
     AgentsUnderMeasure agents(bench, plan, number, 1);
     const AgentsUnderMeasure::Usage usage = agents.measure(plan);
@@ -187,27 +174,11 @@
     series.add("agent.cpu.by_agents", number, usage.cpu);
     series.add("agent.memory.by_agents", number, usage.memory);
     share = std::max(share, agents.largest_stand_in_share());
-    measured = usage.bytes;
   }
   const std::string busy = "the relays used " + std::to_string(share) + " of a core at most";
   for (const char* name : {"agent.bytes_sent.by_agents", "agent.bytes_received.by_agents",
                            "agent.cpu.by_agents", "agent.memory.by_agents"})
     series.append_to_source(name, busy);
-  if (plan.simulated_agents.empty() || plan.agents.empty()) return;
-  const int overlap = plan.agents.back();
-  const double simulated_overlap = simulated_bytes_per_second(bench, overlap);
-  for (const int number : plan.simulated_agents) {
-    const double simulated = simulated_bytes_per_second(bench, number);
-    series.add("agent.bytes_sent.by_agents", number, simulated);
-    series.add("agent.bytes_received.by_agents", number, simulated);
-  }
-  const std::string remark = "from " + std::to_string(plan.simulated_agents.front()) +
-                             " agents on simulated, encoded messages only: at " + std::to_string(overlap) +
-                             " agents processes sent " + std::to_string(static_cast<int>(measured)) +
-                             " and the simulation " + std::to_string(static_cast<int>(simulated_overlap)) +
-                             " bytes/s";
-  series.append_to_source("agent.bytes_sent.by_agents", remark);
-  series.append_to_source("agent.bytes_received.by_agents", remark);
 }
 
 void measure_by_instances(const Bench& bench, const AgentPlan& plan, SeriesSet& series) {
--- a/src/lab/measurements/slopes_agent.h
+++ b/src/lab/measurements/slopes_agent.h
@@ -11,11 +11,9 @@
 namespace pearchute::lab {
 
 struct AgentPlan {
-  std::vector<int> agents = {3, 6, 12, 24};  // as processes, one instance each
-  std::vector<int> simulated_agents = {50, 100,
-                                       200};   // in the simulated exchange, which takes minutes beyond
-  std::vector<int> instances = {2, 4, 8, 16};  // of each of two agents
-  int windows = 3;                             // of which the median counts
+  std::vector<int> agents = {3, 6, 12, 20, 30};  // as processes, one instance each
+  std::vector<int> instances = {2, 4, 8, 16};    // of each of two agents
+  int windows = 3;                               // of which the median counts
   // Longer than the pause after which an agent asks again one that did not answer while all were starting.
   std::chrono::milliseconds warm_up{2500};
   std::chrono::milliseconds window{2500};
--- a/tests/test_slopes.cpp
+++ b/tests/test_slopes.cpp
@@ -103,17 +103,14 @@
 std::vector<MeasuredSeries> agent(const Bench& bench) {
   AgentPlan plan;
   plan.agents = {2};
-  plan.simulated_agents = {8};
   plan.instances = {1};
   plan.windows = 1;
   plan.warm_up = milliseconds(300);
   plan.window = milliseconds(1200);
   std::vector<MeasuredSeries> group = measure_agent_slopes(bench, plan);
   for (MeasuredSeries& series : group) {
-    const bool simulated_too =
-        series.description.quantity.starts_with("bytes") && series.description.name.ends_with(".by_agents");
-    assert(series.points.size() == (simulated_too ? 2 : 1));
-    if (simulated_too) assert(series.source.find("simulat") != std::string::npos);
+    assert(series.points.size() == 1);
+    assert(series.source.find("simulat") == std::string::npos);
     series.points.resize(1);
   }
   check_group(group,
