--- a/src/lab/capacity/capacity_page.cpp
+++ b/src/lab/capacity/capacity_page.cpp
@@ -176,7 +176,8 @@
       if (!one.factor) return std::string("missed: `") + nothing_carries_this + "`";
       return "**missed by a factor of " + number_text(*one.factor) + "**";
     case Verdict::graceful_over:
-      return number_text(*one.factor) + " times the limit: has to be graceful: measure overload, docs/measurements.md";
+      return number_text(*one.factor) +
+             " times the limit: has to be graceful: measure overload, docs/measurements.md";
     case Verdict::not_measured:
       return "not measured";
   }
