A damaged configuration version is an error with a type of its own

Cause: the store threw a plain runtime error where a document does not match its digest. Change: SystemError with the file's name.

--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -7,6 +7,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "errors/error.h"
+
 namespace pearchute::store {
 
 using fleet::Claim;
@@ -334,7 +336,7 @@
   current.content.assign(static_cast<const char*>(content.getBlob()),
                          static_cast<std::size_t>(content.getBytes()));
   if (!fleet::is_intact(current))
-    throw std::runtime_error("the configuration version is not what its digest says");
+    throw SystemError("the configuration version is not what its digest says", path_);
   state.current = std::move(current);
   return state;
 }
