Two comments of the module that misled, and a bound of a test from below

Change: both comments say what was seen; the test asks for one newcomer at least. Left: it is a weak test by itself.

Result: test_ledger passes; with the count of newcomers taken out, overtaking() of the same file fails.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -123,14 +123,14 @@
   const double cost = 1 / density(held);
   largest_ = std::max(largest_, cost), work_taken_ += held.work_ms, value_taken_ += held.work_ms / cost;
   mean_cost_ = work_taken_ / std::max(value_taken_, 1e-9);
-  // The queue's bound keeps a scan of it well under a round's processor time.
+  // Bounds a scan of the queue, which release() makes when a dispatch ends and at each beat.
   constexpr std::size_t longest_queue = 600;
   // Guards against overload of any cause: what asks most engine time for its billed value is not taken on.
   // But for what is estimated as small for its type, lest a type that costs more than others goes as a whole.
   const bool small = job.work_ms && held.work_ms <= type.usual_work_ms.value;
   // Exception: where beats come late again and again this manager's own core is short, and what earns less
-  // than the mean is not taken on, small or not. Guards against answers that come late to all; harms none but
-  // by chance.
+  // than the mean is not taken on, small or not. Guards against answers that come late to all; harms such
+  // jobs for up to a second after the load has fallen.
   const bool costly = (cost > cut_ && !small) || (beats_late_ >= 2 && cost > mean_cost_);
   // Guards against work that would fill an engine and be lost. Where nothing can be called off, half as much
   // again is allowed for, since a time-out leaves it running; the highest priority hardly feels the crowd.
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -258,7 +258,7 @@
     passed += bench.dispatches(id);
     if (bench.dispatches(id) > 0) bench.end(id, Outcome::done, ms(20));
   }
-  assert(passed <= 5);
+  assert(passed >= 1 && passed <= 5);
 }
 
 // Where this manager's own core is short, its beats come late; then what earns less than the mean is turned
