The daemon's test fixture in a header of its own

Cause: tests of crossing faults need the process among stand-ins that test_endings.cpp had for itself.

Change: moved to tests/daemon_fixture.h with field names; no check changed.

--- a/tests/test_endings.cpp
+++ b/tests/test_endings.cpp
@@ -4,136 +4,16 @@
 #include <fcntl.h>
 
 #include <cstring>
-#include <fstream>
-#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 
-#include "lab/stand_ins/engine.h"
-#include "lab/stand_ins/engine_list_channel.h"
-#include "net/event_loop_thread.h"
-#include "sockets.h"
+#include "daemon_fixture.h"
 
+using namespace pearchute::test;
 using namespace pearchute::lab;
-using pearchute::net::EventLoopThread;
-using Clock = std::chrono::steady_clock;
-using std::chrono::milliseconds;
 
 namespace {
 
-int next_number = 1;
-
-JobCall job(const std::string& statement, int patience_ms, const std::string& type = "quick",
-            const std::string& more = "") {
-  return {next_number++, statement + " FROM a_1.t", patience_ms, type, more};
-}
-
-// One that is not overdue before some seconds have passed, so that no engine is blamed meanwhile.
-JobCall long_job(const std::string& statement) {
-  JobCall call = job(statement, 13000, "room");
-  call.cost_ms = 3000;
-  return call;
-}
-
-std::int64_t unix_ms() {
-  return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
-struct Member {
-  std::string name, address, kind = "std", zone = "east";
-  std::int64_t up_since_ms = 0;
-};
-
-std::string known(const std::vector<Member>& members) {
-  std::string text;
-  for (const Member& one : members) {
-    text += (text.empty() ? "" : ",") + std::string(R"({"id":")") + one.name + R"(","host_port":")" +
-            one.address + R"(","locality":")" + one.zone + R"(","flavor":")" + one.kind +
-            R"(","cell":0,"phase":"active","up_since_ms":)" + std::to_string(one.up_since_ms) + "}";
-  }
-  return R"({"cursor":1,"cmds":[{"cursor":1,"nodes":{"revision":1,"complete":true,"members":[)" + text +
-         "]}}]}";
-}
-
-constexpr const char* usual_settings = R"({"classes":[
-    {"name":"quick","repeat":"pure","slo":6000000,"giveUp":9000000,"worth":1},
-    {"name":"brief","repeat":"pure","slo":900000,"giveUp":1000000,"worth":1}],
-    "hostTypes":["std"],"failureDomains":["east"],"zone":"east","nInstances":1,
-    "familyInfo":{"coresByKind":[8],"sizeMb":[8000],"takesGrants":true,"takesPriority":true,"grantCap":0.5},
-    "limits":{"attemptsCap":3,"cancel":true,"connectTimeout":250000,"idleClose":15000000,"streamsPerConn":4,
-              "retryAfter":true,"maxRetryAfter":500000}})";
-
-// A manager as a process, with stand-ins on a loop of their own.
-struct Town {
-  EventLoopThread stage;
-  std::map<std::string, std::unique_ptr<StandInEngine>> engines;
-  std::unique_ptr<StandInChannel> channel;
-  std::string folder, configuration, more = R"("limits":{"sockets":256})";
-  int port = 0;
-  pid_t daemon = -1;
-
-  Town() {
-    char name[] = "/tmp/pearchute-endings-XXXXXX";
-    assert(mkdtemp(name));
-    folder = name, configuration = folder + "/config.json";
-    close(listen_on(port));
-  }
-  ~Town() {
-    if (daemon > 0) kill(daemon, SIGKILL), end_of(daemon);
-    stage.on([&] { engines.clear(), channel.reset(); });
-    unlink(configuration.c_str()), rmdir(folder.c_str());
-  }
-  std::string engine(const std::string& name, int cores = 8) {
-    return stage.on([&] {
-      engines[name] = std::make_unique<StandInEngine>(stage.loop(), name, cores, 8000, 1, nullptr);
-      return engines[name]->address();
-    });
-  }
-  void configure(const std::string& settings, const std::string& list, const std::string& channel_at = "") {
-    std::ofstream(configuration) << R"({"name":"t","listen":"127.0.0.1:)" << port << R"(","seed":"1",)"
-                                 << more << (channel_at.empty() ? "" : R"(,"channel":")" + channel_at + "\"")
-                                 << R"(,"known":)" << list << R"(,"settings":)" << settings << "}";
-  }
-  bool ready() { return call(port, "GET /check HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200"); }
-  void go() {
-    daemon = ::start(configuration);
-    assert(soon([&] { return ready(); }));
-  }
-  void go(const std::string& settings, const std::string& list) { configure(settings, list), go(); }
-  int ended() {
-    const int status = end_of(daemon);
-    daemon = -1;
-    return status;
-  }
-  int begun(const std::string& name, const JobCall& job) {
-    return stage.on([&] { return engines.at(name)->begun_times(id_of(job.number)); });
-  }
-  std::uint64_t counter(const std::string& name) {
-    const std::string text = call(port, "GET /counters HTTP/1.1\r\n\r\n");
-    const std::size_t at = text.find("\"" + name + "\":");
-    return at == std::string::npos ? 0 : std::stoull(text.substr(at + name.size() + 3));
-  }
-  int open(const JobCall& job) {
-    const int fd = connect_to(port);
-    assert(fd >= 0);
-    say(fd, job.bytes());
-    return fd;
-  }
-};
-
-void pass(milliseconds time) { std::this_thread::sleep_for(time); }
-
-std::string fetch_of(const JobCall& job) { return "GET /job/" + id_of(job.number) + " HTTP/1.1\r\n\r\n"; }
-
-// The last answer, by the path where one is given.
-std::string hear_out(int fd, const JobCall& job) {
-  std::string answer = hear(fd);
-  if (answer.find("{\"link\":") == std::string::npos) return answer;
-  say(fd, fetch_of(job));
-  return hear(fd);
-}
-
 // Settings with a type for each cause of holding, each bound to engines of its own.
 constexpr const char* held_settings = R"({"classes":[
     {"name":"room","repeat":"pure","slo":12000000,"giveUp":14000000,"worth":1,"boundTo":["a"]},
@@ -149,24 +29,24 @@
 // A client that has gone: nothing of its job leaves from then on, whatever the job was held for; one that
 // comes back by its path in time gets its answer.
 void gone_while_held() {
-  Town town;
+  DaemonFixture fixture;
   LateDoor late;
-  const std::string a = town.engine("a", 2), b = town.engine("b"), c = town.engine("c");
-  town.go(held_settings, known({{"a", a, "a"},
-                                {"b", b, "b", "east", unix_ms()},
-                                {"c", c, "c"},
-                                {"d", "127.0.0.1:" + std::to_string(late.port), "d"}}));
+  const std::string a = fixture.engine("a", 2), b = fixture.engine("b"), c = fixture.engine("c");
+  fixture.go(held_settings, known({{"a", a, "a"},
+                                   {"b", b, "b", "east", unix_ms()},
+                                   {"c", c, "c"},
+                                   {"d", "127.0.0.1:" + std::to_string(late.port), "d"}}));
   // Two that fill what there is, and one that leaves its key at rest.
   const JobCall fills[] = {long_job("fault=hang"), long_job("fault=hang")};
-  int filling[] = {town.open(fills[0]), town.open(fills[1])};
+  int filling[] = {fixture.open(fills[0]), fixture.open(fills[1])};
   const std::string key = "X-Object: 00000000000000aa\r\nIdempotency-Key: k1\r\n";
   const JobCall first = job("fault=hang", 14000, "line", key);
-  const int first_fd = town.open(first);
+  const int first_fd = fixture.open(first);
   assert(soon([&] {
-    return town.begun("a", fills[0]) + town.begun("a", fills[1]) == 2 && town.begun("c", first) == 1;
+    return fixture.begun("a", fills[0]) + fixture.begun("a", fills[1]) == 2 && fixture.begun("c", first) == 1;
   }));
   close(first_fd);  // its end is unsure: the key rests
-  assert(soon([&] { return town.counter("withdrawn") == 1; }));
+  assert(soon([&] { return fixture.counter("withdrawn") == 1; }));
 
   struct Case {
     const char* type;
@@ -184,7 +64,7 @@
     for (const Case& one : cases) {
       JobCall call = job("work=1", 13000, one.type, one.more);
       if (call.type != "cold") call.cost_ms = 3000;
-      held.push_back({call, one.at, town.open(call), back});
+      held.push_back({call, one.at, fixture.open(call), back});
     }
   }
   for (Held& one : held) assert(hear(one.fd).find("{\"link\":") != std::string::npos);
@@ -196,11 +76,11 @@
   for (Held& one : held) close(one.fd);
   pass(milliseconds(100));  // the terms' own span
   for (Held& one : held) {
-    if (one.back) one.fd = connect_to(town.port), say(one.fd, fetch_of(one.call));
+    if (one.back) one.fd = connect_to(fixture.port), say(one.fd, fetch_of(one.call));
   }
   // Now everything that they were held for comes about.
   for (std::size_t i = 0; i < 2; ++i) {
-    call(town.port, "DELETE" + fetch_of(fills[i]).substr(3));
+    call(fixture.port, "DELETE" + fetch_of(fills[i]).substr(3));
     close(filling[i]);
   }
   late.opens();
@@ -208,7 +88,7 @@
   std::thread opened([&] { came = late.hears("none", milliseconds(5000)); });
   const auto has_begun = [&](const Held& one) {
     return one.at.empty() ? came.find(id_of(one.call.number)) != std::string::npos
-                          : town.begun(one.at, one.call) > 0;
+                          : fixture.begun(one.at, one.call) > 0;
   };
   for (Held& one : held) {
     if (one.back && !one.at.empty()) {
@@ -227,16 +107,16 @@
 
 // The same for a client that leaves behind bytes that nobody reads, because its call is open.
 void gone_behind_bytes() {
-  Town town;
-  const std::string a = town.engine("a", 2);
-  town.go(held_settings, known({{"a", a, "a"}}));
+  DaemonFixture fixture;
+  const std::string a = fixture.engine("a", 2);
+  fixture.go(held_settings, known({{"a", a, "a"}}));
   const JobCall fills[] = {long_job("fault=hang"), long_job("fault=hang")};
-  const int filling[] = {town.open(fills[0]), town.open(fills[1])};
-  assert(soon([&] { return town.begun("a", fills[0]) + town.begun("a", fills[1]) == 2; }));
+  const int filling[] = {fixture.open(fills[0]), fixture.open(fills[1])};
+  assert(soon([&] { return fixture.begun("a", fills[0]) + fixture.begun("a", fills[1]) == 2; }));
   std::vector<JobCall> floods;
   for (const std::size_t behind : {0ul, 1000ul, 40'000ul, 200'000ul, 2'000'000ul}) {
     const JobCall flood = long_job("work=1");
-    const int fd = connect_to(town.port, 0);
+    const int fd = connect_to(fixture.port, 0);
     std::string bytes = flood.bytes();
     while (bytes.size() < behind) bytes += long_job("work=1").bytes();
     fcntl(fd, F_SETFL, O_NONBLOCK);
@@ -247,20 +127,21 @@
   }
   // One that sends too much and stays hears that it is to come again; one that makes one call is served.
   const JobCall more = long_job("work=1");
-  const int talker = town.open(more);
+  const int talker = fixture.open(more);
   std::string behind = "\r\n";
   while (behind.size() < 40'000) behind += long_job("work=1").bytes();
   say(talker, behind);
-  assert(hear(talker).starts_with("HTTP/1.1 503") && town.begun("a", more) == 0);
+  assert(hear(talker).starts_with("HTTP/1.1 503") && fixture.begun("a", more) == 0);
   close(talker);
   const JobCall stays = long_job("work=1");
-  const int there = town.open(stays);
+  const int there = fixture.open(stays);
   pass(milliseconds(300));
   for (const int fd : filling) close(fd);
   assert(hear(there).find("values") != std::string::npos);
   pass(milliseconds(300));
   for (const JobCall& flood : floods) {
-    if (town.begun("a", flood) > 0) std::fprintf(stderr, "flood %d was begun\n", flood.number), assert(false);
+    if (fixture.begun("a", flood) > 0)
+      std::fprintf(stderr, "flood %d was begun\n", flood.number), assert(false);
   }
   close(there);
 }
@@ -268,9 +149,9 @@
 // A connection on which nothing is open may be closed, and a call may cross that: then it was not read, or it
 // is answered. Either way nobody hears of it later.
 void calls_cross_the_end() {
-  Town town;
-  const std::string a = town.engine("a");
-  town.go(usual_settings, known({{"a", a}}));
+  DaemonFixture fixture;
+  const std::string a = fixture.engine("a");
+  fixture.go(usual_settings, known({{"a", a}}));
   struct Rester {
     int fd;
     JobCall call;
@@ -279,12 +160,12 @@
   };
   std::vector<Rester> resters;
   for (int i = 0; i < 100; ++i) {
-    resters.push_back({connect_to(town.port), job("work=1", 900, "brief"), "", false});
+    resters.push_back({connect_to(fixture.port), job("work=1", 900, "brief"), "", false});
     say(resters.back().fd, "GET /check HTTP/1.1\r\n\r\n");
     assert(hear(resters.back().fd).starts_with("HTTP/1.1 200"));
   }
   const auto asked = Clock::now();
-  kill(town.daemon, SIGTERM);
+  kill(fixture.daemon, SIGTERM);
   pass(milliseconds(720));
   for (Rester& one : resters) {
     say(one.fd, one.call.bytes());
@@ -298,85 +179,85 @@
     assert(whole || one.answer.empty());
     answered += whole;
     close(one.fd);
-    if (!whole) assert(town.begun("a", one.call) == 0);
+    if (!whole) assert(fixture.begun("a", one.call) == 0);
   }
-  assert(town.ended() == 0);
+  assert(fixture.ended() == 0);
   assert(Clock::now() - asked < milliseconds(2000));
   assert(answered > 0 && answered < 100);  // some came before and some after, so that the end was crossed
 }
 
 // Connections that wait to be accepted when the manager stops taking any have been taken by the machine.
 void waiting_at_the_door() {
-  Town town;
-  town.more = R"("limits":{"sockets":1024})";
-  const std::string a = town.engine("a");
-  town.go(usual_settings, known({{"a", a}}));
-  kill(town.daemon, SIGTERM);
+  DaemonFixture fixture;
+  fixture.more = R"("limits":{"sockets":1024})";
+  const std::string a = fixture.engine("a");
+  fixture.go(usual_settings, known({{"a", a}}));
+  kill(fixture.daemon, SIGTERM);
   pass(milliseconds(200));  // it has heard
-  kill(town.daemon, SIGSTOP);
+  kill(fixture.daemon, SIGSTOP);
   pass(milliseconds(50));
   std::vector<std::pair<int, JobCall>> late;
   for (int i = 0; i < 300; ++i) {
     const JobCall call = job("work=1", 900, "brief");
-    late.emplace_back(town.open(call), call);
+    late.emplace_back(fixture.open(call), call);
   }
   pass(milliseconds(600));  // past the time at which it stops to listen
-  kill(town.daemon, SIGCONT);
+  kill(fixture.daemon, SIGCONT);
   int broken = 0;
   for (const auto& [fd, call] : late) {
     broken += !hear(fd).starts_with("HTTP/1.1 ");
     close(fd);
   }
   assert(broken == 0);
-  assert(town.ended() == 0);
+  assert(fixture.ended() == 0);
 }
 
 // A result that its client has not fetched yet when the manager is asked to end, because its connection
 // broke: it calls again, and gets it.
 void unfetched() {
-  Town town;
-  const std::string a = town.engine("a");
-  town.go(usual_settings, known({{"a", a}}));
+  DaemonFixture fixture;
+  const std::string a = fixture.engine("a");
+  fixture.go(usual_settings, known({{"a", a}}));
   const JobCall slow = job("work=2600", 9000);
-  const int fd = town.open(slow);
+  const int fd = fixture.open(slow);
   assert(hear(fd).find("{\"link\":") != std::string::npos);  // after two seconds
   say(fd, fetch_of(slow));
   pass(milliseconds(50));
   const linger reset{1, 0};
   setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
   close(fd);
-  kill(town.daemon, SIGTERM);
-  assert(soon([&] { return town.stage.on([&] { return town.engines["a"]->running() == 0; }); }));
+  kill(fixture.daemon, SIGTERM);
+  assert(soon([&] { return fixture.stage.on([&] { return fixture.engines["a"]->running() == 0; }); }));
   pass(milliseconds(500));
-  const std::string answer = call(town.port, fetch_of(slow));
+  const std::string answer = call(fixture.port, fetch_of(slow));
   if (answer.find("values") == std::string::npos) std::fprintf(stderr, "%s\n", answer.c_str()), assert(false);
-  assert(town.ended() == 0);
+  assert(fixture.ended() == 0);
 }
 
 // Engines that hang while the manager ends: each job has its answer, and the process ends by itself before
 // the platform would kill it. Half an answer from an engine is none.
 void hung_at_the_end() {
-  Town town;
-  const std::string a = town.engine("a"), b = town.engine("b");
+  DaemonFixture fixture;
+  const std::string a = fixture.engine("a"), b = fixture.engine("b");
   std::string settings = usual_settings;  // the longest time-out is a second then
   settings.replace(settings.find("6000000,\"giveUp\":9000000"), 24, "900000,\"giveUp\":1000000");
-  town.go(settings, known({{"a", a}, {"b", b}}));
+  fixture.go(settings, known({{"a", a}, {"b", b}}));
   std::vector<std::pair<int, JobCall>> out;
   for (int i = 0; i < 12; ++i) {
     const JobCall call = job(i % 3 ? "fault=hang" : "work=250 fault=cut", 1000, "brief");
-    out.emplace_back(town.open(call), call);
+    out.emplace_back(fixture.open(call), call);
   }
   pass(milliseconds(150));
   const auto asked = Clock::now();
-  kill(town.daemon, SIGTERM);
+  kill(fixture.daemon, SIGTERM);
   pass(milliseconds(350));
   const JobCall late = job("fault=hang", 1000, "brief");
-  out.emplace_back(town.open(late), late);
+  out.emplace_back(fixture.open(late), late);
   for (const auto& [fd, call] : out) {
     assert(hear(fd).starts_with("HTTP/1.1 503"));
     close(fd);
   }
-  assert(town.ended() == 0);
+  assert(fixture.ended() == 0);
   const auto took = Clock::now() - asked;
   if (took > milliseconds(1680))
     std::fprintf(stderr, "it took %lld ms\n", static_cast<long long>(took / milliseconds(1))), assert(false);
@@ -386,16 +267,16 @@
 // known, are not sent again, and their clients hear so at once, not at their time's end. What surely did not
 // run goes again.
 void unsure_ends() {
-  Town town;
-  const std::string a = town.engine("a");
-  town.go(R"({"classes":[
+  DaemonFixture fixture;
+  const std::string a = fixture.engine("a");
+  fixture.go(R"({"classes":[
     {"name":"once","repeat":"side_effect","slo":7000000,"giveUp":9000000,"worth":1},
     {"name":"mark","repeat":"token","keyScope":"all","window":300000,"slo":7000000,"giveUp":9000000,"worth":1},
     {"name":"free","repeat":"pure","slo":7000000,"giveUp":9000000,"worth":1}],
     "hostTypes":["std"],"failureDomains":["east"],"zone":"east","nInstances":1,
     "familyInfo":{"coresByKind":[8],"sizeMb":[8000]},
     "limits":{"attemptsCap":2,"connectTimeout":250000,"idleClose":15000000,"streamsPerConn":1}})",
-          known({{"a", a}}));
+             known({{"a", a}}));
   struct Case {
     const char *type, *statement;
     const char* status;
@@ -417,10 +298,10 @@
     const JobCall call =
         job(one.statement, 8000, one.type, "Idempotency-Key: t" + std::to_string(next_number) + "\r\n");
     const auto asked = Clock::now();
-    const int fd = town.open(call);
+    const int fd = fixture.open(call);
     const std::string answer = hear(fd);
     const auto took = std::chrono::duration_cast<milliseconds>(Clock::now() - asked).count();
-    const int begun = town.begun("a", call);
+    const int begun = fixture.begun("a", call);
     if (!answer.starts_with(one.status) || begun != one.begun || took > 3500) {
       std::fprintf(stderr, "%s %s: %d times, %lld ms: %s\n", one.type, one.statement, begun,
                    static_cast<long long>(took), answer.c_str());
@@ -433,53 +314,55 @@
 // All watches on the list fall silent at once and stay open; an engine drains right after. Then a
 // configuration moves the channel while the former one is being opened anew.
 void silent_watches() {
-  Town town;
-  const std::string a = town.engine("a"), b = town.engine("b");
+  DaemonFixture fixture;
+  const std::string a = fixture.engine("a"), b = fixture.engine("b");
   const auto member = [&](const char* name, const std::string& address, const char* phase) {
     return StandInChannel::Member{name, address, "east", "std", phase};
   };
   std::unique_ptr<StandInChannel> moved;
-  const std::string at = town.stage.on([&] {
-    town.channel = std::make_unique<StandInChannel>(town.stage.loop());
-    moved = std::make_unique<StandInChannel>(town.stage.loop());
-    for (StandInChannel* one : {town.channel.get(), moved.get()})
+  const std::string at = fixture.stage.on([&] {
+    fixture.channel = std::make_unique<StandInChannel>(fixture.stage.loop());
+    moved = std::make_unique<StandInChannel>(fixture.stage.loop());
+    for (StandInChannel* one : {fixture.channel.get(), moved.get()})
       one->tell({member("a", a, "active"), member("b", b, "active")}, true);
-    return town.channel->address();
+    return fixture.channel->address();
   });
-  town.configure(usual_settings, R"({"cursor":0,"cmds":[]})", at);
-  town.go();
-  assert(soon([&] { return town.stage.on([&] { return town.channel->streams() == 1; }); }));
-  town.stage.on([&] { town.channel->strand(), town.channel->tell({member("a", a, "leaving")}, false); });
+  fixture.configure(usual_settings, R"({"cursor":0,"cmds":[]})", at);
+  fixture.go();
+  assert(soon([&] { return fixture.stage.on([&] { return fixture.channel->streams() == 1; }); }));
+  fixture.stage.on(
+      [&] { fixture.channel->strand(), fixture.channel->tell({member("a", a, "leaving")}, false); });
   const auto told = Clock::now();
   // Within what a silent stream may take, half a second and the way, nothing goes there any more.
-  assert(soon([&] { return town.stage.on([&] { return town.channel->asked() >= 2; }); }));
+  assert(soon([&] { return fixture.stage.on([&] { return fixture.channel->asked() >= 2; }); }));
   pass(milliseconds(100));
   assert(Clock::now() - told < milliseconds(3500));
   for (int i = 0; i < 20; ++i) {
     const JobCall call = job("work=1", 2000);
-    const int fd = town.open(call);
-    assert(hear(fd).starts_with("HTTP/1.1 200") && town.begun("a", call) == 0);
+    const int fd = fixture.open(call);
+    assert(hear(fd).starts_with("HTTP/1.1 200") && fixture.begun("a", call) == 0);
     close(fd);
   }
   // The channel's place refuses, and the configuration names another while that is tried again.
-  const std::string moved_at = town.stage.on([&] {
+  const std::string moved_at = fixture.stage.on([&] {
     moved->tell({member("a", a, "leaving")}, false);
     moved->tell({member("a", a, "left"), member("b", b, "leaving"), member("c", a, "active")}, false);
-    town.channel.reset();
+    fixture.channel.reset();
     return moved->address();
   });
   pass(milliseconds(30));
-  town.configure(usual_settings, R"({"cursor":0,"cmds":[]})", moved_at);
-  kill(town.daemon, SIGHUP);
-  assert(soon([&] { return town.stage.on([&] { return moved->asked() == 1 && moved->asked_from() == 2; }); },
-              150));
+  fixture.configure(usual_settings, R"({"cursor":0,"cmds":[]})", moved_at);
+  kill(fixture.daemon, SIGHUP);
+  assert(
+      soon([&] { return fixture.stage.on([&] { return moved->asked() == 1 && moved->asked_from() == 2; }); },
+           150));
   pass(milliseconds(100));
   const JobCall call = job("work=1", 2000);
-  const int fd = town.open(call);
-  assert(hear(fd).starts_with("HTTP/1.1 200") && town.begun("b", call) == 0);
+  const int fd = fixture.open(call);
+  assert(hear(fd).starts_with("HTTP/1.1 200") && fixture.begun("b", call) == 0);
   close(fd);
   pass(milliseconds(600));  // one reconnect, not two: nothing else is asked for
-  town.stage.on([&] {
+  fixture.stage.on([&] {
     assert(moved->asked() == 1);
     moved.reset();
   });
@@ -488,23 +371,23 @@
 // Idle clients fill the descriptors while discovery is down: the list, the engines and new clients get theirs
 // all the same, and a manager that starts then gets ready.
 void descriptors_full() {
-  Town town;
-  const std::string a = town.engine("a");
+  DaemonFixture fixture;
+  const std::string a = fixture.engine("a");
   int channel_port = 0;
   close(listen_on(channel_port));  // nobody is there yet
   const std::string at = "127.0.0.1:" + std::to_string(channel_port);
-  town.configure(usual_settings, R"({"cursor":0,"cmds":[]})", at);
-  town.daemon = ::start(town.configuration);
-  assert(soon([&] { return call(town.port, "GET /check HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 503"); }));
+  fixture.configure(usual_settings, R"({"cursor":0,"cmds":[]})", at);
+  fixture.daemon = ::start(fixture.configuration);
+  assert(soon([&] { return call(fixture.port, "GET /check HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 503"); }));
   // More than there are descriptors, in one burst; half of them have called before, and rest.
   std::vector<int> idle;
   for (int i = 0; i < 600; ++i) {
-    const int fd = connect_to(town.port);
+    const int fd = connect_to(fixture.port);
     if (fd < 0) continue;
     if (i % 2) say(fd, "GET /check HTTP/1.1\r\n\r\n");
     idle.push_back(fd);
   }
-  assert(call(town.port, "GET /check HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 503"));
+  assert(call(fixture.port, "GET /check HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 503"));
   // Discovery is back, at that address.
   const int door = socket(AF_INET, SOCK_STREAM, 0), yes = 1;
   setsockopt(door, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
@@ -519,13 +402,13 @@
   assert(Clock::now() - back < milliseconds(1000));
   say(stream, "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: " +
                   StandInChannel::event(1, {{"a", a, "east", "std", "active"}}, true).dump() + "\n\n");
-  assert(soon([&] { return town.ready(); }, 100));
+  assert(soon([&] { return fixture.ready(); }, 100));
   // As many engine connections as there are for engines, beside as many idle clients as like to stay.
   std::vector<std::pair<int, JobCall>> jobs;
   for (int i = 0; i < 60; ++i) {
-    for (int k = 0; k < 3; ++k) idle.push_back(connect_to(town.port));
+    for (int k = 0; k < 3; ++k) idle.push_back(connect_to(fixture.port));
     const JobCall call = job("work=20", 4000);
-    jobs.emplace_back(town.open(call), call);
+    jobs.emplace_back(fixture.open(call), call);
   }
   int done = 0;
   for (const auto& [fd, call] : jobs) {
@@ -543,13 +426,13 @@
 
 // All places are taken by clients with a call open: one more hears so, and not by a bare end.
 void no_place_left() {
-  Town town;
-  town.more = R"("limits":{"sockets":64})";
-  const std::string a = town.engine("a");
-  town.go(usual_settings, known({{"a", a}}));
+  DaemonFixture fixture;
+  fixture.more = R"("limits":{"sockets":64})";
+  const std::string a = fixture.engine("a");
+  fixture.go(usual_settings, known({{"a", a}}));
   std::vector<int> open;
   for (int i = 0; i < 60; ++i) {
-    const int fd = connect_to(town.port);
+    const int fd = connect_to(fixture.port);
     const std::string bytes = job("fault=hang", 9000).bytes();
     say(fd, bytes);
     open.push_back(fd);
@@ -559,7 +442,7 @@
   for (int i = 0; i < 10; ++i) {
     const JobCall call = job("work=1", 2000);
     bool broken = false;
-    const int fd = connect_to(town.port);
+    const int fd = connect_to(fixture.port);
     pass(milliseconds(5));
     say(fd, call.bytes());
     const std::string answer = hear(fd, &broken);
@@ -574,22 +457,22 @@
 
 // Engines that go on without an end, or give half a line and close; a client that trickles.
 void spoilt_answers() {
-  Town town;
-  const std::string a = town.engine("a"), b = town.engine("b");
-  town.go(usual_settings, known({{"a", a}, {"b", b}}));
+  DaemonFixture fixture;
+  const std::string a = fixture.engine("a"), b = fixture.engine("b");
+  fixture.go(usual_settings, known({{"a", a}, {"b", b}}));
   for (const char* statement : {"work=1 fault=endless", "work=1 fault=cut", "work=1 fault=part"}) {
     const JobCall call = job(statement, 6000);
     const auto asked = Clock::now();
-    const int fd = town.open(call);
+    const int fd = fixture.open(call);
     assert(hear_out(fd, call).starts_with("HTTP/1.1 503"));  // each engine errs so, three times at the most
     assert(Clock::now() - asked < milliseconds(4500));
-    assert(town.begun("a", call) + town.begun("b", call) <= 3);
+    assert(fixture.begun("a", call) + fixture.begun("b", call) <= 3);
     close(fd);
   }
-  assert(
-      soon([&] { return call(town.port, job("work=1", 2000).bytes()).starts_with("HTTP/1.1 200"); }, 1000));
+  assert(soon([&] { return call(fixture.port, job("work=1", 2000).bytes()).starts_with("HTTP/1.1 200"); },
+              1000));
   const JobCall slow = job("work=1", 3000);
-  const int fd = connect_to(town.port);
+  const int fd = connect_to(fixture.port);
   const std::string bytes = slow.bytes();
   for (std::size_t i = 0; i < bytes.size(); ++i) {
     say(fd, bytes.substr(i, 1));
@@ -602,30 +485,30 @@
 // Settings of an installation unlike others: names of any kind, one type, no tenants, no zones, no kinds, and
 // the least that a manager gets.
 void strange_settings() {
-  Town town;
-  town.more = R"("limits":{"sockets":64,"memory_mb":32})";
-  const std::string a = town.engine("a");
-  town.go(R"({"classes":[{"name":"Nacht lauf,2/\u00e4","repeat":"pure","slo":500000,"giveUp":800000}],
+  DaemonFixture fixture;
+  fixture.more = R"("limits":{"sockets":64,"memory_mb":32})";
+  const std::string a = fixture.engine("a");
+  fixture.go(R"({"classes":[{"name":"Nacht lauf,2/\u00e4","repeat":"pure","slo":500000,"giveUp":800000}],
     "limits":{"attemptsCap":1,"connectTimeout":250000}})",
-          known({{"a", a, "", ""}}));
-  assert(
-      call(town.port, job("work=1", 700, "Nacht%20lauf%2C2%2F%C3%A4").bytes()).starts_with("HTTP/1.1 200"));
-  assert(call(town.port, job("fault=full", 700, "Nacht%20lauf%2C2%2F%C3%A4").bytes())
+             known({{"a", a, "", ""}}));
+  assert(call(fixture.port, job("work=1", 700, "Nacht%20lauf%2C2%2F%C3%A4").bytes())
+             .starts_with("HTTP/1.1 200"));
+  assert(call(fixture.port, job("fault=full", 700, "Nacht%20lauf%2C2%2F%C3%A4").bytes())
              .starts_with("HTTP/1.1 503"));
-  assert(call(town.port, job("work=1", 700, "quick").bytes()).starts_with("HTTP/1.1 404"));
+  assert(call(fixture.port, job("work=1", 700, "quick").bytes()).starts_with("HTTP/1.1 404"));
 }
 
 // Where the settings tell of tenants, clients tell theirs: under more work than the engine does, one within
 // its share is served before one far beyond.
 void tenants() {
-  Town town;
-  const std::string a = town.engine("a", 1);
-  town.go(R"({"classes":[{"name":"quick","repeat":"pure","slo":800000,"giveUp":1500000,"worth":1}],
+  DaemonFixture fixture;
+  const std::string a = fixture.engine("a", 1);
+  fixture.go(R"({"classes":[{"name":"quick","repeat":"pure","slo":800000,"giveUp":1500000,"worth":1}],
     "orgs":[{"name":"with in","quotaPerS":8},{"name":"beyond","quotaPerS":8}],"overShareWorth":0.05,
     "hostTypes":["std"],"failureDomains":["east"],"zone":"east","nInstances":1,
     "familyInfo":{"coresByKind":[1],"sizeMb":[8000]},
     "limits":{"attemptsCap":2,"cancel":true,"connectTimeout":250000,"idleClose":15000000,"streamsPerConn":8}})",
-          known({{"a", a}}));
+             known({{"a", a}}));
   struct Sent {
     int fd;
     bool within;
@@ -637,7 +520,7 @@
     JobCall call = job("work=" + std::to_string(work), 1500, "quick",
                        within ? "X-Tenant: with in\r\n" : "X-Tenant: beyond\r\n");
     call.cost_ms = work;
-    sent.push_back({town.open(call), within});
+    sent.push_back({fixture.open(call), within});
     pass(milliseconds(40));
   }
   int done[2] = {}, all[2] = {};
