--- a/src/lab/stand_ins/engine.cpp
+++ b/src/lab/stand_ins/engine.cpp
@@ -145,7 +145,10 @@
 
 void StandInEngine::want(Line& line, std::vector<std::string>& words) {
   ++begun_;
-  if (begun_jobs_.size() < 5000 || begun_jobs_.contains(words[1])) ++begun_jobs_[words[1]];
+  if (begun_jobs_.size() < 5000 || begun_jobs_.contains(words[1])) {
+    ++begun_jobs_[words[1]];
+    told_waits_[words[1]] = std::chrono::milliseconds(static_cast<int>(number_of(words[2], "ms", 0)));
+  }
   Run run{&line, words[1], 0, 0, 1, value_of(words[3], "fault"), next_++};
   if (record_) record_->begun(name_, run.job);
   run.work_ms = number_of(words[3], "work", 5) * faults_.slow;
--- a/src/lab/stand_ins/engine.h
+++ b/src/lab/stand_ins/engine.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -46,6 +47,11 @@
     const auto at = begun_jobs_.find(job);
     return at == begun_jobs_.end() ? 0 : at->second;
   }
+  // How long the manager said that it would wait, when the job last came; nothing where it did not come.
+  std::optional<std::chrono::milliseconds> told_wait(const std::string& job) const {
+    const auto at = told_waits_.find(job);
+    return at == told_waits_.end() ? std::nullopt : std::optional(at->second);
+  }
   // When and how much, of the last few thousand statements.
   struct BegunWork {
     Time at{};
@@ -95,6 +101,7 @@
   std::uint64_t next_ = 1, begun_ = 0, given_up_ = 0, hung_ = 0, signs_ = 0;
   std::uint64_t bytes_received_ = 0, bytes_sent_ = 0;
   std::map<std::string, int> begun_jobs_;
+  std::map<std::string, std::chrono::milliseconds> told_waits_;  // of as many jobs
   std::deque<BegunWork> begun_work_;
   std::set<std::string> given_up_jobs_, reset_jobs_;  // of faults and tests: a few
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/tests/test_crossings.cpp
@@ -0,0 +1,210 @@
+// Two or three rare conditions that meet, from outside: the daemon as a process among stand-ins. Each
+// scenario is a test of its own, named on the command line; docs/incidents/ tells how they were found.
+#include <atomic>
+#include <cstring>
+#include <nlohmann/json.hpp>
+
+#include "daemon_fixture.h"
+
+using namespace pearchute::test;
+using namespace pearchute::lab;
+
+namespace {
+
+std::int64_t elapsed_ms(Clock::time_point since) {
+  return std::chrono::duration_cast<milliseconds>(Clock::now() - since).count();
+}
+
+// The time that a request on an engine's connection says the manager will wait; -1 where there is none.
+long wait_in(const std::string& request) {
+  const std::size_t at = request.find(",ms=");
+  return at == std::string::npos ? -1 : std::atol(request.c_str() + at + 4);
+}
+
+// Settings whose only engines may be slow to come up.
+constexpr const char* late_settings = R"({"classes":[
+    {"name":"quick","repeat":"pure","slo":8000000,"giveUp":9000000,"worth":1}],
+    "hostTypes":["std"],"failureDomains":["east"],"zone":"east","nInstances":1,
+    "obligations":{"stopSendingWithin":500000},
+    "familyInfo":{"coresByKind":[8],"sizeMb":[8000]},
+    "limits":{"attemptsCap":2,"cancel":true,"connectTimeout":6000000,"idleClose":15000000,"streamsPerConn":4}})";
+
+// An engine begins to drain while the connection for a job is still coming up: the job never leaves for it.
+void drain_while_connecting() {
+  DaemonFixture fixture;
+  LateDoor late;
+  const StandInChannel::Member engine{"d", "127.0.0.1:" + std::to_string(late.port), "east", "std", "active"};
+  const std::string channel = fixture.stage.on([&] {
+    fixture.channel = std::make_unique<StandInChannel>(fixture.stage.loop());
+    fixture.channel->tell({engine}, true);
+    return fixture.channel->address();
+  });
+  fixture.configure(late_settings, R"({"cursor":0,"cmds":[]})", channel);
+  fixture.go();
+  const JobCall call = job("work=1", 6000);
+  const int fd = fixture.open(call);
+  assert(soon([&] { return fixture.counter("dispatches") == 1; }));
+  fixture.stage.on([&] {
+    auto draining = engine;
+    draining.phase = "leaving";
+    fixture.channel->tell({draining}, false);
+  });
+  pass(milliseconds(700));  // longer than what is on its way may take
+  late.opens();
+  const std::string came = late.hears(id_of(call.number), milliseconds(2500));
+  assert(came.find(id_of(call.number)) == std::string::npos);
+  close(fd);
+}
+
+// A connection that comes up late takes its time from the client: the engine is told what is left then.
+void deadline_after_late_connect() {
+  DaemonFixture fixture;
+  LateDoor late;
+  fixture.go(late_settings, known({{"d", "127.0.0.1:" + std::to_string(late.port)}}));
+  const JobCall call = job("work=1", 6000);
+  const auto sent = Clock::now();
+  const int fd = fixture.open(call);
+  assert(soon([&] { return fixture.counter("dispatches") == 1; }));
+  pass(milliseconds(1200));
+  late.opens();
+  const std::string came = late.hears(id_of(call.number), milliseconds(4000));
+  const long told = wait_in(came), left = 6000 - elapsed_ms(sent);
+  std::fprintf(stderr, "told %ld ms, %ld ms are left\n", told, left);
+  assert(told > 0 && told <= left + 300 + 150);  // it was heard up to 0.3 s after it came
+  close(fd);
+}
+
+// Requests that a client writes behind an open one wait with the manager, and their time runs meanwhile: what
+// is left of it goes to the engine, and what has none left goes nowhere.
+void pipelined_deadlines() {
+  DaemonFixture fixture;
+  const std::string engine = fixture.engine("a");
+  fixture.go(usual_settings, known({{"a", engine}}));
+  const JobCall first = job("work=800", 5000), second = job("work=1", 1600), third = job("work=1", 500);
+  const int fd = connect_to(fixture.port);
+  const auto sent = Clock::now();
+  say(fd, first.bytes() + second.bytes() + third.bytes());
+  assert(hear(fd).starts_with("HTTP/1.1 200"));
+  const auto answered = elapsed_ms(sent);
+  assert(hear(fd).starts_with("HTTP/1.1 200"));
+  assert(hear(fd).starts_with("HTTP/1.1 503"));
+  const auto told = fixture.stage.on([&] { return fixture.engines["a"]->told_wait(id_of(second.number)); });
+  std::fprintf(stderr, "told %lld ms, %lld ms were left\n", static_cast<long long>(told->count()),
+               static_cast<long long>(1600 - answered));
+  assert(told && told->count() <= 1600 - answered + 150);
+  assert(fixture.begun("a", third) == 0);
+  close(fd);
+}
+
+// A plain server in discovery's place that answers each connection in its own way.
+class ScriptedDiscovery {
+ public:
+  explicit ScriptedDiscovery(std::function<void(int)> answer)
+      : door_(listen_on(port_)), thread_([this, answer = std::move(answer)] {
+          while (!over_) {
+            pollfd one{door_, POLLIN, 0};
+            if (poll(&one, 1, 20) <= 0) continue;
+            const int peer = accept(door_, nullptr, nullptr);
+            ++connections_;
+            peers_.emplace_back([peer, answer] { answer(peer); });
+          }
+        }) {}
+  ~ScriptedDiscovery() {
+    over_ = true;
+    thread_.join();
+    for (std::thread& one : peers_) one.join();
+    close(door_);
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  int connections() const { return connections_; }
+
+ private:
+  int port_ = 0, door_;
+  std::atomic<bool> over_ = false;
+  std::atomic<int> connections_ = 0;
+  std::vector<std::thread> peers_;
+  std::thread thread_;
+};
+
+std::string hear_request(int peer) {
+  char bytes[1000];
+  const auto got = recv(peer, bytes, sizeof bytes, 0);
+  return got > 0 ? std::string(bytes, static_cast<std::size_t>(got)) : "";
+}
+
+std::string list_event(const std::string& engine) {
+  return "id: 1\ndata: " + StandInChannel::event(1, {{"a", engine, "east", "std", "active"}}, true).dump() +
+         "\n\n";
+}
+
+// Discovery that has too many callers turns them away at once: it is asked again at growing distance, not as
+// fast as it answers. Once it takes calls again, it is asked soon.
+void discovery_refuses() {
+  DaemonFixture fixture;
+  const std::string engine = fixture.engine("a");
+  for (const char* refusal : {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+                              "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"}) {
+    std::atomic<bool> crowded = true, over = false;
+    ScriptedDiscovery discovery([&](int peer) {
+      hear_request(peer);
+      if (crowded) say(peer, refusal);
+      else say(peer, "HTTP/1.1 200 OK\r\n\r\n" + list_event(engine));
+      while (!crowded && !over) pass(milliseconds(10));
+      close(peer);
+    });
+    fixture.configure(usual_settings, R"({"cursor":0,"cmds":[]})", discovery.address());
+    fixture.daemon = ::start(fixture.configuration);
+    assert(soon([&] { return discovery.connections() > 0; }));
+    pass(milliseconds(2000));
+    const int asked = discovery.connections();
+    std::fprintf(stderr, "asked %d times in two seconds\n", asked);
+    assert(asked >= 3 && asked <= 20);
+    crowded = false;
+    assert(soon([&] { return fixture.ready(); }, 100));
+    over = true;
+    kill(fixture.daemon, SIGKILL), fixture.ended();
+  }
+}
+
+// Discovery that takes seconds to say its first word: it is waited for, longer each time.
+void discovery_slow() {
+  DaemonFixture fixture;
+  const std::string engine = fixture.engine("a");
+  std::atomic<bool> over = false;
+  ScriptedDiscovery discovery([&](int peer) {
+    hear_request(peer);
+    pass(milliseconds(3200));
+    say(peer, "HTTP/1.1 200 OK\r\n\r\n" + list_event(engine));
+    while (!over) pass(milliseconds(10));
+    close(peer);
+  });
+  fixture.configure(usual_settings, R"({"cursor":0,"cmds":[]})", discovery.address());
+  fixture.daemon = ::start(fixture.configuration);
+  const bool ready = soon([&] { return fixture.ready(); }, 900);
+  over = true;
+  assert(ready);
+}
+
+struct Scenario {
+  const char* name;
+  void (*play)();
+};
+constexpr Scenario scenarios[] = {
+    {"drain_while_connecting", drain_while_connecting},
+    {"deadline_after_late_connect", deadline_after_late_connect},
+    {"pipelined_deadlines", pipelined_deadlines},
+    {"discovery_refuses", discovery_refuses},
+    {"discovery_slow", discovery_slow},
+};
+
+}  // namespace
+
+int main(int count, char** names) {
+  bool played = false;
+  for (const Scenario& one : scenarios) {
+    if (count > 1 && std::strcmp(names[1], one.name) != 0) continue;
+    one.play();
+    played = true;
+  }
+  return played ? 0 : 2;
+}
