Discovery that refuses or is slow is asked again at growing distance, with longer patience

Cause: ListFeed::wire_brought set its pause to nothing at the first byte of any answer, so a 503 or a stream that ended at once was asked again as fast as it came: 21,911 times in two seconds by one manager (crossings_discovery_refuses). ListFeed::watch gave every stream 2.3 s for its first word and every connection 0.5 s, so a discovery slower than that was never heard at all (crossings_discovery_slow, ready never within 9 s where its first word takes 3.2 s). Ruled out: the reader of events (it was told 200 or 503 rightly).

Change: only a stream that held for a second is opened anew at once; else the pause grows from 50 to 400 ms. A stream that has said nothing yet gets twice the time, up to 9.2 s, each time in a row; one that has spoken keeps 2.3 s.

--- a/src/engines/list.cpp
+++ b/src/engines/list.cpp
@@ -120,9 +120,24 @@
 
 ListFeed::~ListFeed() = default;
 
+namespace {
+
+using std::chrono::milliseconds;
+
+// At once the first time, then at growing distance, well within what the list may come late.
+constexpr milliseconds first_pause(50), longest_pause(400);
+// A stream that held for so long was sound: what ended it is no reason to wait.
+constexpr milliseconds sound_after(1000);
+// A connection comes up within the first, and its first word comes within the second: a comment comes each
+// second, so after two missed it is no good, whatever it looks like. Guards against discovery that is slower
+// than that and would never be heard: each time in a row that it is, it gets twice the time.
+constexpr milliseconds opens_within(500), speaks_within(2300), longest_wait(9200);
+
+}  // namespace
+
 void ListFeed::open() {
-  last_sign_ = loop_.now();
-  broken_ = false;
+  last_sign_ = opened_at_ = loop_.now();
+  broken_ = spoke_ = false;
   const std::uint64_t which = ++opened_;
   ++counters_.list_connections;
   feed_ = std::make_unique<EventFeed>(*this);
@@ -143,25 +158,27 @@
   if (address == address_) return;
   address_ = std::move(address);
   pause_ = Span(0);
+  patience_ = 1;
   again("the channel has moved");
 }
 
 void ListFeed::wire_opened() { last_sign_ = loop_.now(); }
 
-// A comment comes each second: after two missed, the connection is no good, whatever it looks like. The first
-// sign comes as soon as it is up.
 void ListFeed::watch(std::uint64_t which) {
-  loop_.at(loop_.now() + std::chrono::milliseconds(100), [this, which] {
+  loop_.at(loop_.now() + milliseconds(100), [this, which] {
     if (which != opened_ || !wire_) return;
-    const std::chrono::milliseconds longest(wire_->opened() ? 2300 : 500);
-    if (loop_.now() - last_sign_ > longest) again("the stream is silent");
-    else watch(which);
+    Span longest = wire_->opened() ? speaks_within : opens_within;
+    if (!spoke_) longest = std::min<Span>(longest * patience_, longest_wait);
+    if (loop_.now() - last_sign_ <= longest) return watch(which);
+    if (!spoke_) patience_ = std::min(2 * patience_, most_patience);
+    again(wire_->opened() ? "the stream is silent" : "the connection does not come up");
   });
 }
 
 void ListFeed::wire_brought(std::string_view bytes) {
   last_sign_ = loop_.now();
-  pause_ = Span(0);
+  spoke_ = true;
+  patience_ = 1;
   const Wire* here = wire_.get();
   const bool sound = feed_->feed(bytes);
   if (wire_.get() != here || !wire_) return;  // a gap has closed it already
@@ -195,11 +212,13 @@
   PEARCHUTE_LOG(spdlog::level::warn, "list of engines: {}; opened anew", why);
   loop_.retire(std::move(wire_));
   wire_.reset();
-  // At once the first time, then at growing distance, well within what the list may come late.
+  // Guards against discovery that turns callers away, or ends their streams, as fast as they come: only a
+  // stream that held is opened anew at once.
+  if (spoke_ && loop_.now() - opened_at_ >= sound_after) pause_ = Span(0);
   loop_.at(loop_.now() + pause_, [this, which = opened_] {
     if (which == opened_) open();
   });
-  pause_ = std::clamp<Span>(2 * pause_, std::chrono::milliseconds(50), std::chrono::milliseconds(400));
+  pause_ = std::clamp<Span>(2 * pause_, first_pause, longest_pause);
 }
 
 }  // namespace pearchute::net
--- a/src/engines/list.h
+++ b/src/engines/list.h
@@ -86,7 +86,10 @@
   std::unique_ptr<Wire> wire_;
   std::unique_ptr<EventFeed> feed_;
   std::uint64_t opened_ = 0;  // streams so far, which tells a timer's own from a later one
-  Span last_sign_{}, pause_{};
+  Span opened_at_{}, last_sign_{}, pause_{};
+  static constexpr int most_patience = 16;
+  int patience_ = 1;    // times the usual, for discovery's first word
+  bool spoke_ = false;  // this stream has brought something
   bool gap_seen_ = false, broken_ = false;
 };
 
--- a/tests/daemon_fixture.h
+++ b/tests/daemon_fixture.h
@@ -71,6 +71,7 @@
   std::string folder, configuration, more = R"("limits":{"sockets":256})";
   int port = 0;
   pid_t daemon = -1;
+  Environment environment;  // of the daemon, beside its configuration
 
   DaemonFixture() {
     char name[] = "/tmp/pearchute-endings-XXXXXX";
@@ -96,7 +97,7 @@
   }
   bool ready() { return call(port, "GET /check HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200"); }
   void go() {
-    daemon = ::start(configuration);
+    daemon = ::start(configuration, environment);
     assert(soon([&] { return ready(); }));
   }
   void go(const std::string& settings, const std::string& list) { configure(settings, list), go(); }
--- a/tests/sockets.h
+++ b/tests/sockets.h
@@ -17,6 +17,7 @@
 #include <cstdlib>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 inline int listen_on(int& port) {
@@ -130,11 +131,14 @@
   return condition();
 }
 
-inline pid_t start(const std::string& configuration) {
+using Environment = std::vector<std::pair<std::string, std::string>>;
+
+inline pid_t start(const std::string& configuration, const Environment& environment = {}) {
   const pid_t child = fork();
   if (child != 0) return child;
   prctl(PR_SET_PDEATHSIG, SIGKILL);  // a failed test leaves nothing running
   setenv("PROXY_CONFIG", configuration.c_str(), 1);
+  for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
   execl(PEARCHUTED, PEARCHUTED, nullptr);
   _exit(127);
 }
--- a/tests/test_crossings.cpp
+++ b/tests/test_crossings.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "daemon_fixture.h"
+#include "lab/faults/fault_injection.h"
 
 using namespace pearchute::test;
 using namespace pearchute::lab;
@@ -153,7 +154,7 @@
       close(peer);
     });
     fixture.configure(usual_settings, R"({"cursor":0,"cmds":[]})", discovery.address());
-    fixture.daemon = ::start(fixture.configuration);
+    fixture.daemon = ::start(fixture.configuration, fixture.environment);
     assert(soon([&] { return discovery.connections() > 0; }));
     pass(milliseconds(2000));
     const int asked = discovery.connections();
@@ -179,12 +180,188 @@
     close(peer);
   });
   fixture.configure(usual_settings, R"({"cursor":0,"cmds":[]})", discovery.address());
-  fixture.daemon = ::start(fixture.configuration);
+  fixture.daemon = ::start(fixture.configuration, fixture.environment);
   const bool ready = soon([&] { return fixture.ready(); }, 900);
   over = true;
   assert(ready);
 }
 
+// A daemon whose system calls can be made to fail.
+struct FaultyDaemon : DaemonFixture {
+  FaultInjection faults;
+  explicit FaultyDaemon(std::uint64_t seed = 1)
+      : faults(PEARCHUTE_FAULTS, folder + "/faults", "pearchuted", seed) {
+    environment = faults.environment();
+  }
+};
+
+// The wall clock is stepped while a wait is interrupted by a signal: the wait ends as soon as it would have.
+void clock_step_in_interrupted_wait() {
+  FaultyDaemon fixture;
+  fixture.go(usual_settings, known({{"a", fixture.engine("a")}}));
+  fixture.faults.set(FaultKind::wait_interrupted, 1);
+  for (int i = 0; i < 10; ++i) {
+    const JobCall call = job("fault=hang", 700, "brief");
+    const auto sent = Clock::now();
+    const int fd = fixture.open(call);
+    pass(milliseconds(100));
+    fixture.faults.step_wall_clock(i % 2 ? std::chrono::hours(1) : -std::chrono::hours(1));
+    pollfd one{fd, POLLIN, 0};
+    const bool heard = poll(&one, 1, 3000) == 1;
+    std::fprintf(stderr, "answered after %lld ms\n", static_cast<long long>(elapsed_ms(sent)));
+    assert(heard && elapsed_ms(sent) < 1200);
+    close(fd);
+  }
+  assert(fixture.faults.struck(FaultKind::wait_interrupted) > 10);
+}
+
+// Reads that are interrupted before anything is read: the connection is sound, and goes on.
+void interrupted_reads() {
+  FaultyDaemon fixture;
+  fixture.go(usual_settings, known({{"a", fixture.engine("a")}}));
+  fixture.faults.set(FaultKind::receive_interrupted, 0.2);
+  int answered = 0;
+  for (int i = 0; i < 200; ++i) {
+    const JobCall call = job("work=1", 2000);
+    const int fd = fixture.open(call);
+    answered += hear(fd).starts_with("HTTP/1.1 200");
+    close(fd);
+  }
+  std::fprintf(stderr, "%d of 200 were answered\n", answered);
+  assert(fixture.faults.struck(FaultKind::receive_interrupted) > 20);
+  assert(answered == 200);
+}
+
+// What can't be had for a moment at the start is tried again.
+void start_without_sockets() {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    FaultyDaemon fixture(seed);
+    fixture.faults.set(FaultKind::socket_fails, 0.5);
+    fixture.faults.set(FaultKind::open_fails, 0.2);
+    fixture.configure(usual_settings, known({{"a", fixture.engine("a")}}));
+    fixture.daemon = ::start(fixture.configuration, fixture.environment);
+    const bool ready = soon([&] { return fixture.ready(); }, 300);
+    if (!ready) std::fprintf(stderr, "seed %llu\n", static_cast<unsigned long long>(seed));
+    assert(ready);
+  }
+}
+
+// Connections wait to be accepted when the manager stops listening, and accept fails for a moment just then.
+void accept_fails_at_the_end() {
+  FaultyDaemon fixture;
+  fixture.more = R"("limits":{"sockets":1024})";
+  fixture.go(usual_settings, known({{"a", fixture.engine("a")}}));
+  kill(fixture.daemon, SIGTERM);
+  pass(milliseconds(200));  // it has heard
+  kill(fixture.daemon, SIGSTOP);
+  pass(milliseconds(50));
+  fixture.faults.set(FaultKind::accept_fails, 0.1);
+  std::vector<int> late;
+  for (int i = 0; i < 100; ++i) late.push_back(fixture.open(job("work=1", 900, "brief")));
+  pass(milliseconds(600));  // past the time at which it stops to listen
+  kill(fixture.daemon, SIGCONT);
+  int broken = 0;
+  for (const int fd : late) {
+    broken += !hear(fd).starts_with("HTTP/1.1 ");
+    close(fd);
+  }
+  std::fprintf(stderr, "%d of 100 had no answer\n", broken);
+  assert(broken == 0 && fixture.faults.struck(FaultKind::accept_fails) > 0);
+  assert(fixture.ended() == 0);
+}
+
+// The configuration can't be opened for a moment just when SIGHUP says that the list's channel has moved.
+void reload_while_files_run_short() {
+  FaultyDaemon fixture;
+  std::unique_ptr<StandInChannel> moved;
+  const std::string engine = fixture.engine("a");
+  const auto [at, moved_at] = fixture.stage.on([&] {
+    fixture.channel = std::make_unique<StandInChannel>(fixture.stage.loop());
+    moved = std::make_unique<StandInChannel>(fixture.stage.loop());
+    for (StandInChannel* one : {fixture.channel.get(), moved.get()})
+      one->tell({{"a", engine, "east", "std", "active"}}, true);
+    return std::pair(fixture.channel->address(), moved->address());
+  });
+  fixture.configure(usual_settings, R"({"cursor":0,"cmds":[]})", at);
+  fixture.go();
+  fixture.configure(usual_settings, R"({"cursor":0,"cmds":[]})", moved_at);
+  fixture.faults.set(FaultKind::open_fails, 1);
+  kill(fixture.daemon, SIGHUP);
+  assert(soon([&] { return fixture.faults.struck(FaultKind::open_fails) > 0; }));
+  fixture.faults.set(FaultKind::open_fails, 0);
+  const bool has_moved = soon([&] { return fixture.stage.on([&] { return moved->streams() == 1; }); }, 200);
+  fixture.stage.on([&] { moved.reset(); });
+  assert(has_moved);
+}
+
+// A client leaves while its request lies with the system, because the engine reads nothing: the rest of it
+// never comes to the engine.
+void left_behind_in_the_send_queue() {
+  DaemonFixture fixture;
+  int port = 0;
+  const int door = listen_on(port), small = 2048;
+  setsockopt(door, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+  fixture.go(late_settings, known({{"a", "127.0.0.1:" + std::to_string(port)}}));
+  const JobCall call = job("work=1 /*" + std::string(60'000, 'x') + "*/", 6000);
+  const int fd = fixture.open(call);
+  const int peer = accept(door, nullptr, nullptr);
+  pass(milliseconds(200));
+  close(fd);
+  pass(milliseconds(300));
+  std::string came;
+  char bytes[4096];
+  const timeval patience{1, 0};
+  setsockopt(peer, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  for (ssize_t got = 0; (got = recv(peer, bytes, sizeof bytes, 0)) > 0;)
+    came.append(bytes, static_cast<std::size_t>(got));
+  std::fprintf(stderr, "%zu bytes came, %s\n", came.size(),
+               came.find("FROM a_1.t") == std::string::npos ? "not whole" : "whole");
+  assert(came.find("FROM a_1.t") == std::string::npos);
+  close(peer), close(door);
+}
+
+// The process has no turn for a while, and a client leaves meanwhile: when it goes on, what was held for that
+// client is not sent, whatever it does first.
+void left_while_stalled() {
+  DaemonFixture fixture;
+  const std::string engine = fixture.engine("a", 1);
+  fixture.go(R"({"classes":[{"name":"quick","repeat":"pure","slo":8000000,"giveUp":9000000,"worth":1}],
+    "hostTypes":["std"],"failureDomains":["east"],"zone":"east","nInstances":1,
+    "familyInfo":{"coresByKind":[1],"sizeMb":[100]},
+    "limits":{"attemptsCap":1,"connectTimeout":250000,"idleClose":15000000,"streamsPerConn":1}})",
+             known({{"a", engine}}));
+  for (int round = 0; round < 5; ++round) {
+    std::vector<JobCall> fills;
+    std::vector<int> filling;
+    for (int i = 0; i < 4; ++i) {
+      fills.push_back(job("work=400", 6000));
+      fills.back().cost_ms = 400;
+      filling.push_back(fixture.open(fills.back()));
+    }
+    pass(milliseconds(100));
+    std::vector<JobCall> held;
+    std::vector<int> waiting;
+    for (int i = 0; i < 6; ++i) {
+      held.push_back(job("work=1", 6000));
+      waiting.push_back(fixture.open(held.back()));
+    }
+    pass(milliseconds(50));
+    std::vector<int> begun_before;
+    kill(fixture.daemon, SIGSTOP);
+    for (const JobCall& one : held) begun_before.push_back(fixture.begun("a", one));
+    for (const int fd : waiting) close(fd);
+    pass(milliseconds(1500));  // answers come in meanwhile, and timers are due
+    kill(fixture.daemon, SIGCONT);
+    pass(milliseconds(400));
+    for (const int fd : filling) close(fd);
+    for (std::size_t i = 0; i < held.size(); ++i) {
+      if (fixture.begun("a", held[i]) != begun_before[i])
+        std::fprintf(stderr, "round %d: job %d began after its client had left\n", round, held[i].number),
+            assert(false);
+    }
+  }
+}
+
 struct Scenario {
   const char* name;
   void (*play)();
@@ -195,6 +372,13 @@
     {"pipelined_deadlines", pipelined_deadlines},
     {"discovery_refuses", discovery_refuses},
     {"discovery_slow", discovery_slow},
+    {"clock_step_in_interrupted_wait", clock_step_in_interrupted_wait},
+    {"interrupted_reads", interrupted_reads},
+    {"start_without_sockets", start_without_sockets},
+    {"accept_fails_at_the_end", accept_fails_at_the_end},
+    {"reload_while_files_run_short", reload_while_files_run_short},
+    {"left_behind_in_the_send_queue", left_behind_in_the_send_queue},
+    {"left_while_stalled", left_while_stalled},
 };
 
 }  // namespace
