One guard at the moment of leaving: what was decided earlier is looked at again

Front::dispatch worked out the time left and asked for the engine, the client and the job's state when the module decided; Engines::Link::wire_free let the request go when its connection was up, or the process had its turn, and looked at none of them again. So a request came to an engine 0.7 s after its drain was told (the list's path never withheld, only the admin channel's did), 5,999 ms were told where 3,651 were left, a job held for a client that had closed 1.5 s before began, and a client's second written request was given the time that it had had when its turn came. A request given up while its engine took nothing lay in the system's send queue and came whole later (60,169 bytes). Ruled out: the module's own choice, which was right when it was made.

Change: core/rule_guard (policy) is asked before each first byte, repeat, close, answer and taking; what it holds back and what is found broken is counted. The time left is worked out as the bytes go. What is kept back for an engine that drains goes elsewhere at once, for orders and the list by the same path. A call's time runs from when its bytes came. Connections given up are reset, so that nothing unsent arrives. Each close, repeat, refusal and giving up has a named reason in counters and rationed log lines.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -25,10 +25,6 @@
   mean.value += (sample - mean.value) / mean.count;
 }
 
-bool proves_not_run(Outcome end) {
-  return end == Outcome::full || end == Outcome::unreachable || end == Outcome::never_sent;
-}
-
 // Same at every manager, so that they agree on a data set's home engines without a word between them.
 std::uint64_t shared_hash(DataSetId data_set, EngineId engine) {
   std::uint64_t x = static_cast<std::uint64_t>(data_set.value) * 0x9E3779B97F4A7C15ULL + engine.value;
@@ -137,7 +133,10 @@
   const double crowd = priority(held) == 3 ? 1 : fleet_.stretch * (rules_.may_stop ? 1.0 : 1.5);
   const double pace = std::max(1.0, type.best_pace * crowd);
   const bool hopeless = now + from_ms(ideal_ms(held) * pace) > held.sla_end;
-  if (costly || hopeless || held_.size() >= longest_queue || held.end <= now) return give_up(now, held);
+  if (held.end <= now) return give_up(now, held, GiveUpReason::time_is_up);
+  if (costly) return give_up(now, held, GiveUpReason::costly);
+  if (hopeless) return give_up(now, held, GiveUpReason::hopeless);
+  if (held_.size() >= longest_queue) return give_up(now, held, GiveUpReason::queue_full);
   held.held = true, held_[held.turn] = job.id, place_newcomer(now, held);
 }
 
@@ -274,7 +273,9 @@
   } else if (!held.over && held.out == 0) {
     held.held = true, held_[held.turn] = id;
     const bool refused = outcome == Outcome::never_sent && !held.away_since;  // else it was taken back
-    if (now >= held.end || refused || spent(now, held)) return give_up(now, held), release(now);
+    if (now >= held.end) return give_up(now, held, GiveUpReason::time_is_up), release(now);
+    if (refused) return give_up(now, held, GiveUpReason::not_taken), release(now);
+    if (spent(now, held)) return give_up(now, held, GiveUpReason::spent), release(now);
   }
   forget_if_done(id), release(now);
 }
@@ -300,7 +301,7 @@
     dispatch->stopping = true;
     host_.stop_dispatch(id, number);
   } else if (crammed()) {
-    give_up(now, held);
+    give_up(now, held, GiveUpReason::crammed);
   }
 }
 
@@ -328,7 +329,7 @@
   if (mark == subscribe_mark) host_.subscribe_list();
   if (const auto turn = turns_.find(mark); turn != turns_.end()) {
     HeldJob& held = jobs_.at(turn->second);
-    if (!held.over && !held.streaming && now >= held.end) give_up(now, held);
+    if (!held.over && !held.streaming && now >= held.end) give_up(now, held, GiveUpReason::time_is_up);
   } else if (mark >= job_marks) {
     return;  // its job has gone: nothing is free by that
   }
@@ -337,7 +338,8 @@
 
 // The program ends before these jobs would: each gets its final answer now.
 void WorkloadManager::closing(Span now) {
-  for (auto it = turns_.begin(); it != turns_.end();) give_up(now, jobs_.at((it++)->second));
+  for (auto it = turns_.begin(); it != turns_.end();)
+    give_up(now, jobs_.at((it++)->second), GiveUpReason::ending);
 }
 
 // ---- Rules ----
@@ -933,12 +935,15 @@
     // A client whose connection broke calls again at once: after a second it does not come.
     const bool gone = held.away_since && now > *held.away_since + seconds(1);
     const bool late = now + from_ms(ideal_ms(held)) > held.sla_end;
-    if (held.out == 0 && (late || gone || spent(now, held))) give_up(now, held);
+    if (held.out > 0) continue;
+    if (gone) give_up(now, held, GiveUpReason::client_gone);
+    else if (late) give_up(now, held, GiveUpReason::too_late);
+    else if (spent(now, held)) give_up(now, held, GiveUpReason::spent);
   }
   for (auto it = turns_.begin(); crammed() && it != turns_.end();) {
     HeldJob& held = jobs_.at((it++)->second);
     const bool restartable = type_of(held).effect == Effect::restartable;
-    if (now >= held.sla_end && restartable && !held.streaming) give_up(now, held);
+    if (now >= held.sla_end && restartable && !held.streaming) give_up(now, held, GiveUpReason::crammed);
   }
 }
 
@@ -950,8 +955,9 @@
   return rules_.most_open > 0 && 10.0 * static_cast<double>(jobs_.size()) > 9.0 * rules_.most_open;
 }
 
-void WorkloadManager::give_up(Span now, HeldJob& held) {
+void WorkloadManager::give_up(Span now, HeldJob& held, GiveUpReason reason) {
   if (held.over) return;
+  host_.giving_up(held.job.id, reason);
   const JobId id = held.job.id;
   const bool harmless = may_throttle(now, held);
   over(held);
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -25,6 +25,8 @@
   // ends as unreachable. Nothing to do where dispatches leave at once.
   virtual void must_leave_within(JobId, Span) {}
   virtual void stop_dispatch(JobId job, int number) = 0;
+  // Told just before `throttle` or `cancel_for_good`.
+  virtual void giving_up(JobId, GiveUpReason) {}
   virtual void throttle(JobId job, Span come_back_in) = 0;
   virtual void cancel_for_good(JobId id) = 0;
   virtual void wake_in(Span span, std::uint64_t mark) = 0;
@@ -146,7 +148,7 @@
   void beat(Span now);
   // Giving up
   bool crammed() const;
-  void give_up(Span now, HeldJob& held);
+  void give_up(Span now, HeldJob& held, GiveUpReason reason);
 
   Host& host_;
   std::knuth_b chance_;
--- /dev/null
+++ b/src/core/rule_guard.h
@@ -0,0 +1,94 @@
+// The rules of the service as they bind at four moments: before a request's bytes go to an engine, before it
+// is repeated, before a client's connection is closed, and before a request is taken on. Whoever acts asks
+// here first and is told which rule forbids it, if one does. What was held back is counted, and so is what
+// was found broken after the fact; a run is sound while the latter stays at zero. It decides nothing else: no
+// I/O, no clock.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "core/types.h"
+
+namespace pearchute {
+
+enum class Rule : std::size_t {
+  one_answer,         // a request has one final answer, and nothing leaves after it
+  answer_in_time,     // no later than half a second after its time
+  no_silent_close,    // a request that was read is answered before its connection closes
+  client_is_there,    // nothing begins for a client that has gone
+  engine_takes_work,  // nothing begins at an engine that drains or has gone
+  time_is_left,       // nothing begins after the client's time
+  runs_once,          // what may have run and must not run twice is not repeated
+  one_attempt_out,    // nor has it two attempts out
+  attempts_are_few,   // no more than the settings allow
+  not_while_ending,   // nothing is taken on once the manager answers all that it has
+  count
+};
+inline constexpr std::size_t rule_count = static_cast<std::size_t>(Rule::count);
+inline constexpr std::array<std::string_view, rule_count> rule_names = {
+    "one_answer",   "answer_in_time", "no_silent_close", "client_is_there",  "engine_takes_work",
+    "time_is_left", "runs_once",      "one_attempt_out", "attempts_are_few", "not_while_ending"};
+
+// An attempt whose first byte is about to go.
+struct SendingFacts {
+  Span now{};
+  Span end{};  // of the client's time
+  bool answered = false;
+  bool client_is_there = true;
+  EngineState engine = EngineState::up;
+};
+
+// An attempt that has been decided on, and those before it.
+struct RepeatFacts {
+  Span now{};
+  Effect effect = Effect::restartable;
+  Span repeat_window{};
+  int attempts = 0;  // so far
+  int most_attempts = 1;
+  int out = 0;
+  bool second_copies = false;       // allowed by the settings
+  std::optional<Span> first_doubt;  // when the first attempt that may have run was sent
+};
+
+// A client's connection that is about to be closed, by this side.
+struct ClosingFacts {
+  bool request_is_open = false;  // one was read and has no answer
+  bool client_has_left = false;  // or has asked for it elsewhere
+};
+
+// A final answer that is about to go out.
+struct AnsweringFacts {
+  Span now{};
+  Span end{};
+  bool answered = false;
+};
+
+class RuleGuard {
+ public:
+  // The rule that forbids it; it is counted as held back.
+  std::optional<Rule> forbids_sending(const SendingFacts& facts);
+  // The same; whoever decided on it has broken the rule, so it is counted as broken, too.
+  std::optional<Rule> forbids_repeating(const RepeatFacts& facts);
+  std::optional<Rule> forbids_taking(bool answers_all);
+  // What can't be held back is counted as broken.
+  void closing(const ClosingFacts& facts);
+  void answering(const AnsweringFacts& facts);
+
+  std::uint64_t checked() const { return checked_; }
+  std::uint64_t held_back(Rule rule) const { return held_back_[static_cast<std::size_t>(rule)]; }
+  std::uint64_t broken(Rule rule) const { return broken_[static_cast<std::size_t>(rule)]; }
+  std::uint64_t broken_in_all() const;
+
+ private:
+  std::optional<Rule> hold_back(Rule rule);
+  void note_broken(Rule rule);
+
+  std::uint64_t checked_ = 0;
+  std::array<std::uint64_t, rule_count> held_back_{}, broken_{};
+};
+
+}  // namespace pearchute
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -1,11 +1,13 @@
 // What the module and its callers share: ids, spans, outcomes, and the service as it is defined at start.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace pearchute {
@@ -39,7 +41,33 @@
   reset,        // the connection broke; it may have run
   stopped,      // called off; it may have run
   never_sent,   // did not leave: the job was over or the dispatches used up
+  count
 };
+inline constexpr std::array<std::string_view, static_cast<std::size_t>(Outcome::count)> outcome_names = {
+    "done", "error", "full", "timed_out", "unreachable", "reset", "stopped", "never_sent"};
+
+// Whether the engine surely never ran it.
+constexpr bool proves_not_run(Outcome end) {
+  return end == Outcome::full || end == Outcome::unreachable || end == Outcome::never_sent;
+}
+
+// Why a job gets its final answer without a result.
+enum class GiveUpReason {
+  costly,      // asks more of the engines than it earns, under overload
+  hopeless,    // can't be done in its SLA time
+  queue_full,  // too many wait already
+  time_is_up,  // its job timeout, or nearly
+  too_late,    // held, and can no longer make its SLA time
+  spent,       // its attempts are used up, or a further one might run it twice
+  not_taken,   // its attempt could not leave
+  client_gone,
+  crammed,  // near the most jobs that may be open, it made room
+  ending,   // the manager ends
+  count
+};
+inline constexpr std::array<std::string_view, static_cast<std::size_t>(GiveUpReason::count)> give_up_names = {
+    "costly", "hopeless",  "queue_full",  "time_is_up", "too_late",
+    "spent",  "not_taken", "client_gone", "crammed",    "ending"};
 
 enum class Effect { restartable, keyed, run_once };
 enum class Reach { all, zone, cell };  // which engines drop a repeat of a keyed job
--- a/src/daemon/admin_binding.cpp
+++ b/src/daemon/admin_binding.cpp
@@ -128,9 +128,6 @@
       drains_.channel_told_all(now, named);
     }
     parts_.front.list_changed(news, merged);
-    for (const Member& member : merged) {
-      if (member.engine.state == EngineState::draining) parts_.front.withhold(member.engine.id);
-    }
   }
   void entered(net::Program::Phase phase) override {
     phase_ = phase;
@@ -149,9 +146,7 @@
     Member member = at->second;
     member.engine.state = state_of(standing);
     tell("engine", engine, "by orders it is " + std::string(fleet::word_for(standing)));
-    // The module first, so that what had not left goes elsewhere.
     parts_.front.list_changed(ListNews::changes, {member});
-    if (standing == Standing::draining) parts_.front.withhold(member.engine.id);
   }
   void manager_drains(bool drains) override {
     rest_.drain_ordered(parts_.loop.now(), drains, parts_.front.idle());
--- a/src/engines/engines.cpp
+++ b/src/engines/engines.cpp
@@ -3,13 +3,21 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <optional>
 
 namespace pearchute::net {
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// At least one, since none would mean the engine's own choice.
+std::int64_t ms_left(Span span) {
+  return std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(span).count());
+}
+
+}  // namespace
+
 // One connection and the talk on it.
 class Engines::Link final : public Wire::User, public EngineTalk::Listener {
  public:
@@ -28,19 +36,23 @@
   // It carries nothing new, and what it still has no longer than it takes to end.
   void doubt() {
     in_doubt_ = true;
-    if (busy() == 0) owner_.drop(*this);
+    if (busy() == 0) owner_.drop(*this, EngineCloseReason::engine_gone);
   }
 
   // What no longer works without having ended.
   void look(Span now) {
     if (!opened()) {
       const Span limit = owner_.limits_.connect_within;
-      return limit > Span(0) && now - opened_at_ >= limit ? lost() : void();
+      if (limit > Span(0) && now - opened_at_ >= limit)
+        lost(wire_->short_of_resources() ? EngineCloseReason::short_of_resources
+                                         : EngineCloseReason::not_up_in_time);
+      return;
     }
     // Guards against answers that stop short or trickle in, whatever else the connection still says. Far over
     // what a page takes on its way; harm is done where an engine is held up for longer amid an answer.
     constexpr milliseconds rest_within(500);
-    if (talk_.owes_the_rest() && now - whole_since_ > rest_within) return broken("an answer stops short");
+    if (talk_.owes_the_rest() && now - whole_since_ > rest_within)
+      return broken("an answer stops short", EngineCloseReason::answer_stops);
     if (busy() == 0) return;
     // Guards against a connection that stays open and says nothing: an engine whose machine has gone, answers
     // that never come. Its dispatches need not wait for their job timeouts. A sound engine answers the
@@ -51,7 +63,7 @@
         ++owner_.counters_.silent_connections;
         PEARCHUTE_LOG(spdlog::level::warn, "engine {}: a connection with {} dispatches is silent; closed",
                       engine_.value, busy());
-        lost();
+        lost(EngineCloseReason::silent);
       }
     } else if (now - std::max(heard_, idle_until_) > quiet_ && owner_.may_ask()) {
       asked_at_ = now;
@@ -86,9 +98,13 @@
     talk_.never_mind(key, out);
     wire_->send(out);
   }
+  // Guards against a request that comes to its engine long after it was given up, because the engine takes
+  // nothing meanwhile: what has not left this machine by now never does.
   void lose_patience(DispatchKey key) {
     in_doubt_ = true;
+    const bool engine_takes_nothing = wire_->unsent() > 0;
     talk_.lose_patience(key);
+    if (engine_takes_nothing && busy() > 0) lost(EngineCloseReason::takes_nothing);
   }
 
   void hurry(DispatchKey key, int priority) {
@@ -115,8 +131,14 @@
         owner_.end_soon(kept.key, Outcome::unreachable);
         continue;
       }
+      if (const auto ends_as = owner_.listener_.refuses_departure(kept.key, owner_.state_of(engine_))) {
+        owner_.end_soon(kept.key, *ends_as);
+        continue;
+      }
+      Want want = kept.want_again();
+      if (want.answer_by) want.wait_ms = ms_left(*want.answer_by - owner_.loop_.now());
       std::string out;
-      talk_.want(kept.key, kept.want_again(), out);
+      talk_.want(kept.key, want, out);
       return wire_->send(out);
     }
   }
@@ -127,18 +149,21 @@
     const std::uint64_t whole = talk_.whole_answers();
     const bool owed = talk_.owes_the_rest();
     std::string out;
-    if (!talk_.feed(bytes, out)) return broken("bytes that are no answer");
+    if (!talk_.feed(bytes, out)) return broken("bytes that are no answer", EngineCloseReason::answer_broken);
     if (!owed || talk_.whole_answers() != whole) whole_since_ = heard_;
     wire_->send(out);
   }
 
-  void broken(const char* why) {
+  void broken(const char* why, EngineCloseReason reason) {
     ++owner_.counters_.broken_answers;
     PEARCHUTE_LOG(spdlog::level::warn, "engine {}: {}; connection closed", engine_.value, why);
-    lost();
+    lost(reason);
   }
 
-  void wire_ended() override { lost(); }
+  void wire_ended() override {
+    lost(wire_->short_of_resources() ? EngineCloseReason::short_of_resources
+                                     : EngineCloseReason::engine_ended);
+  }
 
   std::size_t kept_back() const { return kept_back_.size(); }
   void withhold() {
@@ -153,18 +178,20 @@
   }
 
   // The connection is gone, or never came up.
-  void lost() {
+  void lost(EngineCloseReason reason) {
     const std::uint64_t left = wire_->written();
-    wire_->close();
+    wire_->abort();
     const std::vector<Kept> kept = std::move(kept_back_);
     kept_back_.clear();
-    owner_.drop(*this);
+    owner_.drop(*this, reason);
     for (const Kept& one : kept) {
       // Guards against resets of new connections, where nothing has left yet: the machine is there, so the
       // same dispatch tries once more. What refuses or does not come up in time is unreachable.
-      Link* other = wire_->error() == ECONNRESET && !one.again ? owner_.link_for(engine_, one.id) : nullptr;
+      Link* other = wire_->reset_as_it_opened() && !one.again ? owner_.link_for(engine_, one.id) : nullptr;
+      // Guards against engines that are blamed for what ran short here.
+      const Outcome ends_as = wire_->short_of_resources() ? Outcome::full : Outcome::unreachable;
       if (other) other->want(one.key, one.want_again(), one.leave_by, true);
-      else talk_ended(one.key, Outcome::unreachable, {});
+      else talk_ended(one.key, ends_as, {});
     }
     talk_.broke(left);
   }
@@ -174,7 +201,7 @@
     if (busy() == 0) {
       idle_since_ = owner_.loop_.now();
       asked_at_.reset();
-      if (in_doubt_) owner_.drop(*this);
+      if (in_doubt_) owner_.drop(*this, EngineCloseReason::in_doubt);
     }
     owner_.listener_.talk_ended(key, outcome, std::move(pages));
   }
@@ -218,8 +245,9 @@
 
 Engines::~Engines() { *alive_ = false; }
 
-void Engines::place(EngineId engine, const std::string& address) {
+void Engines::place(EngineId engine, const std::string& address, EngineState state) {
   Place& place = places_[engine];
+  place.draining = state == EngineState::draining;
   if (place.address != address || place.gone) drop_unused(place);
   place.address = address, place.gone = false;
   // Another engine may have the address of one that has gone: nothing more goes there for that one.
@@ -235,6 +263,11 @@
   drop_unused(at->second);
 }
 
+EngineState Engines::state_of(EngineId engine) const {
+  const auto at = places_.find(engine);
+  return at == places_.end() ? EngineState::gone : at->second.state();
+}
+
 void Engines::forget_others(const std::set<EngineId>& named) {
   for (auto& [id, place] : places_) {
     if (!named.contains(id)) place.gone = true, drop_unused(place);
@@ -264,7 +297,7 @@
 void Engines::drop_unused(Place& place) {
   std::vector<Link*> links;
   for (const auto& link : place.links) links.push_back(link.get());
-  for (Link* link : links) link->opened() ? link->doubt() : link->lost();
+  for (Link* link : links) link->opened() ? link->doubt() : link->lost(EngineCloseReason::engine_gone);
 }
 
 void Engines::want(EngineId engine, DispatchKey key, const Want& want, std::optional<Span> leave_by) {
@@ -345,7 +378,7 @@
     }
   }
   if (!oldest) return false;
-  drop(*oldest);
+  drop(*oldest, EngineCloseReason::room_needed);
   return true;
 }
 
@@ -385,18 +418,26 @@
   it->second->hurry(key, priority);
 }
 
-void Engines::drop(Link& link) {
+void Engines::drop(Link& link, EngineCloseReason reason) {
   const auto at = places_.find(link.engine());
   if (at == places_.end()) return;
   auto& links = at->second.links;
   const auto it = std::ranges::find(links, &link, [](const auto& one) { return one.get(); });
   if (it == links.end()) return;
+  counters_.engines_closed.add(reason);
+  if (reason != EngineCloseReason::idle && reason != EngineCloseReason::room_needed)
+    PEARCHUTE_LOG(spdlog::level::info, "connection to engine {} is closed: {}", link.engine().value,
+                  engine_close_names[static_cast<std::size_t>(reason)]);
   --connections_;
   dropped_.push_back(std::move(*it));
   links.erase(it);
   loop_.soon([this, alive = alive_] {
     if (!*alive) return;
-    for (auto& one : dropped_) loop_.retire(one->give_wire());
+    for (auto& one : dropped_) {
+      std::unique_ptr<Wire> wire = one->give_wire();
+      if (one->in_doubt()) wire->abort();
+      loop_.retire(std::move(wire));
+    }
     dropped_.clear();
   });
 }
@@ -412,7 +453,7 @@
     // it unknown whether it ran: connections go at three quarters of the time that engines allow.
     const bool unused = link->opened() && link->busy() == 0 && limits_.idle_close > Span(0) &&
                         now - link->idle_since() >= limits_.idle_close * 3 / 4;
-    if (unused) drop(*link);
+    if (unused) drop(*link, EngineCloseReason::idle);
     else link->look(now);
   }
   std::erase_if(places_, [](const auto& one) { return one.second.gone && one.second.links.empty(); });
--- a/src/engines/engines.h
+++ b/src/engines/engines.h
@@ -19,11 +19,15 @@
 
 class Engines {
  public:
-  using Listener = EngineTalk::Listener;
+  class Listener : public EngineTalk::Listener {
+   public:
+    // Asked just before the first byte of a dispatch leaves: how it ends where it may not leave any more.
+    virtual std::optional<Outcome> refuses_departure(DispatchKey, EngineState) { return std::nullopt; }
+  };
   Engines(Loop& loop, const service::LinkLimits& limits, std::size_t most_connections, Listener& listener,
           Counters& counters);
   ~Engines();
-  void place(EngineId engine, const std::string& address);
+  void place(EngineId engine, const std::string& address, EngineState state = EngineState::up);
   void forget(EngineId engine);  // it has gone; what is still open there ends in its own way
   void forget_others(const std::set<EngineId>& named);
   // What has not left by `leave_by` never does, and ends as unreachable.
@@ -48,14 +52,18 @@
   friend class Link;
   struct Place {
     std::string address;
-    bool gone = false;
+    bool gone = false, draining = false;
+    EngineState state() const {
+      return gone ? EngineState::gone : draining ? EngineState::draining : EngineState::up;
+    }
     std::vector<std::unique_ptr<Link>> links;
   };
   Link* link_for(EngineId engine, std::string_view id);
+  EngineState state_of(EngineId engine) const;
   void end_soon(DispatchKey key, Outcome ends_as);
   bool make_room();
   bool may_ask();  // a connection for a sign
-  void drop(Link& link);
+  void drop(Link& link, EngineCloseReason reason);
   void drop_unused(Place& place);
   void sweep();
 
--- a/src/front/client.h
+++ b/src/front/client.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "front/answers.h"
+#include "front/arrival_times.h"
 #include "front/front.h"
 
 namespace pearchute::net {
@@ -25,26 +26,35 @@
     // The time to a whole call runs from the connection's start or the call's first byte, whatever comes
     // next.
     if (idle && calls_ > 0) since_ = front_.loop_.now();
+    // Bytes that come when reading goes on may have come at any time since it stopped.
+    const Span at = paused_since_.value_or(front_.loop_.unread_since());
+    arrivals_.came(http_.bytes_fed() + bytes.size(), std::min(at, front_.loop_.now()));
     http_.feed(bytes);
+    if (!wire_->paused()) paused_since_.reset();
     heed_bounds();
     if (http_.held() >= BufferPool::buffer_size) front_.shed_unread();
   }
-  void wire_ended() override { front_.client_left(*this); }
+  void wire_ended() override { front_.client_left(*this, ClientCloseReason::client_left); }
   void called(const std::string& method, const std::string& path, Message& message) override {
     ++front_.counters_.calls, ++calls_;
+    owes_answer_ = true;
+    call_came_ = arrivals_.of(http_.bytes_taken(), front_.loop_.unread_since());
     front_.called(*this, method, path, message);
   }
   void refused_call(int status) override {
     ++front_.counters_.bad_calls;
     PEARCHUTE_LOG(spdlog::level::warn, "a call that can't be read: {}", status);
-    end_with(status, "the call can't be read");
+    end_with(status, "the call can't be read", ClientCloseReason::call_unreadable);
   }
-  void end_with(int status, std::string_view what) {
+  void end_with(int status, std::string_view what, ClientCloseReason reason) {
     std::string out;
     append_response(out, status, "", error_body(what), false);
     wire_->send(out);
-    front_.drop(*this);
+    front_.drop(*this, reason);
   }
+  bool owes_answer() const { return owes_answer_; }
+  void note_answered() { owes_answer_ = false; }
+  Span call_came() const { return call_came_; }  // the last byte of the open call, at the earliest
   // A call's answer has been put out.
   void answered() {
     since_ = front_.loop_.now();
@@ -58,6 +68,7 @@
     constexpr std::size_t most_unread = 64 * 1024;  // more than the largest answer's usual size
     const bool out_of_sight = http_.has_enough() || wire_->waiting() > most_unread;
     const bool was = wire_->paused();
+    if (out_of_sight && !was) paused_since_ = front_.loop_.now();
     wire_->pause(out_of_sight);
     // Guards against a client that leaves behind what is not read: its end is not seen, so nothing new begins
     // for it. Clients that make one call at a time and read its answer are never out of sight.
@@ -104,7 +115,10 @@
   ClientId id_;
   HttpServerSide http_;
   std::unique_ptr<Wire> wire_;
-  Span since_, stuck_since_;
+  Span since_, stuck_since_, call_came_{};
+  std::optional<Span> paused_since_;  // what came since then was not read at once
+  ArrivalTimes arrivals_;
+  bool owes_answer_ = false;
   std::uint64_t calls_ = 0, written_ = 0;
 };
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -94,13 +94,14 @@
     }
     if (!least) return turn_away(socket);
     least->wire().close();  // at once: many may come before the next event
-    drop(*least);
+    drop(*least, ClientCloseReason::table_full);
   }
   const ClientId id{next_client_++};
   clients_[id] = std::make_unique<Client>(*this, id, socket);
 }
 
 void Front::turn_away(const Poco::Net::StreamSocket& socket) {
+  counters_.clients_closed.add(ClientCloseReason::no_place);
   auto wire = std::make_unique<Wire>(loop_, socket, nobody_);
   std::string out;
   append_response(out, 503, "", R"({"abort":"TryLater"})", false);
@@ -118,12 +119,18 @@
   }
   if (held <= most_unread_ || !largest || largest->held() == 0) return;
   ++counters_.shed;
-  largest->end_with(503, "too much is unread");
+  largest->end_with(503, "too much is unread", ClientCloseReason::too_much_unread);
 }
 
-void Front::drop(Client& client) {
+void Front::drop(Client& client, ClientCloseReason reason) {
   const auto it = clients_.find(client.id());
   if (it == clients_.end()) return;
+  counters_.clients_closed.add(reason);
+  const bool has_left = reason == ClientCloseReason::client_left || reason == ClientCloseReason::came_again;
+  counters_.rules.closing({client.owes_answer(), has_left});
+  if (!has_left && reason != ClientCloseReason::last_answer && reason != ClientCloseReason::idle)
+    PEARCHUTE_LOG(spdlog::level::info, "client connection {} is closed: {}", client.id().value,
+                  client_close_names[static_cast<std::size_t>(reason)]);
   if (const auto id = std::exchange(client.may_call, std::nullopt)) left_alone(*id);
   gone_.push_back(std::move(it->second));
   clients_.erase(it);
@@ -136,10 +143,10 @@
   });
 }
 
-void Front::client_left(Client& client) {
+void Front::client_left(Client& client, ClientCloseReason reason) {
   const std::optional<JobId> id = client.waits_for;
   client.waits_for.reset();
-  drop(client);
+  drop(client, reason);
   if (!id) return;
   const auto it = jobs_.find(*id);
   if (it == jobs_.end()) return;
@@ -184,13 +191,14 @@
   if (it == clients_.end()) return;
   Client& client = *it->second;
   client.waits_for.reset();
+  client.note_answered();
   std::string out;
   // A client that is given a path calls it on the same connection.
   const bool keep =
       client.http().keeps_alive() && ((!sending_home_ && !away_) || body.starts_with("{\"link\""));
   append_response(out, status, headers, body, keep);
   client.wire().send(out);
-  if (!keep) return drop(client);
+  if (!keep) return drop(client, ClientCloseReason::last_answer);
   // Later, since a further call may wait there, and the module may be at work on this one.
   loop_.soon([this, id] {
     if (const auto at = clients_.find(id); at != clients_.end()) at->second->answered();
@@ -240,7 +248,8 @@
   ++counters_.fetched_again;
   if (job.caller) {  // the connection that the client left has not been seen to end yet
     const auto old = clients_.find(*job.caller);
-    if (old != clients_.end()) old->second->waits_for.reset(), drop(*old->second);
+    if (old != clients_.end())
+      old->second->waits_for.reset(), drop(*old->second, ClientCloseReason::came_again);
   }
   job.caller = client.id();
   client.waits_for = *id;
@@ -260,25 +269,21 @@
 void Front::take_job(Client& client, std::string_view kind, Message& message) {
   const Span now = loop_.now();
   const TypeId type = deployment_.type(service::plain_name(std::string(kind)));
-  const auto bad = [&](int status, std::string_view what) {
-    ++counters_.bad_calls;
-    PEARCHUTE_LOG(spdlog::level::warn, "a job is not taken: {}", what);
-    respond(client.id(), status, "", error_body(what));
-  };
   const std::variant<Job, BadRequest> read = job_in(deployment_, type, message);
-  if (const auto* refusal = std::get_if<BadRequest>(&read)) return bad(refusal->status, refusal->what);
+  if (const auto* refusal = std::get_if<BadRequest>(&read))
+    return refuse(client, RefusalReason::unusable, refusal->status, refusal->what);
   Job job = std::get<Job>(read);
   // The client's time runs from when its call came, which a busy loop reads late.
-  job.time_left -= now - std::min(now, loop_.unread_since());
-  if (jobs_.contains(job.id)) return bad(409, "this request is being served");
+  job.time_left -= now - std::min(now, client.call_came());
+  if (jobs_.contains(job.id))
+    return refuse(client, RefusalReason::id_in_use, 409, "this request is being served");
+  if (counters_.rules.forbids_taking(closing_)) return refuse_for_now(client, RefusalReason::ending);
+  if (away_) return refuse_for_now(client, RefusalReason::draining);
   // A connection's last job may not be forgotten yet when its next one comes: a few over the limit are taken.
-  if (closing_ || away_ || owed_ >= 2 * static_cast<std::size_t>(deployment_.service.most_open) ||
-      statement_bytes_ + message.body.size() > most_unread_) {
-    ++counters_.throttled;
-    const Span advice =
-        deployment_.service.takes_retry_advice ? deployment_.service.longest_retry_advice : Span(0);
-    return respond(client.id(), 503, retry_after_header(advice), R"({"abort":"TryLater"})");
-  }
+  if (owed_ >= 2 * static_cast<std::size_t>(deployment_.service.most_open))
+    return refuse_for_now(client, RefusalReason::too_many_open);
+  if (statement_bytes_ + message.body.size() > most_unread_)
+    return refuse_for_now(client, RefusalReason::too_much_unread);
   job.data_set = DataSetId{table_group(message.body).value_or(0)};
   ++counters_.jobs, ++owed_;
   OpenJob& open = jobs_[job.id];
@@ -288,7 +293,8 @@
   open.token = message.header("idempotency-key");
   open.statement = std::move(message.body);
   statement_bytes_ += open.statement.size();
-  open.taken = now, open.end = now + job.time_left;
+  open.type = type;
+  open.taken = now, open.end = now + std::max(job.time_left, Span(0));
   open.caller = client.id();
   client.waits_for = job.id;
   manager_.job_taken(now, job);
@@ -297,6 +303,23 @@
   if (job.time_left > long_hold) loop_.at(now + long_hold, [this, id = job.id] { give_path(id); });
 }
 
+void Front::refuse(Client& client, RefusalReason reason, int status, std::string_view what) {
+  ++counters_.bad_calls;
+  counters_.refused.add(reason);
+  PEARCHUTE_LOG(spdlog::level::warn, "a job is not taken: {}", what);
+  respond(client.id(), status, "", error_body(what));
+}
+
+void Front::refuse_for_now(Client& client, RefusalReason reason) {
+  ++counters_.throttled;
+  counters_.refused.add(reason);
+  PEARCHUTE_LOG(spdlog::level::info, "a job is refused for now: {}",
+                refusal_names[static_cast<std::size_t>(reason)]);
+  const Span advice =
+      deployment_.service.takes_retry_advice ? deployment_.service.longest_retry_advice : Span(0);
+  respond(client.id(), 503, retry_after_header(advice), R"({"abort":"TryLater"})");
+}
+
 void Front::give_path(JobId id) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end() || it->second.answered || it->second.has_path || !it->second.caller) return;
@@ -306,8 +329,10 @@
   job.caller.reset();
   respond(caller, 200, "", "{\"link\":\"" + std::string(job_path) + job.id + "\"}");
   forget_answer_at(job.end + milliseconds(100), id);
-  if (const auto at = clients_.find(caller); at != clients_.end()) at->second->may_call = id;
-  else left_alone(id);
+  const auto at = clients_.find(caller);
+  if (at == clients_.end()) return left_alone(id);
+  at->second->may_call = id;
+  job.path_given_to = caller;
 }
 
 void Front::forget_answer_at(Span when, JobId id) {
@@ -321,6 +346,7 @@
 
 void Front::answer(JobId id, OpenJob& job, int status, std::string headers, std::string body) {
   if (job.answered) return;
+  counters_.rules.answering({loop_.now(), job.end, job.answered});
   settle_account(id, job);
   job.answered_at = loop_.now();
   if (const Span late = loop_.now() - job.end; late > Span(0)) {
@@ -352,7 +378,7 @@
   for (const auto& [id, client] : clients_) {
     if (client->useless() && !client->http().within_call()) idle.push_back(client.get());
   }
-  for (Client* client : idle) drop(*client);
+  for (Client* client : idle) drop(*client, ClientCloseReason::manager_ends);
 }
 
 void Front::answer_all() {
@@ -368,9 +394,12 @@
     if (const auto status = client->overdue(now)) overdue.emplace_back(client.get(), *status);
   }
   for (const auto& [client, status] : overdue) {
-    if (status > 0) client->end_with(status, "the call is not whole in time");
-    else if (client->useless()) drop(*client);
-    else client->wire().close(), client_left(*client);
+    const bool unread = client->wire().waiting() > 0;
+    if (status > 0)
+      client->end_with(status, "the call is not whole in time", ClientCloseReason::call_incomplete);
+    else if (client->useless())
+      drop(*client, unread ? ClientCloseReason::answer_unread : ClientCloseReason::idle);
+    else client->wire().close(), client_left(*client, ClientCloseReason::answer_unread);
   }
   loop_.at(now + milliseconds(200), [this] { sweep(); });
 }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -41,7 +41,6 @@
   void send_home();
   // New calls are told to come back elsewhere or later, and the check says no; what is open goes on.
   void turn_away(bool away) { away_ = away; }
-  void withhold(EngineId engine) { engines_.withhold(engine); }
   // What the module remarks, as it does.
   void on_remark(std::function<void(std::string_view)> heard) { remarked_ = std::move(heard); }
 
@@ -68,6 +67,7 @@
   void set_terms(JobId job, double grant_mb, int priority) override;
   void must_leave_within(JobId job, Span span) override;
   void stop_dispatch(JobId job, int number) override;
+  void giving_up(JobId id, GiveUpReason reason) override;
   void throttle(JobId job, Span come_back_in) override;
   void cancel_for_good(JobId job) override;
   void wake_in(Span span, std::uint64_t mark) override;
@@ -76,6 +76,7 @@
   void remark(std::string_view text) override;
 
   // What engines and the list tell
+  std::optional<Outcome> refuses_departure(DispatchKey key, EngineState engine) override;
   void talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string> pages) override;
   void talk_progress(DispatchKey key, double share_done) override;
   void talk_spill(DispatchKey key, double missing_mb) override;
@@ -98,7 +99,9 @@
     std::string id, kind, token, statement;
     Span taken{};
     Span end{};  // the client's patience
+    TypeId type;
     std::optional<ClientId> caller;
+    std::optional<ClientId> path_given_to;  // it is about to call the path there
     bool has_path = false;
     bool answered = false, fetched = false;
     Span answered_at{};
@@ -109,11 +112,14 @@
     std::optional<Span> leave_by;  // of the next dispatch, or the last
     int dispatches = 0;
     std::vector<Sent> out;
+    std::optional<Span> first_doubt;   // when the first dispatch that may have run was sent
+    Outcome last_end = Outcome::done;  // of a dispatch; done where none has ended
+    std::optional<GiveUpReason> given_up;
   };
 
   void called(Client& client, const std::string& method, const std::string& path, Message& message);
   void take_job(Client& client, std::string_view kind, Message& message);
-  void client_left(Client& client);
+  void client_left(Client& client, ClientCloseReason reason);
   void left_alone(JobId id);  // unless its client waits on another connection
   void lose_sight(JobId id);
   void turn_away(const Poco::Net::StreamSocket& socket);
@@ -123,7 +129,11 @@
   void settle_account(JobId id, OpenJob& job);
   void forget_answer_at(Span when, JobId id);
   void forget_if_done(JobId id);
-  void drop(Client& client);
+  void refuse(Client& client, RefusalReason reason, int status, std::string_view what);
+  void refuse_for_now(Client& client, RefusalReason reason);
+  bool client_is_there(const OpenJob& job) const;
+  bool repeat_is_forbidden(JobId id, const OpenJob& job);
+  void drop(Client& client, ClientCloseReason reason);
   void shed_unread();
   void sweep();
   std::optional<JobId> job_of_path(std::string_view path) const;
--- a/src/front/front_engines.cpp
+++ b/src/front/front_engines.cpp
@@ -33,17 +33,18 @@
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   OpenJob& job = it->second;
-  const DispatchKey key{id, job.dispatches++};
   const Span now = loop_.now();
   const Span end = time_limit > Span(0) ? std::min(job.end, now + time_limit) : job.end;
+  const bool is_forbidden = repeat_is_forbidden(id, job);
+  const DispatchKey key{id, job.dispatches++};
   job.out.push_back({key.number, now, engine});
-  if (job.answered || sending_nothing_ || end <= now || key.number >= deployment_.service.most_dispatches) {
+  if (job.answered || sending_nothing_ || end <= now || is_forbidden) {
     loop_.soon([this, key] { talk_ended(key, Outcome::never_sent, {}); });
     return;
   }
   Want want;
   want.id = job.id, want.kind = job.kind, want.token = job.token, want.statement = job.statement;
-  want.wait_ms = std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(end - now).count());
+  want.answer_by = end;
   want.grant_mb = static_cast<std::int64_t>(std::ceil(job.grant_mb));
   want.priority = job.priority;
   engines_.want(engine, key, want, job.leave_by);
@@ -56,8 +57,56 @@
   });
 }
 
+// What the module decides keeps these rules by itself; a decision that does not is a fault, and goes nowhere.
+bool Front::repeat_is_forbidden(JobId id, const OpenJob& job) {
+  const ServiceDefinition& service = deployment_.service;
+  const ReservationType& type = service.types[static_cast<std::size_t>(job.type.value)];
+  const auto rule = counters_.rules.forbids_repeating(
+      {loop_.now(), type.effect, type.repeat_window, job.dispatches, service.most_dispatches,
+       static_cast<int>(job.out.size()), service.second_copies, job.first_doubt});
+  if (rule)
+    PEARCHUTE_LOG(spdlog::level::err, "job {}: attempt {} would break the rule {}; held back", job.id,
+                  job.dispatches, rule_names[static_cast<std::size_t>(*rule)]);
+  if (rule || job.dispatches == 0) return rule.has_value();
+  const Outcome before = job.out.empty() ? job.last_end : Outcome::done;
+  counters_.retried.add(before);
+  PEARCHUTE_LOG(spdlog::level::info, "job {:016x}: attempt {} after {}", id.value, job.dispatches,
+                job.out.empty() ? outcome_names[static_cast<std::size_t>(before)] : "none, as a copy");
+  return false;
+}
+
+bool Front::client_is_there(const OpenJob& job) const {
+  const std::optional<ClientId> id = job.caller ? job.caller : job.path_given_to;
+  if (!id) return false;
+  const auto at = clients_.find(*id);
+  return at != clients_.end() && !at->second->wire().peer_has_ended();
+}
+
+// Much may have happened since it was decided: its connection came up late, or the process had no turn.
+std::optional<Outcome> Front::refuses_departure(DispatchKey key, EngineState engine) {
+  const auto it = jobs_.find(key.job);
+  if (it == jobs_.end()) return Outcome::never_sent;
+  const OpenJob& job = it->second;
+  const auto rule =
+      counters_.rules.forbids_sending({loop_.now(), job.end, job.answered, client_is_there(job), engine});
+  if (!rule) return std::nullopt;
+  PEARCHUTE_LOG(spdlog::level::info, "job {}: attempt {} does not leave: {}", job.id, key.number + 1,
+                rule_names[static_cast<std::size_t>(*rule)]);
+  if (*rule == Rule::engine_takes_work) return Outcome::unreachable;
+  if (*rule == Rule::client_is_there) lose_sight(key.job);
+  return Outcome::never_sent;
+}
+
 void Front::stop_dispatch(JobId id, int number) { engines_.never_mind({id, number}); }
 
+void Front::giving_up(JobId id, GiveUpReason reason) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.answered) return;
+  counters_.given_up.add(reason);
+  PEARCHUTE_LOG(spdlog::level::info, "job {} is given up after {} attempts: {}", it->second.id,
+                it->second.dispatches, give_up_names[static_cast<std::size_t>(reason)]);
+}
+
 void Front::throttle(JobId id, Span span) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end() || it->second.answered) return;
@@ -141,6 +190,8 @@
   const auto sent = std::ranges::find(job.out, key.number, &Sent::number);
   if (sent == job.out.end()) return;
   const Span now = loop_.now(), elapsed = now - sent->at;
+  if (!proves_not_run(outcome) && outcome != Outcome::done && !job.first_doubt) job.first_doubt = sent->at;
+  job.last_end = outcome;
   job.out.erase(sent);
   if (outcome == Outcome::done && !job.answered) {
     if (auto body = rows_as_json(pages)) {
@@ -179,13 +230,15 @@
     engines.push_back(member.engine);
     if (member.engine.state == EngineState::gone) continue;
     listed.insert(member.engine.id);
-    if (!member.address.empty()) engines_.place(member.engine.id, member.address);
+    if (!member.address.empty()) engines_.place(member.engine.id, member.address, member.engine.state);
   }
   manager_.list_came(loop_.now(), news, engines);
   // Only now, so that what ends by it is not sent there again.
   if (news != ListNews::changes) engines_.forget_others(listed);
   for (const ListedEngine& engine : engines) {
     if (engine.state == EngineState::gone) engines_.forget(engine.id);
+    // What was decided before and has not left goes elsewhere.
+    if (engine.state != EngineState::up) engines_.withhold(engine.id);
   }
 }
 
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -284,10 +284,12 @@
 
 bool Wire::peer_has_ended() const { return closed_ || (has_socket_ && net::peer_has_ended(descriptor())); }
 
-std::size_t Wire::undelivered() const {
-  return waiting_ + (has_socket_ && opened_ ? unconfirmed_bytes(descriptor()) : 0);
+std::size_t Wire::unsent() const {
+  return waiting_ + (has_socket_ && opened_ ? unsent_bytes(descriptor()) : 0);
 }
 
+bool Wire::reset_as_it_opened() const { return !opened_ && is_reset(error_); }
+
 void Wire::close_when_written() {
   user_ = nullptr;
   closing_ = true;
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -148,14 +148,15 @@
   std::size_t waiting() const { return waiting_; }
   bool closed() const { return closed_; }
   int error() const { return error_; }  // the system's number, where it ended before it was opened or broke
+  bool reset_as_it_opened() const;
   // It could not be opened because this machine was short of something; the peer had no part in it.
   bool short_of_resources() const {
     return !opened_ && failure_of(error_) == Failure::not_now && error_ != 0;
   }
   // Whether the peer has ended, even behind bytes that have not been read.
   bool peer_has_ended() const;
-  // Bytes that may still come to the peer if nothing is done.
-  std::size_t undelivered() const;
+  // Bytes that have not left this machine, and will as soon as the peer takes them.
+  std::size_t unsent() const;
   // While paused nothing is read, so what the peer sends stays with the system, and its end goes unseen.
   void pause(bool paused);
   bool paused() const { return paused_; }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -186,6 +186,7 @@
 
 void HttpServerSide::feed(std::string_view bytes) {
   if (dead_) return;
+  fed_ += bytes.size();
   kept_.append(bytes);
   take();
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -62,6 +62,8 @@
   bool call_open() const { return open_; }
   bool keeps_alive() const { return keeps_alive_; }
   std::size_t held() const { return kept_.size() + reader_.held(); }
+  std::uint64_t bytes_taken() const { return fed_ - kept_.size(); }  // of all that came, by calls so far
+  std::uint64_t bytes_fed() const { return fed_; }
   // Nothing more should be read until the open call has its answer.
   bool has_enough() const { return open_ && kept_.size() >= most_kept; }
   bool within_call() const { return !open_ && reader_.begun(); }
@@ -74,6 +76,7 @@
   Listener& listener_;
   MessageReader reader_{MessageReader::Side::requests};
   std::string kept_;
+  std::uint64_t fed_ = 0;
   bool open_ = false, keeps_alive_ = true, dead_ = false, taking_ = false;
 };
 
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -50,21 +50,43 @@
   return true;
 }
 
+namespace {
+
+std::string rules_as_json(const RuleGuard& rules, std::uint64_t (RuleGuard::*count)(Rule) const) {
+  std::string text = "{";
+  for (std::size_t i = 0; i < rule_count; ++i) {
+    const std::uint64_t found = (rules.*count)(static_cast<Rule>(i));
+    if (found > 0) text += fmt::format(R"({}"{}":{})", text.size() > 1 ? "," : "", rule_names[i], found);
+  }
+  return text + "}";
+}
+
+}  // namespace
+
 std::string Counters::as_json() const {
-  const char* names[] = {"done",        "error", "full",    "timed_out",
-                         "unreachable", "reset", "stopped", "never_sent"};
   std::string text = fmt::format(
       R"({{"taken_in":{{"connections":{},"calls":{},"bad_calls":{},"jobs":{},"fetched_again":{},"shed":{}}},)"
       R"("answered":{{"done":{},"throttled":{},"cancelled":{},"withdrawn":{}}},)"
       R"("sent":{{"dispatches":{},"never_minds":{},"hurries":{},"connections":{}}},"ended":{{)",
       connections, calls, bad_calls, jobs, fetched_again, shed, done, throttled, cancelled, withdrawn,
       dispatches, never_minds, hurries, engine_connections);
-  for (int i = 0; i < 8; ++i) text += fmt::format(R"({}"{}":{})", i ? "," : "", names[i], ends[i]);
+  for (std::size_t i = 0; i < outcome_names.size(); ++i)
+    text += fmt::format(R"({}"{}":{})", i ? "," : "", outcome_names[i], ends[i]);
   text += fmt::format(
       R"(}},"notes":{},"broken_answers":{},"silent_connections":{},"list":{{"events":{},"connections":{},"broken":{}}},)"
       R"("open":{{"jobs":{},"dispatches":{},"clients":{},"engine_connections":{}}}}})",
       notes, broken_answers, silent_connections, list_events, list_connections, broken_events, open_jobs,
       open_dispatches, open_clients, open_engine_connections);
+  text.pop_back();  // the object goes on
+  text += R"(,"clients_closed":)" + as_json_object(clients_closed, client_close_names);
+  text += R"(,"engines_closed":)" + as_json_object(engines_closed, engine_close_names);
+  text += R"(,"refused":)" + as_json_object(refused, refusal_names);
+  text += R"(,"given_up":)" + as_json_object(given_up, give_up_names);
+  text += R"(,"retried":)" + as_json_object(retried, outcome_names);
+  text += fmt::format(R"(,"rules":{{"checked":{},"failed_events":{},"held_back":)", rules.checked(),
+                      failed_events);
+  text += rules_as_json(rules, &RuleGuard::held_back) + R"(,"broken":)";
+  text += rules_as_json(rules, &RuleGuard::broken) + "}}";
   return text;
 }
 
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -9,6 +9,10 @@
 #include <memory>
 #include <string>
 
+#include "core/rule_guard.h"
+#include "core/types.h"
+#include "net/reasons.h"
+
 namespace pearchute::net {
 
 // Lines of `form`; without one, plain ones.
@@ -41,6 +45,13 @@
   std::uint64_t notes = 0, broken_answers = 0, silent_connections = 0;
   // Now, not since the start.
   std::uint64_t open_jobs = 0, open_dispatches = 0, open_clients = 0, open_engine_connections = 0;
+  ReasonCounts<ClientCloseReason> clients_closed;
+  ReasonCounts<EngineCloseReason> engines_closed;
+  ReasonCounts<RefusalReason> refused;
+  ReasonCounts<GiveUpReason> given_up;
+  ReasonCounts<Outcome> retried;  // by how the attempt before ended; a second copy counts as done
+  RuleGuard rules;
+  std::uint64_t failed_events = 0;  // events that an error within the program cut short
   std::uint64_t list_events = 0, list_connections = 0, broken_events = 0;
   std::string as_json() const;
 };
--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -172,9 +172,11 @@
   return (one.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-std::size_t unconfirmed_bytes(int descriptor) {
+bool is_reset(int error_number) { return error_number == ECONNRESET; }
+
+std::size_t unsent_bytes(int descriptor) {
   int bytes = 0;
-  if (::ioctl(descriptor, SIOCOUTQ, &bytes) != 0 || bytes < 0) return 0;
+  if (::ioctl(descriptor, SIOCOUTQNSD, &bytes) != 0 || bytes < 0) return 0;
   return static_cast<std::size_t>(bytes);
 }
 
--- a/src/net/system_calls.h
+++ b/src/net/system_calls.h
@@ -69,8 +69,10 @@
 bool say_end(int descriptor);         // of what this side sends; false where the connection is gone
 // Whether the peer has said its end or broken off, even behind bytes that have not been read.
 bool peer_has_ended(int descriptor);
-// Bytes that the peer's machine has not confirmed yet; 0 where the system does not tell.
-std::size_t unconfirmed_bytes(int descriptor);
+// Bytes that the system has taken and not put on the network, because the peer takes no more; 0 where the
+// system does not tell.
+std::size_t unsent_bytes(int descriptor);
+bool is_reset(int error_number);
 
 // A whole file. Throws ResourceShortage where it can't be had now, SystemError where it can't be read.
 std::string read_file(const std::string& path);
--- a/tests/test_daemon.cpp
+++ b/tests/test_daemon.cpp
@@ -55,7 +55,7 @@
   close(peer), close(fd);  // not before: the loop may see the end sooner than that all is written
 }
 
-struct Ends final : EngineTalk::Listener {
+struct Ends final : Engines::Listener {
   std::vector<std::pair<std::uint64_t, Outcome>> ends;
   void talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string>) override {
     ends.emplace_back(key.job.value, outcome);
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -24,7 +24,7 @@
 
 // ---- What has not left
 
-struct Ends final : net::EngineTalk::Listener {
+struct Ends final : net::Engines::Listener {
   std::map<std::uint64_t, Outcome> ends;
   void talk_ended(net::DispatchKey key, Outcome outcome, std::vector<std::string>) override {
     assert(ends.emplace(key.job.value, outcome).second);
