Starts, reloads and engines' starts bear shortages and a wall clock that is off

Cause: Program's constructor and read_again took one failed call for final: a socket or file that could not be had for a moment ended the start, with a text that named a conflict which was not there, and left a manager on a moved channel for good. EngineList placed engines' starts by the wall clock as it was when the manager started: an hour ahead then, engines that start later are taken for warm at once (a broken budget of a server in slow start); an hour behind, all are cold for an hour. Seen by clock_off_at_the_start, which failed before this change: a cold engine was sent work. Ruled out: steps after the start, since the offset is read once.

Change: the start is tried again for 5 s and told with the true cause; a conflict, a wrong address or bad settings are told at once. Managers whose clocks are right go by the same start as before.

Left: a manager that starts while its clock is ahead takes engines of its first list for older than they are.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,9 +3,13 @@
 // error, what is wrong and what to do, with a status of 1.
 #include <Poco/Exception.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <exception>
+#include <functional>
 #include <iostream>
+#include <memory>
+#include <thread>
 
 #include "daemon/program.h"
 #include "errors/error.h"
@@ -21,6 +25,23 @@
 
 using pearchute::net::Program;
 
+// Guards against a start that ends for what this machine is short of for a moment. A place that others hold,
+// or settings that can't be used, are told at once.
+std::unique_ptr<Program> make_when_possible(const std::function<std::unique_ptr<Program>()>& make) {
+  constexpr std::chrono::seconds at_most(5);
+  constexpr std::chrono::milliseconds between(50);
+  const auto until = std::chrono::steady_clock::now() + at_most;
+  while (true) {
+    try {
+      return make();
+    } catch (const pearchute::net::ResourceShortage& shortage) {
+      if (std::chrono::steady_clock::now() >= until) throw;
+      PEARCHUTE_LOG(spdlog::level::warn, "not started yet: {}", shortage.what());
+    }
+    std::this_thread::sleep_for(between);
+  }
+}
+
 int start(int argc, char** argv) {
   const char* told = std::getenv("PROXY_CONFIG");
   std::string file = told ? told : "";
@@ -48,12 +69,16 @@
     std::cout << check << ": usable\n";
     return 0;
   }
-  return Program(file, log == "json" ? pearchute::net::json_lines() : nullptr, annex).run();
+  return make_when_possible([&] {
+           return std::make_unique<Program>(file, log == "json" ? pearchute::net::json_lines() : nullptr,
+                                            annex);
+         })
+      ->run();
 #else
   if (argc > 1)
     throw pearchute::UsageError(std::string("this build takes no arguments: ") + argv[1], "",
                                 "set PROXY_CONFIG; a build with PEARCHUTE_FLEET=ON has a command line");
-  return Program(file).run();
+  return make_when_possible([&] { return std::make_unique<Program>(file); })->run();
 #endif
 }
 
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -8,8 +8,6 @@
 #include <charconv>
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
-#include <iterator>
 #include <nlohmann/json.hpp>
 
 #include "errors/error.h"
@@ -35,11 +33,14 @@
 json read_configuration(const std::string& path) {
   if (path.empty())
     throw ConfigurationError("no configuration is named", "", "name one: --config FILE, or PROXY_CONFIG");
-  std::ifstream file(path);
-  if (!file)
-    throw ConfigurationError("the configuration can't be read", path,
-                             "see that it is there and that this user may read it");
-  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  std::string text;
+  try {
+    text = read_file(path);
+  } catch (const ResourceShortage&) {
+    throw;  // it may be read a moment later
+  } catch (const SystemError& error) {
+    throw ConfigurationError("the configuration " + error.wrong(), path, error.remedy());
+  }
   json configuration;
   try {
     configuration = json::parse(text);
@@ -158,18 +159,15 @@
     annex_ = annex({loop_, *front_, deployment_, name_, digest_of(configuration), [] { asked_to_end = 1; },
                     [this] { return front_->counters_now(); }});
   }
+  list_->heard(loop_.now());
   if (const auto known = configuration.find("known"); known != configuration.end()) {
     const EngineList::Change change = list_->known(*known);
     if (change.taken == EngineList::Taken::applied) list_listener().list_changed(change.news, change.members);
     else spdlog::warn("what is known of the engines can't be read: {}", change.fault);
   }
-  try {
-    door_ = std::make_unique<Door>(
-        loop_, place_in(address, "listen"),
-        [this](const Poco::Net::StreamSocket& socket) { front_->client_came(socket); });
-  } catch (const Poco::Exception& error) {
-    throw ListeningError(error.displayText(), address);
-  }
+  door_ =
+      std::make_unique<Door>(loop_, place_in(address, "listen"),
+                             [this](const Poco::Net::StreamSocket& socket) { front_->client_came(socket); });
   if (const std::string channel = configuration.value("channel", ""); !channel.empty()) {
     feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, list_listener(), counters_);
     feed_->open();
@@ -194,24 +192,38 @@
 }
 
 // The channel may move while the program runs; of the rest it is said where it takes a restart. A file that
-// can't be used leaves all as it was.
+// can't be used leaves all as it was. Guards against one that can't be opened just now, or is being written:
+// it is tried again for some seconds before it is given up.
 void Program::read_again() {
+  constexpr seconds at_most(5);
+  constexpr milliseconds between(50);
+  const Span now = loop_.now();
+  if (!reload_until_) reload_until_ = now + at_most;
   try {
-    const json configuration = read_configuration(file_);
-    const std::string channel = configuration.value("channel", "");
-    if (channel.empty()) throw ConfigurationError("the configuration names no channel");
-    spdlog::info("the configuration is read again; the channel is at {}",
-                 place_in(channel, "channel").toString());
-    if (fixed_part(configuration) != before_)
-      spdlog::warn("what else has changed in the configuration takes effect at the next start only");
-    if (feed_) return feed_->move_to(channel);
-    feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, list_listener(), counters_);
-    feed_->open();
+    apply_configuration();
+    reload_until_.reset();
   } catch (const std::exception& error) {
-    spdlog::warn("the configuration stays as it was: {}", error.what());
+    const bool last = now >= *reload_until_;
+    PEARCHUTE_LOG(spdlog::level::warn, "the configuration stays as it was{}: {}", last ? "" : " for now",
+                  error.what());
+    if (last) reload_until_.reset();
+    else reload_at_ = now + between;
   }
 }
 
+void Program::apply_configuration() {
+  const json configuration = read_configuration(file_);
+  const std::string channel = configuration.value("channel", "");
+  if (channel.empty()) throw ConfigurationError("the configuration names no channel");
+  spdlog::info("the configuration is read again; the channel is at {}",
+               place_in(channel, "channel").toString());
+  if (fixed_part(configuration) != before_)
+    spdlog::warn("what else has changed in the configuration takes effect at the next start only");
+  if (feed_) return feed_->move_to(channel);
+  feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, list_listener(), counters_);
+  feed_->open();
+}
+
 // Looks, at short intervals, whether the next phase has come.
 void Program::watch() {
   const Span now = loop_.now();
@@ -222,6 +234,9 @@
   }
   if (asked_to_read_again && phase_ < Phase::finishing) {
     asked_to_read_again = 0;
+    reload_until_.reset();  // what is asked for now has its own time
+    read_again();
+  } else if (reload_until_ && now >= reload_at_ && phase_ < Phase::finishing) {
     read_again();
   }
   if (phase_ == Phase::listing && list_->has_list()) enter(Phase::serving);
--- a/src/daemon/program.h
+++ b/src/daemon/program.h
@@ -53,6 +53,7 @@
   void enter(Phase phase);
   void watch();
   void read_again();
+  void apply_configuration();  // throws std::exception where it can't be used
   ListFeed::Listener& list_listener();
 
   Phase phase_ = Phase::starting;
@@ -65,7 +66,8 @@
   std::unique_ptr<Annex> annex_;  // ends before the front that it governs
   std::unique_ptr<ListFeed> feed_;
   std::unique_ptr<Door> door_;
-  Span counters_at_{}, asked_at_{}, give_up_after_{}, finishing_since_{};
+  Span counters_at_{}, asked_at_{}, give_up_after_{}, finishing_since_{}, reload_at_{};
+  std::optional<Span> reload_until_;  // while a configuration is to be read again
 };
 
 }  // namespace pearchute::net
--- a/src/engines/list.cpp
+++ b/src/engines/list.cpp
@@ -40,7 +40,9 @@
       member.engine.kind = deployment_.kind(service::plain_name(one.value("flavor", "")));
       member.engine.cell = CellId{one.value("cell", std::int64_t{0})};
       const std::int64_t since = one.value("up_since_ms", std::int64_t{0});
-      if (since > 0) member.engine.online_since = std::chrono::milliseconds(since) - unix_start_;
+      if (since > 0)
+        member.engine.online_since =
+            start_times_.start_of(member.engine.id, std::chrono::milliseconds(since));
     }
     change.taken = Taken::applied;
   } catch (const std::exception& error) {
@@ -110,7 +112,7 @@
   std::erase_if(ids_, [&](const auto& one) {
     const auto named = gone.find(one.second);
     const bool over = named == gone.end() ? whole : named->second;
-    if (over) taken_ids_.erase(one.second);
+    if (over) taken_ids_.erase(one.second), start_times_.forget(one.second);
     return over;
   });
 }
@@ -179,6 +181,7 @@
   last_sign_ = loop_.now();
   spoke_ = true;
   patience_ = 1;
+  list_.heard(last_sign_);
   const Wire* here = wire_.get();
   const bool sound = feed_->feed(bytes);
   if (wire_.get() != here || !wire_) return;  // a gap has closed it already
--- a/src/engines/list.h
+++ b/src/engines/list.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "engines/feed.h"
+#include "engines/start_times.h"
 #include "net/driver.h"
 #include "net/log.h"
 #include "service/deployment.h"
@@ -28,7 +29,7 @@
  public:
   // `unix_start` is the Unix time at the instance's start, which places the engines' starts.
   EngineList(const service::Deployment& deployment, std::chrono::milliseconds unix_start)
-      : deployment_(deployment), unix_start_(unix_start) {}
+      : deployment_(deployment), start_times_(unix_start) {}
 
   enum class Taken { applied, old, gap, broken };
   struct Change {
@@ -39,6 +40,8 @@
   };
   Change known(const nlohmann::json& known);  // all that it says, as one remembered list
   Change event(std::string_view id, std::string_view data, bool gap_allowed);
+  // The source of the list has said something.
+  void heard(Span now) { start_times_.heard(now); }
   std::int64_t cursor() const { return cursor_; }
   bool has_list() const { return has_list_; }
   std::size_t names() const { return ids_.size(); }
@@ -49,7 +52,7 @@
   void forget_gone(const Change& change);
 
   const service::Deployment& deployment_;
-  std::chrono::milliseconds unix_start_;
+  StartTimes start_times_;
   std::int64_t cursor_ = 0;
   bool has_list_ = false;
   std::map<std::string, EngineId> ids_;
--- a/tests/test_crossings.cpp
+++ b/tests/test_crossings.cpp
@@ -362,6 +362,61 @@
   }
 }
 
+// One type for each engine, which is known by its kind; a cold engine is sent nothing for five seconds.
+constexpr const char* cold_settings = R"({"classes":[
+    {"name":"first","repeat":"pure","slo":8000000,"giveUp":9000000,"worth":1,"boundTo":["a"]},
+    {"name":"second","repeat":"pure","slo":8000000,"giveUp":9000000,"worth":1,"boundTo":["b"]}],
+    "hostTypes":["a","b"],"failureDomains":["east"],"zone":"east","nInstances":1,
+    "obligations":{"cold":4000000,"coldFrom":0.3,"tipMultiple":0.0001,"fall":1000000},
+    "familyInfo":{"coresByKind":[8,8],"sizeMb":[8000,8000]},
+    "limits":{"attemptsCap":2,"cancel":true,"connectTimeout":250000,"idleClose":15000000,"streamsPerConn":4}})";
+
+// The machine's wall clock is an hour off while a manager starts. Engines' starts are told as Unix times: one
+// that starts later is still taken for cold, and one that started before is not taken for cold for an hour.
+void clock_off_at_the_start() {
+  for (const auto offset : {std::chrono::hours(1), -std::chrono::hours(1)}) {
+    FaultyDaemon fixture;
+    const std::string a = fixture.engine("a"), b = fixture.engine("b");
+    const auto told = [](const std::string& name, const std::string& address, std::int64_t since) {
+      nlohmann::json event =
+          StandInChannel::event(since == 0 ? 1 : 2, {{name, address, "east", name, "active"}}, false);
+      event["nodes"]["members"][0]["up_since_ms"] = since;
+      return "id: " + std::string(since == 0 ? "1" : "2") + "\ndata: " + event.dump() + "\n\n";
+    };
+    std::atomic<bool> started = false, over = false;
+    ScriptedDiscovery discovery([&](int peer) {
+      hear_request(peer);
+      say(peer, "HTTP/1.1 200 OK\r\n\r\n: here\n\n");
+      while (!started && !over) pass(milliseconds(10));
+      if (started) say(peer, told("b", b, unix_ms()));
+      while (!over) pass(milliseconds(10));
+      close(peer);
+    });
+    fixture.faults.step_wall_clock(offset);
+    fixture.configure(cold_settings, known({{"a", a, "a", "east", unix_ms() - 60'000}}), discovery.address());
+    fixture.go();
+    assert(fixture.faults.wall_clock_reads() > 0);
+    // Cold for as long as the settings say at most, whatever the clock says.
+    const JobCall first = job("work=1", 8000, "first");
+    const int fd = fixture.open(first);
+    assert(soon([&] { return fixture.begun("a", first) == 1; }, 600));
+    close(fd);
+    pass(milliseconds(1100));
+    const std::uint64_t events = fixture.counter("events");
+    started = true;
+    assert(soon([&] { return fixture.counter("events") > events; }));
+    const JobCall second = job("work=1", 8000, "second");
+    const int other = fixture.open(second);
+    pass(milliseconds(1500));
+    const int begun = fixture.begun("b", second);
+    if (begun > 0)
+      std::fprintf(stderr, "%lld h: a cold engine was sent work\n", static_cast<long long>(offset.count()));
+    over = true;
+    assert(begun == 0);
+    close(other);
+  }
+}
+
 struct Scenario {
   const char* name;
   void (*play)();
@@ -379,6 +434,7 @@
     {"reload_while_files_run_short", reload_while_files_run_short},
     {"left_behind_in_the_send_queue", left_behind_in_the_send_queue},
     {"left_while_stalled", left_while_stalled},
+    {"clock_off_at_the_start", clock_off_at_the_start},
 };
 
 }  // namespace
