The soak: managers as processes under overlapping troubles, and a red test of its first find

No program of the project overlapped stops, reloads, restarts, failing calls, engines, clients and the list's channel in time, judged by what clients and engines saw.

Change: pearchute-lab soak draws troubles from a seed (lab/soak), relays stand between managers, engines and the channel, each manager has calls that fail and a clock that steps; the history checker counts attempts after a client has left and times told to engines; rule guards' counts are read from logs.

--- a/src/lab/checkers/history_checker.cpp
+++ b/src/lab/checkers/history_checker.cpp
@@ -48,6 +48,10 @@
   const auto at = jobs_.find(id);
   if (at == jobs_.end() || at->second.answers > 0 || at->second.given_up) return;
   at->second.given_up = true;
+  if (dead_managers_.contains(at->second.manager)) {
+    ++verdict_.excused;
+    return closed(id, at->second);
+  }
   fault(verdict_.lost, "no answer to " + id + ", sent to manager " + std::to_string(at->second.manager));
   closed(id, at->second);
 }
@@ -56,6 +60,7 @@
   const auto at = jobs_.find(id);
   if (at == jobs_.end() || at->second.answers > 0 || at->second.given_up) return;
   at->second.given_up = true;
+  at->second.left_at = steady_now();
   ++verdict_.withdrawn;
   closed(id, at->second);
 }
@@ -68,7 +73,29 @@
   closed(id, at->second);
 }
 
-void HistoryChecker::begun(const std::string& engine, const std::string& id) {
+void HistoryChecker::manager_lives(int manager) { dead_managers_.erase(manager); }
+
+void HistoryChecker::manager_died(int manager) {
+  dead_managers_.insert(manager);
+  for (auto& [id, job] : jobs_) {
+    if (job.manager != manager || job.answers > 0 || job.given_up) continue;
+    job.given_up = true;
+    ++verdict_.excused;
+    closed(id, job);
+  }
+}
+
+void HistoryChecker::told_wait(const std::string& id, milliseconds wait) {
+  constexpr milliseconds slack(150);
+  const auto at = jobs_.find(id);
+  if (at == jobs_.end()) return;
+  const Time left = at->second.until - steady_now();
+  if (wait > left + slack + transit_)
+    fault(verdict_.waits_too_long, id + " is to wait " + std::to_string(wait.count()) + " ms, " +
+                                       std::to_string(left.count() / 1000) + " ms are left");
+}
+
+void HistoryChecker::begun(const std::string& engine, const std::string& id, bool lay_unread) {
   const auto at = jobs_.find(id);
   if (at == jobs_.end()) return;
   Job& job = at->second;
@@ -78,15 +105,21 @@
   while (wants.front() + std::chrono::seconds(1) < now) wants.pop_front();
   if (const auto drained = drained_.find({engine, job.manager}); drained != drained_.end())
     drained->second.last = now;
+  constexpr milliseconds leaving_heard_within(100);
+  if (!lay_unread && job.left_at && now > *job.left_at + leaving_heard_within + transit_)
+    fault(verdict_.after_leaving, id + " reaches " + engine + " " +
+                                      std::to_string((now - *job.left_at).count() / 1000) +
+                                      " ms after its client has left");
   for (const Run& run : job.runs) {
-    if (!run.over) fault(verdict_.overlaps, id + " reaches " + engine + " while it is out at " + run.engine);
+    const bool is_out = !run.over && (job.kind.once || !unseen_give_ups_);
+    if (is_out) fault(verdict_.overlaps, id + " reaches " + engine + " while it is out at " + run.engine);
     else if (job.kind.once && !run.turned_away)
       fault(verdict_.twice_run, id + " is run by " + engine + " after " + run.engine);
   }
   job.runs.push_back({engine});
-  if (!job.kind.in_order) return;
+  if (!job.kind.in_order || lay_unread) return;
   Line& line = lines_[job.key];
-  if (!line.out.empty() && line.out != id)
+  if (!line.out.empty() && line.out != id && !unseen_give_ups_)
     fault(verdict_.disorder, id + " begins while " + line.out + " is out");
   else if (job.turn < line.last_begun) fault(verdict_.disorder, id + " begins after a later one of its key");
   line.last_begun = std::max(line.last_begun, job.turn);
--- a/src/lab/checkers/history_checker.h
+++ b/src/lab/checkers/history_checker.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,8 +29,19 @@
   void unanswered(const std::string& job);  // its connection ended without one, or its time did
   void withdrawn(const std::string& job);
   void unreached(const std::string& job);  // no connection: it came to nobody
+  // The manager was killed, or its machine: what is open there is lost through no fault of its own.
+  void manager_died(int manager);
+  void manager_lives(int manager);
+  // Engines may not hear of what managers give up (they hang, or are cut off), so what they still run is not
+  // held against the manager. A job that must run once is judged all the same.
+  void set_unseen_give_ups(bool unseen) { unseen_give_ups_ = unseen; }
+  // What the network may hold back at the moment; times at engines are allowed so much more.
+  void set_transit(Time transit) { transit_ = transit; }
+  // At an engine: how long the manager said that it would wait, when the job came.
+  void told_wait(const std::string& job, std::chrono::milliseconds wait);
   // At an engine. A run ends when its answer is written, it is given up, or its connection ends.
-  void begun(const std::string& engine, const std::string& job);
+  // `lay_unread`: the engine did not read for a while, so it may have come earlier, and in another order.
+  void begun(const std::string& engine, const std::string& job, bool lay_unread = false);
   void ended(const std::string& engine, const std::string& job, bool turned_away);
 
   // Manager `manager` had the order to drain `engine` at `came`; nothing new may reach it much later.
@@ -40,10 +52,17 @@
     std::uint64_t sent = 0, done = 0, refused = 0, failed = 0, withdrawn = 0, unreached = 0;
     std::uint64_t lost = 0, doubled = 0, late = 0, twice_run = 0, overlaps = 0, disorder = 0;
     std::uint64_t drains = 0, late_over_500ms = 0;
-    std::vector<Time> drain_delays;   // from the order to the last new dispatch; 0 where none came after
-    std::vector<std::string> faults;  // the first few, in words
-    bool clean() const {
-      return lost + doubled + twice_run + overlaps + disorder + late_over_500ms + late == 0;
+    std::uint64_t excused = 0;         // open at a manager that was killed
+    std::uint64_t after_leaving = 0;   // begun over 0.1 s after their client had left
+    std::uint64_t waits_too_long = 0;  // told an engine more time than the client has left
+    std::vector<Time> drain_delays;    // from the order to the last new dispatch; 0 where none came after
+    std::vector<std::string> faults;   // the first few, in words
+    bool clean() const { return keeps_rules() && late == 0; }
+    // As far as the operators' rules go: an answer up to half a second late only earns nothing.
+    bool keeps_rules() const {
+      return lost + doubled + twice_run + overlaps + disorder + late_over_500ms + after_leaving +
+                 waits_too_long ==
+             0;
     }
   };
   // Jobs whose time is not up yet are not judged.
@@ -62,6 +81,7 @@
     Time until{};
     int answers = 0;
     bool given_up = false;
+    std::optional<Time> left_at;  // by its client
     std::vector<Run> runs;
   };
   struct Line {
@@ -80,6 +100,9 @@
   std::map<std::pair<std::string, int>, std::deque<Time>> wants_;  // of the last second
   std::map<std::pair<std::string, int>, Drained> drained_;
   std::uint64_t open_ = 0;
+  Time transit_{};
+  bool unseen_give_ups_ = false;
+  std::set<int> dead_managers_;
   Verdict verdict_;
 };
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -12,6 +12,7 @@
 #include "lab/capacity/capacity_command.h"
 #include "lab/measurements/measurements.h"
 #include "lab/scale/hollow_hosts.h"
+#include "lab/soak/soak_command.h"
 #include "lab/stand_ins/admin_endpoints.h"
 #include "lab/stand_ins/test_cluster.h"
 #include "net/log.h"
@@ -156,7 +157,19 @@
   capacity_app->add_option("--engines", scale_size.engines)->check(CLI::PositiveNumber);
   capacity_app->add_option("--agents", scale_size.agents)->check(CLI::PositiveNumber);
   capacity_app->add_flag("--levels", levels, "status is spread by levels");
-  for (CLI::App* one : {measure, site, shown, capacity_app}) one->fallthrough();
+  SoakCommand soak;
+  int soak_seconds = 20;
+  CLI::App* soak_app = app.add_subcommand("soak", "managers under overlapping troubles drawn from a seed");
+  soak_app->add_option("--seeds", soak.seeds, "how many, from --seed on")->check(CLI::Range(1, 10000));
+  soak_app->add_option("--managers", soak.spec.managers)->check(CLI::Range(3, 100))->capture_default_str();
+  soak_app->add_option("--engines", soak.spec.engines)->check(CLI::Range(2, 100))->capture_default_str();
+  soak_app->add_option("--rate", soak.spec.rate, "statements a second")->check(CLI::Range(1.0, 5000.0));
+  soak_app->add_option("--for", soak_seconds, "each run's troubles")
+      ->type_name("S")
+      ->check(CLI::Range(1, 7200));
+  soak_app->add_flag("--every-kind", soak.every_kind, "fails where a kind of trouble never came about");
+  soak_app->add_flag("--calls", soak.calls_only, "failing system calls instead: each kind, and all together");
+  for (CLI::App* one : {measure, site, shown, capacity_app, soak_app}) one->fallthrough();
   CLI11_PARSE(app, argc, argv);
   pearchute::net::start_log("lab");
   spdlog::set_level(spdlog::level::err);
@@ -166,6 +179,11 @@
     if (capacity_app->parsed()) return capacity::run(capacity_command, std::cout);
     if (shown->parsed()) return demo(bench);
     if (hollow->parsed()) return run_hollow_hosts(hollow_spec);
+    if (soak_app->parsed()) {
+      soak.spec.seed = bench.seed, soak.spec.programs = bench.programs;
+      soak.spec.lasts = std::chrono::seconds(soak_seconds);
+      return soak.run();
+    }
     if (site->parsed()) return up(bench, managers, engines, rate, seconds);
     return measurements.at(name)(bench);
   } catch (const std::exception& error) {
--- a/src/lab/stand_ins/clients.cpp
+++ b/src/lab/stand_ins/clients.cpp
@@ -226,6 +226,19 @@
   }
 }
 
+void StandInClients::withdraw_some(std::size_t most) {
+  std::vector<std::string> open;
+  for (const Manager& manager : managers_) {
+    for (const auto& line : manager.lines)
+      if (line->busy()) open.push_back(line->job());
+  }
+  for (std::size_t i = 0; i < most && !open.empty(); ++i) {
+    std::swap(open[chance_() % open.size()], open.back());
+    withdraw(open.back());
+    open.pop_back();
+  }
+}
+
 void StandInClients::offer(double rate, std::vector<Ask> mix) {
   rate_ = rate, mix_ = std::move(mix);
   next_due_ = steady_now();
--- a/src/lab/stand_ins/clients.h
+++ b/src/lab/stand_ins/clients.h
@@ -35,6 +35,7 @@
   int add_manager(const std::string& address);
   // Sends one; `heard` gets the answer, or nothing where none came. Returns its id.
   std::string ask(int manager, const Ask& ask, std::function<void(std::optional<Answer>)> heard = {});
+  void withdraw_some(std::size_t most);   // of the jobs that are open
   void withdraw(const std::string& job);  // closes its connection, or deletes its path
   // Offers `rate` jobs a second to the managers in turn, of the mix, until told 0.
   void offer(double rate, std::vector<Ask> mix);
--- a/src/lab/stand_ins/engine.cpp
+++ b/src/lab/stand_ins/engine.cpp
@@ -109,6 +109,8 @@
 void StandInEngine::set(const Faults& faults) {
   if (faults.deaf != faults_.deaf) {
     for (const auto& [line, owned] : lines_) line->wire().pause(faults.deaf);
+    constexpr std::chrono::milliseconds backlog_read_within(200);
+    if (!faults.deaf) reads_backlog_until_ = steady_now() + backlog_read_within;
   }
   faults_ = faults;
 }
@@ -150,7 +152,12 @@
     told_waits_[words[1]] = std::chrono::milliseconds(static_cast<int>(number_of(words[2], "ms", 0)));
   }
   Run run{&line, words[1], 0, 0, 1, value_of(words[3], "fault"), next_++};
-  if (record_) record_->begun(name_, run.job);
+  if (record_) {
+    const bool lay_unread = steady_now() < reads_backlog_until_;
+    record_->begun(name_, run.job, lay_unread);
+    const auto wait = static_cast<std::int64_t>(number_of(words[2], "ms", 0));
+    if (!lay_unread) record_->told_wait(run.job, std::chrono::milliseconds(wait));
+  }
   run.work_ms = number_of(words[3], "work", 5) * faults_.slow;
   begun_work_.push_back({steady_now(), run.work_ms});
   if (begun_work_.size() > most_begun_work) begun_work_.pop_front();
--- a/src/lab/stand_ins/engine.h
+++ b/src/lab/stand_ins/engine.h
@@ -103,6 +103,7 @@
   std::map<std::string, int> begun_jobs_;
   std::map<std::string, std::chrono::milliseconds> told_waits_;  // of as many jobs
   std::deque<BegunWork> begun_work_;
+  Time reads_backlog_until_{};                        // what lay unread while it was deaf
   std::set<std::string> given_up_jobs_, reset_jobs_;  // of faults and tests: a few
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/lab/stand_ins/test_cluster.cpp
+++ b/src/lab/stand_ins/test_cluster.cpp
@@ -46,6 +46,15 @@
                                                        site_.memory_mb, site_.seed + static_cast<unsigned>(i),
                                                        &record_));
   }
+  std::string channel_address = channel_->address();
+  if (site_.relayed) {
+    const auto relay_to = [this](const std::string& target) {
+      return std::make_unique<Relay>(loop(), "127.0.0.1:0", Poco::Net::SocketAddress(target));
+    };
+    for (const auto& engine : engines_) engine_relays_.push_back(relay_to(engine->address()));
+    for (int i = 0; i < 2; ++i) channel_relays_.push_back(relay_to(channel_->address()));
+    channel_address = channel_relays_.front()->address();
+  }
   channel_->tell(members_now(), true);
   crowd_ = std::make_unique<StandInClients>(loop(), site_.seed, record_, kind_of);
   for (int i = 0; i < site_.managers; ++i) {
@@ -58,7 +67,7 @@
     manager.configuration = folder_ + "/" + manager.name + ".json";
     manager.admin_file = folder_ + "/" + manager.name + ".ini";
     manager.log = folder_ + "/" + manager.name + ".log";
-    write_configuration(number, channel_->address());
+    write_configuration(number, channel_address);
     std::ofstream(manager.admin_file)
         << "[admin]\nlisten = unix:" << manager.admin << "\norders_file = " << folder_ << "/" << manager.name
         << ".orders\nnotice_ms = 500\n";
@@ -77,7 +86,8 @@
     ::waitpid(managers_[i].process, nullptr, 0);
   }
   on([this] {
-    crowd_.reset(), managers_.clear(), engines_.clear(), channel_.reset();
+    crowd_.reset(), managers_.clear(), engine_relays_.clear(), channel_relays_.clear();
+    engines_.clear(), channel_.reset();
     loop().settle();
   });
   std::error_code ignored;
@@ -106,8 +116,8 @@
 }
 
 StandInChannel::Member TestCluster::member(std::size_t engine, const std::string& phase) const {
-  return {engines_[engine]->name(), engines_[engine]->address(), site_.zones[engine % site_.zones.size()],
-          "std", phase};
+  const std::string address = site_.relayed ? engine_relays_[engine]->address() : engines_[engine]->address();
+  return {engines_[engine]->name(), address, site_.zones[engine % site_.zones.size()], "std", phase};
 }
 
 void TestCluster::write_configuration(std::size_t number, const std::string& channel) {
@@ -187,6 +197,8 @@
   const int log = ::open(manager.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   ::dup2(log, STDERR_FILENO), ::dup2(log, STDOUT_FILENO);
   ::close_range(3, ~0U, 0);
+  if (site_.environment)
+    for (const auto& [name, value] : site_.environment(number)) ::setenv(name.c_str(), value.c_str(), 1);
   ::execl(site_.pearchuted.c_str(), "pearchuted", "--config", manager.configuration.c_str(), "--admin",
           manager.admin_file.c_str(), static_cast<char*>(nullptr));
   ::_exit(127);
--- a/src/lab/stand_ins/test_cluster.h
+++ b/src/lab/stand_ins/test_cluster.h
@@ -13,6 +13,7 @@
 #include "lab/stand_ins/clients.h"
 #include "lab/stand_ins/engine.h"
 #include "lab/stand_ins/engine_list_channel.h"
+#include "lab/stand_ins/relay.h"
 #include "net/event_loop_thread.h"
 
 namespace pearchute::lab {
@@ -41,6 +42,9 @@
   bool knows_list = false;                    // the whole list stands in its configuration, too
   int fleet_managers = 0;                     // that the managers know of; 0: those of this site
   ColdRule cold;
+  bool relayed = false;  // a relay stands before each engine, and two before the channel
+  // Of each manager, by its number: what its environment holds beside the laboratory's own.
+  std::function<std::vector<std::pair<std::string, std::string>>(std::size_t)> environment;
 };
 
 class TestCluster {
@@ -69,6 +73,9 @@
   StandInChannel::Member member(std::size_t engine, const std::string& phase = "active") const;
   std::vector<StandInChannel::Member> members_now() const;
   const std::string& folder() const { return folder_; }
+  // Only where they are relayed.
+  Relay& engine_relay(std::size_t engine) { return *engine_relays_[engine]; }
+  Relay& channel_relay(std::size_t which) { return *channel_relays_[which]; }
   // A fleet file for pearchutectl over the managers, which starts them again as they were started. Its name.
   std::string write_fleet() const;
 
@@ -112,6 +119,7 @@
   std::string folder_;
   std::unique_ptr<StandInChannel> channel_;
   std::vector<std::unique_ptr<StandInEngine>> engines_;
+  std::vector<std::unique_ptr<Relay>> engine_relays_, channel_relays_;
   std::unique_ptr<StandInClients> crowd_;
   std::vector<Manager> managers_;
 };
--- a/tests/test_crossings.cpp
+++ b/tests/test_crossings.cpp
@@ -186,6 +186,28 @@
   assert(ready);
 }
 
+// The process has no turn while a request comes: what the engine is told is what the client has left then.
+void deadline_after_stall() {
+  DaemonFixture fixture;
+  fixture.go(usual_settings, known({{"a", fixture.engine("a")}}));
+  for (int i = 0; i < 5; ++i) {
+    kill(fixture.daemon, SIGSTOP);
+    pass(milliseconds(20));
+    const JobCall call = job("work=1", 3000);
+    const auto sent = Clock::now();
+    const int fd = fixture.open(call);
+    pass(milliseconds(500));
+    kill(fixture.daemon, SIGCONT);
+    assert(hear(fd).starts_with("HTTP/1.1 200"));
+    const auto left = 3000 - elapsed_ms(sent);
+    const auto told = fixture.stage.on([&] { return fixture.engines["a"]->told_wait(id_of(call.number)); });
+    std::fprintf(stderr, "told %lld ms, %lld ms were left\n", static_cast<long long>(told->count()),
+                 static_cast<long long>(left));
+    assert(told && told->count() <= left + 150);
+    close(fd);
+  }
+}
+
 // A daemon whose system calls can be made to fail.
 struct FaultyDaemon : DaemonFixture {
   FaultInjection faults;
@@ -425,6 +447,7 @@
     {"drain_while_connecting", drain_while_connecting},
     {"deadline_after_late_connect", deadline_after_late_connect},
     {"pipelined_deadlines", pipelined_deadlines},
+    {"deadline_after_stall", deadline_after_stall},
     {"discovery_refuses", discovery_refuses},
     {"discovery_slow", discovery_slow},
     {"clock_step_in_interrupted_wait", clock_step_in_interrupted_wait},
