What comes while the process has no turn is as old as it may be, and so is what waits at the door

Cause: Loop took what a wait brought for just come, also where that wait had taken half a second longer than asked because the process had no turn; and a connection that is taken in a later round than the first, or whose bytes came with it, for as young as that round. Ruled out by a trace of each wait around a stop: the interrupted wait alone (with that mended the soak passed and the test still failed, as a wait may end before the stop and return after it).

Change: Loop::note_wait keeps when it was last known that nothing lay unread: a wait that took longer than asked tells nothing since it began. The door keeps since when its queue may hold one; a client's first bytes are as old as its connection where nothing was waited for in between.

--- a/src/front/client.h
+++ b/src/front/client.h
@@ -14,7 +14,12 @@
 class Front::Client final : public Wire::User, public HttpServerSide::Listener {
  public:
   Client(Front& front, ClientId id, const Poco::Net::StreamSocket& socket)
-      : front_(front), id_(id), http_(*this), since_(front.loop_.now()), stuck_since_(since_) {
+      : front_(front),
+        id_(id),
+        http_(*this),
+        since_(front.loop_.now()),
+        stuck_since_(since_),
+        came_since_(front.loop_.unread_since()) {
     wire_ = std::make_unique<Wire>(front.loop_, socket, *this);
   }
   ClientId id() const { return id_; }
@@ -27,7 +32,9 @@
     // next.
     if (idle && calls_ > 0) since_ = front_.loop_.now();
     // Bytes that come when reading goes on may have come at any time since it stopped.
-    const Span at = paused_since_.value_or(front_.loop_.unread_since());
+    Span at = paused_since_.value_or(front_.loop_.unread_since());
+    // So may those that came with the connection, where nothing was waited for since it was taken.
+    if (http_.bytes_fed() == 0 && at <= since_) at = std::min(at, came_since_);
     arrivals_.came(http_.bytes_fed() + bytes.size(), std::min(at, front_.loop_.now()));
     http_.feed(bytes);
     if (!wire_->paused()) paused_since_.reset();
@@ -115,7 +122,7 @@
   ClientId id_;
   HttpServerSide http_;
   std::unique_ptr<Wire> wire_;
-  Span since_, stuck_since_, call_came_{};
+  Span since_, stuck_since_, came_since_, call_came_{};
   std::optional<Span> paused_since_;  // what came since then was not read at once
   ArrivalTimes arrivals_;
   bool owes_answer_ = false;
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -99,19 +99,33 @@
   }
 }
 
+// Keeps when it was last known that nothing lay unread. Where a wait had to wait, nothing lay there before
+// it; else what it brought may have come at any time since the last look. Guards against a process that had
+// no turn when its wait was over: it took longer than was asked for, and nobody knows when in it the system
+// looked.
+void Loop::note_wait(Span begun, Span at_most, bool looked) {
+  constexpr Span waited = std::chrono::milliseconds(1), overslept = std::chrono::milliseconds(10);
+  const Span ended = now();
+  const bool had_to_wait = ended - begun > waited;
+  const bool had_no_turn = ended - begun > at_most + overslept;
+  if (had_no_turn) unread_since_ = begun;
+  else if (had_to_wait) unread_since_ = ended;
+  else unread_since_ = polled_;
+  // One that a signal interrupted has looked for nothing since it began, or, at once, since the one before.
+  if (had_no_turn || (!looked && had_to_wait)) polled_ = begun;
+  else if (looked) polled_ = ended;
+}
+
 // Sockets before timers: where the process had no turn for a while, what has come meanwhile counts before
 // the time that has passed.
 void Loop::wait() {
   constexpr int most_events = 256;
   std::array<epoll_event, most_events> events;
   // A wait that a signal ends early has found nothing, and the next one waits for what is left by then.
-  const int found = ::epoll_wait(poll_descriptor_, events.data(), most_events, wait_ms());
-  const Span last = std::exchange(polled_, now());
-  if (found <= 0) return;
-  // Where it had to wait, nothing lay there before; else what it brought may have come at any time since the
-  // last one.
-  constexpr Span waited = std::chrono::milliseconds(1);
-  unread_since_ = polled_ - worked_until_ > waited ? polled_ : last;
+  const int at_most_ms = wait_ms();
+  const Span begun = now();
+  const int found = ::epoll_wait(poll_descriptor_, events.data(), most_events, at_most_ms);
+  note_wait(begun, std::chrono::milliseconds(at_most_ms), found >= 0);
   for (int i = 0; i < found && !stopped_; ++i) {
     const epoll_event& event = events[static_cast<std::size_t>(i)];
     const auto at = watchers_.find(event.data.u64);
@@ -175,7 +189,6 @@
     finishing_.pop_front();
   }
   std::erase_if(finishing_, [](const auto& one) { return one.second->closed(); });
-  worked_until_ = now();
   settling_ = false;
 }
 
@@ -537,11 +550,19 @@
   return Taken::some;
 }
 
+// Guards against a connection that is taken to have come just now: what is left for the next round, or waits
+// for a descriptor, has been there since the first of them.
 void Door::socket_ready(Readiness) {
+  const Span found_since = loop_.unread_since_;
+  const Span waits_since = std::min(waits_since_.value_or(found_since), found_since);
+  loop_.unread_since_ = waits_since;
   // A few at a time, so that what they say is read before others are taken: in a burst a full table would
   // else take those for idle that have called.
   constexpr int at_a_time = 16;
-  if (take(at_a_time) == Taken::shortage && !shut_) rest();
+  const Taken taken = take(at_a_time);
+  loop_.unread_since_ = found_since;
+  waits_since_ = taken == Taken::all ? std::nullopt : std::optional(waits_since);
+  if (taken == Taken::shortage && !shut_) rest();
 }
 
 }  // namespace pearchute::net
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -93,6 +93,7 @@
   friend class Wire;
   friend class Door;
   void wait();
+  void note_wait(Span begun, Span at_most, bool looked);
   void run_timers();
   int wait_ms() const;
   template <class What>
@@ -109,7 +110,7 @@
   std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
   std::vector<Timer> timers_;
   std::uint64_t next_order_ = 0;
-  Span polled_{}, worked_until_{}, unread_since_{};
+  Span polled_{}, unread_since_{};
   std::deque<std::function<void()>> soon_;
   std::vector<std::unique_ptr<Wire>> retired_;
   std::deque<std::pair<Span, std::unique_ptr<Wire>>> finishing_;  // until when, oldest first
@@ -219,6 +220,8 @@
   Poco::Net::SocketAddress address_;
   std::function<void(const Poco::Net::StreamSocket&)> came_;
   std::optional<WatchId> watch_;
+  std::optional<Span>
+      waits_since_;  // the oldest connection that may be in the queue, where one is left there
   bool shutting_ = false, shut_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
