--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -13,6 +13,7 @@
 #include "agent/gossip_service.h"
 #include "agent/grpc_credentials.h"
 #include "agent/process_supervisor.h"
+#include "agent/rpc_deadline.h"
 #include "agent/wire.h"
 #include "errors/error.h"
 #include "ini/reader.h"
@@ -251,7 +252,7 @@
     asked_to_read_again = 0;
     read_again(file, charter, stage, *supervisor, *peers, gossip.get(), configuration.get());
   }
-  server->Shutdown(std::chrono::system_clock::now() + milliseconds(500));
+  server->Shutdown(deadline_in(milliseconds(500)));
   stage.on(
       [&] { configuration.reset(), gossip.reset(), coordinator.reset(), peers.reset(), supervisor.reset(); });
   spdlog::info("agent {} ends; its instances go on", charter.name);
--- a/src/agent/peers.h
+++ b/src/agent/peers.h
@@ -16,6 +16,7 @@
 #include "agent.grpc.pb.h"
 #include "agent/agent_config.h"
 #include "agent/grpc_credentials.h"
+#include "agent/rpc_deadline.h"
 #include "net/event_loop_thread.h"
 
 namespace pearchute::agent {
@@ -47,7 +48,7 @@
     };
     const auto open = std::make_shared<Open>();
     open->ask = ask;
-    open->context.set_deadline(std::chrono::system_clock::now() + within);
+    open->context.set_deadline(deadline_in(within));
     {
       const std::lock_guard lock(calls_->mutex);
       calls_->open.insert(&open->context);
--- a/src/agent/process_supervisor.cpp
+++ b/src/agent/process_supervisor.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "agent/wire.h"
 #include "net/log.h"
@@ -36,7 +37,7 @@
 
 ProcessSupervisor::ProcessSupervisor(net::Loop& loop, const AgentConfig& charter)
     : loop_(loop), config_(charter), store_(charter.state) {
-  const bool usable = store_.open(trouble_) == store::Store::Opened::usable;
+  const bool usable = open_store();
   if (usable) lease_owner_ = std::make_unique<fleet::LeaseOwner>(*this);
   else spdlog::error("{}; this agent observes and takes no orders until its state is mended", trouble_);
   const auto kept = usable ? store_.instances() : std::map<std::string, fleet::LeaseOwner::Kept>();
@@ -45,6 +46,19 @@
   look();
 }
 
+// Guards against an agent that takes no orders for good because its folder failed for a moment at its start.
+bool ProcessSupervisor::open_store() {
+  constexpr milliseconds at_most(5000), between(50);
+  const auto until = std::chrono::steady_clock::now() + at_most;
+  store::Store::Opened opened = store_.open(trouble_);
+  while (opened == store::Store::Opened::not_now && std::chrono::steady_clock::now() < until) {
+    PEARCHUTE_LOG(spdlog::level::warn, "{}; tried again for some seconds", trouble_);
+    std::this_thread::sleep_for(between);
+    opened = store_.open(trouble_);
+  }
+  return opened == store::Store::Opened::usable;
+}
+
 ProcessSupervisor::~ProcessSupervisor() { *alive_ = false; }
 
 void ProcessSupervisor::own(const std::string& name, const Owned& owned,
--- a/src/agent/process_supervisor.h
+++ b/src/agent/process_supervisor.h
@@ -48,6 +48,7 @@
   bool settled() const { return !lease_owner_ || lease_owner_->settled(); }
 
  private:
+  bool open_store();
   struct Eye;
   void own(const std::string& name, const Owned& owned,
            const std::map<std::string, fleet::LeaseOwner::Kept>& kept,
--- /dev/null
+++ b/src/agent/rpc_deadline.h
@@ -0,0 +1,15 @@
+// Deadlines of remote calls as spans of the monotonic clock: a wall clock that is stepped moves none of them.
+#pragma once
+
+#include <grpc/support/time.h>
+#include <grpcpp/support/time.h>
+
+#include <chrono>
+
+namespace pearchute::agent {
+
+inline gpr_timespec deadline_in(std::chrono::milliseconds span) {
+  return gpr_time_add(gpr_now(GPR_CLOCK_MONOTONIC), gpr_time_from_millis(span.count(), GPR_TIMESPAN));
+}
+
+}  // namespace pearchute::agent
--- a/src/ctl/agents.cpp
+++ b/src/ctl/agents.cpp
@@ -10,6 +10,7 @@
 
 #include "agent.grpc.pb.h"
 #include "agent/grpc_credentials.h"
+#include "agent/rpc_deadline.h"
 #include "agent/wire.h"
 #include "fleet/caution.h"
 
@@ -30,7 +31,7 @@
 namespace {
 
 void set_deadline(grpc::ClientContext& context, milliseconds within) {
-  context.set_deadline(std::chrono::system_clock::now() + within);
+  context.set_deadline(agent::deadline_in(within));
 }
 
 std::string in_seconds(std::uint64_t ms) { return std::to_string(ms / 1000) + "s"; }
--- a/src/lab/faults/fault_injection.cpp
+++ b/src/lab/faults/fault_injection.cpp
@@ -31,6 +31,7 @@
 
 std::vector<std::pair<std::string, std::string>> FaultInjection::environment() const {
   return {{"LD_PRELOAD", library_},
+          {"ASAN_OPTIONS", "verify_asan_link_order=0"},  // a sanitized program has its own library behind
           {fault_control_variable, file_},
           {fault_seed_variable, std::to_string(seed_)},
           {fault_program_variable, program_},
--- a/src/lab/stand_ins/agent_cluster.cpp
+++ b/src/lab/stand_ins/agent_cluster.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "agent/rpc_deadline.h"
 #include "errors/error.h"
 
 namespace pearchute::lab {
@@ -39,7 +40,7 @@
 
 std::optional<agent::v1::Shown> Agent::show() {
   grpc::ClientContext context;
-  context.set_deadline(std::chrono::system_clock::now() + std::chrono::seconds(1));
+  context.set_deadline(agent::deadline_in(std::chrono::seconds(1)));
   agent::v1::Shown shown;
   if (!stub->Show(&context, {}, &shown).ok()) return std::nullopt;
   return shown;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -155,9 +155,11 @@
   } catch (const SQLite::Exception& error) {
     const int code = error.getErrorCode();
     const bool damaged = code == 11 || code == 26;  // SQLITE_CORRUPT, SQLITE_NOTADB
+    // SQLITE_BUSY, SQLITE_NOMEM, SQLITE_IOERR, SQLITE_FULL
+    const bool passes = code == 5 || code == 7 || code == 10 || code == 13;
     fault = path_ + (damaged ? " is damaged: " : " can't be used: ") + error.what();
     database_.reset();
-    return damaged ? Opened::damaged : Opened::unusable;
+    return damaged ? Opened::damaged : passes ? Opened::not_now : Opened::unusable;
   } catch (const std::exception& error) {
     fault = path_ + " holds what can't be read: " + error.what();
     database_.reset();
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -39,7 +39,13 @@
 
 class Store {
  public:
-  enum class Opened { usable, damaged, too_new, unusable };
+  enum class Opened {
+    not_now,  // the device is full or fails, or the file is held: it may be opened a moment later
+    usable,
+    damaged,
+    too_new,
+    unusable
+  };
   // `passes` hears the name of each point at which a kill is to be thought of; for tests.
   explicit Store(std::string path, std::function<void(const char*)> passes = {});
   ~Store();
--- /dev/null
+++ b/tests/test_folder_faults.cpp
@@ -0,0 +1,191 @@
+// What lasts in a folder while writes and syncs to it fail for a while: what was told as kept is still there,
+// what was not told as kept is not half there, and once the folder is sound again so is what is kept in it.
+// The program runs itself again under the library of failing calls.
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <filesystem>
+#include <random>
+#include <thread>
+
+#include "admin/orders_file.h"
+#include "lab/faults/fault_injection.h"
+#include "store/store.h"
+
+using namespace pearchute;
+using namespace pearchute::lab;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr FaultKind folder_kinds[] = {FaultKind::folder_write_fails, FaultKind::folder_write_short,
+                                      FaultKind::folder_sync_fails};
+
+store::Process process_of(int number) { return {number, static_cast<std::uint64_t>(number), "boot", number}; }
+
+// As many writes as are asked for, each of the next number; the last that was told as kept.
+int write_on(store::Store& store, int from, int count, int& refused) {
+  int kept = from - 1;
+  for (int i = from; i < from + count; ++i) {
+    if (store.write_process("i", process_of(i))) kept = i;
+    else ++refused;
+  }
+  return kept;
+}
+
+int kept_in(const std::string& path) {
+  store::Store store(path);
+  std::string fault;
+  const auto opened = store.open(fault);
+  if (opened != store::Store::Opened::usable) std::fprintf(stderr, "%s\n", fault.c_str());
+  assert(opened == store::Store::Opened::usable);
+  const auto all = store.processes();
+  return all.contains("i") ? static_cast<int>(all.at("i").pid) : 0;
+}
+
+void store_keeps(FaultInjection& faults, const std::string& folder) {
+  int refused = 0;
+  for (const double share : {0.02, 0.08, 0.2}) {
+    for (const FaultKind kind : folder_kinds) {
+      const std::string path = folder + "/state.db";
+      int kept = 0;
+      {
+        store::Store store(path);
+        std::string fault;
+        assert(store.open(fault) == store::Store::Opened::usable);
+        kept = write_on(store, 1, 3, refused);
+        assert(kept == 3);
+        faults.set(kind, share);
+        const int during = write_on(store, 4, 60, refused);
+        faults.set_none();
+        if (during > 3) kept = during;
+        // Sound again, without a new start.
+        const int after = write_on(store, 100, 2, refused);
+        if (after != 101)
+          std::fprintf(stderr, "%s at %g: %s\n", fault_kind_names[static_cast<std::size_t>(kind)].data(),
+                       share, store.fault().c_str());
+        assert(after == 101);
+        kept = after;
+      }
+      assert(kept_in(path) == kept);
+      std::filesystem::remove(path);
+    }
+  }
+  std::fprintf(stderr, "%d writes were refused\n", refused);
+  assert(refused > 0);
+}
+
+// A folder that fails for a moment as the store is opened: that is told apart from one that is of no use.
+void store_opens_later(FaultInjection& faults, const std::string& folder) {
+  const std::string path = folder + "/opened.db";
+  int not_now = 0;
+  for (int i = 0; i < 60; ++i) {
+    faults.set(FaultKind::folder_write_fails, 0.2);
+    faults.set(FaultKind::folder_sync_fails, 0.2);
+    store::Store store(path);
+    std::string fault;
+    auto opened = store.open(fault);
+    if (opened != store::Store::Opened::usable) {
+      if (opened != store::Store::Opened::not_now) std::fprintf(stderr, "%s\n", fault.c_str());
+      assert(opened == store::Store::Opened::not_now);
+      ++not_now;
+      faults.set_none();
+      opened = store.open(fault);
+    }
+    assert(opened == store::Store::Opened::usable);
+    faults.set_none();
+  }
+  assert(not_now > 0);
+}
+
+// A kill at any moment, while writes fail: what the child told as kept before is there afterwards.
+void store_keeps_over_kills(FaultInjection& faults, const std::string& folder) {
+  const std::string path = folder + "/killed.db";
+  std::knuth_b chance(7);
+  for (int round = 0; round < 12; ++round) {
+    int told[2];
+    assert(pipe(told) == 0);
+    const int before = std::filesystem::exists(path) ? kept_in(path) : 0;
+    const pid_t child = fork();
+    if (child == 0) {
+      store::Store store(path);
+      std::string fault;
+      while (store.open(fault) != store::Store::Opened::usable) usleep(1000);
+      for (int i = before + 1;; ++i) {
+        if (store.write_process("i", process_of(i)) && write(told[1], &i, sizeof i) < 0) _exit(1);
+      }
+    }
+    close(told[1]);
+    faults.set(FaultKind::folder_write_fails, 0.05);
+    faults.set(FaultKind::folder_sync_fails, 0.05);
+    std::this_thread::sleep_for(milliseconds(20 + chance() % 60));
+    kill(child, SIGKILL);
+    waitpid(child, nullptr, 0);
+    faults.set_none();
+    int last = before;
+    for (int one = 0; read(told[0], &one, sizeof one) == sizeof one;) last = one;
+    close(told[0]);
+    const int kept = kept_in(path);
+    if (kept < last) std::fprintf(stderr, "told %d, kept %d\n", last, kept);
+    assert(kept >= last);
+  }
+}
+
+void orders_keep(FaultInjection& faults, const std::string& folder) {
+  const std::string path = folder + "/orders";
+  int refused = 0;
+  std::uint64_t kept = 0;
+  faults.set(FaultKind::folder_write_fails, 0.1);
+  faults.set(FaultKind::folder_write_short, 0.3);
+  faults.set(FaultKind::folder_sync_fails, 0.1);
+  for (std::uint64_t generation = 1; generation <= 100; ++generation) {
+    admin::OrdersFile file(path);
+    fleet::Held held;
+    held.order.id.assign("order"), held.order.subject.assign("engine"), held.order.holder.assign("holder");
+    held.order.generation = generation, held.order.drains = true;
+    held.until = std::chrono::seconds(60);
+    std::string fault;
+    if (file.write({held}, fleet::Span(0), milliseconds(1000), fault)) kept = generation;
+    else ++refused, assert(!fault.empty());
+  }
+  faults.set_none();
+  admin::OrdersFile file(path);
+  const auto found = file.read(milliseconds(1000));
+  std::fprintf(stderr, "%d of 100 orders files were refused\n", refused);
+  assert(refused > 0 && refused < 100 && !found.damaged && found.orders.size() == 1);
+  assert(found.orders.front().first.generation == kept);
+}
+
+}  // namespace
+
+int main(int, char** words) {
+  const char* folder = std::getenv(fault_folder_variable);
+  if (!folder) {
+    char made[] = "/tmp/pearchute-folder-XXXXXX";
+    assert(mkdtemp(made));
+    FaultInjection faults(PEARCHUTE_FAULTS, std::string(made) + "-control", "test_folder_faults", 5);
+    faults.set_folder(made);
+    const pid_t child = fork();
+    if (child == 0) {
+      for (const auto& [name, value] : faults.environment()) setenv(name.c_str(), value.c_str(), 1);
+      execv("/proc/self/exe", words);
+      _exit(127);
+    }
+    int status = 0;
+    waitpid(child, &status, 0);
+    std::filesystem::remove_all(made);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 1;
+  }
+  FaultInjection faults(PEARCHUTE_FAULTS, std::string(folder) + "-control", "test_folder_faults", 5);
+  store_keeps(faults, folder);
+  store_opens_later(faults, folder);
+  store_keeps_over_kills(faults, folder);
+  orders_keep(faults, folder);
+  for (const FaultKind kind : folder_kinds) assert(faults.struck(kind) > 0);
+  return 0;
+}
