--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -169,6 +169,7 @@
       ->check(CLI::Range(1, 7200));
   soak_app->add_flag("--every-kind", soak.every_kind, "fails where a kind of trouble never came about");
   soak_app->add_flag("--calls", soak.calls_only, "failing system calls instead: each kind, and all together");
+  soak_app->add_flag("--together", soak.together, "of calls: all kinds together only");
   for (CLI::App* one : {measure, site, shown, capacity_app, soak_app}) one->fallthrough();
   CLI11_PARSE(app, argc, argv);
   pearchute::net::start_log("lab");
--- a/src/lab/soak/soak_command.cpp
+++ b/src/lab/soak/soak_command.cpp
@@ -27,11 +27,12 @@
   return passed;
 }
 
-bool run_calls(SoakSpec spec) {
+bool run_calls(SoakSpec spec, bool together) {
   spec.troubles = false;
   bool passed = true;
   std::vector<std::vector<FaultKind>> sets;
-  for (const FaultKind kind : daemon_kinds()) sets.push_back({kind});
+  if (!together)
+    for (const FaultKind kind : daemon_kinds()) sets.push_back({kind});
   sets.push_back(daemon_kinds());
   for (const auto& kinds : sets) {
     for (const double share : call_shares) {
@@ -51,7 +52,7 @@
 }  // namespace
 
 int SoakCommand::run() const {
-  if (calls_only) return run_calls(spec) ? 0 : 1;
+  if (calls_only) return run_calls(spec, together) ? 0 : 1;
   bool passed = true;
   SoakSpec one = spec;
   for (int i = 0; i < seeds; ++i, ++one.seed) {
--- a/src/lab/soak/soak_run.cpp
+++ b/src/lab/soak/soak_run.cpp
@@ -64,6 +64,7 @@
   void start(std::size_t manager);
   void look_after_managers();
   void remark(const std::string& what);
+  std::string last_words(std::size_t manager) const;
   std::optional<std::size_t> free_manager(std::uint64_t draw) const;
   void reload(std::size_t manager);
   bool begin(Active& active);
@@ -103,6 +104,19 @@
   if (result_.remarks.size() < most) result_.remarks.push_back(what);
 }
 
+// The last lines that a manager has logged.
+std::string SoakRun::last_words(std::size_t manager) const {
+  constexpr std::size_t most = 3;
+  std::ifstream log(cluster_->managers()[manager].log);
+  std::vector<std::string> lines;
+  for (std::string line; std::getline(log, line);) {
+    if (line.find("counters {") == std::string::npos) lines.push_back(line);
+    if (lines.size() > most) lines.erase(lines.begin());
+  }
+  return std::accumulate(lines.begin(), lines.end(), std::string(),
+                         [](const std::string& text, const std::string& line) { return text + line + "; "; });
+}
+
 void SoakRun::start(std::size_t manager) {
   cluster_->start(manager);
   managers_[manager].life = Life::starting, managers_[manager].since = steady_now();
@@ -123,7 +137,7 @@
       const bool has_ended = cluster_->ended(i) != -1;
       if (!has_ended && steady_now() - state.since < serves_within) continue;
       ++result_.failed_starts;
-      remark(name + (has_ended ? " has ended at its start" : " does not serve in time"));
+      remark(name + (has_ended ? " has ended at its start: " : " does not serve in time: ") + last_words(i));
       if (!has_ended) state.since = steady_now();
       else start(i);
     } else if (state.life == Life::ending) {
@@ -136,7 +150,7 @@
       }
       start(i);
     } else if (state.life == Life::serving && cluster_->ended(i) != -1) {
-      ++result_.bad_ends, remark(name + " has crashed");
+      ++result_.bad_ends, remark(name + " has crashed: " + last_words(i));
       start(i);
     }
   }
--- a/tests/test_folder_faults.cpp
+++ b/tests/test_folder_faults.cpp
@@ -136,6 +136,28 @@
   }
 }
 
+// Orders that can't be read for a moment are not taken for damaged: they are still owed.
+void orders_are_read_later(FaultInjection& faults, const std::string& folder) {
+  const std::string path = folder + "/later";
+  admin::OrdersFile file(path);
+  fleet::Held held;
+  held.order.id.assign("order"), held.order.subject.assign("engine"), held.order.holder.assign("holder");
+  held.order.generation = 1, held.order.drains = true;
+  held.until = std::chrono::seconds(60);
+  std::string fault;
+  assert(file.write({held}, fleet::Span(0), milliseconds(1000), fault));
+  faults.set(FaultKind::open_fails, 1);
+  bool is_short = false;
+  try {
+    assert(!file.read(milliseconds(1000)).damaged);
+  } catch (const ResourceShortage&) {
+    is_short = true;
+  }
+  faults.set_none();
+  assert(is_short && file.read(milliseconds(1000)).orders.size() == 1);
+  assert(admin::OrdersFile(folder + "/none").read(milliseconds(1000)).orders.empty());
+}
+
 void orders_keep(FaultInjection& faults, const std::string& folder) {
   const std::string path = folder + "/orders";
   int refused = 0;
@@ -186,6 +208,7 @@
   store_opens_later(faults, folder);
   store_keeps_over_kills(faults, folder);
   orders_keep(faults, folder);
+  orders_are_read_later(faults, folder);
   for (const FaultKind kind : folder_kinds) assert(faults.struck(kind) > 0);
   return 0;
 }
--- /dev/null
+++ b/tests/test_soak.cpp
@@ -0,0 +1,89 @@
+// The soak's short form: managers as processes under overlapping troubles of one seed, and under failing
+// calls of all kinds together. `pearchute-lab soak` plays more seeds for longer.
+#include <cassert>
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+
+#include "lab/soak/soak_run.h"
+
+using namespace pearchute::lab;
+using std::chrono::milliseconds;
+
+namespace {
+
+SoakSpec short_run() {
+  SoakSpec spec;
+  spec.seed = 20, spec.managers = 4, spec.engines = 4, spec.rate = 120;
+  spec.lasts = milliseconds(8000);
+  spec.programs = std::filesystem::path(PEARCHUTED).parent_path();
+  return spec;
+}
+
+void tell(const SoakResult& result) {
+  std::fprintf(stderr, "%s\n", result.as_json().dump().c_str());
+  for (const std::string& fault : result.verdict.faults) std::fprintf(stderr, "%s\n", fault.c_str());
+  for (const std::string& remark : result.remarks) std::fprintf(stderr, "%s\n", remark.c_str());
+}
+
+// The same seed gives the same troubles, and a long enough run has them all, overlapping.
+void schedule() {
+  const auto first = schedule_troubles(3, milliseconds(20000)),
+             second = schedule_troubles(3, milliseconds(20000));
+  assert(first.size() == second.size() && first.size() > 2 * trouble_kinds);
+  std::array<int, trouble_kinds> of_kind{};
+  std::size_t overlapping = 0;
+  for (std::size_t i = 0; i < first.size(); ++i) {
+    assert(first[i].kind == second[i].kind && first[i].at == second[i].at && first[i].draw == second[i].draw);
+    ++of_kind[static_cast<std::size_t>(first[i].kind)];
+    overlapping += i > 0 && first[i].at < first[i - 1].at + first[i - 1].lasts;
+  }
+  for (const int count : of_kind) assert(count > 0);
+  assert(2 * overlapping > first.size());
+  const auto other = schedule_troubles(4, milliseconds(20000));
+  assert(other.front().draw != first.front().draw);
+}
+
+void troubles() {
+  const SoakResult result = run_soak(short_run());
+  tell(result);
+  assert(result.verdict.done > 100);
+  std::uint64_t begun = 0;
+  for (const std::uint64_t count : result.troubles) begun += count;
+  assert(begun > trouble_kinds / 2);
+  assert(result.is_sound());
+}
+
+void calls() {
+  SoakSpec spec = short_run();
+  spec.troubles = false, spec.lasts = milliseconds(4000);
+  FailingCalls calls;
+  for (std::size_t i = 0; i <= static_cast<std::size_t>(FaultKind::open_fails); ++i)
+    calls.kinds.push_back(static_cast<FaultKind>(i));
+  calls.share = 0.08;
+  spec.failing_calls = calls;
+  const SoakResult result = run_soak(spec);
+  tell(result);
+  for (const FaultKind kind : calls.kinds) assert(result.calls_failed[static_cast<std::size_t>(kind)] > 0);
+  assert(result.restarts == static_cast<std::uint64_t>(spec.managers));
+  assert(result.is_sound());
+}
+
+struct Scenario {
+  const char* name;
+  void (*play)();
+};
+constexpr Scenario scenarios[] = {{"schedule", schedule}, {"troubles", troubles}, {"calls", calls}};
+
+}  // namespace
+
+int main(int count, char** names) {
+  bool played = false;
+  for (const Scenario& one : scenarios) {
+    if (count > 1 && std::strcmp(names[1], one.name) != 0) continue;
+    one.play();
+    played = true;
+  }
+  return played ? 0 : 2;
+}
