Files that can't be opened for a moment are read again: settings, orders, the configuration's base

Cause: main read the admin channel's settings before what is tried again, by a library that tells only -1; OrdersFile::read took any open that fails but ENOENT for damage, so a manager started without the drains that it owes; ConfigurationBinding and write_candidate took a file that can't be opened for one that holds nothing.

Change: system/failures has the two named results for sockets and files and reads whole files by them; settings, orders and configurations go through it. A start that meets a shortage is tried again with all of them; a candidate of the configuration is asked for again by the agent.

--- a/src/admin/orders_file.cpp
+++ b/src/admin/orders_file.cpp
@@ -6,11 +6,9 @@
 
 #include <cerrno>
 #include <cstdio>
-#include <cstring>
-#include <fstream>
-#include <iterator>
 
 #include "kept.pb.h"
+#include "system/failures.h"
 
 namespace pearchute::admin {
 
@@ -32,7 +30,7 @@
   return line;
 }
 
-std::string what_failed(const char* step) { return std::string(step) + ": " + std::strerror(errno); }
+std::string what_failed(const char* step) { return std::string(step) + ": " + text_of_error(errno); }
 
 }  // namespace
 
@@ -51,13 +49,17 @@
 
 OrdersFile::Found OrdersFile::read(milliseconds unix_now) {
   Found found;
-  std::ifstream file(path_, std::ios::binary);
-  if (!file) {
-    if (errno == ENOENT) return found;
-    found.damaged = true, found.fault = what_failed("open");
+  std::optional<std::string> there;
+  try {
+    there = read_file_if_there(path_);
+  } catch (const ResourceShortage&) {
+    throw;  // what it holds is still owed
+  } catch (const SystemError& error) {
+    found.damaged = true, found.fault = error.wrong();
     return found;
   }
-  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  if (!there) return found;
+  const std::string& text = *there;
   const std::size_t head = mark.size() + 9;
   kept::v1::KeptOrders kept;
   const char* fault = nullptr;
@@ -98,14 +100,14 @@
   kept.SerializeToString(&body);
   const std::string text = std::string(mark) + checksum_of(body) + body;
   const std::string beside = path_ + ".new";
-  const int file = ::open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  const int file =
+      uninterrupted([&] { return ::open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600); });
   if (file < 0) return fault = what_failed("open"), false;
   pass("begun");
   std::size_t at = 0;
   while (at < text.size()) {
     const std::size_t part = at == 0 ? (text.size() + 1) / 2 : text.size() - at;
-    const ssize_t wrote = ::write(file, text.data() + at, part);
-    if (wrote < 0 && errno == EINTR) continue;
+    const ssize_t wrote = uninterrupted([&] { return ::write(file, text.data() + at, part); });
     if (wrote <= 0) {
       fault = what_failed("write");
       ::close(file), ::unlink(beside.c_str());
--- a/src/agent/config_service.cpp
+++ b/src/agent/config_service.cpp
@@ -9,6 +9,7 @@
 
 #include "agent/config_wire.h"
 #include "net/log.h"
+#include "system/failures.h"
 
 namespace pearchute::agent {
 
@@ -59,9 +60,13 @@
 // Empty where the candidate is beside the instance's file.
 std::string write_candidate(const std::string& base, const std::string& file,
                             const ConfigDocument& document) {
-  std::ifstream from(base);
-  json configuration = json::parse(from, nullptr, false);
-  if (!configuration.is_object()) return base + " can't be read, or is not a JSON object";
+  json configuration;
+  try {
+    configuration = json::parse(read_file(base), nullptr, false);
+  } catch (const SystemError& error) {
+    return error.what();  // the instance is asked again in a while
+  }
+  if (!configuration.is_object()) return base + " is not a JSON object";
   const json change = json::parse(document.content, nullptr, false);
   if (!change.is_object()) return "the content is not a JSON object";
   configuration.merge_patch(change);
--- a/src/daemon/configuration_binding.cpp
+++ b/src/daemon/configuration_binding.cpp
@@ -7,6 +7,7 @@
 
 #include "daemon/program.h"
 #include "net/log.h"
+#include "system/failures.h"
 
 namespace pearchute::daemon {
 
@@ -28,8 +29,7 @@
 }
 
 json read_object(const std::string& path) {
-  std::ifstream file(path);
-  json object = json::parse(file, nullptr, false);
+  json object = json::parse(read_file(path), nullptr, false);
   if (!object.is_object()) object = json::object();
   return object;
 }
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -34,7 +34,7 @@
   while (true) {
     try {
       return make();
-    } catch (const pearchute::net::ResourceShortage& shortage) {
+    } catch (const pearchute::ResourceShortage& shortage) {
       if (std::chrono::steady_clock::now() >= until) throw;
       PEARCHUTE_LOG(spdlog::level::warn, "not started yet: {}", shortage.what());
     }
@@ -62,14 +62,16 @@
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? 0 : 2;
   }
-  pearchute::net::Program::MakeAnnex annex;
-  if (!admin.empty()) annex = pearchute::daemon::governor_by(pearchute::admin::read_terms(admin), file);
   if (!check.empty()) {
+    if (!admin.empty()) pearchute::admin::read_terms(admin);
     Program::check(check);
     std::cout << check << ": usable\n";
     return 0;
   }
   return make_when_possible([&] {
+           Program::MakeAnnex annex;
+           if (!admin.empty())
+             annex = pearchute::daemon::governor_by(pearchute::admin::read_terms(admin), file);
            return std::make_unique<Program>(file, log == "json" ? pearchute::net::json_lines() : nullptr,
                                             annex);
          })
--- a/src/ini/reader.cpp
+++ b/src/ini/reader.cpp
@@ -7,6 +7,8 @@
 #include <set>
 #include <utility>
 
+#include "system/failures.h"
+
 namespace pearchute::ini {
 
 namespace {
@@ -38,13 +40,24 @@
   return std::string(text);
 }
 
+// Throws ResourceShortage where it can't be had just now.
+std::string text_of(const std::string& file) {
+  try {
+    return read_file(file);
+  } catch (const ResourceShortage&) {
+    throw;
+  } catch (const SystemError& fault) {
+    throw Error("can't be read", file, fault.remedy());
+  }
+}
+
 }  // namespace
 
 void read(const std::string& file, const Value& value) {
   Reading reading{value, {}, nullptr};
-  const int line = ini_parse(file.c_str(), take, &reading);
+  const int line = ini_parse_string(text_of(file).c_str(), take, &reading);
   if (line == 0) return;
-  if (line < 0) throw Error("can't be read", file, "see that it is there and that this user may read it");
+  if (line < 0) throw ResourceShortage("can't be read: no memory", file);
   const std::string where = file + ":" + std::to_string(line);
   if (!reading.fault) throw Error("neither [section] nor name = value", where);
   try {
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -51,7 +51,7 @@
 
 Loop::Loop() : poll_descriptor_(::epoll_create1(EPOLL_CLOEXEC)) {
   if (poll_descriptor_ >= 0) return;
-  const std::string wrong = "no event loop can be had: " + text_of(errno);
+  const std::string wrong = "no event loop can be had: " + text_of_error(errno);
   if (failure_of(errno) == Failure::not_now) throw ResourceShortage(wrong);
   throw SystemError(wrong);
 }
@@ -474,7 +474,7 @@
     : loop_(loop), came_(std::move(came)) {
   const Opened opened = listen_at(at, backlog);
   if (!opened.is_open()) {
-    const std::string wrong = "can't be listened at: " + text_of(opened.error);
+    const std::string wrong = "can't be listened at: " + text_of_error(opened.error);
     if (failure_of_listening(opened.error) == Failure::not_now) throw ResourceShortage(wrong, at.toString());
     throw ListeningError(wrong, at.toString());
   }
--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -10,23 +10,11 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <system_error>
 
 namespace pearchute::net {
 
 namespace {
 
-// Signals come far apart; whoever is interrupted more often than this goes on with its other work first.
-constexpr int most_interruptions = 16;
-
-// Makes the call again where a signal interrupted it.
-template <class Call>
-auto uninterrupted(Call call) {
-  auto result = call();
-  for (int i = 0; i < most_interruptions && result < 0 && errno == EINTR; ++i) result = call();
-  return result;
-}
-
 bool set_non_blocking(int descriptor) {
   const int flags = ::fcntl(descriptor, F_GETFL, 0);
   return flags >= 0 && ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK) == 0;
@@ -70,26 +58,6 @@
 
 }  // namespace
 
-Failure failure_of(int error_number) {
-  switch (error_number) {
-    case EINTR:
-    case EAGAIN:
-    case EMFILE:
-    case ENFILE:
-    case ENOBUFS:
-    case ENOMEM:
-    case ENOSPC:
-    case EADDRNOTAVAIL:
-    case ENETUNREACH:
-    case ENETDOWN:
-      return Failure::not_now;
-    default:
-      return Failure::never;
-  }
-}
-
-std::string text_of(int error_number) { return std::generic_category().message(error_number); }
-
 Failure failure_of_listening(int error_number) {
   return error_number == EADDRNOTAVAIL ? Failure::never : failure_of(error_number);
 }
@@ -180,24 +148,4 @@
   return static_cast<std::size_t>(bytes);
 }
 
-std::string read_file(const std::string& path) {
-  const auto fail = [&](int error) {
-    const std::string wrong = "can't be read: " + text_of(error);
-    if (failure_of(error) == Failure::not_now) throw ResourceShortage(wrong, path);
-    throw SystemError(wrong, path, "see that it is there and that this user may read it");
-  };
-  const int file = uninterrupted([&] { return ::open(path.c_str(), O_RDONLY | O_CLOEXEC); });
-  if (file < 0) fail(errno);
-  std::string text;
-  char bytes[16 * 1024];
-  while (true) {
-    const auto got = uninterrupted([&] { return ::read(file, bytes, sizeof bytes); });
-    const int error = errno;
-    if (got > 0) text.append(bytes, static_cast<std::size_t>(got));
-    else ::close(file);
-    if (got == 0) return text;
-    if (got < 0) fail(error);
-  }
-}
-
 }  // namespace pearchute::net
--- a/src/net/system_calls.h
+++ b/src/net/system_calls.h
@@ -6,26 +6,13 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <cstddef>
-#include <string>
 
-#include "errors/error.h"
+#include "system/failures.h"
 
 namespace pearchute::net {
 
-enum class Failure { not_now, never };
-
-// Shortages of descriptors, memory and local ports pass, as does a network that is not up yet; everything
-// else is taken for final.
-Failure failure_of(int error_number);
-// The same for a place to listen at: an address that is not this machine's stays so.
+// What a failure means for a place to listen at: an address that is not this machine's stays so.
 Failure failure_of_listening(int error_number);
-std::string text_of(int error_number);
-
-// An attempt to start or to read something that failed for a cause that may pass by itself.
-class ResourceShortage : public SystemError {
- public:
-  using SystemError::SystemError;
-};
 
 enum class TransferStatus {
   done,     // some bytes went
@@ -74,7 +61,4 @@
 std::size_t unsent_bytes(int descriptor);
 bool is_reset(int error_number);
 
-// A whole file. Throws ResourceShortage where it can't be had now, SystemError where it can't be read.
-std::string read_file(const std::string& path);
-
 }  // namespace pearchute::net
--- /dev/null
+++ b/src/system/failures.h
@@ -0,0 +1,43 @@
+// What a system call's failure means, told from its error number in this one place: "not now" passes by
+// itself, so whoever made the call tries again; "never" does not. And whole files, read with that difference
+// kept. It knows no socket and keeps no state.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "errors/error.h"
+
+namespace pearchute {
+
+enum class Failure { not_now, never };
+
+// Shortages of descriptors, memory and local ports pass, as does a network that is not up yet; everything
+// else is taken for final.
+Failure failure_of(int error_number);
+std::string text_of_error(int error_number);
+
+// An attempt to start or to read something that failed for a cause that may pass by itself.
+class ResourceShortage : public SystemError {
+ public:
+  using SystemError::SystemError;
+};
+
+// Signals come far apart; whoever is interrupted more often than this goes on with its other work first.
+inline constexpr int most_interruptions = 16;
+bool was_interrupted();
+
+// Makes the call again where a signal interrupted it.
+template <class Call>
+auto uninterrupted(Call call) {
+  auto result = call();
+  for (int i = 0; i < most_interruptions && result < 0 && was_interrupted(); ++i) result = call();
+  return result;
+}
+
+// A whole file. Throws ResourceShortage where it can't be had now, SystemError where it can't be read.
+std::string read_file(const std::string& path);
+// The same; nothing where there is no such file.
+std::optional<std::string> read_file_if_there(const std::string& path);
+
+}  // namespace pearchute
--- a/tests/test_folder_faults.cpp
+++ b/tests/test_folder_faults.cpp
@@ -16,6 +16,7 @@
 #include "admin/orders_file.h"
 #include "lab/faults/fault_injection.h"
 #include "store/store.h"
+#include "system/failures.h"
 
 using namespace pearchute;
 using namespace pearchute::lab;
