--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -159,11 +159,12 @@
     annex_ = annex({loop_, *front_, deployment_, name_, digest_of(configuration), [] { asked_to_end = 1; },
                     [this] { return front_->counters_now(); }});
   }
-  list_->heard(loop_.now());
+  list_->heard(loop_.now(), false);
   if (const auto known = configuration.find("known"); known != configuration.end()) {
     const EngineList::Change change = list_->known(*known);
     if (change.taken == EngineList::Taken::applied) list_listener().list_changed(change.news, change.members);
     else spdlog::warn("what is known of the engines can't be read: {}", change.fault);
+    list_->heard(loop_.now(), true);
   }
   door_ =
       std::make_unique<Door>(loop_, place_in(address, "listen"),
@@ -258,6 +259,8 @@
       front_->answer_all();  // what still comes on an open connection is turned away, not taken and lost
       enter(Phase::finishing);
     }
+  } else if (phase_ == Phase::finishing && !door_->is_shut()) {
+    finishing_since_ = now;  // what it still takes is owed an answer
   } else if (phase_ == Phase::finishing && now - finishing_since_ > milliseconds(100) &&
              (front_->all_written() || now - asked_at_ > give_up_after_ + milliseconds(150))) {
     // What crossed the closing of a connection has come by then, and the last answers are out.
--- a/src/engines/list.cpp
+++ b/src/engines/list.cpp
@@ -181,7 +181,8 @@
   last_sign_ = loop_.now();
   spoke_ = true;
   patience_ = 1;
-  list_.heard(last_sign_);
+  // What was missed comes as soon as the stream is up.
+  list_.heard(last_sign_, last_sign_ - opened_at_ >= sound_after);
   const Wire* here = wire_.get();
   const bool sound = feed_->feed(bytes);
   if (wire_.get() != here || !wire_) return;  // a gap has closed it already
--- a/src/engines/list.h
+++ b/src/engines/list.h
@@ -40,8 +40,8 @@
   };
   Change known(const nlohmann::json& known);  // all that it says, as one remembered list
   Change event(std::string_view id, std::string_view data, bool gap_allowed);
-  // The source of the list has said something.
-  void heard(Span now) { start_times_.heard(now); }
+  // The source of the list has said something; `is_current`: it has told by then all that it had.
+  void heard(Span now, bool is_current) { start_times_.heard(now, has_list_ && is_current); }
   std::int64_t cursor() const { return cursor_; }
   bool has_list() const { return has_list_; }
   std::size_t names() const { return ids_.size(); }
--- a/src/engines/start_times.h
+++ b/src/engines/start_times.h
@@ -8,7 +8,6 @@
 #include <chrono>
 #include <map>
 #include <optional>
-#include <utility>
 
 #include "core/types.h"
 
@@ -19,8 +18,12 @@
   // `unix_start` is this machine's Unix time at the manager's start.
   explicit StartTimes(std::chrono::milliseconds unix_start) : unix_start_(unix_start) {}
 
-  // Something has come from the list's source, so the list was current until then.
-  void heard(Span now) { current_until_ = std::exchange(now_, now); }
+  // Something has come from the list's source; `is_current`: nothing that it has to tell is left out by then.
+  void heard(Span now, bool is_current) {
+    current_until_ = last_current_;
+    if (is_current) last_current_ = now;
+    now_ = now;
+  }
 
   // The start of an engine that the list tells as `unix_time`. The same time told again gives the same start.
   Span start_of(EngineId engine, std::chrono::milliseconds unix_time) {
@@ -36,11 +39,15 @@
     starts_[engine] = {unix_time, start};
     return start;
   }
-  void forget(EngineId engine) { starts_.erase(engine); }
+  // An engine that comes back with the same start is known again, as long as there is room.
+  void forget(EngineId engine) {
+    if (starts_.size() > most_remembered) starts_.erase(engine);
+  }
 
  private:
   // By the protocol, what the list has to tell counts as told then at the latest.
   static constexpr std::chrono::seconds told_within{7};
+  static constexpr std::size_t most_remembered = 4096;
   // Clocks that nobody has stepped lie closer together.
   static constexpr std::chrono::seconds clocks_differ{2};
   struct Start {
@@ -48,7 +55,8 @@
     Span start{};
   };
   std::chrono::milliseconds unix_start_;
-  std::optional<Span> now_, current_until_;  // of the last sign, and the one before it
+  std::optional<Span> now_, last_current_;
+  std::optional<Span> current_until_;  // before the last sign
   std::map<EngineId, Start> starts_;
 };
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -252,6 +252,7 @@
       old->second->waits_for.reset(), drop(*old->second, ClientCloseReason::came_again);
   }
   job.caller = client.id();
+  job.path_given_to.reset();
   client.waits_for = *id;
   if (job.answered) {
     job.caller.reset();
--- a/src/lab/faults/fault_injector.cpp
+++ b/src/lab/faults/fault_injector.cpp
@@ -146,6 +146,19 @@
   return length < 2 ? length : 1 + injector().draw() % (length - 1);
 }
 
+// Whether a write fails, with its error number set; else its length may have become shorter.
+bool folder_write_fails(int descriptor, size_t& length) {
+  if (!injector().active() || !injector().is_below_folder(descriptor)) return false;
+  if (injector().strikes(FaultKind::folder_write_fails)) return injector().fail_with({ENOSPC, EIO}) < 0;
+  if (injector().strikes(FaultKind::folder_write_short)) length = shortened(length);
+  return false;
+}
+
+bool folder_sync_fails(int descriptor) {
+  if (!injector().active() || !injector().is_below_folder(descriptor)) return false;
+  return injector().strikes(FaultKind::folder_sync_fails) && injector().fail_with({EIO, ENOSPC}) < 0;
+}
+
 // A wait that ends by a signal some time into it.
 void wait_part_of(int timeout_ms) {
   if (timeout_ms <= 1) return;
@@ -260,36 +273,24 @@
 
 ssize_t write(int descriptor, const void* bytes, size_t length) {
   NEXT(write);
-  if (injector().active() && injector().is_below_folder(descriptor)) {
-    if (injector().strikes(FaultKind::folder_write_fails)) return injector().fail_with({ENOSPC, EIO});
-    if (injector().strikes(FaultKind::folder_write_short)) length = shortened(length);
-  }
+  if (folder_write_fails(descriptor, length)) return -1;
   return real(descriptor, bytes, length);
 }
 
 ssize_t pwrite64(int descriptor, const void* bytes, size_t length, off64_t at) {
   NEXT(pwrite64);
-  if (injector().active() && injector().is_below_folder(descriptor)) {
-    if (injector().strikes(FaultKind::folder_write_fails)) return injector().fail_with({ENOSPC, EIO});
-    if (injector().strikes(FaultKind::folder_write_short)) length = shortened(length);
-  }
+  if (folder_write_fails(descriptor, length)) return -1;
   return real(descriptor, bytes, length, at);
 }
 
 int fsync(int descriptor) {
   NEXT(fsync);
-  if (injector().active() && injector().is_below_folder(descriptor) &&
-      injector().strikes(FaultKind::folder_sync_fails))
-    return injector().fail_with({EIO, ENOSPC});
-  return real(descriptor);
+  return folder_sync_fails(descriptor) ? -1 : real(descriptor);
 }
 
 int fdatasync(int descriptor) {
   NEXT(fdatasync);
-  if (injector().active() && injector().is_below_folder(descriptor) &&
-      injector().strikes(FaultKind::folder_sync_fails))
-    return injector().fail_with({EIO, ENOSPC});
-  return real(descriptor);
+  return folder_sync_fails(descriptor) ? -1 : real(descriptor);
 }
 
 int clock_gettime(clockid_t clock, timespec* now) {
--- a/tests/test_crossings.cpp
+++ b/tests/test_crossings.cpp
@@ -6,6 +6,7 @@
 
 #include "daemon_fixture.h"
 #include "lab/faults/fault_injection.h"
+#include "scenarios.h"
 
 using namespace pearchute::test;
 using namespace pearchute::lab;
@@ -439,11 +440,7 @@
   }
 }
 
-struct Scenario {
-  const char* name;
-  void (*play)();
-};
-constexpr Scenario scenarios[] = {
+constexpr pearchute::test::Scenario scenarios[] = {
     {"drain_while_connecting", drain_while_connecting},
     {"deadline_after_late_connect", deadline_after_late_connect},
     {"pipelined_deadlines", pipelined_deadlines},
@@ -462,12 +459,4 @@
 
 }  // namespace
 
-int main(int count, char** names) {
-  bool played = false;
-  for (const Scenario& one : scenarios) {
-    if (count > 1 && std::strcmp(names[1], one.name) != 0) continue;
-    one.play();
-    played = true;
-  }
-  return played ? 0 : 2;
-}
+int main(int count, char** names) { return pearchute::test::play_named(scenarios, count, names); }
--- a/tests/test_endings.cpp
+++ b/tests/test_endings.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "daemon_fixture.h"
+#include "scenarios.h"
 
 using namespace pearchute::test;
 using namespace pearchute::lab;
@@ -532,11 +533,7 @@
   assert(1.0 * done[1] / all[1] > 0.7 && 1.0 * done[0] / all[0] < 0.7);
 }
 
-struct Scenario {
-  const char* name;
-  void (*play)();
-};
-constexpr Scenario scenarios[] = {
+constexpr pearchute::test::Scenario scenarios[] = {
     {"gone_while_held", gone_while_held},
     {"gone_behind_bytes", gone_behind_bytes},
     {"calls_cross_the_end", calls_cross_the_end},
@@ -554,12 +551,4 @@
 
 }  // namespace
 
-int main(int count, char** names) {
-  bool played = false;
-  for (const Scenario& one : scenarios) {
-    if (count > 1 && std::strcmp(names[1], one.name) != 0) continue;
-    one.play();
-    played = true;
-  }
-  return played ? 0 : 2;
-}
+int main(int count, char** names) { return pearchute::test::play_named(scenarios, count, names); }
--- a/tests/test_rule_guard.cpp
+++ b/tests/test_rule_guard.cpp
@@ -94,20 +94,29 @@
   };
   const EngineId one{1}, other{2}, third{3};
   StartTimes right(unix_time(seconds(0)));
-  right.heard(seconds(0)), right.heard(seconds(10));
+  right.heard(seconds(0), true), right.heard(seconds(10), true), right.heard(seconds(11), true);
   assert(right.start_of(one, unix_time(seconds(9))) == seconds(9));
-  assert(right.start_of(other, unix_time(seconds(-600))) !=
-         seconds(-600));  // older than the list can have left out
+  // Older than the list can have left out: this machine's clock is taken to be ahead.
+  assert(right.start_of(other, unix_time(seconds(-600))) == seconds(11));
+  right.forget(one);  // and it comes back
+  assert(right.start_of(one, unix_time(seconds(9))) == seconds(9));
+  // What began while the list could not be heard is as old as it says.
+  right.heard(seconds(40), false), right.heard(seconds(40), false);
+  assert(right.start_of(third, unix_time(seconds(20))) == seconds(20));
+  // Nor is the first list's word doubted.
+  StartTimes without_list(unix_time(seconds(0)));
+  without_list.heard(seconds(0), false), without_list.heard(seconds(30), false);
+  assert(without_list.start_of(one, unix_time(seconds(-600))) == seconds(-600));
   StartTimes behind(unix_time(seconds(-3600)));
-  behind.heard(seconds(0));
+  behind.heard(seconds(0), false);
   assert(behind.start_of(one, unix_time(seconds(-60))) == seconds(0));  // none lies ahead
   assert(behind.start_of(other, unix_time(seconds(-70))) == seconds(-10));
   assert(behind.start_of(one, unix_time(seconds(-60))) == seconds(0));  // told again, the same
   StartTimes ahead(unix_time(seconds(3600)));
-  ahead.heard(seconds(0)), ahead.heard(seconds(10));
+  ahead.heard(seconds(0), true), ahead.heard(seconds(10), true);
   assert(ahead.start_of(third, unix_time(seconds(10))) == seconds(10));
   StartTimes skewed(unix_time(milliseconds(-500)));
-  skewed.heard(seconds(0)), skewed.heard(seconds(1));
+  skewed.heard(seconds(0), true), skewed.heard(seconds(1), true);
   assert(skewed.start_of(one, unix_time(seconds(1))) ==
          milliseconds(1500));  // clocks differ a little, and stay
 }
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "lab/soak/soak_run.h"
+#include "scenarios.h"
 
 using namespace pearchute::lab;
 using std::chrono::milliseconds;
@@ -70,20 +71,9 @@
   assert(result.is_sound());
 }
 
-struct Scenario {
-  const char* name;
-  void (*play)();
-};
-constexpr Scenario scenarios[] = {{"schedule", schedule}, {"troubles", troubles}, {"calls", calls}};
+constexpr pearchute::test::Scenario scenarios[] = {
+    {"schedule", schedule}, {"troubles", troubles}, {"calls", calls}};
 
 }  // namespace
 
-int main(int count, char** names) {
-  bool played = false;
-  for (const Scenario& one : scenarios) {
-    if (count > 1 && std::strcmp(names[1], one.name) != 0) continue;
-    one.play();
-    played = true;
-  }
-  return played ? 0 : 2;
-}
+int main(int count, char** names) { return pearchute::test::play_named(scenarios, count, names); }
