Errors within events are told in the counters, and one of them holds up nothing

Cause: found on reading the change again: Counters::failed_events was never filled, so the soak's check of it could not fail; and an error thrown within what Loop::settle puts off left it marked as settling, after which nothing that is put off came up any more.

Change: the front fills the count; each put-off event and each timer is guarded by itself.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -70,6 +70,7 @@
 std::string Front::counters_now() {
   counters_.open_jobs = jobs_.size(), counters_.open_clients = clients_.size();
   counters_.open_engine_connections = engines_.connections();
+  counters_.failed_events = loop_.failed_events();
   counters_.open_dispatches = 0;
   for (const auto& [id, job] : jobs_) counters_.open_dispatches += job.out.size();
   return counters_.as_json();
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -95,7 +95,7 @@
 void Loop::run() {
   while (!stopped_) {
     wait();
-    guarded([this] { run_timers(); });
+    run_timers();
   }
 }
 
@@ -131,7 +131,7 @@
     const auto at = watchers_.find(event.data.u64);
     if (at == watchers_.end()) continue;  // an event before it has ended this one
     guarded([&] { at->second->socket_ready(readiness_in(event)); });
-    guarded([this] { settle(); });
+    settle();
   }
 }
 
@@ -181,7 +181,7 @@
   while (!soon_.empty()) {
     const std::function<void()> what = std::move(soon_.front());
     soon_.pop_front();
-    what();
+    guarded(what);  // else nothing that is put off would ever come up again
   }
   retired_.clear();
   while (!finishing_.empty() && finishing_.front().first <= now()) {
@@ -201,7 +201,7 @@
     std::pop_heap(timers_.begin(), timers_.end());
     const std::function<void()> what = std::move(timers_.back().what);
     timers_.pop_back();
-    what();
+    guarded(what);
     settle();
   }
   settle();
--- a/tests/test_wire.cpp
+++ b/tests/test_wire.cpp
@@ -10,6 +10,7 @@
 #include "engines/list.h"
 #include "engines/resp.h"
 #include "front/statement.h"
+#include "net/driver.h"
 #include "net/http.h"
 #include "service/flatten.h"
 
@@ -340,7 +341,23 @@
   }
 }
 
+// An error within one event is counted, and everything else that waits comes up all the same.
+void errors_within_events() {
+  Loop loop;
+  int came = 0;
+  loop.soon([] { throw pearchute::SystemError("one of what is put off"); });
+  loop.soon([&] { ++came; });
+  loop.at(pearchute::Span(0), [] { throw pearchute::SystemError("a timer"); });
+  loop.at(pearchute::Span(1), [&] {
+    ++came;
+    loop.soon([&] { ++came, loop.stop(); });
+  });
+  loop.run();
+  assert(came == 3 && loop.failed_events() == 2);
+}
+
 int main() {
+  errors_within_events();
   http_calls();
   engine_answers();
   given_up();
