--- a/src/lab/checkers/history_checker.cpp
+++ b/src/lab/checkers/history_checker.cpp
@@ -90,7 +90,7 @@
   const auto at = jobs_.find(id);
   if (at == jobs_.end()) return;
   const Time left = at->second.until - steady_now();
-  if (wait > left + slack + transit_)
+  if (wait > left + slack)
     fault(verdict_.waits_too_long, id + " is to wait " + std::to_string(wait.count()) + " ms, " +
                                        std::to_string(left.count() / 1000) + " ms are left");
 }
@@ -106,7 +106,8 @@
   if (const auto drained = drained_.find({engine, job.manager}); drained != drained_.end())
     drained->second.last = now;
   constexpr milliseconds leaving_heard_within(100);
-  if (!lay_unread && job.left_at && now > *job.left_at + leaving_heard_within + transit_)
+  const bool order_is_unknown = lay_unread && unseen_give_ups_;
+  if (!order_is_unknown && job.left_at && now > *job.left_at + leaving_heard_within)
     fault(verdict_.after_leaving, id + " reaches " + engine + " " +
                                       std::to_string((now - *job.left_at).count() / 1000) +
                                       " ms after its client has left");
@@ -117,7 +118,7 @@
       fault(verdict_.twice_run, id + " is run by " + engine + " after " + run.engine);
   }
   job.runs.push_back({engine});
-  if (!job.kind.in_order || lay_unread) return;
+  if (!job.kind.in_order || order_is_unknown) return;
   Line& line = lines_[job.key];
   if (!line.out.empty() && line.out != id && !unseen_give_ups_)
     fault(verdict_.disorder, id + " begins while " + line.out + " is out");
--- a/src/lab/checkers/history_checker.h
+++ b/src/lab/checkers/history_checker.h
@@ -35,12 +35,11 @@
   // Engines may not hear of what managers give up (they hang, or are cut off), so what they still run is not
   // held against the manager. A job that must run once is judged all the same.
   void set_unseen_give_ups(bool unseen) { unseen_give_ups_ = unseen; }
-  // What the network may hold back at the moment; times at engines are allowed so much more.
-  void set_transit(Time transit) { transit_ = transit; }
   // At an engine: how long the manager said that it would wait, when the job came.
   void told_wait(const std::string& job, std::chrono::milliseconds wait);
   // At an engine. A run ends when its answer is written, it is given up, or its connection ends.
   // `lay_unread`: the engine did not read for a while, so it may have come earlier, and in another order.
+  // That counts only together with unseen give-ups.
   void begun(const std::string& engine, const std::string& job, bool lay_unread = false);
   void ended(const std::string& engine, const std::string& job, bool turned_away);
 
@@ -100,7 +99,6 @@
   std::map<std::pair<std::string, int>, std::deque<Time>> wants_;  // of the last second
   std::map<std::pair<std::string, int>, Drained> drained_;
   std::uint64_t open_ = 0;
-  Time transit_{};
   bool unseen_give_ups_ = false;
   std::set<int> dead_managers_;
   Verdict verdict_;
