--- a/src/lab/load/load_cluster.cpp
+++ b/src/lab/load/load_cluster.cpp
@@ -2,9 +2,7 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
-#include <fcntl.h>
 #include <signal.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -15,6 +13,7 @@
 #include <thread>
 
 #include "errors/error.h"
+#include "lab/stand_ins/child_process.h"
 #include "lab/stand_ins/test_cluster.h"
 
 namespace pearchute::lab {
@@ -143,22 +142,10 @@
 }
 
 void LoadCluster::start() {
-  const pid_t parent = ::getpid();
-  const int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
-  process_ = ::fork();
-  if (process_ < 0) throw SystemError("no process for the manager", spec_.pearchuted);
-  if (process_ > 0) {
-    ::close(log);
-    return;
-  }
-  ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a laboratory that dies leaves nothing running
-  if (::getppid() != parent) ::_exit(127);
-  ::dup2(log, STDERR_FILENO);
-  ::dup2(log, STDOUT_FILENO);
-  ::close_range(3, ~0U, 0);
-  ::execl(spec_.pearchuted.c_str(), "pearchuted", "--config", configuration_.c_str(),
-          static_cast<char*>(nullptr));
-  ::_exit(127);
+  process_ = start_child({.program = spec_.pearchuted,
+                          .arguments = {"--config", configuration_},
+                          .environment = {},
+                          .log = log_});
 }
 
 bool LoadCluster::manager_runs() {
--- a/src/lab/scale/hollow_rack.cpp
+++ b/src/lab/scale/hollow_rack.cpp
@@ -3,7 +3,6 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -12,6 +11,7 @@
 
 #include "errors/error.h"
 #include "lab/checkers/history_checker.h"
+#include "lab/stand_ins/child_process.h"
 
 namespace pearchute::lab {
 
@@ -40,24 +40,20 @@
     ::close(input[0]), ::close(input[1]);
     throw SystemError("no pipe to a process of hollow hosts");
   }
-  const pid_t parent = ::getpid();
-  process_ = ::fork();
-  if (process_ == 0) {
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    if (::getppid() != parent) ::_exit(127);
-    const int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-    ::dup2(input[0], STDIN_FILENO), ::dup2(output[1], STDOUT_FILENO), ::dup2(log, STDERR_FILENO);
-    ::close_range(3, ~0U, 0);
-    ::execl(program_.c_str(), "pearchute-lab", "hollow-hosts", "--spec", file_.c_str(),
-            static_cast<char*>(nullptr));
-    ::_exit(127);
-  }
-  ::close(input[0]), ::close(output[1]);
   input_ = input[1], output_ = output[0];
-  if (process_ < 0) {
+  try {
+    process_ = start_child({.program = program_,
+                            .arguments = {"hollow-hosts", "--spec", file_},
+                            .environment = {},
+                            .log = log_,
+                            .input = input[0],
+                            .output = output[1]});
+  } catch (const SystemError&) {
+    ::close(input[0]), ::close(output[1]);
     close_pipes();
-    throw SystemError("no process of hollow hosts");
+    throw;
   }
+  ::close(input[0]), ::close(output[1]);
 }
 
 void HollowRack::close_pipes() {
--- a/src/lab/stand_ins/admin_endpoints.cpp
+++ b/src/lab/stand_ins/admin_endpoints.cpp
@@ -11,6 +11,7 @@
 #include <stdexcept>
 
 #include "errors/error.h"
+#include "lab/stand_ins/child_process.h"
 
 namespace pearchute::lab {
 
@@ -31,17 +32,16 @@
 Ran run_program(const std::string& program, const std::vector<std::string>& arguments) {
   int pipe[2];
   if (::pipe2(pipe, O_CLOEXEC) != 0) throw SystemError("no pipe to a program");
-  std::vector<char*> words = {const_cast<char*>(program.c_str())};
-  for (const std::string& word : arguments) words.push_back(const_cast<char*>(word.c_str()));
-  words.push_back(nullptr);
+  const int nothing = ::open("/dev/null", O_RDWR | O_CLOEXEC);
   const auto begun = std::chrono::steady_clock::now();
-  const pid_t child = ::fork();
-  if (child == 0) {
-    const int nothing = ::open("/dev/null", O_RDWR);
-    ::dup2(nothing, STDIN_FILENO), ::dup2(pipe[1], STDOUT_FILENO);
-    ::execv(program.c_str(), words.data());
-    ::_exit(127);
-  }
+  const pid_t child = start_child({.program = program,
+                                   .arguments = arguments,
+                                   .environment = {},
+                                   .log = {},
+                                   .input = nothing,
+                                   .output = pipe[1],
+                                   .inherits = true});
+  ::close(nothing);
   ::close(pipe[1]);
   Ran ran;
   char buffer[4096];
--- a/src/lab/stand_ins/agent_cluster.cpp
+++ b/src/lab/stand_ins/agent_cluster.cpp
@@ -1,11 +1,8 @@
 #include "lab/stand_ins/agent_cluster.h"
 
-#include <fcntl.h>
 #include <grpcpp/grpcpp.h>
 #include <signal.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <filesystem>
@@ -13,6 +10,7 @@
 
 #include "agent/rpc_deadline.h"
 #include "errors/error.h"
+#include "lab/stand_ins/child_process.h"
 
 namespace pearchute::lab {
 
@@ -21,14 +19,10 @@
 }
 
 void Agent::start() {
-  process = fork();
-  if (process != 0) return;
-  prctl(PR_SET_PDEATHSIG, SIGKILL);
-  const int log = ::open((charter + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-  ::dup2(log, 1), ::dup2(log, 2);
-  ::close_range(3, ~0U, 0);
-  ::execl(program.c_str(), "pearchute-agent", "--charter", charter.c_str(), static_cast<char*>(nullptr));
-  ::_exit(127);
+  process = start_child({.program = program,
+                         .arguments = {"--charter", charter},
+                         .environment = environment,
+                         .log = charter + ".log"});
 }
 
 void Agent::end(int signal) {
--- a/src/lab/stand_ins/agent_cluster.h
+++ b/src/lab/stand_ins/agent_cluster.h
@@ -32,6 +32,7 @@
 struct Agent {
   std::string name, program, charter, control, listen;
   pid_t process = -1;
+  std::vector<std::pair<std::string, std::string>> environment;  // beside the laboratory's own
   std::unique_ptr<agent::v1::Agent::Stub> stub;
   ~Agent();
   Agent() = default;
--- a/src/lab/stand_ins/test_cluster.cpp
+++ b/src/lab/stand_ins/test_cluster.cpp
@@ -1,9 +1,7 @@
 #include "lab/stand_ins/test_cluster.h"
 
 #include <Poco/Net/ServerSocket.h>
-#include <fcntl.h>
 #include <signal.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -13,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include "errors/error.h"
+#include "lab/stand_ins/child_process.h"
 
 namespace pearchute::lab {
 
@@ -189,19 +188,12 @@
 
 void TestCluster::start(std::size_t number) {
   Manager& manager = managers_[number];
-  const pid_t parent = ::getpid();
-  manager.process = ::fork();
-  if (manager.process != 0) return;
-  ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a laboratory that dies leaves nothing running
-  if (::getppid() != parent) ::_exit(127);
-  const int log = ::open(manager.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-  ::dup2(log, STDERR_FILENO), ::dup2(log, STDOUT_FILENO);
-  ::close_range(3, ~0U, 0);
-  if (site_.environment)
-    for (const auto& [name, value] : site_.environment(number)) ::setenv(name.c_str(), value.c_str(), 1);
-  ::execl(site_.pearchuted.c_str(), "pearchuted", "--config", manager.configuration.c_str(), "--admin",
-          manager.admin_file.c_str(), static_cast<char*>(nullptr));
-  ::_exit(127);
+  ChildProcess child;
+  child.program = site_.pearchuted;
+  child.arguments = {"--config", manager.configuration, "--admin", manager.admin_file};
+  if (site_.environment) child.environment = site_.environment(number);
+  child.log = manager.log;
+  manager.process = start_child(child);
 }
 
 void TestCluster::signal(std::size_t manager, int signal) {
--- a/tests/sockets.h
+++ b/tests/sockets.h
@@ -6,7 +6,6 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
-#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -20,6 +19,8 @@
 #include <utility>
 #include <vector>
 
+#include "lab/stand_ins/child_process.h"
+
 inline int listen_on(int& port) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in at{};
@@ -134,13 +135,10 @@
 using Environment = std::vector<std::pair<std::string, std::string>>;
 
 inline pid_t start(const std::string& configuration, const Environment& environment = {}) {
-  const pid_t child = fork();
-  if (child != 0) return child;
-  prctl(PR_SET_PDEATHSIG, SIGKILL);  // a failed test leaves nothing running
-  setenv("PROXY_CONFIG", configuration.c_str(), 1);
-  for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
-  execl(PEARCHUTED, PEARCHUTED, nullptr);
-  _exit(127);
+  Environment whole = {{"PROXY_CONFIG", configuration}};
+  whole.insert(whole.end(), environment.begin(), environment.end());
+  return pearchute::lab::start_child(
+      {.program = PEARCHUTED, .arguments = {}, .environment = whole, .log = {}, .inherits = true});
 }
 
 inline int end_of(pid_t child) {
