--- a/src/lab/faults/fault_injector.cpp
+++ b/src/lab/faults/fault_injector.cpp
@@ -159,6 +159,13 @@
   return injector().strikes(FaultKind::folder_sync_fails) && injector().fail_with({EIO, ENOSPC}) < 0;
 }
 
+// With its error number set.
+bool accept_is_to_fail() {
+  if (injector().strikes(FaultKind::accept_fails))
+    return injector().fail_with({ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM}) < 0;
+  return false;
+}
+
 // A wait that ends by a signal some time into it.
 void wait_part_of(int timeout_ms) {
   if (timeout_ms <= 1) return;
@@ -191,15 +198,13 @@
 
 int accept(int descriptor, sockaddr* address, socklen_t* size) {
   NEXT(accept);
-  if (injector().strikes(FaultKind::accept_fails))
-    return injector().fail_with({ECONNABORTED, ENFILE, EMFILE, ENOBUFS});
+  if (accept_is_to_fail()) return -1;
   return real(descriptor, address, size);
 }
 
 int accept4(int descriptor, sockaddr* address, socklen_t* size, int flags) {
   NEXT(accept4);
-  if (injector().strikes(FaultKind::accept_fails))
-    return injector().fail_with({ECONNABORTED, ENFILE, EMFILE, ENOBUFS});
+  if (accept_is_to_fail()) return -1;
   return real(descriptor, address, size, flags);
 }
 
@@ -218,6 +223,13 @@
   return status;
 }
 
+int epoll_ctl(int descriptor, int operation, int watched, epoll_event* event) {
+  NEXT(epoll_ctl);
+  if (operation != EPOLL_CTL_DEL && injector().strikes(FaultKind::watch_fails))
+    return injector().fail_with({ENOMEM, ENOSPC});
+  return real(descriptor, operation, watched, event);
+}
+
 int epoll_wait(int descriptor, epoll_event* events, int most, int timeout_ms) {
   NEXT(epoll_wait);
   if (timeout_ms != 0 && injector().strikes(FaultKind::wait_interrupted)) {
--- a/tests/test_crossings.cpp
+++ b/tests/test_crossings.cpp
@@ -4,19 +4,15 @@
 #include <cstring>
 #include <nlohmann/json.hpp>
 
-#include "daemon_fixture.h"
-#include "lab/faults/fault_injection.h"
+#include "faulty_daemon.h"
 #include "scenarios.h"
+#include "scripted_discovery.h"
 
 using namespace pearchute::test;
 using namespace pearchute::lab;
 
 namespace {
 
-std::int64_t elapsed_ms(Clock::time_point since) {
-  return std::chrono::duration_cast<milliseconds>(Clock::now() - since).count();
-}
-
 // The time that a request on an engine's connection says the manager will wait; -1 where there is none.
 long wait_in(const std::string& request) {
   const std::size_t at = request.find(",ms=");
@@ -98,47 +94,6 @@
   close(fd);
 }
 
-// A plain server in discovery's place that answers each connection in its own way.
-class ScriptedDiscovery {
- public:
-  explicit ScriptedDiscovery(std::function<void(int)> answer)
-      : door_(listen_on(port_)), thread_([this, answer = std::move(answer)] {
-          while (!over_) {
-            pollfd one{door_, POLLIN, 0};
-            if (poll(&one, 1, 20) <= 0) continue;
-            const int peer = accept(door_, nullptr, nullptr);
-            ++connections_;
-            peers_.emplace_back([peer, answer] { answer(peer); });
-          }
-        }) {}
-  ~ScriptedDiscovery() {
-    over_ = true;
-    thread_.join();
-    for (std::thread& one : peers_) one.join();
-    close(door_);
-  }
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
-  int connections() const { return connections_; }
-
- private:
-  int port_ = 0, door_;
-  std::atomic<bool> over_ = false;
-  std::atomic<int> connections_ = 0;
-  std::vector<std::thread> peers_;
-  std::thread thread_;
-};
-
-std::string hear_request(int peer) {
-  char bytes[1000];
-  const auto got = recv(peer, bytes, sizeof bytes, 0);
-  return got > 0 ? std::string(bytes, static_cast<std::size_t>(got)) : "";
-}
-
-std::string list_event(const std::string& engine) {
-  return "id: 1\ndata: " + StandInChannel::event(1, {{"a", engine, "east", "std", "active"}}, true).dump() +
-         "\n\n";
-}
-
 // Discovery that has too many callers turns them away at once: it is asked again at growing distance, not as
 // fast as it answers. Once it takes calls again, it is asked soon.
 void discovery_refuses() {
@@ -209,15 +164,6 @@
   }
 }
 
-// A daemon whose system calls can be made to fail.
-struct FaultyDaemon : DaemonFixture {
-  FaultInjection faults;
-  explicit FaultyDaemon(std::uint64_t seed = 1)
-      : faults(PEARCHUTE_FAULTS, folder + "/faults", "pearchuted", seed) {
-    environment = faults.environment();
-  }
-};
-
 // The wall clock is stepped while a wait is interrupted by a signal: the wait ends as soon as it would have.
 void clock_step_in_interrupted_wait() {
   FaultyDaemon fixture;
