What came is read before a close or a departure; watches are tried again

Ruled out: the guard at departure, which asks the client's own socket; a cancel comes on another one.

Change: RuleGuard::forbids_closing asks what lies unread before each close that can wait. After a time without a turn (50 ms, half of what is allowed after a cancel) the loop is behind until a wait finds nothing, 50 ms at most, and attempts leave only then. Loop keeps what each socket is watched for and tells the system again every 10 ms where it is short of memory; events that are not watched for any more are passed over (before, one that was found just before its connection paused ended it).

--- a/src/core/rule_guard.cpp
+++ b/src/core/rule_guard.cpp
@@ -48,6 +48,13 @@
   return std::nullopt;
 }
 
+std::optional<Rule> RuleGuard::forbids_closing(const ClosingFacts& facts) {
+  ++checked_;
+  if (facts.client_has_left) return std::nullopt;
+  if (facts.request_is_open || facts.has_unread_bytes) return hold_back(Rule::no_silent_close);
+  return std::nullopt;
+}
+
 void RuleGuard::closing(const ClosingFacts& facts) {
   ++checked_;
   if (facts.request_is_open && !facts.client_has_left) note_broken(Rule::no_silent_close);
--- a/src/core/rule_guard.h
+++ b/src/core/rule_guard.h
@@ -56,8 +56,9 @@
 
 // A client's connection that is about to be closed, by this side.
 struct ClosingFacts {
-  bool request_is_open = false;  // one was read and has no answer
-  bool client_has_left = false;  // or has asked for it elsewhere
+  bool request_is_open = false;   // one was read and has no answer
+  bool client_has_left = false;   // or has asked for it elsewhere
+  bool has_unread_bytes = false;  // with the system: they may be a request
 };
 
 // A final answer that is about to go out.
@@ -74,6 +75,8 @@
   // The same; whoever decided on it has broken the rule, so it is counted as broken, too.
   std::optional<Rule> forbids_repeating(const RepeatFacts& facts);
   std::optional<Rule> forbids_taking(bool answers_all);
+  // Of closes that can wait; those of a client that keeps to no bound can't.
+  std::optional<Rule> forbids_closing(const ClosingFacts& facts);
   // What can't be held back is counted as broken.
   void closing(const ClosingFacts& facts);
   void answering(const AnsweringFacts& facts);
--- a/src/engines/engines.cpp
+++ b/src/engines/engines.cpp
@@ -26,6 +26,8 @@
     wire_ = std::make_unique<Wire>(owner.loop_, to, *this);
   }
 
+  ~Link() override { *alive_ = false; }
+
   EngineId engine() const { return engine_; }
   std::unique_ptr<Wire> give_wire() { return std::move(wire_); }
   std::size_t busy() const { return talk_.open() + kept_back_.size(); }
@@ -122,6 +124,12 @@
   }
 
   void wire_free() override {
+    if (kept_back_.empty()) return;
+    // What the clients have said while the process had no turn comes first: some may have cancelled.
+    if (owner_.loop_.is_behind())
+      return owner_.loop_.when_caught_up([this, alive = alive_] {
+        if (*alive) wire_->offer();
+      });
     // One at a time, so that only the last that was put out can be with a socket that takes nothing.
     while (!kept_back_.empty()) {
       const Kept kept = std::move(kept_back_.front());
@@ -231,6 +239,7 @@
   Span opened_at_, idle_since_, idle_until_{}, heard_{}, whole_since_{}, quiet_{first_quiet};
   std::optional<Span> asked_at_;  // for a sign that it works
   bool in_doubt_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 Engines::Engines(Loop& loop, const service::LinkLimits& limits, std::size_t most_connections,
--- a/src/front/client.h
+++ b/src/front/client.h
@@ -25,6 +25,7 @@
   ClientId id() const { return id_; }
   HttpServerSide& http() { return http_; }
   Wire& wire() { return *wire_; }
+  const Wire& wire() const { return *wire_; }
   std::unique_ptr<Wire> give_wire() { return std::move(wire_); }
   void wire_brought(std::string_view bytes) override {
     const bool idle = !http_.call_open() && !http_.within_call();
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -90,8 +90,8 @@
     const Span now = loop_.now();
     Client* least = nullptr;
     for (const auto& [id, client] : clients_) {
-      if (client->useless() && (!least || client->usefulness(now) < least->usefulness(now)))
-        least = client.get();
+      const bool is_less = client->useless() && (!least || client->usefulness(now) < least->usefulness(now));
+      if (is_less && may_close(*client)) least = client.get();
     }
     if (!least) return turn_away(socket);
     least->wire().close();  // at once: many may come before the next event
@@ -101,6 +101,11 @@
   clients_[id] = std::make_unique<Client>(*this, id, socket);
 }
 
+// Guards against the close of a connection on which a call has come that was not read yet.
+bool Front::may_close(const Client& client) {
+  return !counters_.rules.forbids_closing({client.owes_answer(), false, client.wire().has_unread()});
+}
+
 void Front::turn_away(const Poco::Net::StreamSocket& socket) {
   counters_.clients_closed.add(ClientCloseReason::no_place);
   auto wire = std::make_unique<Wire>(loop_, socket, nobody_);
@@ -378,7 +383,8 @@
   sending_home_ = true;
   std::vector<Client*> idle;
   for (const auto& [id, client] : clients_) {
-    if (client->useless() && !client->http().within_call()) idle.push_back(client.get());
+    if (client->useless() && !client->http().within_call() && may_close(*client))
+      idle.push_back(client.get());
   }
   for (Client* client : idle) drop(*client, ClientCloseReason::manager_ends);
 }
@@ -396,12 +402,13 @@
     if (const auto status = client->overdue(now)) overdue.emplace_back(client.get(), *status);
   }
   for (const auto& [client, status] : overdue) {
-    const bool unread = client->wire().waiting() > 0;
+    const bool reads_nothing = client->wire().waiting() > 0;
     if (status > 0)
       client->end_with(status, "the call is not whole in time", ClientCloseReason::call_incomplete);
-    else if (client->useless())
-      drop(*client, unread ? ClientCloseReason::answer_unread : ClientCloseReason::idle);
-    else client->wire().close(), client_left(*client, ClientCloseReason::answer_unread);
+    else if (!client->useless())
+      client->wire().close(), client_left(*client, ClientCloseReason::answer_unread);
+    else if (reads_nothing) drop(*client, ClientCloseReason::answer_unread);
+    else if (may_close(*client)) drop(*client, ClientCloseReason::idle);
   }
   loop_.at(now + milliseconds(200), [this] { sweep(); });
 }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -122,6 +122,7 @@
   void client_left(Client& client, ClientCloseReason reason);
   void left_alone(JobId id);  // unless its client waits on another connection
   void lose_sight(JobId id);
+  bool may_close(const Client& client);
   void turn_away(const Poco::Net::StreamSocket& socket);
   void respond(ClientId client, int status, std::string_view headers, std::string_view body);
   void answer(JobId id, OpenJob& job, int status, std::string headers, std::string body);
--- a/src/lab/faults/fault_control.h
+++ b/src/lab/faults/fault_control.h
@@ -23,12 +23,12 @@
   accept_fails,         // accept: ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM
   socket_fails,         // socket: ENFILE, EMFILE, ENOBUFS
   connect_fails,        // connect: EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH
+  watch_fails,          // epoll_ctl: ENOMEM, ENOSPC
   wait_interrupted,     // epoll_wait, poll: EINTR, some time into the wait
   open_fails,           // open of a regular file: ENFILE, EMFILE, EINTR
   folder_write_fails,   // write, pwrite below the folder: ENOSPC, EIO
   folder_write_short,   // the same: fewer bytes than asked
   folder_sync_fails,    // fsync, fdatasync below the folder: EIO, ENOSPC
-  watch_fails,          // epoll_ctl: ENOMEM, ENOSPC
   count
 };
 inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(FaultKind::count);
@@ -36,8 +36,8 @@
 inline constexpr std::array<std::string_view, fault_kinds> fault_kind_names = {
     "receive_interrupted", "receive_short", "receive_broken", "send_interrupted",
     "send_short", "accept_fails", "socket_fails", "connect_fails",
-    "wait_interrupted", "open_fails", "folder_write_fails", "folder_write_short",
-    "folder_sync_fails", "watch_fails"};
+    "watch_fails", "wait_interrupted", "open_fails", "folder_write_fails",
+    "folder_write_short", "folder_sync_fails"};
 
 struct FaultControl {
   std::array<std::atomic<std::uint32_t>, fault_kinds> per_million;  // of the calls, that fail
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -42,9 +42,13 @@
   return event;
 }
 
-Readiness readiness_in(const epoll_event& event) {
-  return {(event.events & (EPOLLIN | EPOLLHUP)) != 0, (event.events & EPOLLOUT) != 0,
-          (event.events & EPOLLERR) != 0};
+// Heeds only what the socket is watched for by now: an event before this one, or the system's being short of
+// memory, may have left another interest with the system.
+Readiness readiness_in(const epoll_event& event, Readiness interest) {
+  const bool both_have_ended = (event.events & EPOLLHUP) != 0;
+  const bool has_bytes = (event.events & EPOLLIN) != 0 && interest.readable;
+  const bool has_room = (event.events & EPOLLOUT) != 0 && interest.writable;
+  return {both_have_ended || has_bytes, has_room, (event.events & EPOLLERR) != 0};
 }
 
 }  // namespace
@@ -58,27 +62,59 @@
 
 // What was put off would reach into what is gone by now.
 Loop::~Loop() {
-  soon_.clear(), timers_.clear();
+  soon_.clear(), timers_.clear(), when_caught_up_.clear();
   retired_.clear(), finishing_.clear();
   ::close(poll_descriptor_);
 }
 
 std::optional<WatchId> Loop::watch(int descriptor, Readiness interest, Watcher& watcher) {
   const WatchId id{next_watch_++};
-  epoll_event event = event_for(interest, id);
-  if (::epoll_ctl(poll_descriptor_, EPOLL_CTL_ADD, descriptor, &event) != 0) return std::nullopt;
-  watchers_[id.value] = &watcher;
-  return id;
-}
-
-void Loop::change_interest(WatchId id, int descriptor, Readiness interest) {
-  epoll_event event = event_for(interest, id);
-  ::epoll_ctl(poll_descriptor_, EPOLL_CTL_MOD, descriptor, &event);  // of what is watched: needs no memory
-}
-
-void Loop::unwatch(WatchId id, int descriptor) {
-  watchers_.erase(id.value);
-  ::epoll_ctl(poll_descriptor_, EPOLL_CTL_DEL, descriptor, nullptr);
+  Watch& watch = watches_[id.value];
+  watch.watcher = &watcher, watch.descriptor = descriptor, watch.interest = interest;
+  if (tell_interest(id, watch) != Failure::never) return id;
+  watches_.erase(id.value);
+  return std::nullopt;
+}
+
+void Loop::change_interest(WatchId id, Readiness interest) {
+  const auto found = watches_.find(id.value);
+  if (found == watches_.end()) return;
+  found->second.interest = interest;
+  tell_interest(id, found->second);
+}
+
+void Loop::unwatch(WatchId id) {
+  const auto found = watches_.find(id.value);
+  if (found == watches_.end()) return;
+  const Watch& watch = found->second;
+  if (watch.is_known) ::epoll_ctl(poll_descriptor_, EPOLL_CTL_DEL, watch.descriptor, nullptr);
+  watches_.erase(found);
+}
+
+// Why the system did not take it, if it did not.
+std::optional<Failure> Loop::tell_interest(WatchId id, Watch& watch) {
+  epoll_event event = event_for(watch.interest, id);
+  const int operation = watch.is_known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+  if (::epoll_ctl(poll_descriptor_, operation, watch.descriptor, &event) == 0) {
+    watch.is_known = true;
+    return std::nullopt;
+  }
+  const Failure failure = failure_of(errno);
+  if (failure == Failure::not_now) tell_interest_later(id, watch);
+  return failure;
+}
+
+// Guards against a socket that is never heard again because the system was short of memory for a moment: it
+// is told later what the socket is watched for by then.
+void Loop::tell_interest_later(WatchId id, Watch& watch) {
+  if (std::exchange(watch.is_later, true)) return;
+  constexpr std::chrono::milliseconds later(10);
+  at(now() + later, [this, id] {
+    const auto found = watches_.find(id.value);
+    if (found == watches_.end()) return;
+    found->second.is_later = false;
+    tell_interest(id, found->second);
+  });
 }
 
 // Guards the other events against an error within one of them, which is logged and counted.
@@ -116,6 +152,23 @@
   else if (looked) polled_ = ended;
 }
 
+// Guards against acting on what is known while a peer has said otherwise some time ago: after a time without
+// a turn, what came is read before anything leaves that can wait. The least time is half of the tenth of a
+// second within which an attempt may begin after its client has gone; so is the longest that this takes.
+void Loop::note_backlog(int found) {
+  constexpr std::chrono::milliseconds least(50), at_most(50);
+  if (!behind_since_ && found > 0 && now() - unread_since_ > least) behind_since_ = now();
+  if (!behind_since_ || (found != 0 && now() - *behind_since_ <= at_most)) return;
+  behind_since_.reset();
+  for (auto& what : when_caught_up_) soon(std::move(what));
+  when_caught_up_.clear();
+}
+
+void Loop::when_caught_up(std::function<void()> what) {
+  if (is_behind()) when_caught_up_.push_back(std::move(what));
+  else soon(std::move(what));
+}
+
 // Sockets before timers: where the process had no turn for a while, what has come meanwhile counts before
 // the time that has passed.
 void Loop::wait() {
@@ -126,11 +179,15 @@
   const Span begun = now();
   const int found = ::epoll_wait(poll_descriptor_, events.data(), most_events, at_most_ms);
   note_wait(begun, std::chrono::milliseconds(at_most_ms), found >= 0);
+  note_backlog(found);
   for (int i = 0; i < found && !stopped_; ++i) {
     const epoll_event& event = events[static_cast<std::size_t>(i)];
-    const auto at = watchers_.find(event.data.u64);
-    if (at == watchers_.end()) continue;  // an event before it has ended this one
-    guarded([&] { at->second->socket_ready(readiness_in(event)); });
+    const auto found_watch = watches_.find(event.data.u64);
+    if (found_watch == watches_.end()) continue;  // an event before it has ended this one
+    const Watch watch = found_watch->second;
+    const Readiness ready = readiness_in(event, watch.interest);
+    if (ready == Readiness{}) continue;
+    guarded([&] { watch.watcher->socket_ready(ready); });
     settle();
   }
 }
@@ -145,6 +202,7 @@
 int Loop::wait_ms() const {
   // To the next timer, a tenth of a second at most. Rounded up to whole milliseconds, which is what the wait
   // counts in: rounded down, it would spin through the last one.
+  if (is_behind()) return 0;
   Span wait = std::chrono::milliseconds(100);
   if (!timers_.empty()) wait = std::clamp(timers_.front().when - now(), Span(0), wait);
   return static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(wait).count());
@@ -252,7 +310,7 @@
   else loop_.soon(next);
 }
 
-// Nothing waits for a socket that can't be watched: it is as good as broken.
+// Nothing waits for a socket that can't ever be watched: it is as good as broken.
 void Wire::start() {
   has_socket_ = true;
   interest_ = {!paused_, !opened_ || writable_wanted_, false};
@@ -271,7 +329,7 @@
 void Wire::leave_socket() {
   if (!has_socket_) return;
   has_socket_ = false;
-  if (watch_) loop_.unwatch(*watch_, descriptor());
+  if (watch_) loop_.unwatch(*watch_);
   watch_.reset();
   socket_.close();
 }
@@ -332,7 +390,7 @@
   const Readiness wanted{!paused_, !opened_ || writable_wanted_, false};
   if (wanted == interest_) return;
   interest_ = wanted;
-  loop_.change_interest(*watch_, descriptor(), wanted);
+  loop_.change_interest(*watch_, wanted);
 }
 
 void Wire::pause(bool paused) {
@@ -500,7 +558,7 @@
 void Door::shut() {
   if (shut_ || shutting_) return;
   shutting_ = true;
-  if (watch_) loop_.unwatch(*watch_, descriptor_);
+  if (watch_) loop_.unwatch(*watch_);
   watch_.reset();
   constexpr std::chrono::milliseconds at_most(100);
   take_the_rest(loop_.now() + at_most);
@@ -519,7 +577,7 @@
   if (shut_) return;
   shut_ = true;
   *alive_ = false;
-  if (watch_) loop_.unwatch(*watch_, descriptor_);
+  if (watch_) loop_.unwatch(*watch_);
   watch_.reset();
   ::close(descriptor_);
   --loop_.descriptors_;
@@ -527,9 +585,9 @@
 
 // Guards against spinning on a connection that can't be accepted: those that wait stay in the backlog.
 void Door::rest() {
-  loop_.change_interest(*watch_, descriptor_, {});
+  loop_.change_interest(*watch_, {});
   loop_.at(loop_.now() + std::chrono::milliseconds(20), [this, alive = alive_] {
-    if (*alive && watch_) loop_.change_interest(*watch_, descriptor_, {true, false, false});
+    if (*alive && watch_) loop_.change_interest(*watch_, {true, false, false});
   });
 }
 
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -66,14 +66,19 @@
   Loop& operator=(const Loop&) = delete;
   void run();  // until `stop`
   void stop() { stopped_ = true; }
-  // From now on `watcher` hears when the descriptor is ready. Nothing where the system can't watch it.
+  // From now on `watcher` hears when the descriptor is ready; where the system is short of memory for it, as
+  // soon as it has some. Nothing where it can't be watched at all.
   std::optional<WatchId> watch(int descriptor, Readiness interest, Watcher& watcher);
-  void change_interest(WatchId id, int descriptor, Readiness interest);
-  void unwatch(WatchId id, int descriptor);  // it hears no more, not even of what was found together
+  void change_interest(WatchId id, Readiness interest);
+  void unwatch(WatchId id);  // it hears no more, not even of what was found together
   Span now() const;
   // The earliest moment at which bytes that are read now can have come: while the loop is busy they lie
   // unread.
   Span unread_since() const { return unread_since_; }
+  // From a wait that found events which may have lain there for long, until one that finds none, within
+  // bounds: what peers have said meanwhile may not have been read yet.
+  bool is_behind() const { return behind_since_.has_value(); }
+  void when_caught_up(std::function<void()> what);  // after the event at hand, where it is not behind
   void at(Span when, std::function<void()> what);
   void soon(std::function<void()> what);    // after the event at hand, before the next
   void retire(std::unique_ptr<Wire> wire);  // closes it; destroyed once no event can be within it
@@ -94,11 +99,23 @@
   friend class Door;
   void wait();
   void note_wait(Span begun, Span at_most, bool looked);
+  void note_backlog(int found);
   void run_timers();
   int wait_ms() const;
   template <class What>
   void guarded(What what);
-
+  struct Watch;
+  std::optional<Failure> tell_interest(WatchId id, Watch& watch);
+  void tell_interest_later(WatchId id, Watch& watch);
+
+  // What one descriptor is watched for, and whether the system has been told so.
+  struct Watch {
+    Watcher* watcher = nullptr;
+    int descriptor = -1;
+    Readiness interest;
+    bool is_known = false;  // the system watches it, though maybe for something else
+    bool is_later = false;  // the system is to be told once more
+  };
   struct Timer {
     Span when;
     std::uint64_t order;
@@ -111,6 +128,8 @@
   std::vector<Timer> timers_;
   std::uint64_t next_order_ = 0;
   Span polled_{}, unread_since_{};
+  std::optional<Span> behind_since_;
+  std::vector<std::function<void()>> when_caught_up_;
   std::deque<std::function<void()>> soon_;
   std::vector<std::unique_ptr<Wire>> retired_;
   std::deque<std::pair<Span, std::unique_ptr<Wire>>> finishing_;  // until when, oldest first
@@ -118,7 +137,7 @@
   std::size_t descriptors_ = 0;
   bool settling_ = false, stopped_ = false;
   int poll_descriptor_ = -1;
-  std::unordered_map<std::uint64_t, Watcher*> watchers_;
+  std::unordered_map<std::uint64_t, Watch> watches_;
   std::uint64_t next_watch_ = 1, failed_events_ = 0;
 };
 
@@ -156,6 +175,8 @@
   }
   // Whether the peer has ended, even behind bytes that have not been read.
   bool peer_has_ended() const;
+  // Whether bytes of the peer's lie with the system.
+  bool has_unread() const { return has_socket_ && net::has_unread(descriptor()); }
   // Bytes that have not left this machine, and will as soon as the peer takes them.
   std::size_t unsent() const;
   // While paused nothing is read, so what the peer sends stays with the system, and its end goes unseen.
--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -140,6 +140,11 @@
   return (one.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+bool has_unread(int descriptor) {
+  int bytes = 0;
+  return ::ioctl(descriptor, FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
 bool is_reset(int error_number) { return error_number == ECONNRESET; }
 
 std::size_t unsent_bytes(int descriptor) {
--- a/src/net/system_calls.h
+++ b/src/net/system_calls.h
@@ -56,6 +56,7 @@
 bool say_end(int descriptor);         // of what this side sends; false where the connection is gone
 // Whether the peer has said its end or broken off, even behind bytes that have not been read.
 bool peer_has_ended(int descriptor);
+bool has_unread(int descriptor);  // bytes have come that were not received yet
 // Bytes that the system has taken and not put on the network, because the peer takes no more; 0 where the
 // system does not tell.
 std::size_t unsent_bytes(int descriptor);
