Red tests: odd errors of accept at the end, interrupted connects, a list in one chunk

Seen: accept tells ETIMEDOUT, EPROTO, ENOSR and the like (accept(2)) while the door shuts: 93 of 100 waiting calls are closed unanswered. A connect that a signal interrupts before it has begun: 9 of 12 attempts found 'nobody' at a sound engine. Discovery that sends a fleet's list of 3,200 engines as one chunk is never heard. By reading: accept_one has a list of the errors of one connection, and what is not on it ends the door; begin_connect takes EINTR for under way; MessageReader bounds a chunk by 64 kB although what is passed on is not kept.

--- a/src/lab/faults/fault_control.h
+++ b/src/lab/faults/fault_control.h
@@ -29,6 +29,8 @@
   folder_write_fails,   // write, pwrite below the folder: ENOSPC, EIO
   folder_write_short,   // the same: fewer bytes than asked
   folder_sync_fails,    // fsync, fdatasync below the folder: EIO, ENOSPC
+  accept_odd,           // accept: of the one connection, as accept(2) has them: ETIMEDOUT, EPROTO, ENOSR, ...
+  connect_interrupted,  // connect: EINTR, nothing begun
   count
 };
 inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(FaultKind::count);
@@ -37,7 +39,7 @@
     "receive_interrupted", "receive_short", "receive_broken", "send_interrupted",
     "send_short", "accept_fails", "socket_fails", "connect_fails",
     "watch_fails", "wait_interrupted", "open_fails", "folder_write_fails",
-    "folder_write_short", "folder_sync_fails"};
+    "folder_write_short", "folder_sync_fails", "accept_odd", "connect_interrupted"};
 
 struct FaultControl {
   std::array<std::atomic<std::uint32_t>, fault_kinds> per_million;  // of the calls, that fail
--- a/src/lab/faults/fault_injector.cpp
+++ b/src/lab/faults/fault_injector.cpp
@@ -163,6 +163,9 @@
 bool accept_is_to_fail() {
   if (injector().strikes(FaultKind::accept_fails))
     return injector().fail_with({ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM}) < 0;
+  if (injector().strikes(FaultKind::accept_odd))
+    return injector().fail_with({ETIMEDOUT, EPROTO, ENETDOWN, ENOSR, ESOCKTNOSUPPORT, EPROTONOSUPPORT, EPERM,
+                                 EHOSTUNREACH}) < 0;
   return false;
 }
 
@@ -218,6 +221,8 @@
   NEXT(connect);
   if (address->sa_family == AF_INET && injector().strikes(FaultKind::connect_fails))
     return injector().fail_with({EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH});
+  if (address->sa_family == AF_INET && injector().strikes(FaultKind::connect_interrupted))
+    return injector().fail_with({EINTR});
   const int status = real(descriptor, address, size);
   if (injector().active()) note_outgoing(descriptor);
   return status;
--- a/tests/test_shortages.cpp
+++ b/tests/test_shortages.cpp
@@ -29,8 +29,80 @@
   assert(answered == 100);
 }
 
+// Connections wait to be accepted when the manager stops listening, and accept tells of errors that concern
+// one connection each: those behind it are taken all the same.
+void odd_accept_errors_at_the_end() {
+  FaultyDaemon fixture;
+  fixture.more = R"("limits":{"sockets":1024})";
+  fixture.go(usual_settings, known({{"a", fixture.engine("a")}}));
+  kill(fixture.daemon, SIGTERM);
+  pass(milliseconds(200));  // it has heard
+  kill(fixture.daemon, SIGSTOP);
+  pass(milliseconds(50));
+  fixture.faults.set(FaultKind::accept_odd, 0.1);
+  std::vector<int> late;
+  for (int i = 0; i < 100; ++i) late.push_back(fixture.open(job("work=1", 900, "brief")));
+  pass(milliseconds(600));  // past the time at which it stops to listen
+  kill(fixture.daemon, SIGCONT);
+  int broken = 0;
+  for (const int fd : late) {
+    broken += !hear(fd).starts_with("HTTP/1.1 ");
+    close(fd);
+  }
+  std::fprintf(stderr, "%d of 100 had no answer\n", broken);
+  assert(broken == 0 && fixture.faults.struck(FaultKind::accept_odd) > 0);
+  assert(fixture.ended() == 0);
+}
+
+// A connect that a signal interrupts before it has begun is no connection that has broken.
+void interrupted_connects() {
+  FaultyDaemon fixture;
+  fixture.go(usual_settings, known({{"a", fixture.engine("a")}}));
+  fixture.faults.set(FaultKind::connect_interrupted, 0.5);
+  // A connection to the engine for each: all are out together.
+  std::vector<int> clients;
+  for (int i = 0; i < 12; ++i) clients.push_back(fixture.open(job("work=100", 3000)));
+  int answered = 0;
+  for (const int fd : clients) {
+    answered += hear(fd).starts_with("HTTP/1.1 200");
+    close(fd);
+  }
+  const std::uint64_t unreachable = fixture.counter("unreachable");
+  std::fprintf(stderr, "%d of 12 were answered, %llu attempts found nobody\n", answered,
+               static_cast<unsigned long long>(unreachable));
+  assert(fixture.faults.struck(FaultKind::connect_interrupted) > 2);
+  assert(answered == 12 && unreachable == 0);
+}
+
+// A fleet's whole list may come as one chunk of hundreds of kilobytes.
+void list_in_one_chunk() {
+  DaemonFixture fixture;
+  const std::string engine = fixture.engine("a");
+  std::vector<StandInChannel::Member> members = {{"a", engine, "east", "std", "active"}};
+  for (int i = 0; i < 3199; ++i)
+    members.push_back({"gone" + std::to_string(i), "127.0.0.1:1", "east", "std", "leaving"});
+  const std::string event = "id: 1\ndata: " + list_of(members) + "\n\n";
+  char size[32];
+  std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+  std::atomic<bool> over = false;
+  ScriptedDiscovery discovery([&](int peer) {
+    hear_request(peer);
+    say(peer, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(size) + event + "\r\n");
+    while (!over) pass(milliseconds(10));
+    close(peer);
+  });
+  fixture.configure(usual_settings, R"({"cursor":0,"cmds":[]})", discovery.address());
+  fixture.daemon = ::start(fixture.configuration, fixture.environment);
+  const bool ready = soon([&] { return fixture.ready(); }, 500);
+  over = true;
+  assert(ready);
+}
+
 constexpr Scenario scenarios[] = {
-    {"sockets_unwatched", sockets_unwatched}};
+    {"sockets_unwatched", sockets_unwatched},
+    {"odd_accept_errors_at_the_end", odd_accept_errors_at_the_end},
+    {"interrupted_connects", interrupted_connects},
+    {"list_in_one_chunk", list_in_one_chunk}};
 
 }  // namespace
 
