Errors of one waiting connection end no listening, connects are made again, chunks pass

Cause: as the red tests say; lines at fault: concerns_one_connection and the connect in net/system_calls.cpp, the bounds of chunk sizes and lengths in net/http.cpp.

Change: only EBADF, EFAULT, EINVAL and ENOTSOCK are the listening socket's own, shortages are five named errors, and all others concern the connection that waited. An interrupted connect is made again; EALREADY and EISCONN say that it is under way. What is passed on as it comes has no bound by chunk.

--- a/src/lab/faults/fault_control.h
+++ b/src/lab/faults/fault_control.h
@@ -21,25 +21,25 @@
   send_interrupted,     // send: EINTR, nothing written
   send_short,           // send: fewer bytes than would go
   accept_fails,         // accept: ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM
+  accept_odd,           // accept: of the one connection, as accept(2) has them: ETIMEDOUT, EPROTO, ENOSR, ...
   socket_fails,         // socket: ENFILE, EMFILE, ENOBUFS
   connect_fails,        // connect: EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH
+  connect_interrupted,  // connect: EINTR, nothing begun
   watch_fails,          // epoll_ctl: ENOMEM, ENOSPC
   wait_interrupted,     // epoll_wait, poll: EINTR, some time into the wait
   open_fails,           // open of a regular file: ENFILE, EMFILE, EINTR
   folder_write_fails,   // write, pwrite below the folder: ENOSPC, EIO
   folder_write_short,   // the same: fewer bytes than asked
   folder_sync_fails,    // fsync, fdatasync below the folder: EIO, ENOSPC
-  accept_odd,           // accept: of the one connection, as accept(2) has them: ETIMEDOUT, EPROTO, ENOSR, ...
-  connect_interrupted,  // connect: EINTR, nothing begun
   count
 };
 inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(FaultKind::count);
 
 inline constexpr std::array<std::string_view, fault_kinds> fault_kind_names = {
     "receive_interrupted", "receive_short", "receive_broken", "send_interrupted",
-    "send_short", "accept_fails", "socket_fails", "connect_fails",
-    "watch_fails", "wait_interrupted", "open_fails", "folder_write_fails",
-    "folder_write_short", "folder_sync_fails", "accept_odd", "connect_interrupted"};
+    "send_short", "accept_fails", "accept_odd", "socket_fails",
+    "connect_fails", "connect_interrupted", "watch_fails", "wait_interrupted",
+    "open_fails", "folder_write_fails", "folder_write_short", "folder_sync_fails"};
 
 struct FaultControl {
   std::array<std::atomic<std::uint32_t>, fault_kinds> per_million;  // of the calls, that fail
--- a/src/lab/soak/soak_run.cpp
+++ b/src/lab/soak/soak_run.cpp
@@ -17,7 +17,9 @@
 // Those that pearchuted makes; the agent has a folder of its own.
 constexpr std::array daemon_calls = {
     FaultKind::receive_interrupted, FaultKind::receive_short, FaultKind::receive_broken,
-    FaultKind::send_interrupted,    FaultKind::send_short,    FaultKind::accept_fails,          FaultKind::socket_fails,  FaultKind::connect_fails, FaultKind::watch_fails,   FaultKind::wait_interrupted,
+    FaultKind::send_interrupted,    FaultKind::send_short,    FaultKind::accept_fails,
+    FaultKind::accept_odd,          FaultKind::socket_fails,  FaultKind::connect_fails,
+    FaultKind::connect_interrupted, FaultKind::watch_fails,   FaultKind::wait_interrupted,
     FaultKind::open_fails};
 
 constexpr milliseconds serves_within(10'000), ends_within(8'000);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -113,7 +113,7 @@
           head_bytes_ = 0;
           const std::string_view size = trimmed(std::string_view(line_).substr(0, line_.find(';')));
           if (!read_size(size, 16, left_)) return Status::malformed;
-          if (left_ > largest_body) return Status::too_large;
+          if (left_ > largest_body && side_ == Side::requests) return Status::too_large;
           state_ = left_ > 0 ? State::chunk : State::trailers;
         }
         line_.clear();
@@ -169,7 +169,8 @@
     }
   }
   if (sized && chunked) return Status::malformed;  // two readers could see two different bodies
-  if (size > largest_body) return Status::too_large;
+  // What is passed on is never held whole.
+  if (size > largest_body && side_ == Side::requests) return Status::too_large;
   left_ = size;
   if (chunked) state_ = State::chunk_size;
   else if (!sized && side_ == Side::passing_responses) state_ = State::until_end;
--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -37,23 +37,15 @@
   return error == EAGAIN || error == EINTR || error == ENOBUFS || error == ENOMEM;
 }
 
-// Of the connection that waited, not of the listening socket (accept(2)): the next one may be sound.
-bool concerns_one_connection(int error) {
-  switch (error) {
-    case ECONNABORTED:
-    case EPROTO:
-    case ENETDOWN:
-    case ENETUNREACH:
-    case ENOPROTOOPT:
-    case EHOSTDOWN:
-    case ENONET:
-    case EHOSTUNREACH:
-    case EOPNOTSUPP:
-    case EPERM:
-      return true;
-    default:
-      return false;
-  }
+// All other errors of accept are shortages, or are those of the connection that waited, and the next one may
+// be sound: accept(2) passes on whatever the network has for it, and names more than its list holds.
+bool listening_is_broken(int error) {
+  return error == EBADF || error == EFAULT || error == EINVAL || error == ENOTSOCK;
+}
+
+// Network errors that accept passes on are those of one connection, though they are shortages elsewhere.
+bool is_shortage_of_accept(int error) {
+  return error == EINTR || error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
 }
 
 }  // namespace
@@ -89,9 +81,8 @@
       continue;
     }
     if (errno == EAGAIN) return {AcceptStatus::none_waits, -1};
-    if (concerns_one_connection(errno)) continue;
-    if (failure_of(errno) == Failure::not_now) return {AcceptStatus::shortage, -1};
-    return {AcceptStatus::broken, -1};
+    if (listening_is_broken(errno)) return {AcceptStatus::broken, -1};
+    if (is_shortage_of_accept(errno)) return {AcceptStatus::shortage, -1};
   }
   return {AcceptStatus::shortage, -1};
 }
@@ -99,10 +90,10 @@
 Opened begin_connect(const Poco::Net::SocketAddress& to) {
   const Opened socket = open_socket(to);
   if (!socket.is_open()) return socket;
-  if (::connect(socket.descriptor, to.addr(), to.length()) == 0) return socket;
-  // An interrupted connect goes on by itself.
-  if (errno == EINPROGRESS || errno == EINTR) return socket;
-  return failed(socket.descriptor, errno);
+  // An interrupted connect may have begun or not; made again, it tells that it is under way.
+  if (uninterrupted([&] { return ::connect(socket.descriptor, to.addr(), to.length()); }) == 0) return socket;
+  const bool is_under_way = errno == EINPROGRESS || errno == EALREADY || errno == EISCONN;
+  return is_under_way ? socket : failed(socket.descriptor, errno);
 }
 
 Opened listen_at(const Poco::Net::SocketAddress& at, int backlog) {
