--- a/tests/test_shortages.cpp
+++ b/tests/test_shortages.cpp
@@ -74,6 +74,44 @@
   assert(answered == 12 && unreachable == 0);
 }
 
+std::string list_of(const std::vector<StandInChannel::Member>& members) {
+  return StandInChannel::event(1, members, true).dump();
+}
+
+// Discovery can't be reached, and a new configuration tells what has happened since the start: that an engine
+// drains counts as told.
+void reload_tells_what_discovery_could_not() {
+  DaemonFixture fixture;
+  const std::string a = fixture.engine("a"), b = fixture.engine("b");
+  int nobody = 0;
+  close(listen_on(nobody));
+  const std::string channel = "127.0.0.1:" + std::to_string(nobody);
+  const std::string start = list_of({{"a", a, "east", "std", "active"}, {"b", b, "east", "std", "active"}});
+  const std::string drain = StandInChannel::event(2, {{"a", a, "east", "std", "leaving"}}, false).dump();
+  fixture.configure(usual_settings, R"({"cursor":1,"cmds":[)" + start + "]}", channel);
+  fixture.go();
+  fixture.configure(usual_settings, R"({"cursor":2,"cmds":[)" + start + "," + drain + "]}", channel);
+  kill(fixture.daemon, SIGHUP);
+  // Many at once, so that an engine which takes work gets some of it.
+  const auto begun_at_a = [&] {
+    std::vector<JobCall> calls;
+    std::vector<int> clients;
+    for (int i = 0; i < 10; ++i) {
+      calls.push_back(job("work=30", 3000));
+      clients.push_back(fixture.open(calls.back()));
+    }
+    int begun = 0;
+    for (std::size_t i = 0; i < calls.size(); ++i) {
+      assert(hear(clients[i]).starts_with("HTTP/1.1 200"));
+      close(clients[i]);
+      begun += fixture.begun("a", calls[i]);
+    }
+    return begun;
+  };
+  assert(soon([&] { return begun_at_a() == 0; }, 20));
+  assert(begun_at_a() == 0);
+}
+
 // A fleet's whole list may come as one chunk of hundreds of kilobytes.
 void list_in_one_chunk() {
   DaemonFixture fixture;
@@ -102,6 +140,7 @@
     {"sockets_unwatched", sockets_unwatched},
     {"odd_accept_errors_at_the_end", odd_accept_errors_at_the_end},
     {"interrupted_connects", interrupted_connects},
+    {"reload_tells_what_discovery_could_not", reload_tells_what_discovery_could_not},
     {"list_in_one_chunk", list_in_one_chunk}};
 
 }  // namespace
