Agents tell a failed look from an end; a reload takes the events that it brings

Cause: as the red tests say; lines at fault: Processes::alive (every result of poll but 0 was an end), adopt, start_time_of and read_boot (an open that failed was 'no such process'), keys::text_of, read_again of the agent, and Program::apply_configuration, which read the channel only.

Change: Processes throws ResourceShortage where it can't tell, and the agent's start and its reload are tried for 5 s (system/retries, which the daemon's start uses, too). An event loop on a thread of its own hands a failed start to whoever starts it instead of ending the process. EngineList::newer_in takes, in order and up to a gap, the events of a configuration that is read again.

--- a/src/agent/grpc_credentials.cpp
+++ b/src/agent/grpc_credentials.cpp
@@ -64,7 +64,7 @@
   if (there && what.st_mtim.tv_sec * 1'000'000'000 + what.st_mtim.tv_nsec != changed_) {
     try {
       read();
-    } catch (const keys::Error& fault) {
+    } catch (const pearchute::Error& fault) {
       PEARCHUTE_LOG(spdlog::level::err, "the revocations stay as they were: {}", fault.what());
     }
   }
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -20,6 +20,7 @@
 #include "net/event_loop_thread.h"
 #include "net/json_lines.h"
 #include "net/log.h"
+#include "system/retries.h"
 
 using namespace pearchute;
 using namespace pearchute::agent;
@@ -181,19 +182,28 @@
   Revocations revocations_;
 };
 
+// Guards against a start that ends, or a charter that is not read, for what this machine is short of for a
+// moment.
+template <class Step>
+auto with_patience(Step step) {
+  return retry_while_short(step, [](const ResourceShortage& shortage) {
+    PEARCHUTE_LOG(spdlog::level::warn, "not now: {}", shortage.what());
+  });
+}
+
 // A file that can't be used leaves all as it was.
 void read_again(const std::string& file, const AgentConfig& charter, net::EventLoopThread& stage,
                 ProcessSupervisor& supervisor, Peers& peers, GossipService* gossip,
                 ConfigService* configuration) {
   try {
-    const AgentConfig next = read_agent_config(file);
+    const AgentConfig next = with_patience([&] { return read_agent_config(file); });
     const bool other = next.name != charter.name || next.state != charter.state ||
                        next.control.text != charter.control.text || next.listen.text != charter.listen.text ||
                        next.exchanges != charter.exchanges || next.configures != charter.configures;
     if (other)
       spdlog::warn("the agent's name, state, places and exchange take effect at its next start only");
+    with_patience([&] { stage.on([&] { peers.change(next); }); });
     const auto told = stage.on([&] {
-      peers.change(next);
       if (gossip) gossip->change(next);
       if (configuration) configuration->change(next);
       return supervisor.change(next);
@@ -210,15 +220,18 @@
   std::signal(SIGTERM, [](int) { asked_to_end = 1; });
   std::signal(SIGINT, [](int) { asked_to_end = 1; });
   std::signal(SIGHUP, [](int) { asked_to_read_again = 1; });
-  net::EventLoopThread stage;
+  const std::unique_ptr<net::EventLoopThread> loop_thread =
+      with_patience([] { return std::make_unique<net::EventLoopThread>(); });
+  net::EventLoopThread& stage = *loop_thread;
   std::unique_ptr<ProcessSupervisor> supervisor;
   std::unique_ptr<Peers> peers;
   std::unique_ptr<Coordinator> coordinator;
   std::unique_ptr<GossipService> gossip;
   std::unique_ptr<ConfigService> configuration;
+  with_patience(
+      [&] { stage.on([&] { supervisor = std::make_unique<ProcessSupervisor>(stage.loop(), charter); }); });
+  with_patience([&] { stage.on([&] { peers = std::make_unique<Peers>(stage, charter); }); });
   stage.on([&] {
-    supervisor = std::make_unique<ProcessSupervisor>(stage.loop(), charter);
-    peers = std::make_unique<Peers>(stage, charter);
     coordinator = std::make_unique<Coordinator>(stage, *peers, supervisor->store(), supervisor->trouble());
     std::random_device chance;
     const std::uint64_t seed = static_cast<std::uint64_t>(chance()) << 32 | chance();
@@ -227,7 +240,10 @@
     if (charter.configures)
       configuration = std::make_unique<ConfigService>(stage, charter, *supervisor, *peers, seed + 1);
   });
-  Service service(stage, *supervisor, *coordinator, gossip.get(), configuration.get(), charter);
+  const auto service = with_patience([&] {
+    return std::make_unique<Service>(stage, *supervisor, *coordinator, gossip.get(), configuration.get(),
+                                     charter);
+  });
   grpc::ServerBuilder builder;
   // Bounds: of threads, of a message (the largest is a plan of some thousand instances), and of idle
   // connections.
@@ -238,8 +254,10 @@
   builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS, 60'000);
   builder.AddListeningPort(charter.control.target, grpc::InsecureServerCredentials());
   int port = -1;
-  if (charter.listen.tls) builder.AddListeningPort(charter.listen.target, credentials_by(charter.tls), &port);
-  builder.RegisterService(&service);
+  if (charter.listen.tls)
+    builder.AddListeningPort(charter.listen.target,
+                             with_patience([&] { return credentials_by(charter.tls); }), &port);
+  builder.RegisterService(service.get());
   const mode_t before = ::umask(0177);
   const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
   ::umask(before);
@@ -275,7 +293,7 @@
     return app.exit(error) == 0 ? 0 : 2;
   }
   try {
-    const AgentConfig charter = read_agent_config(file);
+    const AgentConfig charter = with_patience([&] { return read_agent_config(file); });
     if (check) {
       std::cout << file << ": usable\n";
       return 0;
--- a/src/agent/process_supervisor.cpp
+++ b/src/agent/process_supervisor.cpp
@@ -9,6 +9,7 @@
 
 #include "agent/wire.h"
 #include "net/log.h"
+#include "system/retries.h"
 
 namespace pearchute::agent {
 
@@ -61,6 +62,17 @@
 
 ProcessSupervisor::~ProcessSupervisor() { *alive_ = false; }
 
+// Guards against a process that is taken for ended, and started a second time, because it could not be looked
+// at for a moment.
+bool ProcessSupervisor::adopt(const std::string& instance, const store::Process& process) {
+  return retry_while_short([&] { return processes_.adopt(instance, process); },
+                           [&](const ResourceShortage& shortage) {
+                             PEARCHUTE_LOG(spdlog::level::warn,
+                                           "instance {}: {}; tried again for some seconds", instance,
+                                           shortage.what());
+                           });
+}
+
 void ProcessSupervisor::own(const std::string& name, const Owned& owned,
                             const std::map<std::string, fleet::LeaseOwner::Kept>& kept,
                             const std::map<std::string, store::Process>& processes) {
@@ -75,7 +87,7 @@
   if (!owned.commands.contains(one.version)) one.version = owned.version;
   eye->version = one.version;
   if (const auto at = processes.find(name); at != processes.end()) {
-    const bool ours = processes_.adopt(name, at->second);
+    const bool ours = adopt(name, at->second);
     if (ours && at->second.version > 0) eye->version = at->second.version;
     spdlog::info("instance {}: process {} {}", name, at->second.pid, ours ? "is adopted" : "has ended");
   }
--- a/src/agent/process_supervisor.h
+++ b/src/agent/process_supervisor.h
@@ -49,6 +49,7 @@
 
  private:
   bool open_store();
+  bool adopt(const std::string& instance, const store::Process& process);
   struct Eye;
   void own(const std::string& name, const Owned& owned,
            const std::map<std::string, fleet::LeaseOwner::Kept>& kept,
--- a/src/agent/processes.cpp
+++ b/src/agent/processes.cpp
@@ -9,33 +9,47 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
-#include <fstream>
-#include <iterator>
 #include <sstream>
 
+#include "system/failures.h"
+
 namespace pearchute::agent {
 
 namespace {
 
 std::string read_boot() {
-  std::string boot;
-  std::getline(std::ifstream("/proc/sys/kernel/random/boot_id"), boot);
-  return boot;
+  const std::string text = read_file("/proc/sys/kernel/random/boot_id");
+  return text.substr(0, text.find('\n'));
 }
 
+// Less than 0 where there is no such process.
 int open_pidfd(std::int64_t pid) {
-  return static_cast<int>(::syscall(SYS_pidfd_open, static_cast<pid_t>(pid), 0));
+  const auto pidfd = static_cast<int>(::syscall(SYS_pidfd_open, static_cast<pid_t>(pid), 0));
+  if (pidfd < 0 && failure_of(errno) == Failure::not_now)
+    throw ResourceShortage("process " + std::to_string(pid) + " can't be held: " + text_of_error(errno));
+  return pidfd;
+}
+
+// Nothing where there is no such process: its file may also end while it is read.
+std::optional<std::string> status_text_of(std::int64_t pid) {
+  try {
+    return read_file_if_there("/proc/" + std::to_string(pid) + "/stat");
+  } catch (const ResourceShortage&) {
+    throw;
+  } catch (const SystemError&) {
+    return std::nullopt;
+  }
 }
 
 }  // namespace
 
 std::optional<std::uint64_t> start_time_of(std::int64_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-  std::string text{std::istreambuf_iterator<char>(file), {}};
+  const std::optional<std::string> text = status_text_of(pid);
+  if (!text) return std::nullopt;
   // The name, in brackets, may hold anything; the fields count from behind it. The start is the 22nd of all.
-  const std::size_t name_end = text.rfind(')');
+  const std::size_t name_end = text->rfind(')');
   if (name_end == std::string::npos) return std::nullopt;
-  std::istringstream fields(text.substr(name_end + 1));
+  std::istringstream fields(text->substr(name_end + 1));
   std::string field;
   for (int number = 3; number <= 22 && fields >> field; ++number) {
     if (number == 3 && (field == "Z" || field == "X")) return std::nullopt;  // has ended
@@ -84,22 +98,34 @@
     ::_exit(127);
   }
   ::close(go[0]);
-  const int pidfd = open_pidfd(child);
-  const auto started = start_time_of(child);
-  const store::Process process{child, started.value_or(0), boot_};
-  const bool kept = pidfd >= 0 && started && keep(process);
-  if (!kept) fault = pidfd < 0 || !started ? "its process can't be held" : "it can't be written down";
+  const std::optional<Held> held = held_child(child, fault);
+  const bool kept = held && keep(held->process);
   if (kept) {
     let_go(instance);
-    held_[instance] = {pidfd, process};
-    [[maybe_unused]] const auto told = ::write(go[1], "g", 1);
+    held_[instance] = *held;
+    [[maybe_unused]] const auto told = uninterrupted([&] { return ::write(go[1], "g", 1); });
   }
   ::close(go[1]);
-  if (!kept) {
-    ::waitpid(child, nullptr, 0);
-    if (pidfd >= 0) ::close(pidfd);
+  if (kept) return true;
+  if (held) fault = "it can't be written down";
+  uninterrupted([&] { return ::waitpid(child, nullptr, 0); });
+  if (held) ::close(held->pidfd);
+  return false;
+}
+
+// A process that waits for the word to begin.
+std::optional<Processes::Held> Processes::held_child(pid_t child, std::string& fault) const {
+  int pidfd = -1;
+  try {
+    pidfd = open_pidfd(child);
+    const auto started = start_time_of(child);
+    if (pidfd >= 0 && started) return Held{pidfd, {child, *started, boot_}};
+    fault = "its process can't be held";
+  } catch (const ResourceShortage& shortage) {
+    fault = shortage.what();
   }
-  return kept;
+  if (pidfd >= 0) ::close(pidfd);
+  return std::nullopt;
 }
 
 bool Processes::adopt(const std::string& instance, const store::Process& process) {
@@ -107,7 +133,14 @@
   // The pidfd first: what it holds can't become another one between the look and the signal.
   const int pidfd = open_pidfd(process.pid);
   if (pidfd < 0) return false;
-  if (start_time_of(process.pid) != process.started) {
+  bool is_the_same = false;
+  try {
+    is_the_same = start_time_of(process.pid) == process.started;
+  } catch (const ResourceShortage&) {
+    ::close(pidfd);
+    throw;
+  }
+  if (!is_the_same) {
     ::close(pidfd);
     return false;
   }
@@ -120,7 +153,8 @@
   const auto at = held_.find(instance);
   if (at == held_.end()) return false;
   pollfd ended{at->second.pidfd, POLLIN, 0};
-  if (::poll(&ended, 1, 0) == 0) return true;
+  // Guards against a look that fails, by a signal or for want of memory, and is taken for the process's end.
+  if (uninterrupted([&] { return ::poll(&ended, 1, 0); }) != 1) return true;
   siginfo_t status{};
   ::waitid(P_PIDFD, static_cast<id_t>(at->second.pidfd), &status, WEXITED | WNOHANG);  // where it is a child
   let_go(instance);
--- a/src/agent/processes.h
+++ b/src/agent/processes.h
@@ -16,7 +16,7 @@
 
 class Processes {
  public:
-  Processes();
+  Processes();  // throws ResourceShortage
   ~Processes();
   Processes(const Processes&) = delete;
   Processes& operator=(const Processes&) = delete;
@@ -25,7 +25,8 @@
   // again never is. False where it can't be started or kept, with the reason.
   bool start(const std::string& instance, const std::string& command, const std::string& log,
              const std::function<bool(const store::Process&)>& keep, std::string& fault);
-  // True where that very process still runs; it is held from then on.
+  // True where that very process still runs; it is held from then on. Throws ResourceShortage where that
+  // can't be told now.
   bool adopt(const std::string& instance, const store::Process& process);
   bool alive(const std::string& instance);  // lets it go where it has ended
   bool signal(const std::string& instance, int signal);
@@ -37,13 +38,15 @@
     int pidfd = -1;
     store::Process process;
   };
+  std::optional<Held> held_child(pid_t child, std::string& fault) const;
 
   const std::string boot_;
   rlimit given_{};  // of descriptors, as the agent was started; instances get the same
   std::map<std::string, Held> held_;
 };
 
-// In clock ticks since the boot; nothing where there is no such process.
+// In clock ticks since the boot; nothing where there is no such process. Throws ResourceShortage where that
+// can't be told now.
 std::optional<std::uint64_t> start_time_of(std::int64_t pid);
 
 }  // namespace pearchute::agent
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,16 +3,15 @@
 // error, what is wrong and what to do, with a status of 1.
 #include <Poco/Exception.h>
 
-#include <chrono>
 #include <cstdlib>
 #include <exception>
 #include <functional>
 #include <iostream>
 #include <memory>
-#include <thread>
 
 #include "daemon/program.h"
 #include "errors/error.h"
+#include "system/retries.h"
 
 #ifdef PEARCHUTE_FLEET
 #include <CLI/CLI.hpp>
@@ -28,18 +27,9 @@
 // Guards against a start that ends for what this machine is short of for a moment. A place that others hold,
 // or settings that can't be used, are told at once.
 std::unique_ptr<Program> make_when_possible(const std::function<std::unique_ptr<Program>()>& make) {
-  constexpr std::chrono::seconds at_most(5);
-  constexpr std::chrono::milliseconds between(50);
-  const auto until = std::chrono::steady_clock::now() + at_most;
-  while (true) {
-    try {
-      return make();
-    } catch (const pearchute::ResourceShortage& shortage) {
-      if (std::chrono::steady_clock::now() >= until) throw;
-      PEARCHUTE_LOG(spdlog::level::warn, "not started yet: {}", shortage.what());
-    }
-    std::this_thread::sleep_for(between);
-  }
+  return pearchute::retry_while_short(make, [](const pearchute::ResourceShortage& shortage) {
+    PEARCHUTE_LOG(spdlog::level::warn, "not started yet: {}", shortage.what());
+  });
 }
 
 int start(int argc, char** argv) {
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -220,9 +220,27 @@
                place_in(channel, "channel").toString());
   if (fixed_part(configuration) != before_)
     spdlog::warn("what else has changed in the configuration takes effect at the next start only");
-  if (feed_) return feed_->move_to(channel);
-  feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, list_listener(), counters_);
-  feed_->open();
+  if (feed_) {
+    feed_->move_to(channel);
+  } else {
+    feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, list_listener(), counters_);
+    feed_->open();
+  }
+  take_newer_events(configuration);
+}
+
+// Guards against engines that are sent work although they drain, where discovery can't be heard and only the
+// new configuration says so.
+void Program::take_newer_events(const json& configuration) {
+  const auto known = configuration.find("known");
+  if (known == configuration.end()) return;
+  try {
+    list_->heard(loop_.now(), false);
+    for (const EngineList::Change& change : list_->newer_in(*known))
+      list_listener().list_changed(change.news, change.members);
+  } catch (const json::exception& error) {
+    PEARCHUTE_LOG(spdlog::level::warn, "what is known of the engines can't be read: {}", error.what());
+  }
 }
 
 // Looks, at short intervals, whether the next phase has come.
--- a/src/daemon/program.h
+++ b/src/daemon/program.h
@@ -54,6 +54,7 @@
   void watch();
   void read_again();
   void apply_configuration();  // throws std::exception where it can't be used
+  void take_newer_events(const nlohmann::json& configuration);
   ListFeed::Listener& list_listener();
 
   Phase phase_ = Phase::starting;
--- a/src/engines/list.cpp
+++ b/src/engines/list.cpp
@@ -86,6 +86,23 @@
     }
     number = event["cursor"].get<std::int64_t>();
   }
+  return take(event, number, gap_allowed);
+}
+
+std::vector<EngineList::Change> EngineList::newer_in(const json& known) {
+  std::vector<Change> changes;
+  for (const json& event : known.value("cmds", json::array())) {
+    Change change = take(event, event.value("cursor", std::int64_t{0}), false);
+    if (change.taken == Taken::old) continue;
+    if (change.taken != Taken::applied) break;  // the stream tells it
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
+// An event by its number: once, and in order.
+EngineList::Change EngineList::take(const json& event, std::int64_t number, bool gap_allowed) {
+  Change change;
   if (number <= cursor_) {
     change.taken = Taken::old;
     return change;
--- a/src/engines/list.h
+++ b/src/engines/list.h
@@ -40,6 +40,8 @@
   };
   Change known(const nlohmann::json& known);  // all that it says, as one remembered list
   Change event(std::string_view id, std::string_view data, bool gap_allowed);
+  // Of what a configuration that is read again holds, the events that have not come yet, up to a gap.
+  std::vector<Change> newer_in(const nlohmann::json& known);
   // The source of the list has said something; `is_current`: it has told by then all that it had.
   void heard(Span now, bool is_current) { start_times_.heard(now, has_list_ && is_current); }
   std::int64_t cursor() const { return cursor_; }
@@ -48,6 +50,7 @@
 
  private:
   Change read(const nlohmann::json& event);
+  Change take(const nlohmann::json& event, std::int64_t number, bool gap_allowed);
   EngineId id_of(const std::string& name);
   void forget_gone(const Change& change);
 
--- a/src/keys/authority.cpp
+++ b/src/keys/authority.cpp
@@ -18,6 +18,8 @@
 #include <iterator>
 #include <memory>
 
+#include "system/failures.h"
+
 namespace pearchute::keys {
 
 namespace {
@@ -164,9 +166,13 @@
 }  // namespace
 
 std::string text_of(const std::string& file) {
-  std::ifstream stream(file, std::ios::binary);
-  if (!stream) throw Error("can't be read", file, "see that it is there and that this user may read it");
-  return {std::istreambuf_iterator<char>(stream), {}};
+  try {
+    return read_file(file);
+  } catch (const ResourceShortage&) {
+    throw;
+  } catch (const SystemError& error) {
+    throw Error(error.wrong(), file, error.remedy());
+  }
 }
 
 void Authority::init(const std::string& site, std::chrono::hours lasts) {
--- a/src/keys/authority.h
+++ b/src/keys/authority.h
@@ -41,6 +41,7 @@
 Certificate certificate_in(const std::string& pem);
 // The serials that an authority's list revokes. The list has to be signed by the authority.
 std::vector<std::string> revoked_by(const std::string& list_file, const std::string& authority_file);
+// Throws ResourceShortage where it can't be had now, KeysError where it can't be read.
 std::string text_of(const std::string& file);
 
 }  // namespace pearchute::keys
--- a/src/lab/faults/fault_control.h
+++ b/src/lab/faults/fault_control.h
@@ -36,10 +36,10 @@
 inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(FaultKind::count);
 
 inline constexpr std::array<std::string_view, fault_kinds> fault_kind_names = {
-    "receive_interrupted", "receive_short", "receive_broken", "send_interrupted",
-    "send_short", "accept_fails", "accept_odd", "socket_fails",
-    "connect_fails", "connect_interrupted", "watch_fails", "wait_interrupted",
-    "open_fails", "folder_write_fails", "folder_write_short", "folder_sync_fails"};
+    "receive_interrupted", "receive_short",       "receive_broken",     "send_interrupted",
+    "send_short",          "accept_fails",        "accept_odd",         "socket_fails",
+    "connect_fails",       "connect_interrupted", "watch_fails",        "wait_interrupted",
+    "open_fails",          "folder_write_fails",  "folder_write_short", "folder_sync_fails"};
 
 struct FaultControl {
   std::array<std::atomic<std::uint32_t>, fault_kinds> per_million;  // of the calls, that fail
--- a/src/net/event_loop_thread.h
+++ b/src/net/event_loop_thread.h
@@ -16,7 +16,15 @@
 
 class EventLoopThread {
  public:
-  EventLoopThread() : thread_([this] { run(); }) { loop_ = ready_.get_future().get(); }
+  // Throws as Loop does.
+  EventLoopThread() : thread_([this] { run(); }) {
+    try {
+      loop_ = ready_.get_future().get();
+    } catch (...) {
+      thread_.join();
+      throw;
+    }
+  }
   ~EventLoopThread() {
     on([this] { loop_->stop(); });
     thread_.join();
@@ -51,7 +59,15 @@
 
  private:
   void run() {
-    Loop loop;
+    std::unique_ptr<Loop> loop;
+    try {
+      loop = std::make_unique<Loop>();
+    } catch (...) {
+      return ready_.set_exception(std::current_exception());
+    }
+    run(*loop);
+  }
+  void run(Loop& loop) {
     const std::function<void()> look = [&] {
       std::deque<std::function<void()>> now;
       {
