Red test: a manager started by mistake removes another one's admin socket

Seen: where the socket for the look whether somebody listens can't be had (ENFILE, ENOBUFS), remove_left_over takes the place for left over and removes a running manager's admin socket. By reading: admin_server.cpp, alive is false for every failure of socket and connect.

--- a/src/lab/load/load_cluster.cpp
+++ b/src/lab/load/load_cluster.cpp
@@ -14,6 +14,7 @@
 
 #include "errors/error.h"
 #include "lab/stand_ins/child_process.h"
+#include "lab/stand_ins/log_tail.h"
 #include "lab/stand_ins/test_cluster.h"
 
 namespace pearchute::lab {
@@ -159,10 +160,9 @@
   const auto from = std::chrono::steady_clock::now();
   while (!says_ready(manager_address_)) {
     if (!manager_runs() || std::chrono::steady_clock::now() > from + ready_within) {
-      std::ifstream log(log_);
-      std::string last;
-      for (std::string line; std::getline(log, line);) last = line;
-      throw TestClusterError("the manager does not serve; it last said: " + last, spec_.pearchuted);
+      const std::vector<std::string> last = last_lines(log_, 1);
+      throw TestClusterError("the manager does not serve; it last said: " + (last.empty() ? "" : last.back()),
+                             spec_.pearchuted);
     }
     std::this_thread::sleep_for(between_checks);
   }
--- a/src/lab/soak/soak_run.cpp
+++ b/src/lab/soak/soak_run.cpp
@@ -6,6 +6,9 @@
 #include <nlohmann/json.hpp>
 #include <numeric>
 
+#include "lab/soak/idle_crowd.h"
+#include "lab/stand_ins/log_tail.h"
+
 namespace pearchute::lab {
 
 using nlohmann::json;
@@ -24,6 +27,9 @@
 
 constexpr milliseconds serves_within(10'000), ends_within(8'000);
 
+// More than a manager of 512 descriptors has places for clients.
+constexpr std::size_t idle_connections = 260;
+
 std::vector<Ask> usual_mix() {
   return {{"quick", "SELECT work=4 FROM a_1.t", milliseconds(1500), 0, 4, 8},
           {"quick", "SELECT work=12 FROM a_2.t", milliseconds(2000), 0, 12, 16},
@@ -83,6 +89,7 @@
   std::unique_ptr<TestCluster> cluster_;
   std::vector<ManagerState> managers_;
   Time channel_troubled_until_{};
+  std::unique_ptr<IdleCrowd> idle_crowd_;
   SoakResult result_;
 };
 
@@ -108,12 +115,7 @@
 // The last lines that a manager has logged.
 std::string SoakRun::last_words(std::size_t manager) const {
   constexpr std::size_t most = 3;
-  std::ifstream log(cluster_->managers()[manager].log);
-  std::vector<std::string> lines;
-  for (std::string line; std::getline(log, line);) {
-    if (line.find("counters {") == std::string::npos) lines.push_back(line);
-    if (lines.size() > most) lines.erase(lines.begin());
-  }
+  const std::vector<std::string> lines = last_lines(cluster_->managers()[manager].log, most, "counters {");
   return std::accumulate(lines.begin(), lines.end(), std::string(),
                          [](const std::string& text, const std::string& line) { return text + line + "; "; });
 }
@@ -281,6 +283,10 @@
     case TroubleKind::clients_leave:
       cluster_->on([&] { cluster_->crowd().withdraw_some(1 + draw % 20); });
       return true;
+    case TroubleKind::clients_idle:
+      if (!manager) return false;
+      idle_crowd_ = std::make_unique<IdleCrowd>(cluster_->managers()[*manager].listen, idle_connections);
+      return true;
     case TroubleKind::count:
       break;
   }
@@ -316,6 +322,9 @@
     case TroubleKind::channel_silent:
       cluster_->on([&] { cluster_->channel().fall_silent(false); });
       break;
+    case TroubleKind::clients_idle:
+      idle_crowd_.reset();
+      break;
     default:
       break;
   }
--- a/src/lab/soak/trouble_schedule.h
+++ b/src/lab/soak/trouble_schedule.h
@@ -27,14 +27,15 @@
   channel_silent,        // streams stay open and say nothing
   channel_breaks,        // streams end
   clients_leave,         // a burst of clients that go away
+  clients_idle,          // idle connections fill a manager's descriptors
   count
 };
 inline constexpr std::size_t trouble_kinds = static_cast<std::size_t>(TroubleKind::count);
 inline constexpr std::array<std::string_view, trouble_kinds> trouble_names = {
-    "manager_restarts", "manager_killed", "manager_stalls", "manager_reloads",
-    "clock_steps",      "calls_fail",     "engine_drains",  "engine_dies",
-    "engine_hangs",     "engine_errs",    "engine_slow",    "engine_connects_late",
-    "engine_resets",    "channel_silent", "channel_breaks", "clients_leave"};
+    "manager_restarts", "manager_killed",       "manager_stalls", "manager_reloads", "clock_steps",
+    "calls_fail",       "engine_drains",        "engine_dies",    "engine_hangs",    "engine_errs",
+    "engine_slow",      "engine_connects_late", "engine_resets",  "channel_silent",  "channel_breaks",
+    "clients_leave",    "clients_idle"};
 
 struct Trouble {
   TroubleKind kind{};
--- a/src/lab/stand_ins/agent_cluster.cpp
+++ b/src/lab/stand_ins/agent_cluster.cpp
@@ -11,6 +11,7 @@
 #include "agent/rpc_deadline.h"
 #include "errors/error.h"
 #include "lab/stand_ins/child_process.h"
+#include "lab/stand_ins/log_tail.h"
 
 namespace pearchute::lab {
 
@@ -193,6 +194,16 @@
          });
 }
 
+void AgentCluster::describe(std::ostream& to) {
+  constexpr std::size_t most_lines = 30;
+  for (Agent& one : agents) {
+    const auto shown = one.show();
+    to << one.name << (shown ? " shows:\n" + shown->DebugString() : " does not answer\n")
+       << "its log ends:\n";
+    for (const std::string& line : last_lines(one.charter + ".log", most_lines)) to << line << "\n";
+  }
+}
+
 agent::v1::Plan AgentCluster::plan(const std::string& id, const std::string& kind) {
   agent::v1::Plan plan;
   plan.set_id(id), plan.set_who("ann"), plan.set_kind(kind), plan.set_fallback("serve_again");
--- a/src/lab/stand_ins/agent_cluster.h
+++ b/src/lab/stand_ins/agent_cluster.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <iosfwd>
 #include <map>
 #include <memory>
 #include <optional>
@@ -72,6 +73,7 @@
   // Whether one knows another's instances as that one tells of them, and fresh; whether all do.
   bool knows_well(std::size_t who, std::size_t whom);
   bool all_know();
+  void describe(std::ostream& to);  // what each agent shows, and the end of its log
   agent::v1::Plan plan(const std::string& id, const std::string& kind);
 
   TestCluster world;
--- a/tests/test_agent_shortages.cpp
+++ b/tests/test_agent_shortages.cpp
@@ -1,6 +1,7 @@
 // An agent as a process whose system calls fail for a moment: what it looks after is taken neither for ended
 // nor for somebody else's, and nothing is started twice. Each scenario is a test of its own, named on the
 // command line.
+#include <grpcpp/grpcpp.h>
 #include <signal.h>
 
 #include <cassert>
@@ -8,6 +9,7 @@
 #include <fstream>
 #include <iterator>
 
+#include "agent/rpc_deadline.h"
 #include "lab/faults/fault_injection.h"
 #include "lab/stand_ins/agent_cluster.h"
 #include "scenarios.h"
@@ -83,7 +85,55 @@
   assert(site.faults.struck(FaultKind::open_fails) > 0);
 }
 
+// Whether the agent answers a caller that has not called before.
+bool answers_newcomers(Agent& agent) {
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);  // a connection of its own
+  const auto channel =
+      grpc::CreateCustomChannel(agent.control, grpc::InsecureChannelCredentials(), arguments);
+  grpc::ClientContext context;
+  context.set_deadline(agent::deadline_in(milliseconds(500)));
+  agent::v1::Shown shown;
+  return agent::v1::Agent::NewStub(channel)->Show(&context, {}, &shown).ok();
+}
+
+// Connections that can't be accepted for a moment: those that come later are.
+void accept_fails_for_a_moment() {
+  FaultyAgent site;
+  assert(answers_newcomers(site.agent));
+  for (const FaultKind kind : {FaultKind::accept_fails, FaultKind::accept_odd}) {
+    const std::uint64_t before = site.faults.struck(kind);
+    site.faults.set(kind, 1);
+    assert(wait_for([&] { return answers_newcomers(site.agent), site.faults.struck(kind) > before; }));
+    site.faults.set_none();
+    assert(wait_for([&] { return answers_newcomers(site.agent); }, seconds(15)));
+  }
+}
+
+// A wall clock that is stepped by an hour, both ways, while a rollout runs: claims, leases, times allowed and
+// remote calls go by real time.
+void rollout_over_clock_steps() {
+  FaultyAgent site;
+  const auto before = site.processes();
+  std::string fault;
+  agent::v1::Plan plan = site.fleet.plan("steps", "restart");
+  plan.clear_least_serving();
+  assert(site.agent.start_rollout(plan, &fault).ok() && fault.empty());
+  int steps = 0;
+  assert(wait_for([&] {
+    const auto hour = std::chrono::hours(1);
+    site.faults.step_wall_clock(++steps % 3 == 0 ? std::chrono::hours(0) : steps % 3 == 1 ? hour : -hour);
+    return site.agent.rollout("steps").state() == "done";
+  }));
+  assert(site.agent.rollout("steps").word().empty() && site.faults.wall_clock_reads() > 0 && steps > 6);
+  site.faults.step_wall_clock({});
+  assert(wait_for([&] { return site.fleet.all_serve(); }));
+  for (const auto& [name, pid] : site.processes()) assert(pid != before.at(name));
+}
+
 constexpr test::Scenario scenarios[] = {{"interrupted_looks", interrupted_looks},
+                                        {"accept_fails_for_a_moment", accept_fails_for_a_moment},
+                                        {"rollout_over_clock_steps", rollout_over_clock_steps},
                                         {"restart_while_files_run_short", restart_while_files_run_short}};
 
 }  // namespace
--- a/tests/test_shortages.cpp
+++ b/tests/test_shortages.cpp
@@ -1,5 +1,7 @@
 // System calls that fail for a moment at an awkward one, from outside: the daemon as a process whose calls
 // are made to fail. Each scenario is a test of its own, named on the command line.
+#include <sys/stat.h>
+
 #include <cstring>
 #include <nlohmann/json.hpp>
 
@@ -136,12 +138,47 @@
   assert(ready);
 }
 
+// A second manager is started by mistake with the first one's admin channel, and has no socket at first to
+// look whether somebody listens there: the first one's socket stays.
+void admin_socket_of_another() {
+  DaemonFixture fixture;
+  fixture.configure(usual_settings, known({{"a", fixture.engine("a")}}));
+  const std::string admin = fixture.folder + "/admin.ini", socket = fixture.folder + "/admin.sock";
+  std::ofstream(admin) << "[admin]\nlisten = unix:" << socket << "\norders_file = " << fixture.folder
+                       << "/orders\n";
+  const auto start_manager = [&](const Environment& more) {
+    Environment environment = more;
+    environment.emplace_back("PROXY_CONFIG", fixture.configuration);
+    return start_child(
+        {.program = PEARCHUTED, .arguments = {"--admin", admin}, .environment = environment, .log = {}});
+  };
+  const auto number_of_socket = [&] {
+    struct stat what {};
+    return stat(socket.c_str(), &what) == 0 ? what.st_ino : 0;
+  };
+  fixture.daemon = start_manager({});
+  assert(soon([&] { return fixture.ready(); }));
+  const auto before = number_of_socket();
+  assert(before != 0);
+  std::uint64_t struck = 0;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    FaultInjection faults(PEARCHUTE_FAULTS, fixture.folder + "/faults", "pearchuted", seed);
+    faults.set(FaultKind::socket_fails, 0.5);
+    assert(end_of(start_manager(faults.environment())) == 1);
+    struck += faults.struck(FaultKind::socket_fails);
+    assert(number_of_socket() == before);
+  }
+  assert(struck > 0);
+  unlink(admin.c_str());
+}
+
 constexpr Scenario scenarios[] = {
     {"sockets_unwatched", sockets_unwatched},
     {"odd_accept_errors_at_the_end", odd_accept_errors_at_the_end},
     {"interrupted_connects", interrupted_connects},
     {"reload_tells_what_discovery_could_not", reload_tells_what_discovery_could_not},
-    {"list_in_one_chunk", list_in_one_chunk}};
+    {"list_in_one_chunk", list_in_one_chunk},
+    {"admin_socket_of_another", admin_socket_of_another}};
 
 }  // namespace
 
--- a/tests/test_together.cpp
+++ b/tests/test_together.cpp
@@ -10,6 +10,7 @@
 #include <cassert>
 #include <cstdio>
 #include <fstream>
+#include <iostream>
 
 #include "agent/agent_config.h"
 #include "agent/grpc_credentials.h"
@@ -27,6 +28,12 @@
   std::vector<Agent>& agents = fleet.agents;
   explicit Together(const ClusterSpec& site) : fleet(site, 3, true) {}
 
+  // Where they don't, what each agent knows and has logged is told.
+  bool all_come_to_know() {
+    const bool know = wait_for([&] { return fleet.all_know(); });
+    if (!know) fleet.describe(std::cerr);
+    return know;
+  }
   std::string knows(std::size_t who, std::size_t whom) {
     const auto heard = agents[who].heard(agents[whom].name);
     return heard ? heard->freshness() : "unsaid";
@@ -61,13 +68,15 @@
     };
     on_relays([](Relays& relays) { relays.heal(); });
     const auto before = bytes();
-    assert(wait_for([&] {
+    const bool healed = wait_for([&] {
       const auto now = bytes();
       for (std::size_t i = 0; i < now.size(); ++i) {
         if (now[i] < before[i] + 5000) return false;
       }
       return fleet.all_know();
-    }));
+    });
+    if (!healed) fleet.describe(std::cerr);
+    assert(healed);
   }
 };
 
@@ -233,7 +242,7 @@
   agents[1].end(SIGKILL);
   ::unlink((world.folder() + "/a2.db").c_str());
   agents[1].start();
-  assert(wait_for([&] { return t.fleet.all_know(); }));
+  assert(t.all_come_to_know());
   assert(t.fleet.heard(0, 1).incarnation() > before);
   // Killed with its disk whole: another incarnation.
   const auto second = t.fleet.heard(0, 1).incarnation();
@@ -243,7 +252,7 @@
   // All at once.
   for (Agent& one : agents) one.end(SIGKILL);
   for (Agent& one : agents) one.start();
-  assert(wait_for([&] { return t.fleet.all_know(); }));
+  assert(t.all_come_to_know());
 
   // Two charters in force at once: a1 lets n2 go, a2 does not name a3 any more, a1 and a3 still do.
   t.fleet.no_instances = {"n2"}, t.fleet.no_peers = {{"a2", "a3"}};
@@ -271,7 +280,7 @@
     world.crowd().offer(100, {{"quick", "SELECT work=5 FROM a_1.t", milliseconds(2000), 0, 5, 8},
                               {"once", "UPDATE work=8 a_4.t", milliseconds(2000), 0, 8, 8}});
   });
-  assert(wait_for([&] { return t.fleet.all_know(); }));
+  assert(t.all_come_to_know());
   failing(t);
   world.on([&] { world.crowd().offer(0, {}); });
   assert(world.quiet());
