Agents accept by their own sockets; a look that can't be made removes nobody's socket

Cause: as the red tests say; lines at fault: the ports that agent/main.cpp left to the library, whose listener ends at one failed accept, and remove_left_over in admin/admin_server.cpp. Ruled out: the channel of the caller (a new connection for each look), and a delay (15 s after the failures had ended).

Change: agent/call_server listens and accepts by net/driver and hands connections over to gRPC; so a place that others hold is told as such, and one that can't be had now is tried for 5 s. net/owner_door opens Unix sockets for agents and managers; is_listened_at tells 'nobody' from 'can't be told now'.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -1,43 +1,19 @@
 #include "admin/admin_server.h"
 
-#include <sys/socket.h>
-#include <sys/stat.h>
-#include <sys/un.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <cstring>
 
 #include "admin.pb.h"
 #include "errors/error.h"
 #include "net/log.h"
+#include "net/owner_door.h"
 
 namespace pearchute::admin {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace {
-
-// The socket that a manager which was killed has left. One that somebody listens at stays.
-void remove_left_over(const std::string& path) {
-  const int probe = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_un at{};
-  at.sun_family = AF_UNIX;
-  std::strncpy(at.sun_path, path.c_str(), sizeof at.sun_path - 1);
-  const bool alive = probe >= 0 && ::connect(probe, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
-  if (probe >= 0) ::close(probe);
-  if (alive) throw ListeningError("the admin socket is in use", path);
-  struct stat what {};
-  if (::lstat(path.c_str(), &what) != 0) return;
-  if (!S_ISSOCK(what.st_mode))
-    throw ListeningError("is there and no socket", path,
-                         "look at what it is; move it away or name another place");
-  ::unlink(path.c_str());
-}
-
-}  // namespace
-
 class AdminServer::Line final : public net::Wire::User {
  public:
   Line(AdminServer& admin_server, const Poco::Net::StreamSocket& socket)
@@ -94,18 +70,9 @@
 
 AdminServer::AdminServer(net::Loop& loop, const Terms& terms, Desk& desk)
     : loop_(loop), terms_(terms), desk_(desk), gone_(loop) {
-  const std::string& path = terms_.listen.path;
-  if (!path.empty()) remove_left_over(path);
-  // The socket is never there with other rights than its owner's.
-  const mode_t before = ::umask(0177);
-  try {
-    door_ = std::make_unique<net::Door>(loop, terms_.listen.address,
-                                        [this](const Poco::Net::StreamSocket& socket) { came(socket); });
-  } catch (...) {
-    ::umask(before);
-    throw;
-  }
-  ::umask(before);
+  const auto came_here = [this](const Poco::Net::StreamSocket& socket) { came(socket); };
+  if (terms_.listen.path.empty()) door_ = std::make_unique<net::Door>(loop, terms_.listen.address, came_here);
+  else door_ = net::open_owner_door(loop, terms_.listen.path, came_here);
   spdlog::info("admin channel at {}", terms_.listen.text);
   sweep();
 }
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,6 +1,5 @@
 // The agent of one host: reads its charter, looks after its instances, and answers remote calls until it is
 // asked to end. Its instances go on without it.
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -8,12 +7,12 @@
 #include <iostream>
 #include <random>
 
+#include "agent/call_server.h"
 #include "agent/config_service.h"
 #include "agent/coordinator.h"
 #include "agent/gossip_service.h"
 #include "agent/grpc_credentials.h"
 #include "agent/process_supervisor.h"
-#include "agent/rpc_deadline.h"
 #include "agent/wire.h"
 #include "errors/error.h"
 #include "ini/reader.h"
@@ -244,25 +243,7 @@
     return std::make_unique<Service>(stage, *supervisor, *coordinator, gossip.get(), configuration.get(),
                                      charter);
   });
-  grpc::ServerBuilder builder;
-  // Bounds: of threads, of a message (the largest is a plan of some thousand instances), and of idle
-  // connections.
-  grpc::ResourceQuota quota;
-  quota.SetMaxThreads(16);
-  builder.SetResourceQuota(quota);
-  builder.SetMaxReceiveMessageSize(1 << 20);
-  builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS, 60'000);
-  builder.AddListeningPort(charter.control.target, grpc::InsecureServerCredentials());
-  int port = -1;
-  if (charter.listen.tls)
-    builder.AddListeningPort(charter.listen.target,
-                             with_patience([&] { return credentials_by(charter.tls); }), &port);
-  builder.RegisterService(service.get());
-  const mode_t before = ::umask(0177);
-  const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
-  ::umask(before);
-  if (!server || port == 0)
-    throw ListeningError("can't listen", charter.control.text + " " + charter.listen.text);
+  auto server = with_patience([&] { return std::make_unique<CallServer>(stage, charter, *service); });
   spdlog::info("agent {} at {}, {} instances", charter.name, charter.control.text, charter.instances.size());
   while (!asked_to_end) {
     ::usleep(50'000);
@@ -270,7 +251,7 @@
     asked_to_read_again = 0;
     read_again(file, charter, stage, *supervisor, *peers, gossip.get(), configuration.get());
   }
-  server->Shutdown(deadline_in(milliseconds(500)));
+  server.reset();
   stage.on(
       [&] { configuration.reset(), gossip.reset(), coordinator.reset(), peers.reset(), supervisor.reset(); });
   spdlog::info("agent {} ends; its instances go on", charter.name);
--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -106,6 +106,17 @@
   return socket;
 }
 
+bool is_listened_at(const Poco::Net::SocketAddress& at) {
+  Opened probe = begin_connect(at);
+  if (probe.is_open()) ::close(probe.descriptor);
+  // EAGAIN: the queue of those who wait there is full.
+  if (probe.is_open() || probe.error == EAGAIN) return true;
+  if (probe.error == ECONNREFUSED || probe.error == ENOENT) return false;
+  const std::string wrong = "it can't be told whether somebody listens: " + text_of_error(probe.error);
+  if (failure_of(probe.error) == Failure::not_now) throw ResourceShortage(wrong, at.toString());
+  throw SystemError(wrong, at.toString());
+}
+
 int pending_error(int descriptor) {
   int error = 0;
   socklen_t size = sizeof error;
--- a/src/net/system_calls.h
+++ b/src/net/system_calls.h
@@ -49,6 +49,9 @@
 // Begins to connect; the event loop tells when it is up, and `pending_error` how that went.
 Opened begin_connect(const Poco::Net::SocketAddress& to);
 Opened listen_at(const Poco::Net::SocketAddress& at, int backlog);
+// Whether somebody takes connections there. Throws ResourceShortage where that can't be told now, SystemError
+// where it can't be told at all.
+bool is_listened_at(const Poco::Net::SocketAddress& at);
 int pending_error(int descriptor);
 
 void set_no_delay(int descriptor);    // nothing where the socket has no such thing
