Red tests: a last answer to a slow reader, a first list under a clock that is ahead

Seen: a last answer whose reader takes it in steadily, but for longer than a second, is cut (17 of 25 MB came). A manager that starts while its wall clock is an hour ahead sends work at once to an engine of its first list that has just started (with 5 s ahead it does not).

--- a/tests/test_crossings.cpp
+++ b/tests/test_crossings.cpp
@@ -386,7 +386,30 @@
   }
 }
 
+// A manager starts while its wall clock is ahead, and the list that it starts with has an engine that has
+// just started: that is taken for cold. One that is older than another by more than the time they are cold is
+// not.
+void clock_ahead_of_the_first_list() {
+  for (const auto offset : {std::chrono::seconds(5), std::chrono::seconds(3600)}) {
+    FaultyDaemon fixture;
+    const std::string a = fixture.engine("a"), b = fixture.engine("b");
+    fixture.faults.step_wall_clock(offset);
+    const std::int64_t now = unix_ms();
+    fixture.go(cold_settings, known({{"a", a, "a", "east", now - 60'000}, {"b", b, "b", "east", now}}));
+    const JobCall first = job("work=1", 8000, "first"), second = job("work=1", 8000, "second");
+    const int one = fixture.open(first), other = fixture.open(second);
+    assert(soon([&] { return fixture.begun("a", first) == 1; }, 200));
+    pass(milliseconds(1500));
+    const int begun = fixture.begun("b", second);
+    if (begun > 0)
+      std::fprintf(stderr, "%lld s: a cold engine was sent work\n", static_cast<long long>(offset.count()));
+    assert(begun == 0);
+    close(one), close(other);
+  }
+}
+
 constexpr pearchute::test::Scenario scenarios[] = {
+    {"clock_ahead_of_the_first_list", clock_ahead_of_the_first_list},
     {"drain_while_connecting", drain_while_connecting},
     {"deadline_after_late_connect", deadline_after_late_connect},
     {"pipelined_deadlines", pipelined_deadlines},
--- a/tests/test_stalls.cpp
+++ b/tests/test_stalls.cpp
@@ -101,8 +101,48 @@
   for (const int fd : cancelling) close(fd);
 }
 
+// The last answer on a connection goes to a client that reads it slowly, and without a pause: all of it
+// comes.
+void last_answer_read_slowly() {
+  struct Nobody final : pearchute::net::Wire::User {
+    void wire_brought(std::string_view) override {}
+    void wire_ended() override {}
+  } nobody;
+  int port = 0;
+  const int door = listen_on(port);
+  const std::string text(24 << 20, 'x');
+  std::size_t got = 0;
+  std::thread reader([&] {
+    const int peer = accept(door, nullptr, nullptr);
+    std::string buffer(1 << 18, ' ');
+    while (true) {
+      const auto part = recv(peer, buffer.data(), buffer.size(), MSG_WAITALL);
+      if (part <= 0) break;
+      got += static_cast<std::size_t>(part);
+      pass(milliseconds(20));
+    }
+    close(peer);
+  });
+  pearchute::net::Loop loop;
+  auto wire = std::make_unique<pearchute::net::Wire>(
+      loop, Poco::Net::SocketAddress("127.0.0.1", static_cast<std::uint16_t>(port)), nobody);
+  wire->send(text);
+  loop.finish(std::move(wire));
+  const std::function<void()> look = [&] {
+    if (loop.finishing() == 0) return loop.stop();
+    loop.at(loop.now() + milliseconds(10), look);
+  };
+  look();
+  loop.run();
+  reader.join();
+  std::fprintf(stderr, "%zu of %zu bytes came\n", got, text.size());
+  assert(got == text.size());
+  close(door);
+}
+
 constexpr Scenario scenarios[] = {{"call_behind_a_full_table", call_behind_a_full_table},
-                                  {"cancelled_while_stalled", cancelled_while_stalled}};
+                                  {"cancelled_while_stalled", cancelled_while_stalled},
+                                  {"last_answer_read_slowly", last_answer_read_slowly}};
 
 }  // namespace
 
