A last answer is cut only where its reader stands still

Cause: as the red test says; lines at fault: Loop::finish and the loop over finishing_ in Loop::settle, which closed a second after the call whatever still went.

Change: a connection that finishes is closed when nothing has gone for a second, or after ten seconds in all.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -219,17 +219,29 @@
 void Loop::finish(std::unique_ptr<Wire> wire) {
   if (!wire) return;
   wire->close_when_written();
-  // A peer that neither reads nor ends for so long is not waited for.
-  finishing_.emplace_back(now() + std::chrono::seconds(1), std::move(wire));
+  const std::uint64_t written = wire->written();
+  finishing_.push_back({std::move(wire), now(), now(), written});
+}
+
+// Guards against peers that neither read nor end, or read so slowly that it comes to the same. One that reads
+// on gets all that it was sent.
+void Loop::close_those_that_stand_still() {
+  constexpr std::chrono::seconds stands_still_after(1), at_most(10);
+  const Span at = now();
+  for (Finishing& one : finishing_) {
+    if (one.wire->written() != one.written) one.written = one.wire->written(), one.moved_at = at;
+    if (at - one.moved_at >= stands_still_after || at - one.since >= at_most) one.wire->close();
+  }
+  std::erase_if(finishing_, [](const Finishing& one) { return one.wire->closed(); });
 }
 
 bool Loop::all_written() const {
-  return std::ranges::all_of(finishing_, [](const auto& one) { return one.second->waiting() == 0; });
+  return std::ranges::all_of(finishing_, [](const Finishing& one) { return one.wire->waiting() == 0; });
 }
 
 void Loop::cut_finishing() {
   if (finishing_.empty()) return;
-  retire(std::move(finishing_.front().second));
+  retire(std::move(finishing_.front().wire));
   finishing_.pop_front();
 }
 
@@ -242,11 +254,7 @@
     guarded(what);  // else nothing that is put off would ever come up again
   }
   retired_.clear();
-  while (!finishing_.empty() && finishing_.front().first <= now()) {
-    finishing_.front().second->close();
-    finishing_.pop_front();
-  }
-  std::erase_if(finishing_, [](const auto& one) { return one.second->closed(); });
+  close_those_that_stand_still();
   settling_ = false;
 }
 
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -132,7 +132,14 @@
   std::vector<std::function<void()>> when_caught_up_;
   std::deque<std::function<void()>> soon_;
   std::vector<std::unique_ptr<Wire>> retired_;
-  std::deque<std::pair<Span, std::unique_ptr<Wire>>> finishing_;  // until when, oldest first
+  // A connection that has all it is to send, until that has gone and the peer has ended, too.
+  struct Finishing {
+    std::unique_ptr<Wire> wire;
+    Span since{}, moved_at{};  // when bytes last went
+    std::uint64_t written = 0;
+  };
+  void close_those_that_stand_still();
+  std::deque<Finishing> finishing_;  // oldest first
   BufferPool buffers_;
   std::size_t descriptors_ = 0;
   bool settling_ = false, stopped_ = false;
