The module in files of one job: admission, slow start, ledger, dispatch, health, beat

Cause: core/control.cpp held 971 lines and every step of a choice; the beat was one function of eighty lines.

Change: events and giving up stay in control.cpp; the other member functions move, word for word, to files named by what they decide, all listed under policy; the beat is a sequence of named steps in the same order. What the files share is in core/control_math.h.

--- a/src/core/control.h
+++ b/src/core/control.h
@@ -60,7 +60,7 @@
   void woken(Span now, std::uint64_t mark);
   void closing(Span now);
 
-  // What it believes, for those who ask. AntiEntropyScheduler changes no decision.
+  // What it believes, for those who ask. Asking changes no decision.
   struct Belief {
     double slots = 0, capacity_mb = 0;
     bool is_cold = false;
@@ -145,7 +145,16 @@
   double weight(const HeldJob& held) const;
   double usual_work(const TypeFigures& type) const;
   double usual_work(const HeldJob& held) const { return usual_work(types_[held.job.type.value]); }
+  // Ten times a second
   void beat(Span now);
+  void note_beat(Span now);
+  void fade_figures();
+  void forget_what_is_over(Span now);
+  void look_at_engine(Span now, Engine& engine);
+  void learn_from_open(Span now, Engine& engine, Span sent, std::pair<JobId, int> which);
+  void probe_in_turn();
+  void move_cut(Span now);
+  void give_up_the_late(Span now);
   // Giving up
   bool crammed() const;
   void give_up(Span now, HeldJob& held, GiveUpReason reason);
