Engines of a first list that may have just started count as cold, whatever the clock says

Cause: as the red test says; line at fault: EngineList::read places a told start by the wall clock of the manager's start, and nothing in the first list shows that it was ahead.

Result: no work goes to the cold engine with the clock 5 s and an hour ahead.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -61,6 +61,7 @@
       engine.others_bytes.reset(), let_go(engine, Span::max());
     }
   }
+  if (news == ListNews::remembered) doubt_starts(now, engines);
   if (news != ListNews::changes) {
     for (auto& [id, engine] : engines_)
       if (!named.contains(id)) engine.known_up = false, engine.listed.state = EngineState::gone;
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -113,6 +113,7 @@
   bool may_go(Span now, const HeldJob& held);
   bool may_go_to(Span now, const HeldJob& held, const Engine& engine) const;
   bool within_ration(Span now);
+  void doubt_starts(Span now, const std::vector<ListedEngine>& engines);
   bool cold(Span now, const Engine& engine) const;
   bool cold_allows(Span now, const Engine& engine, const HeldJob& held) const;
   std::optional<std::uint64_t> own_turn(Span now, const Engine& engine, int a_window, Span lasts) const;
--- a/src/core/slow_start.cpp
+++ b/src/core/slow_start.cpp
@@ -11,6 +11,7 @@
 // Cold counts from the listed start, or from when the list told of it if that came late.
 bool WorkloadManager::cold(Span now, const Engine& engine) const {
   if (rules_.tip_multiple <= 0 || rules_.tip_window <= Span(0) || !engine.listed.online_since) return false;
+  if (now < engine.doubted_until) return true;
   const Span start = *engine.listed.online_since;
   return now < std::max(start, std::min(engine.told, start + seconds(5))) + rules_.cold_lasts;
 }
@@ -76,4 +77,21 @@
   return turn && room(whole / (*turn % 8 == 0 ? 2 : 4), 2 * window, cold_work(held));
 }
 
+// Exception: starts are told by the wall clock, which may be ahead on this machine when the manager starts,
+// and then engines that have just started seem to be long warm. What they tell of each other is sure: the
+// latest has started by now, and the others as long before it as they say. Guards against cold engines that
+// are pushed over by restarted managers; harms by engines that are less used than they may be for the cold
+// time after a start.
+void WorkloadManager::doubt_starts(Span now, const std::vector<ListedEngine>& engines) {
+  std::optional<Span> latest;
+  for (const ListedEngine& listed : engines) {
+    if (listed.online_since) latest = std::max(latest.value_or(Span::min()), *listed.online_since);
+  }
+  for (const ListedEngine& listed : engines) {
+    if (!listed.online_since) continue;
+    const Span before_latest = *latest - *listed.online_since;
+    engines_.at(listed.id).doubted_until = now + rules_.cold_lasts - before_latest;
+  }
+}
+
 }  // namespace pearchute
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -64,7 +64,8 @@
 struct Engine {
   ListedEngine listed;
   bool known_up = false;
-  Span told{};  // when it was first listed, or listed with a new start
+  Span told{};           // when it was first listed, or listed with a new start
+  Span doubted_until{};  // its start may be later than it seems; until then it counts as cold
   double live_bytes = 0;
   int live_threads = 0;
   int dispatches = 0;
--- a/tests/test_rules.cpp
+++ b/tests/test_rules.cpp
@@ -144,6 +144,32 @@
   }
 }
 
+// Of the list that a manager starts with it is sure only how the starts lie to each other: its clock may be
+// off.
+void starts_of_the_first_list() {
+  struct Case {
+    ListNews news;
+    Span before_the_latest;
+    bool limited;
+  };
+  const Case cases[] = {{ListNews::remembered, Span(0), true},
+                        {ListNews::remembered, seconds(14), true},
+                        {ListNews::remembered, seconds(16), false},
+                        {ListNews::complete, Span(0), false}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.cold_lasts = seconds(15), service.cold_from = 0.3;
+    service.tip_multiple = 2.5, service.tip_window = ms(500);
+    Bench bench(service, 0);
+    ListedEngine latest = Bench::engine(9, EngineState::draining), other = Bench::engine(10);
+    latest.online_since = seconds(-3600), other.online_since = *latest.online_since - c.before_the_latest;
+    bench.list(c.news, {latest, other});
+    for (int i = 1; i <= 200; ++i) bench.take(i, 0, 150);
+    const double work_s = 0.15 * static_cast<double>(bench.host.sent.size());
+    assert((work_s <= 1.5) == c.limited && work_s > 0);
+  }
+}
+
 // Rule 5: jobs of one key in turn, with a rest after an end that is not sure.
 void order() {
   struct Case {
@@ -305,5 +331,5 @@
 int main() {
   asked_to_end(), answered_at_once(), client_away();
   effects(), keyed_stays(), one_answer(), drains();
-  cold_engines(), order(), placement(), ration();
+  cold_engines(), starts_of_the_first_list(), order(), placement(), ration();
 }
