--- a/tests/test_crossings.cpp
+++ b/tests/test_crossings.cpp
@@ -216,28 +216,7 @@
 }
 
 // Connections wait to be accepted when the manager stops listening, and accept fails for a moment just then.
-void accept_fails_at_the_end() {
-  FaultyDaemon fixture;
-  fixture.more = R"("limits":{"sockets":1024})";
-  fixture.go(usual_settings, known({{"a", fixture.engine("a")}}));
-  kill(fixture.daemon, SIGTERM);
-  pass(milliseconds(200));  // it has heard
-  kill(fixture.daemon, SIGSTOP);
-  pass(milliseconds(50));
-  fixture.faults.set(FaultKind::accept_fails, 0.1);
-  std::vector<int> late;
-  for (int i = 0; i < 100; ++i) late.push_back(fixture.open(job("work=1", 900, "brief")));
-  pass(milliseconds(600));  // past the time at which it stops to listen
-  kill(fixture.daemon, SIGCONT);
-  int broken = 0;
-  for (const int fd : late) {
-    broken += !hear(fd).starts_with("HTTP/1.1 ");
-    close(fd);
-  }
-  std::fprintf(stderr, "%d of 100 had no answer\n", broken);
-  assert(broken == 0 && fixture.faults.struck(FaultKind::accept_fails) > 0);
-  assert(fixture.ended() == 0);
-}
+void accept_fails_at_the_end() { answers_all_that_wait_at_the_end(FaultKind::accept_fails); }
 
 // The configuration can't be opened for a moment just when SIGHUP says that the list's channel has moved.
 void reload_while_files_run_short() {
--- a/tests/test_rule_guard.cpp
+++ b/tests/test_rule_guard.cpp
@@ -73,6 +73,11 @@
   assert(guard.broken(Rule::answer_in_time) == 1);
   guard.answering({seconds(1), seconds(1), true});
   assert(guard.broken(Rule::one_answer) == 1 && guard.broken_in_all() == 3);
+  // What can wait is held back where a request is open or may lie unread.
+  assert(!guard.forbids_closing({false, false, false}) && !guard.forbids_closing({true, true, true}));
+  assert(guard.forbids_closing({false, false, true}) == Rule::no_silent_close);
+  assert(guard.forbids_closing({true, false, false}) == Rule::no_silent_close);
+  assert(guard.held_back(Rule::no_silent_close) == 2 && guard.broken_in_all() == 3);
   assert(!guard.forbids_taking(false) && guard.forbids_taking(true) == Rule::not_while_ending);
 }
 
