A state file that can't be opened for a moment is opened later, and leaves no trouble behind

Cause: as the red test says; lines at fault: the codes in Store::open (SQLITE_CANTOPEN, and SQLITE_READONLY where the first open failed, were final), and its fault, which stayed when a later try succeeded: an agent with a trouble that is over takes orders, but never speaks to others.

Change: both codes pass where the file and its folder may be written; the fault is cleared by each try.

--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -1,7 +1,9 @@
 #include "store/store.h"
 
 #include <SQLiteCpp/SQLiteCpp.h>
+#include <unistd.h>
 
+#include <filesystem>
 #include <iterator>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -111,6 +113,33 @@
   return mark;
 }
 
+// Asks without opening it, which takes a descriptor.
+bool may_be_written(const std::string& path) {
+  const std::filesystem::path folder = std::filesystem::path(path).parent_path();
+  if (::access(folder.empty() ? "." : folder.c_str(), W_OK | X_OK) != 0) return false;
+  return ::access(path.c_str(), F_OK) != 0 || ::access(path.c_str(), R_OK | W_OK) == 0;
+}
+
+// By SQLite's primary codes.
+Store::Opened opened_after(int code, const std::string& path) {
+  switch (code) {
+    case 11:  // SQLITE_CORRUPT
+    case 26:  // SQLITE_NOTADB
+      return Store::Opened::damaged;
+    case 5:   // SQLITE_BUSY
+    case 7:   // SQLITE_NOMEM
+    case 10:  // SQLITE_IOERR
+    case 13:  // SQLITE_FULL
+      return Store::Opened::not_now;
+    // Also where only descriptors ran short: a file that can't be opened for writing is opened for reading.
+    case 8:   // SQLITE_READONLY
+    case 14:  // SQLITE_CANTOPEN
+      return may_be_written(path) ? Store::Opened::not_now : Store::Opened::unusable;
+    default:
+      return Store::Opened::unusable;
+  }
+}
+
 }  // namespace
 
 Store::Store(std::string path, std::function<void(const char*)> passes)
@@ -124,6 +153,7 @@
 }
 
 Store::Opened Store::open(std::string& fault) {
+  fault.clear();
   try {
     database_ = std::make_unique<SQLite::Database>(path_, SQLite::OPEN_READWRITE | SQLite::OPEN_CREATE, 200);
     // A transaction is on the disk itself when it is over, whatever falls: the process, the system, the
@@ -153,13 +183,11 @@
     instances(), processes(), rollouts(1), incarnation(), config();
     return Opened::usable;
   } catch (const SQLite::Exception& error) {
-    const int code = error.getErrorCode();
-    const bool damaged = code == 11 || code == 26;  // SQLITE_CORRUPT, SQLITE_NOTADB
-    // SQLITE_BUSY, SQLITE_NOMEM, SQLITE_IOERR, SQLITE_FULL
-    const bool passes = code == 5 || code == 7 || code == 10 || code == 13;
+    const Opened opened = opened_after(error.getErrorCode(), path_);
+    const bool damaged = opened == Opened::damaged;
     fault = path_ + (damaged ? " is damaged: " : " can't be used: ") + error.what();
     database_.reset();
-    return damaged ? Opened::damaged : passes ? Opened::not_now : Opened::unusable;
+    return opened;
   } catch (const std::exception& error) {
     fault = path_ + " holds what can't be read: " + error.what();
     database_.reset();
--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -71,6 +71,33 @@
   assert(store.rollouts(3)[0].plan.id == "x249" && store.rollouts(1000).size() <= 200);
 }
 
+// The database is lost and what SQLite keeps beside it is not, as after a kill amid a write: the next one
+// begins anew.
+void lost_beside_a_journal() {
+  const std::string path = folder + "/lost.db";
+  int with_journal = 0;
+  for (int i = 0; i < 60; ++i) {
+    const pid_t child = fork();
+    if (child == 0) {
+      Store store(path);
+      std::string fault;
+      if (store.open(fault) != Store::Opened::usable) _exit(1);
+      for (std::uint64_t fence = 1;; ++fence) store.write({{"i1", kept(fence)}, {"i2", kept(fence)}});
+    }
+    usleep(static_cast<useconds_t>(8000 + 331 * i));
+    kill(child, SIGKILL);
+    int status = 0;
+    waitpid(child, &status, 0);
+    assert(WIFSIGNALED(status));
+    with_journal += std::filesystem::exists(path + "-journal");
+    std::filesystem::remove(path);
+    Store store(path);
+    assert(open(store) == Store::Opened::usable && store.write({{"i1", kept(1)}}));
+  }
+  std::fprintf(stderr, "%d of 60 left a journal\n", with_journal);
+  assert(with_journal > 0);
+}
+
 // A kill at each point of a write that changes two instances leaves both as before or both as after.
 void kills() {
   const std::string path = folder + "/k.db";
@@ -228,6 +255,7 @@
   folder = name;
   written_and_read();
   kills();
+  lost_beside_a_journal();
   older_and_newer();
   configuration();
   damage();
