Tests that other load moved: list events' processor time, an answer read with the next one

Cause: what a manager takes at rest was measured once at the start and subtracted later, when the machine did something else; hear() read past the end of its answer.

Change: rest is measured right before each window, for as long, and ten events a window in the test; the check is the same. hear() reads one answer and no byte more.

--- a/src/lab/measurements/slopes_manager_control.cpp
+++ b/src/lab/measurements/slopes_manager_control.cpp
@@ -141,6 +141,11 @@
   void measure_events(SeriesSet& series, const std::string& name, bool whole_list) {
     std::uint64_t bytes = 0;
     const double cpu = median_of(plan_.windows, [&] {
+      // What it takes at rest is measured right before, for as long: it changes with what else the machine
+      // does.
+      const CpuMeter at_rest(manager());
+      cluster_.rest(plan_.list_events * between_list_events);
+      const double rest_cpu = at_rest.microseconds_per_second();
       const CpuMeter meter(manager());
       const std::uint64_t sent_before = cluster_.on([&] { return cluster_.channel().bytes_sent(); });
       for (int event = 0; event < plan_.list_events; ++event) {
@@ -148,7 +153,7 @@
         cluster_.rest(between_list_events);
       }
       bytes = cluster_.on([&] { return cluster_.channel().bytes_sent(); }) - sent_before;
-      return (meter.microseconds() - rest_cpu_ * meter.seconds()) / plan_.list_events;
+      return (meter.microseconds() - rest_cpu * meter.seconds()) / plan_.list_events;
     });
     series.add(name + "_cpu.by_engines", engines_, cpu);
     series.add(name + "_bytes.by_engines", engines_, static_cast<double>(bytes) / plan_.list_events);
--- a/tests/sockets.h
+++ b/tests/sockets.h
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cassert>
 #include <chrono>
 #include <cstdio>
@@ -79,21 +80,24 @@
   [[maybe_unused]] const auto sent = send(fd, text.data(), text.size(), MSG_NOSIGNAL);
 }
 
-// Whole answers carry their length; what comes before an end counts, too. `broken`: the end was a reset.
+// One whole answer, which carries its length, and nothing of what comes behind it; what comes before an end
+// counts, too. `broken`: the end was a reset.
 inline std::string hear(int fd, bool* broken = nullptr) {
   std::string text;
   char buffer[4096];
-  while (true) {
-    const std::size_t head = text.find("\r\n\r\n");
-    const std::size_t at = text.find("Content-Length: ");
-    if (head != std::string::npos && at != std::string::npos &&
-        text.size() >= head + 4 + std::stoul(text.substr(at + 16)))
-      return text;
-    const auto got = recv(fd, buffer, sizeof buffer, 0);
+  std::size_t wanted = 1;  // until the head is whole its length is not known
+  while (wanted > 0) {
+    const auto got = recv(fd, buffer, std::min(wanted, sizeof buffer), 0);
     if (broken) *broken = got < 0;
     if (got <= 0) return text;
     text.append(buffer, static_cast<std::size_t>(got));
+    const std::size_t head = text.find("\r\n\r\n");
+    const std::size_t at = text.find("Content-Length: ");
+    if (head == std::string::npos) continue;
+    wanted =
+        at == std::string::npos ? sizeof buffer : head + 4 + std::stoul(text.substr(at + 16)) - text.size();
   }
+  return text;
 }
 
 // A call on a connection of its own.
--- a/tests/test_agent_shortages.cpp
+++ b/tests/test_agent_shortages.cpp
@@ -1,10 +1,14 @@
 // An agent as a process whose system calls fail for a moment: what it looks after is taken neither for ended
 // nor for somebody else's, and nothing is started twice. Each scenario is a test of its own, named on the
 // command line.
+#include <Poco/Net/SocketAddress.h>
 #include <grpcpp/grpcpp.h>
 #include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cassert>
+#include <cerrno>
 #include <cstdio>
 #include <fstream>
 #include <iterator>
@@ -121,6 +125,38 @@
   }
 }
 
+// Whether somebody takes a connection at the agent's TLS address: bytes that are no handshake end it.
+bool heeds_newcomers(const std::string& address) {
+  const Poco::Net::SocketAddress place(address);
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const timeval patience{1, 0};
+  ::setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  char byte = 0;
+  const std::string words = "this is no handshake\r\n\r\n";
+  const bool heard = ::connect(descriptor, place.addr(), place.length()) == 0 &&
+                     ::send(descriptor, words.data(), words.size(), MSG_NOSIGNAL) > 0 &&
+                     (::recv(descriptor, &byte, 1, 0) >= 0 || errno == ECONNRESET);
+  ::close(descriptor);
+  return heard;
+}
+
+// Callers that break off before they are accepted, as on a busy machine, take nothing from those behind them.
+void callers_break_off_while_they_wait() {
+  FaultyAgent site;
+  assert(wait_for([&] { return heeds_newcomers(site.agent.listen); }));
+  const Poco::Net::SocketAddress place(site.agent.listen);
+  ::kill(site.agent.process, SIGSTOP);
+  for (int i = 0; i < 5; ++i) {
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    assert(::connect(descriptor, place.addr(), place.length()) == 0);
+    const linger at_once{1, 0};  // a reset
+    ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    ::close(descriptor);
+  }
+  ::kill(site.agent.process, SIGCONT);
+  assert(wait_for([&] { return heeds_newcomers(site.agent.listen); }, seconds(15)));
+}
+
 // A wall clock that is stepped by an hour, both ways, while a rollout runs: claims, leases, times allowed and
 // remote calls go by real time.
 void rollout_over_clock_steps() {
@@ -142,10 +178,12 @@
   for (const auto& [name, pid] : site.processes()) assert(pid != before.at(name));
 }
 
-constexpr test::Scenario scenarios[] = {{"interrupted_looks", interrupted_looks},
-                                        {"accept_fails_for_a_moment", accept_fails_for_a_moment},
-                                        {"rollout_over_clock_steps", rollout_over_clock_steps},
-                                        {"restart_while_files_run_short", restart_while_files_run_short}};
+constexpr test::Scenario scenarios[] = {
+    {"interrupted_looks", interrupted_looks},
+    {"accept_fails_for_a_moment", accept_fails_for_a_moment},
+    {"callers_break_off_while_they_wait", callers_break_off_while_they_wait},
+    {"rollout_over_clock_steps", rollout_over_clock_steps},
+    {"restart_while_files_run_short", restart_while_files_run_short}};
 
 }  // namespace
 
--- a/tests/test_slopes.cpp
+++ b/tests/test_slopes.cpp
@@ -84,7 +84,7 @@
   plan.engines = {4};
   plan.windows = 1;
   plan.rest_window = milliseconds(1200);
-  plan.list_events = 2;
+  plan.list_events = 10;  // with two, what else the machine does counts for more
   plan.status_calls = 4;
   plan.start_window = milliseconds(400);
   plan.opening_statement = milliseconds(300);
