The soak takes a manager for started by checks of its new life only

Cause: in the soak, not in the daemon. A manager that has ended is started again, and the front's last check of its former life, up to 0.2 s old, still said that it was up; so the last one that restarts was taken for serving as it was forked, and the SIGTERM of the run's end came to a process that had not yet set its handlers, which ends by that signal. The check's connection had been closed by the manager's last answer, which left the word as it was.

Change: StandInClients::manager_starts forgets what the former life's check said.

--- a/src/lab/soak/soak_run.cpp
+++ b/src/lab/soak/soak_run.cpp
@@ -121,6 +121,7 @@
 }
 
 void SoakRun::start(std::size_t manager) {
+  cluster_->on([&] { cluster_->crowd().manager_starts(static_cast<int>(manager)); });
   cluster_->start(manager);
   managers_[manager].life = Life::starting, managers_[manager].since = steady_now();
 }
--- a/src/lab/stand_ins/clients.cpp
+++ b/src/lab/stand_ins/clients.cpp
@@ -134,6 +134,10 @@
   Check(net::Loop& loop, std::string address) : loop_(loop), address_(std::move(address)) { ask(); }
   ~Check() override { loop_.retire(std::move(wire_)); }
   bool up() const { return up_; }
+  void start_anew() {
+    up_ = false, heard_ = true;
+    over();
+  }
   void wire_brought(std::string_view bytes) override {
     while (!bytes.empty() && reader_.feed(bytes) == net::MessageReader::Status::whole) {
       up_ = reader_.message().first_line.find(" 200") != std::string::npos;
@@ -180,6 +184,8 @@
 
 StandInClients::~StandInClients() { *alive_ = false; }
 
+void StandInClients::manager_starts(int manager) { checks_[static_cast<std::size_t>(manager)]->start_anew(); }
+
 bool StandInClients::up(int manager) const { return checks_[static_cast<std::size_t>(manager)]->up(); }
 
 int StandInClients::add_manager(const std::string& address) {
--- a/src/lab/stand_ins/clients.h
+++ b/src/lab/stand_ins/clients.h
@@ -41,7 +41,8 @@
   void offer(double rate, std::vector<Ask> mix);
   // As the front does that stands before managers, it asks each for its check five times a second, and sends
   // nothing new where the answer is no or does not come.
-  bool up(int manager) const;  // by its last check
+  bool up(int manager) const;        // by its last check
+  void manager_starts(int manager);  // what the last check of its former life said counts no more
   std::uint64_t retry_advised() const { return retry_advised_; }
 
  private:
