An agent's store is tried for the time that all shortages are given

Cause: reading the change once more: ProcessSupervisor::open_store kept the same 5 s and 50 ms as numbers of its own.

Change: it uses those of system/retries.

--- a/src/agent/process_supervisor.cpp
+++ b/src/agent/process_supervisor.cpp
@@ -49,12 +49,11 @@
 
 // Guards against an agent that takes no orders for good because its folder failed for a moment at its start.
 bool ProcessSupervisor::open_store() {
-  constexpr milliseconds at_most(5000), between(50);
-  const auto until = std::chrono::steady_clock::now() + at_most;
+  const auto until = std::chrono::steady_clock::now() + shortages_pass_within;
   store::Store::Opened opened = store_.open(trouble_);
   while (opened == store::Store::Opened::not_now && std::chrono::steady_clock::now() < until) {
     PEARCHUTE_LOG(spdlog::level::warn, "{}; tried again for some seconds", trouble_);
-    std::this_thread::sleep_for(between);
+    std::this_thread::sleep_for(between_attempts);
     opened = store_.open(trouble_);
   }
   return opened == store::Store::Opened::usable;
