Red test: a reload with a broken event loses the sound ones before it

Seen: a configuration read by SIGHUP holds a drain and, behind it, an event whose number is no number: work goes on to the draining engine, and the stream does not tell the drain again. By reading: EngineList::newer_in counts events as taken before they are handed on, and the error of a later one drops them all.

--- a/tests/test_shortages.cpp
+++ b/tests/test_shortages.cpp
@@ -61,7 +61,7 @@
 
 // Discovery can't be reached, and a new configuration tells what has happened since the start: that an engine
 // drains counts as told.
-void reload_tells_what_discovery_could_not() {
+void drain_is_heeded_by_reload(const std::string& behind_the_drain) {
   DaemonFixture fixture;
   const std::string a = fixture.engine("a"), b = fixture.engine("b");
   int nobody = 0;
@@ -71,7 +71,8 @@
   const std::string drain = StandInChannel::event(2, {{"a", a, "east", "std", "leaving"}}, false).dump();
   fixture.configure(usual_settings, R"({"cursor":1,"cmds":[)" + start + "]}", channel);
   fixture.go();
-  fixture.configure(usual_settings, R"({"cursor":2,"cmds":[)" + start + "," + drain + "]}", channel);
+  fixture.configure(usual_settings, R"({"cursor":2,"cmds":[)" + start + "," + drain + behind_the_drain + "]}",
+                    channel);
   kill(fixture.daemon, SIGHUP);
   // Many at once, so that an engine which takes work gets some of it.
   const auto begun_at_a = [&] {
@@ -93,6 +94,11 @@
   assert(begun_at_a() == 0);
 }
 
+void reload_tells_what_discovery_could_not() { drain_is_heeded_by_reload(""); }
+
+// What is sound counts, though an event behind it can't be read.
+void reload_with_a_broken_event() { drain_is_heeded_by_reload(R"(,{"cursor":"three"})"); }
+
 // A fleet's whole list may come as one chunk of hundreds of kilobytes.
 void list_in_one_chunk() {
   DaemonFixture fixture;
@@ -156,6 +162,7 @@
     {"odd_accept_errors_at_the_end", odd_accept_errors_at_the_end},
     {"interrupted_connects", interrupted_connects},
     {"reload_tells_what_discovery_could_not", reload_tells_what_discovery_could_not},
+    {"reload_with_a_broken_event", reload_with_a_broken_event},
     {"list_in_one_chunk", list_in_one_chunk},
     {"admin_socket_of_another", admin_socket_of_another}};
 
