Events of a reloaded configuration are handed on one by one, as they are taken

Cause: as the red test says; line at fault: EngineList::newer_in, which moved the number on before the events were handed over.

Change: take_newer hands each on as it is taken, so what comes behind changes nothing of what came before.

--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -236,8 +236,9 @@
   if (known == configuration.end()) return;
   try {
     list_->heard(loop_.now(), false);
-    for (const EngineList::Change& change : list_->newer_in(*known))
+    list_->take_newer(*known, [this](const EngineList::Change& change) {
       list_listener().list_changed(change.news, change.members);
+    });
   } catch (const json::exception& error) {
     PEARCHUTE_LOG(spdlog::level::warn, "what is known of the engines can't be read: {}", error.what());
   }
--- a/src/engines/list.cpp
+++ b/src/engines/list.cpp
@@ -89,15 +89,13 @@
   return take(event, number, gap_allowed);
 }
 
-std::vector<EngineList::Change> EngineList::newer_in(const json& known) {
-  std::vector<Change> changes;
+void EngineList::take_newer(const json& known, const std::function<void(const Change&)>& applied) {
   for (const json& event : known.value("cmds", json::array())) {
-    Change change = take(event, event.value("cursor", std::int64_t{0}), false);
+    const Change change = take(event, event.value("cursor", std::int64_t{0}), false);
     if (change.taken == Taken::old) continue;
-    if (change.taken != Taken::applied) break;  // the stream tells it
-    changes.push_back(std::move(change));
+    if (change.taken != Taken::applied) return;  // the stream tells it
+    applied(change);
   }
-  return changes;
 }
 
 // An event by its number: once, and in order.
--- a/src/engines/list.h
+++ b/src/engines/list.h
@@ -3,6 +3,7 @@
 // addresses. It never takes an engine from the list on its own, and tells nothing twice.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
@@ -40,8 +41,9 @@
   };
   Change known(const nlohmann::json& known);  // all that it says, as one remembered list
   Change event(std::string_view id, std::string_view data, bool gap_allowed);
-  // Of what a configuration that is read again holds, the events that have not come yet, up to a gap.
-  std::vector<Change> newer_in(const nlohmann::json& known);
+  // Of what a configuration that is read again holds, the events that have not come yet, in order, up to a
+  // gap or a broken one. `applied` hears each as it is taken.
+  void take_newer(const nlohmann::json& known, const std::function<void(const Change&)>& applied);
   // The source of the list has said something; `is_current`: it has told by then all that it had.
   void heard(Span now, bool is_current) { start_times_.heard(now, has_list_ && is_current); }
   std::int64_t cursor() const { return cursor_; }
