Red test: an engine told by a name stops the manager while the name is resolved

Seen: with a list that tells one engine by a name, and names that take 1.5 s to fail, nothing is answered for as long (20 jobs of a millisecond took 1,527 ms). By reading: Engines::link_for and ListFeed::open build an address from text for each connection, which resolves names on the one thread.

--- a/src/lab/faults/fault_control.h
+++ b/src/lab/faults/fault_control.h
@@ -28,6 +28,8 @@
   watch_fails,          // epoll_ctl: ENOMEM, ENOSPC
   wait_interrupted,     // epoll_wait, poll: EINTR, some time into the wait
   open_fails,           // open of a regular file: ENFILE, EMFILE, EINTR
+  resolve_slow,         // getaddrinfo: a second and a half, then EAI_AGAIN
+  process_fails,        // fork: EAGAIN, ENOMEM
   folder_write_fails,   // write, pwrite below the folder: ENOSPC, EIO
   folder_write_short,   // the same: fewer bytes than asked
   folder_sync_fails,    // fsync, fdatasync below the folder: EIO, ENOSPC
@@ -36,10 +38,11 @@
 inline constexpr std::size_t fault_kinds = static_cast<std::size_t>(FaultKind::count);
 
 inline constexpr std::array<std::string_view, fault_kinds> fault_kind_names = {
-    "receive_interrupted", "receive_short",       "receive_broken",     "send_interrupted",
-    "send_short",          "accept_fails",        "accept_odd",         "socket_fails",
-    "connect_fails",       "connect_interrupted", "watch_fails",        "wait_interrupted",
-    "open_fails",          "folder_write_fails",  "folder_write_short", "folder_sync_fails"};
+    "receive_interrupted", "receive_short",       "receive_broken", "send_interrupted",
+    "send_short",          "accept_fails",        "accept_odd",     "socket_fails",
+    "connect_fails",       "connect_interrupted", "watch_fails",    "wait_interrupted",
+    "open_fails",          "resolve_slow",        "process_fails",  "folder_write_fails",
+    "folder_write_short",  "folder_sync_fails"};
 
 struct FaultControl {
   std::array<std::atomic<std::uint32_t>, fault_kinds> per_million;  // of the calls, that fail
--- a/src/lab/faults/fault_injector.cpp
+++ b/src/lab/faults/fault_injector.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <fcntl.h>
+#include <netdb.h>
 #include <poll.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
@@ -288,6 +289,34 @@
   return real(path, mode);
 }
 
+int getaddrinfo(const char* node, const char* service, const addrinfo* hints, addrinfo** result) {
+  NEXT(getaddrinfo);
+  if (injector().strikes(FaultKind::resolve_slow)) {
+    constexpr timespec patience{1, 500'000'000};
+    ::nanosleep(&patience, nullptr);
+    return EAI_AGAIN;
+  }
+  return real(node, service, hints, result);
+}
+
+pid_t fork() {
+  NEXT(fork);
+  if (injector().strikes(FaultKind::process_fails)) return injector().fail_with({EAGAIN, ENOMEM});
+  return real();
+}
+
+ssize_t recvmsg(int descriptor, msghdr* message, int flags) {
+  NEXT(recvmsg);
+  if (injector().strikes(FaultKind::receive_interrupted)) return injector().fail_with({EINTR});
+  return real(descriptor, message, flags);
+}
+
+ssize_t sendmsg(int descriptor, const msghdr* message, int flags) {
+  NEXT(sendmsg);
+  if (injector().strikes(FaultKind::send_interrupted)) return injector().fail_with({EINTR});
+  return real(descriptor, message, flags);
+}
+
 ssize_t write(int descriptor, const void* bytes, size_t length) {
   NEXT(write);
   if (folder_write_fails(descriptor, length)) return -1;
--- a/tests/test_shortages.cpp
+++ b/tests/test_shortages.cpp
@@ -99,6 +99,22 @@
 // What is sound counts, though an event behind it can't be read.
 void reload_with_a_broken_event() { drain_is_heeded_by_reload(R"(,{"cursor":"three"})"); }
 
+// The list tells an engine by a name, and names can't be resolved at the moment: jobs for the sound engine
+// don't wait for that.
+void engine_told_by_a_name() {
+  FaultyDaemon fixture;
+  fixture.faults.set(FaultKind::resolve_slow, 1);
+  fixture.go(usual_settings, known({{"a", fixture.engine("a")}, {"b", "engine-b.example:6565"}}));
+  const auto begun = Clock::now();
+  for (int i = 0; i < 20; ++i) {
+    const int fd = fixture.open(job("work=1", 3000));
+    assert(hear(fd).starts_with("HTTP/1.1 200"));
+    close(fd);
+  }
+  std::fprintf(stderr, "20 jobs took %lld ms\n", static_cast<long long>(elapsed_ms(begun)));
+  assert(elapsed_ms(begun) < 1000);
+}
+
 // A fleet's whole list may come as one chunk of hundreds of kilobytes.
 void list_in_one_chunk() {
   DaemonFixture fixture;
@@ -163,6 +179,7 @@
     {"interrupted_connects", interrupted_connects},
     {"reload_tells_what_discovery_could_not", reload_tells_what_discovery_could_not},
     {"reload_with_a_broken_event", reload_with_a_broken_event},
+    {"engine_told_by_a_name", engine_told_by_a_name},
     {"list_in_one_chunk", list_in_one_chunk},
     {"admin_socket_of_another", admin_socket_of_another}};
 
