Addresses are made from text in one place, and engines' without resolving names

Cause: as the red test says; lines at fault: the address built from text in Engines::link_for for each connection. Four other places built addresses and caught the library's exception by themselves; Caller caught one that its connection does not throw.

--- a/src/admin/caller.cpp
+++ b/src/admin/caller.cpp
@@ -1,7 +1,5 @@
 #include "admin/caller.h"
 
-#include <Poco/Exception.h>
-
 #include <utility>
 
 namespace pearchute::admin {
@@ -29,29 +27,19 @@
   send(call, within, {std::move(ended), std::move(event), false});
 }
 
-bool Caller::connect() {
-  if (wire_ && !wire_->closed()) return true;
+void Caller::connect() {
+  if (wire_ && !wire_->closed()) return;
   if (wire_) loop_.retire(std::move(wire_));
   reader_ = {};
   opened_ = false;
-  try {
-    wire_ = std::make_unique<net::Wire>(loop_, place_.address, *this);
-  } catch (const Poco::Exception&) {
-    return false;
-  }
-  return true;
+  wire_ = std::make_unique<net::Wire>(loop_, place_.address, *this);
 }
 
 std::uint64_t Caller::send(v1::Call& call, Span within, Waiting waiting) {
   const std::uint64_t number = next_number_++;
   waiting_[number] = std::move(waiting);
   call.set_number(number);
-  if (!connect()) {
-    loop_.soon([this, alive = alive_, number] {
-      if (*alive) end(number, CallEnd::unreachable, {});
-    });
-    return number;
-  }
+  connect();
   std::string message, out;
   call.SerializeToString(&message);
   append_frame(out, message);
--- a/src/admin/caller.h
+++ b/src/admin/caller.h
@@ -39,7 +39,7 @@
     std::function<void(const v1::Event&)> event;
     bool watching = false;
   };
-  bool connect();  // true where a connection is there, or on its way
+  void connect();  // unless a connection is there, or on its way
   std::uint64_t send(v1::Call& call, Span within, Waiting waiting);
   void wire_brought(std::string_view bytes) override;
   void wire_ended() override;
--- a/src/admin/place.cpp
+++ b/src/admin/place.cpp
@@ -1,9 +1,9 @@
 #include "admin/place.h"
 
-#include <Poco/Exception.h>
 #include <sys/un.h>
 
 #include "errors/error.h"
+#include "net/addresses.h"
 
 namespace pearchute::admin {
 
@@ -19,8 +19,8 @@
     return place;
   }
   try {
-    place.address = Poco::Net::SocketAddress(text);
-  } catch (const Poco::Exception&) {
+    place.address = net::resolved_address(text, "");
+  } catch (const AddressError&) {
     throw AddressError("'" + text + "' is neither unix:/path nor address:port");
   }
   if (!place.address.host().isLoopback())
--- a/src/agent/call_server.cpp
+++ b/src/agent/call_server.cpp
@@ -1,12 +1,12 @@
 #include "agent/call_server.h"
 
-#include <Poco/Exception.h>
 #include <fcntl.h>
 #include <unistd.h>
 
 #include "agent/grpc_credentials.h"
 #include "agent/rpc_deadline.h"
 #include "errors/error.h"
+#include "net/addresses.h"
 #include "net/log.h"
 #include "net/owner_door.h"
 
@@ -37,14 +37,6 @@
   acceptor.HandleNewConnection(&connection);
 }
 
-Poco::Net::SocketAddress address_of(const keys::Reach& reach) {
-  try {
-    return Poco::Net::SocketAddress(reach.target);
-  } catch (const Poco::Exception&) {
-    throw ListeningError("is no address to listen at", reach.text);
-  }
-}
-
 std::string path_of(const keys::Reach& reach) { return reach.text.substr(std::string("unix:").size()); }
 
 }  // namespace
@@ -87,7 +79,7 @@
                            [this](const Poco::Net::StreamSocket& socket) { hand_over(*control_, socket); }));
   if (!listen_) return;
   doors_.push_back(std::make_unique<net::Door>(
-      loop_thread_.loop(), address_of(charter.listen),
+      loop_thread_.loop(), net::resolved_address(charter.listen.target, "listen"),
       [this](const Poco::Net::StreamSocket& socket) { hand_over(*listen_, socket); }));
 }
 
--- a/src/agent/call_server.h
+++ b/src/agent/call_server.h
@@ -17,7 +17,8 @@
 class CallServer {
  public:
   // Listens at the charter's control socket and, where it has one, at its TLS address. `service` outlives
-  // this. Throws ListeningError where a place can't be had, ResourceShortage where it can't be had now.
+  // this. Throws AddressError, ListeningError where a place can't be had, ResourceShortage where it can't be
+  // had now.
   CallServer(net::EventLoopThread& loop_thread, const AgentConfig& charter, grpc::Service& service);
   ~CallServer();  // open calls have half a second to end
   CallServer(const CallServer&) = delete;
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -1,6 +1,5 @@
 #include "daemon/program.h"
 
-#include <Poco/Exception.h>
 #include <Poco/SHA1Engine.h>
 #include <sys/resource.h>
 
@@ -11,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "errors/error.h"
+#include "net/addresses.h"
 #include "service/flatten.h"
 
 namespace pearchute::net {
@@ -75,14 +75,6 @@
   return address;
 }
 
-Poco::Net::SocketAddress place_in(const std::string& text, const std::string& name) {
-  try {
-    return Poco::Net::SocketAddress(text);
-  } catch (const Poco::Exception&) {
-    throw AddressError("'" + text + "' is no address with a port", name);
-  }
-}
-
 std::string digest_of(const json& configuration) {
   Poco::SHA1Engine engine;
   engine.update(configuration.dump());
@@ -111,10 +103,10 @@
 
 void Program::check(const std::string& file) {
   const json configuration = read_configuration(file);
-  place_in(address_in(configuration), "listen");
+  resolved_address(address_in(configuration), "listen");
   const service::Deployment deployment = decode_settings(configuration);
   if (const std::string channel = configuration.value("channel", ""); !channel.empty())
-    place_in(channel, "channel");
+    resolved_address(channel, "channel");
   if (const auto known = configuration.find("known"); known != configuration.end()) {
     const EngineList::Change change = EngineList(deployment, milliseconds(0)).known(*known);
     if (change.taken != EngineList::Taken::applied) throw ConfigurationError(change.fault, "known");
@@ -167,7 +159,7 @@
     list_->heard(loop_.now(), true);
   }
   door_ =
-      std::make_unique<Door>(loop_, place_in(address, "listen"),
+      std::make_unique<Door>(loop_, resolved_address(address, "listen"),
                              [this](const Poco::Net::StreamSocket& socket) { front_->client_came(socket); });
   if (const std::string channel = configuration.value("channel", ""); !channel.empty()) {
     feed_ = std::make_unique<ListFeed>(loop_, channel, *list_, list_listener(), counters_);
@@ -217,7 +209,7 @@
   const std::string channel = configuration.value("channel", "");
   if (channel.empty()) throw ConfigurationError("the configuration names no channel");
   spdlog::info("the configuration is read again; the channel is at {}",
-               place_in(channel, "channel").toString());
+               resolved_address(channel, "channel").toString());
   if (fixed_part(configuration) != before_)
     spdlog::warn("what else has changed in the configuration takes effect at the next start only");
   if (feed_) {
--- a/src/engines/engines.cpp
+++ b/src/engines/engines.cpp
@@ -1,10 +1,10 @@
 #include "engines/engines.h"
 
-#include <Poco/Exception.h>
-
 #include <algorithm>
 #include <optional>
 
+#include "net/addresses.h"
+
 namespace pearchute::net {
 
 using std::chrono::milliseconds;
@@ -258,7 +258,13 @@
   Place& place = places_[engine];
   place.draining = state == EngineState::draining;
   if (place.address != address || place.gone) drop_unused(place);
-  place.address = address, place.gone = false;
+  place.gone = false;
+  if (place.address != address) {
+    place.address = address, place.socket_address = numeric_address(address);
+    if (!place.socket_address)
+      PEARCHUTE_LOG(spdlog::level::warn, "engine {}: '{}' is no number address with a port", engine.value,
+                    address);
+  }
   // Another engine may have the address of one that has gone: nothing more goes there for that one.
   for (auto& [id, other] : places_) {
     if (id != engine && other.address == address) other.gone = true, drop_unused(other);
@@ -325,7 +331,7 @@
   }
   // Guards against engines that are blamed for descriptors that ran short here.
   const auto at = places_.find(engine);
-  const bool there = at != places_.end() && !at->second.gone;
+  const bool there = at != places_.end() && at->second.can_be_reached();
   loop_.soon([this, alive = alive_, key, ends_as = there ? Outcome::full : Outcome::unreachable] {
     if (*alive) listener_.talk_ended(key, ends_as, {});
   });
@@ -345,7 +351,7 @@
 // One dispatch to a connection while there is room: what breaks or falls silent takes no others along.
 Engines::Link* Engines::link_for(EngineId engine, std::string_view id) {
   const auto at = places_.find(engine);
-  if (at == places_.end() || at->second.gone) return nullptr;
+  if (at == places_.end() || !at->second.can_be_reached()) return nullptr;
   Place& place = at->second;
   Link* best = nullptr;
   for (const auto& link : place.links) {
@@ -365,14 +371,7 @@
     PEARCHUTE_LOG(spdlog::level::warn, "no descriptor left for a connection to engine {}", engine.value);
     return nullptr;
   }
-  try {
-    best = place.links
-               .emplace_back(std::make_unique<Link>(*this, engine, Poco::Net::SocketAddress(place.address)))
-               .get();
-  } catch (const Poco::Exception& error) {
-    PEARCHUTE_LOG(spdlog::level::warn, "engine {}: {}", engine.value, error.displayText());
-    return best;
-  }
+  best = place.links.emplace_back(std::make_unique<Link>(*this, engine, *place.socket_address)).get();
   ++connections_, ++counters_.engine_connections;
   return best;
 }
--- a/src/engines/engines.h
+++ b/src/engines/engines.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -52,7 +53,9 @@
   friend class Link;
   struct Place {
     std::string address;
+    std::optional<Poco::Net::SocketAddress> socket_address;  // none where the list tells no number address
     bool gone = false, draining = false;
+    bool can_be_reached() const { return !gone && socket_address.has_value(); }
     EngineState state() const {
       return gone ? EngineState::gone : draining ? EngineState::draining : EngineState::up;
     }
--- a/src/engines/list.cpp
+++ b/src/engines/list.cpp
@@ -1,10 +1,10 @@
 #include "engines/list.h"
 
-#include <Poco/Exception.h>
-
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "errors/error.h"
+#include "net/addresses.h"
 #include "service/flatten.h"
 
 namespace pearchute::net {
@@ -159,8 +159,8 @@
   ++counters_.list_connections;
   feed_ = std::make_unique<EventFeed>(*this);
   try {
-    wire_ = std::make_unique<Wire>(loop_, Poco::Net::SocketAddress(address_), *this);
-  } catch (const Poco::Exception&) {
+    wire_ = std::make_unique<Wire>(loop_, resolved_address(address_, "channel"), *this);
+  } catch (const AddressError&) {
     again("its address can't be used");
     return;
   }
