Red test: key files under short writes, and the cause that is told

Seen: where a write takes fewer bytes than it was given, pearchutectl keys refuses the file and tells the cause of some earlier call ('No such file or directory'). By reading: put() in keys/authority.cpp takes a short write for a failed one and reads the error number behind it.

Result: it fails on the program as it stands.

--- a/tests/test_folder_faults.cpp
+++ b/tests/test_folder_faults.cpp
@@ -14,6 +14,7 @@
 #include <thread>
 
 #include "admin/orders_file.h"
+#include "keys/authority.h"
 #include "lab/faults/fault_injection.h"
 #include "store/store.h"
 #include "system/failures.h"
@@ -184,6 +185,29 @@
   assert(found.orders.front().first.generation == kept);
 }
 
+// Writes that take fewer bytes than they were given are gone on with, and what fails says why.
+void keys_are_written_whole(FaultInjection& faults, const std::string& folder) {
+  faults.set(FaultKind::folder_write_short, 0.8);
+  keys::Authority authority(folder + "/keys");
+  authority.init("site", std::chrono::hours(1));
+  for (int i = 0; i < 10; ++i)
+    authority.issue("a" + std::to_string(i), fleet::Role::agent, std::chrono::hours(1));
+  faults.set_none();
+  for (int i = 0; i < 10; ++i)
+    assert(keys::read_certificate(authority.path("a" + std::to_string(i) + ".pem")).name ==
+           "a" + std::to_string(i));
+  faults.set(FaultKind::folder_write_fails, 1);
+  std::string told;
+  try {
+    authority.issue("b", fleet::Role::agent, std::chrono::hours(1));
+  } catch (const keys::Error& error) {
+    told = error.what();
+  }
+  faults.set_none();
+  std::fprintf(stderr, "%s\n", told.c_str());
+  assert(told.find("No space left") != std::string::npos || told.find("Input/output") != std::string::npos);
+}
+
 }  // namespace
 
 int main(int, char** words) {
@@ -210,6 +234,7 @@
   store_keeps_over_kills(faults, folder);
   orders_keep(faults, folder);
   orders_are_read_later(faults, folder);
+  keys_are_written_whole(faults, folder);
   for (const FaultKind kind : folder_kinds) assert(faults.struck(kind) > 0);
   return 0;
 }
