Error numbers are read in the system's own modules only; files are written by one loop

Cause: as the red test says; lines at fault: put() in keys/authority.cpp.

Change: last_failure and text_of_last_error in system/failures; system/files reads and writes whole files (read_file moved there, write_all is new), for the keys and the orders file. Outside system/ and net/system_calls nothing looks at an error number any more.

--- a/src/admin/orders_file.cpp
+++ b/src/admin/orders_file.cpp
@@ -4,11 +4,10 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <cerrno>
 #include <cstdio>
 
 #include "kept.pb.h"
-#include "system/failures.h"
+#include "system/files.h"
 
 namespace pearchute::admin {
 
@@ -30,7 +29,7 @@
   return line;
 }
 
-std::string what_failed(const char* step) { return std::string(step) + ": " + text_of_error(errno); }
+std::string what_failed(const char* step) { return std::string(step) + ": " + text_of_last_error(); }
 
 }  // namespace
 
@@ -104,17 +103,14 @@
       uninterrupted([&] { return ::open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600); });
   if (file < 0) return fault = what_failed("open"), false;
   pass("begun");
-  std::size_t at = 0;
-  while (at < text.size()) {
-    const std::size_t part = at == 0 ? (text.size() + 1) / 2 : text.size() - at;
-    const ssize_t wrote = uninterrupted([&] { return ::write(file, text.data() + at, part); });
-    if (wrote <= 0) {
-      fault = what_failed("write");
-      ::close(file), ::unlink(beside.c_str());
-      return false;
-    }
-    if (at == 0) pass("half written");
-    at += static_cast<std::size_t>(wrote);
+  const std::string_view whole(text), first_half = whole.substr(0, text.size() / 2);
+  bool written = write_all(file, first_half);
+  if (written) pass("half written");
+  written = written && write_all(file, whole.substr(first_half.size()));
+  if (!written) {
+    fault = what_failed("write");
+    ::close(file), ::unlink(beside.c_str());
+    return false;
   }
   pass("written");
   const bool synced = ::fsync(file) == 0;
--- a/src/agent/config_service.cpp
+++ b/src/agent/config_service.cpp
@@ -9,7 +9,7 @@
 
 #include "agent/config_wire.h"
 #include "net/log.h"
-#include "system/failures.h"
+#include "system/files.h"
 
 namespace pearchute::agent {
 
--- a/src/agent/processes.cpp
+++ b/src/agent/processes.cpp
@@ -6,12 +6,10 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <cerrno>
 #include <csignal>
-#include <cstring>
 #include <sstream>
 
-#include "system/failures.h"
+#include "system/files.h"
 
 namespace pearchute::agent {
 
@@ -25,9 +23,8 @@
 // Less than 0 where there is no such process.
 int open_pidfd(std::int64_t pid) {
   const auto pidfd = static_cast<int>(::syscall(SYS_pidfd_open, static_cast<pid_t>(pid), 0));
-  if (pidfd < 0 && failure_of(errno) == Failure::not_now)
-    throw ResourceShortage("process " + std::to_string(pid) + " can't be held: " + text_of_error(errno));
-  return pidfd;
+  if (pidfd >= 0 || last_failure() == Failure::never) return pidfd;
+  throw ResourceShortage("process " + std::to_string(pid) + " can't be held: " + text_of_last_error());
 }
 
 // Nothing where there is no such process: its file may also end while it is read.
@@ -74,10 +71,10 @@
 bool Processes::start(const std::string& instance, const std::string& command, const std::string& log,
                       const std::function<bool(const store::Process&)>& keep, std::string& fault) {
   int go[2];
-  if (::pipe2(go, O_CLOEXEC) != 0) return fault = std::string("pipe: ") + std::strerror(errno), false;
+  if (::pipe2(go, O_CLOEXEC) != 0) return fault = "pipe: " + text_of_last_error(), false;
   const pid_t child = ::fork();
   if (child < 0) {
-    fault = std::string("fork: ") + std::strerror(errno);
+    fault = "fork: " + text_of_last_error();
     ::close(go[0]), ::close(go[1]);
     return false;
   }
--- a/src/daemon/configuration_binding.cpp
+++ b/src/daemon/configuration_binding.cpp
@@ -7,7 +7,7 @@
 
 #include "daemon/program.h"
 #include "net/log.h"
-#include "system/failures.h"
+#include "system/files.h"
 
 namespace pearchute::daemon {
 
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -12,6 +12,7 @@
 #include "errors/error.h"
 #include "net/addresses.h"
 #include "service/flatten.h"
+#include "system/files.h"
 
 namespace pearchute::net {
 
--- a/src/ini/reader.cpp
+++ b/src/ini/reader.cpp
@@ -7,7 +7,7 @@
 #include <set>
 #include <utility>
 
-#include "system/failures.h"
+#include "system/files.h"
 
 namespace pearchute::ini {
 
--- a/src/keys/authority.cpp
+++ b/src/keys/authority.cpp
@@ -9,16 +9,13 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <cstdio>
-#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <functional>
-#include <iterator>
 #include <memory>
 
-#include "system/failures.h"
+#include "system/files.h"
 
 namespace pearchute::keys {
 
@@ -57,17 +54,17 @@
 void put(const std::string& file, const std::string& text, mode_t mode) {
   const std::string beside = file + ".new";
   ::unlink(beside.c_str());
-  const int fd = ::open(beside.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, mode);
-  const bool written = fd >= 0 &&
-                       ::write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()) &&
-                       ::fsync(fd) == 0;
-  const int why = errno;
-  if (fd >= 0) ::close(fd);
-  if (!written || std::rename(beside.c_str(), file.c_str()) != 0) {
+  const int descriptor =
+      uninterrupted([&] { return ::open(beside.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, mode); });
+  const auto refuse = [&] {
+    const std::string why = text_of_last_error();
+    if (descriptor >= 0) ::close(descriptor);
     ::unlink(beside.c_str());
-    throw Error(std::string("can't be written: ") + std::strerror(why), file,
-                "see the disk and who may write there");
-  }
+    throw Error("can't be written: " + why, file, "see the disk and who may write there");
+  };
+  if (descriptor < 0 || !write_all(descriptor, text) || ::fsync(descriptor) != 0) refuse();
+  if (std::rename(beside.c_str(), file.c_str()) != 0) refuse();
+  ::close(descriptor);
 }
 
 Cert certificate_from(const std::string& pem) {
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -6,7 +6,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <cstring>
 #include <utility>
 
@@ -55,8 +54,9 @@
 
 Loop::Loop() : poll_descriptor_(::epoll_create1(EPOLL_CLOEXEC)) {
   if (poll_descriptor_ >= 0) return;
-  const std::string wrong = "no event loop can be had: " + text_of_error(errno);
-  if (failure_of(errno) == Failure::not_now) throw ResourceShortage(wrong);
+  const Failure failure = last_failure();
+  const std::string wrong = "no event loop can be had: " + text_of_last_error();
+  if (failure == Failure::not_now) throw ResourceShortage(wrong);
   throw SystemError(wrong);
 }
 
@@ -99,7 +99,7 @@
     watch.is_known = true;
     return std::nullopt;
   }
-  const Failure failure = failure_of(errno);
+  const Failure failure = last_failure();
   if (failure == Failure::not_now) tell_interest_later(id, watch);
   return failure;
 }
--- a/src/system/failures.cpp
+++ b/src/system/failures.cpp
@@ -1,24 +1,10 @@
 #include "system/failures.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <array>
 #include <cerrno>
 #include <system_error>
 
 namespace pearchute {
 
-namespace {
-
-[[noreturn]] void fail_to_read(const std::string& path, int error) {
-  const std::string wrong = "can't be read: " + text_of_error(error);
-  if (failure_of(error) == Failure::not_now) throw ResourceShortage(wrong, path);
-  throw SystemError(wrong, path, "see that it is there and that this user may read it");
-}
-
-}  // namespace
-
 Failure failure_of(int error_number) {
   switch (error_number) {
     case EINTR:
@@ -41,29 +27,8 @@
 
 bool was_interrupted() { return errno == EINTR; }
 
-std::optional<std::string> read_file_if_there(const std::string& path) {
-  const int file = uninterrupted([&] { return ::open(path.c_str(), O_RDONLY | O_CLOEXEC); });
-  if (file < 0 && errno == ENOENT) return std::nullopt;
-  if (file < 0) fail_to_read(path, errno);
-  std::string text;
-  std::array<char, 16 * 1024> bytes;
-  while (true) {
-    const auto got = uninterrupted([&] { return ::read(file, bytes.data(), bytes.size()); });
-    const int error = errno;
-    if (got > 0) {
-      text.append(bytes.data(), static_cast<std::size_t>(got));
-      continue;
-    }
-    ::close(file);
-    if (got == 0) return text;
-    fail_to_read(path, error);
-  }
-}
+Failure last_failure() { return failure_of(errno); }
 
-std::string read_file(const std::string& path) {
-  std::optional<std::string> text = read_file_if_there(path);
-  if (!text) fail_to_read(path, ENOENT);
-  return *std::move(text);
-}
+std::string text_of_last_error() { return text_of_error(errno); }
 
 }  // namespace pearchute
--- a/src/system/failures.h
+++ b/src/system/failures.h
@@ -1,9 +1,7 @@
 // What a system call's failure means, told from its error number in this one place: "not now" passes by
-// itself, so whoever made the call tries again; "never" does not. And whole files, read with that difference
-// kept. It knows no socket and keeps no state.
+// itself, so whoever made the call tries again; "never" does not. It knows no socket and keeps no state.
 #pragma once
 
-#include <optional>
 #include <string>
 
 #include "errors/error.h"
@@ -16,6 +14,9 @@
 // else is taken for final.
 Failure failure_of(int error_number);
 std::string text_of_error(int error_number);
+// Of the system call that this thread made last, which has failed.
+Failure last_failure();
+std::string text_of_last_error();
 
 // An attempt to start or to read something that failed for a cause that may pass by itself.
 class ResourceShortage : public SystemError {
@@ -35,9 +36,4 @@
   return result;
 }
 
-// A whole file. Throws ResourceShortage where it can't be had now, SystemError where it can't be read.
-std::string read_file(const std::string& path);
-// The same; nothing where there is no such file.
-std::optional<std::string> read_file_if_there(const std::string& path);
-
 }  // namespace pearchute
