--- a/tests/test_agent_shortages.cpp
+++ b/tests/test_agent_shortages.cpp
@@ -178,11 +178,51 @@
   for (const auto& [name, pid] : site.processes()) assert(pid != before.at(name));
 }
 
+// All kinds of calls fail now and then while a rollout restarts the instances, one after another: it is done
+// in the end, and each instance has one new process.
+void rollout_while_calls_fail() {
+  FaultyAgent site;
+  const auto before = site.processes();
+  const int started = site.told("started, version");
+  constexpr FaultKind kinds[] = {
+      FaultKind::receive_interrupted, FaultKind::receive_short,    FaultKind::send_interrupted,
+      FaultKind::send_short,          FaultKind::accept_fails,     FaultKind::accept_odd,
+      FaultKind::socket_fails,        FaultKind::connect_fails,    FaultKind::connect_interrupted,
+      FaultKind::watch_fails,         FaultKind::wait_interrupted, FaultKind::open_fails,
+      FaultKind::process_fails};
+  for (const FaultKind kind : kinds) site.faults.set(kind, 0.08);
+  agent::v1::Plan plan = site.fleet.plan("failing", "restart");
+  plan.clear_least_serving();
+  std::string fault;
+  assert(wait_for([&] { return site.agent.start_rollout(plan, &fault).ok(); }) && fault.empty());
+  assert(wait_for([&] { return site.agent.rollout("failing").state() == "done"; }));
+  site.faults.set_none();
+  assert(site.agent.rollout("failing").word().empty());
+  assert(wait_for([&] { return site.fleet.all_serve(); }));
+  for (const auto& [name, pid] : site.processes()) assert(pid != before.at(name));
+  assert(site.told("started, version") == started + static_cast<int>(before.size()));
+  for (const FaultKind kind :
+       {FaultKind::receive_interrupted, FaultKind::send_interrupted, FaultKind::wait_interrupted})
+    assert(site.faults.struck(kind) > 0);
+}
+
+// An instance that has ended is started again, though no process can be had at first.
+void no_process_for_a_moment() {
+  FaultyAgent site;
+  site.faults.set(FaultKind::process_fails, 1);
+  ::kill(static_cast<pid_t>(site.processes().begin()->second), SIGKILL);
+  assert(wait_for([&] { return site.faults.struck(FaultKind::process_fails) > 1; }));
+  site.faults.set_none();
+  assert(wait_for([&] { return site.fleet.all_serve(); }));
+}
+
 constexpr test::Scenario scenarios[] = {
     {"interrupted_looks", interrupted_looks},
     {"accept_fails_for_a_moment", accept_fails_for_a_moment},
     {"callers_break_off_while_they_wait", callers_break_off_while_they_wait},
     {"rollout_over_clock_steps", rollout_over_clock_steps},
+    {"rollout_while_calls_fail", rollout_while_calls_fail},
+    {"no_process_for_a_moment", no_process_for_a_moment},
     {"restart_while_files_run_short", restart_while_files_run_short}};
 
 }  // namespace
