Red test: a restart by command line that has no process at first leaves the manager down

Seen: pearchutectl restart ends a manager, then fork fails (EAGAIN, ENOMEM at 0.6): nothing starts it, and the command says only that it does not serve again. By reading: start_detached in ctl/restarts.cpp takes a fork that failed for the parent's side of one that did not.

--- a/src/lab/stand_ins/admin_endpoints.cpp
+++ b/src/lab/stand_ins/admin_endpoints.cpp
@@ -29,14 +29,15 @@
   ::unlink(path_.c_str());
 }
 
-Ran run_program(const std::string& program, const std::vector<std::string>& arguments) {
+Ran run_program(const std::string& program, const std::vector<std::string>& arguments,
+                const std::vector<std::pair<std::string, std::string>>& environment) {
   int pipe[2];
   if (::pipe2(pipe, O_CLOEXEC) != 0) throw SystemError("no pipe to a program");
   const int nothing = ::open("/dev/null", O_RDWR | O_CLOEXEC);
   const auto begun = std::chrono::steady_clock::now();
   const pid_t child = start_child({.program = program,
                                    .arguments = arguments,
-                                   .environment = {},
+                                   .environment = environment,
                                    .log = {},
                                    .input = nothing,
                                    .output = pipe[1],
--- a/src/lab/stand_ins/admin_endpoints.h
+++ b/src/lab/stand_ins/admin_endpoints.h
@@ -60,6 +60,7 @@
   std::string out;
   double seconds = 0;
 };
-Ran run_program(const std::string& program, const std::vector<std::string>& arguments);
+Ran run_program(const std::string& program, const std::vector<std::string>& arguments,
+                const std::vector<std::pair<std::string, std::string>>& environment = {});
 
 }  // namespace pearchute::lab
--- a/tests/test_shortages.cpp
+++ b/tests/test_shortages.cpp
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 
 #include "faulty_daemon.h"
+#include "lab/stand_ins/admin_endpoints.h"
+#include "lab/stand_ins/test_cluster.h"
 #include "scenarios.h"
 #include "scripted_discovery.h"
 
@@ -173,6 +175,29 @@
   unlink(admin.c_str());
 }
 
+// An operator restarts a manager, and no process can be had for it at first: by then it has ended, so it is
+// tried again.
+void restart_without_a_process() {
+  ClusterSpec site;
+  site.managers = 1, site.engines = 1, site.pearchuted = PEARCHUTED;
+  TestCluster cluster(site);
+  cluster.must_serve(1);
+  const std::string fleet = cluster.write_fleet();
+  std::uint64_t struck = 0;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    FaultInjection faults(PEARCHUTE_FAULTS, cluster.folder() + "/faults", "pearchutectl", seed);
+    faults.set(FaultKind::process_fails, 0.6);
+    const auto before = cluster.status(0).identity().pid();
+    const Ran ran =
+        run_program(PEARCHUTECTL, {"--fleet", fleet, "restart", "--on", "name = n1"}, faults.environment());
+    struck += faults.struck(FaultKind::process_fails);
+    std::fprintf(stderr, "seed %llu: status %d\n%s", static_cast<unsigned long long>(seed), ran.status,
+                 ran.out.c_str());
+    assert(ran.status == 0 && cluster.status(0).identity().pid() != before);
+  }
+  assert(struck > 0);
+}
+
 constexpr Scenario scenarios[] = {
     {"sockets_unwatched", sockets_unwatched},
     {"odd_accept_errors_at_the_end", odd_accept_errors_at_the_end},
@@ -180,6 +205,7 @@
     {"reload_tells_what_discovery_could_not", reload_tells_what_discovery_could_not},
     {"reload_with_a_broken_event", reload_with_a_broken_event},
     {"engine_told_by_a_name", engine_told_by_a_name},
+    {"restart_without_a_process", restart_without_a_process},
     {"list_in_one_chunk", list_in_one_chunk},
     {"admin_socket_of_another", admin_socket_of_another}};
 
