A restart by command line tries again to have a process; the command line under failing calls

Cause: as the red test says; line at fault: start_detached in ctl/restarts.cpp, which told neither its own fork nor that of its child apart from ones that had not failed.

A green scenario beside it: pearchutectl status while seven kinds of its calls fail at 0.2, ten seeds.

--- a/src/ctl/restarts.cpp
+++ b/src/ctl/restarts.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <iostream>
 #include <thread>
 
 #include "ctl/commands.h"
@@ -10,6 +11,7 @@
 #include "ctl/requests.h"
 #include "ctl/rows.h"
 #include "fleet/restart.h"
+#include "system/retries.h"
 
 namespace pearchute::ctl {
 
@@ -25,22 +27,39 @@
   return std::chrono::duration_cast<pearchute::Span>(std::chrono::steady_clock::now().time_since_epoch());
 }
 
-// Starts a program that outlives this one: in a session of its own, with nothing open.
-void start_detached(const std::string& command) {
-  const pid_t child = ::fork();
-  if (child != 0) {
-    ::waitpid(child, nullptr, 0);
-    return;
-  }
+constexpr int status_no_process = 1;
+
+// The forked child's part: a process of its own session, which is nobody's child, becomes the command.
+[[noreturn]] void become_detached(const std::string& command) {
   ::setsid();
-  if (::fork() != 0) ::_exit(0);
+  const pid_t grandchild = ::fork();
+  if (grandchild != 0) ::_exit(grandchild > 0 ? 0 : status_no_process);
   const int nothing = ::open("/dev/null", O_RDWR);
-  ::dup2(nothing, 0), ::dup2(nothing, 1), ::dup2(nothing, 2);
-  for (int fd = 3; fd < 1024; ++fd) ::close(fd);
+  ::dup2(nothing, STDIN_FILENO), ::dup2(nothing, STDOUT_FILENO), ::dup2(nothing, STDERR_FILENO);
+  ::close_range(STDERR_FILENO + 1, ~0U, 0);
   ::execl("/bin/sh", "sh", "-c", command.c_str(), static_cast<char*>(nullptr));
   ::_exit(127);
 }
 
+// Starts a program that outlives this one. Throws ResourceShortage where no process can be had for it.
+void start_detached(const std::string& command) {
+  const pid_t child = ::fork();
+  if (child == 0) become_detached(command);
+  if (child < 0) throw ResourceShortage("no process: " + text_of_last_error());
+  int status = 0;
+  uninterrupted([&] { return ::waitpid(child, &status, 0); });
+  if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) throw ResourceShortage("no process");
+}
+
+// Guards against a manager that has ended by order and is not started, because no process can be had at once.
+void start_again(const Instance& instance) {
+  try {
+    retry_while_short([&] { start_detached(instance.start); }, [](const ResourceShortage&) {});
+  } catch (const ResourceShortage& shortage) {
+    std::cerr << instance.facts.name << " can't be started: " << shortage.what() << "\n";
+  }
+}
+
 // One instance's restart, with its calls kept until the next step carries them out.
 struct OneRestart final : fleet::Restart::Host {
   OneRestart(const Instance& which, const fleet::Restart::Limits& limits)
@@ -95,7 +114,7 @@
     const CallResult heard = executor.ask_one(one.instance, call);
     return one.steps.end_answered(steady(), seen_by(heard), heard.ok());
   }
-  if (std::exchange(one.start, false)) start_detached(one.instance.start);
+  if (std::exchange(one.start, false)) start_again(one.instance);
   if (!one.give.empty()) {
     for (const std::string& id : one.give) {
       Call call;
--- a/tests/test_shortages.cpp
+++ b/tests/test_shortages.cpp
@@ -198,6 +198,33 @@
   assert(struck > 0);
 }
 
+// What an operator asks is answered while the command line's own calls fail now and then.
+void command_line_while_calls_fail() {
+  ClusterSpec site;
+  site.managers = 3, site.engines = 1, site.pearchuted = PEARCHUTED;
+  TestCluster cluster(site);
+  cluster.must_serve(1);
+  const std::string fleet = cluster.write_fleet();
+  constexpr FaultKind kinds[] = {FaultKind::receive_interrupted, FaultKind::receive_short,
+                                 FaultKind::send_interrupted,    FaultKind::send_short,
+                                 FaultKind::socket_fails,        FaultKind::watch_fails,
+                                 FaultKind::wait_interrupted};
+  std::uint64_t struck = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    FaultInjection faults(PEARCHUTE_FAULTS, cluster.folder() + "/faults", "pearchutectl", seed);
+    for (const FaultKind kind : kinds) faults.set(kind, 0.2);
+    const Ran ran =
+        run_program(PEARCHUTECTL, {"--fleet", fleet, "--output", "json", "status"}, faults.environment());
+    for (const FaultKind kind : kinds) struck += faults.struck(kind);
+    const auto told = nlohmann::json::parse(ran.out, nullptr, false);
+    if (ran.status != 0)
+      std::fprintf(stderr, "seed %llu: %s\n", static_cast<unsigned long long>(seed), ran.out.c_str());
+    assert(ran.status == 0 && !told.is_discarded());
+    for (const char* name : {"n1", "n2", "n3"}) assert(ran.out.find(name) != std::string::npos);
+  }
+  assert(struck > 20);
+}
+
 constexpr Scenario scenarios[] = {
     {"sockets_unwatched", sockets_unwatched},
     {"odd_accept_errors_at_the_end", odd_accept_errors_at_the_end},
@@ -206,6 +233,7 @@
     {"reload_with_a_broken_event", reload_with_a_broken_event},
     {"engine_told_by_a_name", engine_told_by_a_name},
     {"restart_without_a_process", restart_without_a_process},
+    {"command_line_while_calls_fail", command_line_while_calls_fail},
     {"list_in_one_chunk", list_in_one_chunk},
     {"admin_socket_of_another", admin_socket_of_another}};
 
