--- a/tests/test_agent_shortages.cpp
+++ b/tests/test_agent_shortages.cpp
@@ -40,6 +40,7 @@
 
   FaultyAgent() {
     agent.end(SIGKILL);
+    faults.set_folder(fleet.world.folder());
     agent.environment = faults.environment();
     agent.start();
     assert(wait_for([&] { return fleet.all_serve(); }));
@@ -206,6 +207,38 @@
     assert(site.faults.struck(kind) > 0);
 }
 
+// The folder of the agent's state fails for a while amid a rollout, and the agent is killed meanwhile: once
+// the folder is sound the rollout ends, or has stopped and says why, and no instance is left half way.
+void rollout_while_the_folder_fails() {
+  FaultyAgent site;
+  const auto before = site.processes();
+  agent::v1::Plan plan = site.fleet.plan("owed", "restart");
+  plan.clear_least_serving();
+  std::string fault;
+  assert(site.agent.start_rollout(plan, &fault).ok() && fault.empty());
+  assert(wait_for([&] { return site.fleet.seen("n1").has_under_way(); }));
+  constexpr FaultKind kinds[] = {FaultKind::folder_write_fails, FaultKind::folder_write_short,
+                                 FaultKind::folder_sync_fails};
+  for (const FaultKind kind : kinds) site.faults.set(kind, 0.5);
+  assert(wait_for([&] { return site.faults.struck(FaultKind::folder_write_fails) > 0; }));
+  site.agent.end(SIGKILL);
+  site.agent.start();
+  const std::uint64_t struck = site.faults.struck(FaultKind::folder_write_fails);
+  assert(wait_for([&] { return site.faults.struck(FaultKind::folder_write_fails) > struck; }));
+  site.faults.set_none();
+  assert(wait_for([&] { return site.agent.show() && site.agent.show()->trouble().empty(); }));
+  agent::v1::Rollout rollout;
+  assert(wait_for([&] {
+    rollout = site.agent.rollout("owed");
+    return rollout.state() == "done" || rollout.state() == "paused" || rollout.state() == "failed";
+  }));
+  std::fprintf(stderr, "the rollout is %s: %s\n", rollout.state().c_str(), rollout.word().c_str());
+  assert((rollout.state() == "done") == rollout.word().empty());
+  assert(wait_for([&] { return site.fleet.all_serve(); }));
+  if (rollout.state() == "done")
+    for (const auto& [name, pid] : site.processes()) assert(pid != before.at(name));
+}
+
 // An instance that has ended is started again, though no process can be had at first.
 void no_process_for_a_moment() {
   FaultyAgent site;
@@ -222,6 +255,7 @@
     {"callers_break_off_while_they_wait", callers_break_off_while_they_wait},
     {"rollout_over_clock_steps", rollout_over_clock_steps},
     {"rollout_while_calls_fail", rollout_while_calls_fail},
+    {"rollout_while_the_folder_fails", rollout_while_the_folder_fails},
     {"no_process_for_a_moment", no_process_for_a_moment},
     {"restart_while_files_run_short", restart_while_files_run_short}};
 
