Logs tell each step of a request without any option: taken, attempts, give-ups, ends

Change: src/front/request_log writes a line for each step, with the ids that clients and engines use: taken (class, key, when it came), what it waits for, attempt leaves, is held back, is called off and why, words that come after that, ends, answers, withdrawals. Lines are gathered and written some at a time.

--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -280,6 +280,7 @@
     return loop_.stop();
   }
   if (annex_) annex_->looked(now);
+  flush_log();
   loop_.at(now + milliseconds(20), [this] { watch(); });
 }
 
@@ -287,6 +288,7 @@
   loop_.settle();
   loop_.run();
   spdlog::info("counters {}", front_->counters_now());
+  flush_log();
   return 0;
 }
 
--- a/src/engines/engines.cpp
+++ b/src/engines/engines.cpp
@@ -139,12 +139,13 @@
         owner_.end_soon(kept.key, Outcome::unreachable);
         continue;
       }
-      if (const auto ends_as = owner_.listener_.refuses_departure(kept.key, owner_.state_of(engine_))) {
+      Want want = kept.want_again();
+      if (want.answer_by) want.wait_ms = ms_left(*want.answer_by - owner_.loop_.now());
+      const Departure departure{kept.key, engine_, owner_.state_of(engine_), milliseconds(want.wait_ms)};
+      if (const auto ends_as = owner_.listener_.refuses_departure(departure)) {
         owner_.end_soon(kept.key, *ends_as);
         continue;
       }
-      Want want = kept.want_again();
-      if (want.answer_by) want.wait_ms = ms_left(*want.answer_by - owner_.loop_.now());
       std::string out;
       talk_.want(kept.key, want, out);
       return wire_->send(out);
@@ -216,6 +217,9 @@
   void talk_progress(DispatchKey key, double share) override { owner_.listener_.talk_progress(key, share); }
   void talk_spill(DispatchKey key, double missing) override { owner_.listener_.talk_spill(key, missing); }
   void talk_wait(DispatchKey key, Wait wait) override { owner_.listener_.talk_wait(key, wait); }
+  void talk_crossed(DispatchKey key, std::string_view word) override {
+    owner_.listener_.talk_crossed(key, word);
+  }
 
  private:
   struct Kept {
--- a/src/engines/engines.h
+++ b/src/engines/engines.h
@@ -18,12 +18,20 @@
 
 namespace pearchute::net {
 
+// A dispatch whose first byte is about to leave.
+struct Departure {
+  DispatchKey key;
+  EngineId engine;
+  EngineState state = EngineState::up;
+  std::chrono::milliseconds told{};  // how long the engine is told that the manager waits
+};
+
 class Engines {
  public:
   class Listener : public EngineTalk::Listener {
    public:
     // Asked just before the first byte of a dispatch leaves: how it ends where it may not leave any more.
-    virtual std::optional<Outcome> refuses_departure(DispatchKey, EngineState) { return std::nullopt; }
+    virtual std::optional<Outcome> refuses_departure(const Departure&) { return std::nullopt; }
   };
   Engines(Loop& loop, const service::LinkLimits& limits, std::size_t most_connections, Listener& listener,
           Counters& counters);
--- a/src/engines/resp.cpp
+++ b/src/engines/resp.cpp
@@ -198,6 +198,7 @@
   const auto it = open_.find(words[0]);
   if (it == open_.end()) return true;  // late, of a dispatch that has ended, or of none
   Open& open = it->second;
+  if (!open.farewell.empty()) listener_.talk_crossed(open.key, words[1]);
   service::NamedValues fields;
   try {
     if (words[2] != "-" && !words[2].empty()) {
--- a/src/engines/resp.h
+++ b/src/engines/resp.h
@@ -67,6 +67,8 @@
     virtual void talk_progress(DispatchKey key, double share_done) = 0;
     virtual void talk_spill(DispatchKey key, double missing_mb) = 0;
     virtual void talk_wait(DispatchKey key, Wait wait) = 0;
+    // The engine has said this of a dispatch that was given up before; what ends it follows, or is this.
+    virtual void talk_crossed(DispatchKey, std::string_view) {}
   };
   explicit EngineTalk(Listener& listener) : listener_(listener) {}
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -159,6 +159,8 @@
   it->second.caller.reset();
   if (it->second.answered) return;
   if (it->second.has_path) return left_alone(*id);  // it may call the path again
+  log_.withdrawn(it->second.id, client_close_names[static_cast<std::size_t>(reason)],
+                 loop_.now() - it->second.taken);
   settle_account(*id, it->second);
   ++counters_.withdrawn;
   manager_.job_withdrawn(loop_.now(), *id);
@@ -243,6 +245,7 @@
     if (job.caller) respond(*job.caller, 404, "", error_body("withdrawn"));
     job.caller.reset();
     const bool open = !job.answered;
+    if (open) log_.withdrawn(job.id, "DELETE", loop_.now() - job.taken);
     settle_account(*id, job), job.status = 0;
     respond(client.id(), 200, "", "{}");
     if (open) {
@@ -304,12 +307,26 @@
   open.taken = now, open.end = now + std::max(job.time_left, Span(0));
   open.caller = client.id();
   client.waits_for = job.id;
+  if (job.key && deployment_.service.types[static_cast<std::size_t>(type.value)].in_order) {
+    open.order_key = job.key;
+    log_.taken(open.id, open.kind, *job.key, job.time_left, now - std::min(now, client.call_came()), Span(0));
+  }
   manager_.job_taken(now, job);
+  log_what_it_waits_for(job.id);
   // Guards long jobs against the loss of their connection: with a path, the client can call again.
   constexpr milliseconds long_hold(2000);  // most jobs are over by then, without a call more
   if (job.time_left > long_hold) loop_.at(now + long_hold, [this, id = job.id] { give_path(id); });
 }
 
+void Front::log_what_it_waits_for(JobId id) {
+  constexpr std::string_view words[] = {"", "for its turn of its key", "for its key's rest", "for the ration",
+                                        "for room"};
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || !it->second.order_key) return;
+  const WorkloadManager::Waits what = manager_.waits_for(loop_.now(), id);
+  if (what != WorkloadManager::Waits::nothing) log_.waits(it->second.id, words[static_cast<int>(what)]);
+}
+
 void Front::refuse(Client& client, RefusalReason reason, int status, std::string_view what) {
   ++counters_.bad_calls;
   counters_.refused.add(reason);
@@ -356,6 +373,9 @@
   counters_.rules.answering({loop_.now(), job.end, job.answered});
   settle_account(id, job);
   job.answered_at = loop_.now();
+  log_.answered(job.id, job.order_key.has_value(), status,
+                job.given_up ? give_up_names[static_cast<std::size_t>(*job.given_up)] : "done",
+                job.answered_at - job.taken);
   if (const Span late = loop_.now() - job.end; late > Span(0)) {
     PEARCHUTE_LOG(spdlog::level::warn, "job {} is answered {} ms after its end", job.id, late.count() / 1000);
   }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -14,6 +14,7 @@
 #include "core/control.h"
 #include "engines/engines.h"
 #include "engines/list.h"
+#include "front/request_log.h"
 #include "net/driver.h"
 #include "net/http.h"
 #include "net/log.h"
@@ -76,11 +77,12 @@
   void remark(std::string_view text) override;
 
   // What engines and the list tell
-  std::optional<Outcome> refuses_departure(DispatchKey key, EngineState engine) override;
+  std::optional<Outcome> refuses_departure(const Departure& departure) override;
   void talk_ended(DispatchKey key, Outcome outcome, std::vector<std::string> pages) override;
   void talk_progress(DispatchKey key, double share_done) override;
   void talk_spill(DispatchKey key, double missing_mb) override;
   void talk_wait(DispatchKey key, Wait wait) override;
+  void talk_crossed(DispatchKey key, std::string_view word) override;
   void list_changed(ListNews news, const std::vector<Member>& members) override;
 
  private:
@@ -93,6 +95,8 @@
     int number = 0;
     Span at{};
     EngineId engine{};
+    std::string engine_name;
+    bool has_left = false;
   };
   // For one job.
   struct OpenJob {
@@ -100,6 +104,7 @@
     Span taken{};
     Span end{};  // the client's patience
     TypeId type;
+    std::optional<OrderKey> order_key;  // in a class that keeps order
     std::optional<ClientId> caller;
     std::optional<ClientId> path_given_to;  // it is about to call the path there
     bool has_path = false;
@@ -127,6 +132,7 @@
   void respond(ClientId client, int status, std::string_view headers, std::string_view body);
   void answer(JobId id, OpenJob& job, int status, std::string headers, std::string body);
   void give_path(JobId id);
+  void log_what_it_waits_for(JobId id);
   void settle_account(JobId id, OpenJob& job);
   void forget_answer_at(Span when, JobId id);
   void forget_if_done(JobId id);
@@ -134,6 +140,8 @@
   void refuse_for_now(Client& client, RefusalReason reason);
   bool client_is_there(const OpenJob& job) const;
   bool repeat_is_forbidden(JobId id, const OpenJob& job);
+  void call_off(DispatchKey key, CallOffReason reason);
+  static AttemptName name_of(const OpenJob& job, const Sent& sent);
   void drop(Client& client, ClientCloseReason reason);
   void shed_unread();
   void sweep();
@@ -142,6 +150,8 @@
   Loop& loop_;
   service::Deployment deployment_;
   Counters& counters_;
+  RequestLog log_;
+  std::map<EngineId, std::string> engine_names_;
   std::size_t most_clients_, most_unread_;
   std::size_t statement_bytes_ = 0;  // of the jobs in the table
   bool ready_ = false, closing_ = false, sending_home_ = false, sending_nothing_ = false, away_ = false;
--- a/src/front/front_engines.cpp
+++ b/src/front/front_engines.cpp
@@ -37,7 +37,9 @@
   const Span end = time_limit > Span(0) ? std::min(job.end, now + time_limit) : job.end;
   const bool is_forbidden = repeat_is_forbidden(id, job);
   const DispatchKey key{id, job.dispatches++};
-  job.out.push_back({key.number, now, engine});
+  const auto name = engine_names_.find(engine);
+  job.out.push_back(
+      {key.number, now, engine, name == engine_names_.end() ? std::string("?") : name->second, false});
   if (job.answered || sending_nothing_ || end <= now || is_forbidden) {
     loop_.soon([this, key] { talk_ended(key, Outcome::never_sent, {}); });
     return;
@@ -52,7 +54,7 @@
     const auto at = jobs_.find(key.job);
     if (at == jobs_.end()) return;
     if (std::ranges::none_of(at->second.out, [&](const Sent& s) { return s.number == key.number; })) return;
-    engines_.never_mind(key);
+    call_off(key, CallOffReason::time_is_up);
     talk_ended(key, Outcome::timed_out, {});
   });
 }
@@ -83,26 +85,53 @@
 }
 
 // Much may have happened since it was decided: its connection came up late, or the process had no turn.
-std::optional<Outcome> Front::refuses_departure(DispatchKey key, EngineState engine) {
+std::optional<Outcome> Front::refuses_departure(const Departure& departure) {
+  const DispatchKey key = departure.key;
   const auto it = jobs_.find(key.job);
   if (it == jobs_.end()) return Outcome::never_sent;
-  const OpenJob& job = it->second;
-  const auto rule =
-      counters_.rules.forbids_sending({loop_.now(), job.end, job.answered, client_is_there(job), engine});
-  if (!rule) return std::nullopt;
-  PEARCHUTE_LOG(spdlog::level::info, "job {}: attempt {} does not leave: {}", job.id, key.number + 1,
-                rule_names[static_cast<std::size_t>(*rule)]);
+  OpenJob& job = it->second;
+  const auto sent = std::ranges::find(job.out, key.number, &Sent::number);
+  if (sent == job.out.end()) return Outcome::never_sent;
+  const auto rule = counters_.rules.forbids_sending(
+      {loop_.now(), job.end, job.answered, client_is_there(job), departure.state});
+  if (!rule) {
+    sent->has_left = true;
+    log_.leaves(name_of(job, *sent), departure.told);
+    return std::nullopt;
+  }
+  log_.held_back(name_of(job, *sent), rule_names[static_cast<std::size_t>(*rule)]);
   if (*rule == Rule::engine_takes_work) return Outcome::unreachable;
   if (*rule == Rule::client_is_there) lose_sight(key.job);
   return Outcome::never_sent;
 }
 
-void Front::stop_dispatch(JobId id, int number) { engines_.never_mind({id, number}); }
+AttemptName Front::name_of(const OpenJob& job, const Sent& sent) {
+  return {job.id, sent.number + 1, sent.engine_name, job.order_key.has_value()};
+}
+
+void Front::call_off(DispatchKey key, CallOffReason reason) {
+  const auto it = jobs_.find(key.job);
+  if (it != jobs_.end()) {
+    const auto sent = std::ranges::find(it->second.out, key.number, &Sent::number);
+    if (sent != it->second.out.end() && sent->has_left) log_.called_off(name_of(it->second, *sent), reason);
+  }
+  engines_.never_mind(key);
+}
+
+void Front::stop_dispatch(JobId id, int number) {
+  const auto it = jobs_.find(id);
+  const bool is_over = it == jobs_.end() || it->second.answered;
+  const bool is_withdrawn = is_over && it != jobs_.end() && it->second.answered_at == Span(0);
+  call_off({id, number}, is_withdrawn ? CallOffReason::client_left
+                         : is_over    ? CallOffReason::answered
+                                      : CallOffReason::moved);
+}
 
 void Front::giving_up(JobId id, GiveUpReason reason) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end() || it->second.answered) return;
   counters_.given_up.add(reason);
+  it->second.given_up = reason;
   PEARCHUTE_LOG(spdlog::level::info, "job {} is given up after {} attempts: {}", it->second.id,
                 it->second.dispatches, give_up_names[static_cast<std::size_t>(reason)]);
 }
@@ -192,6 +221,7 @@
   const Span now = loop_.now(), elapsed = now - sent->at;
   if (!proves_not_run(outcome) && outcome != Outcome::done && !job.first_doubt) job.first_doubt = sent->at;
   job.last_end = outcome;
+  log_.ended(name_of(job, *sent), outcome, elapsed);
   job.out.erase(sent);
   if (outcome == Outcome::done && !job.answered) {
     if (auto body = rows_as_json(pages)) {
@@ -208,6 +238,13 @@
   forget_if_done(key.job);
 }
 
+void Front::talk_crossed(DispatchKey key, std::string_view word) {
+  const auto it = jobs_.find(key.job);
+  if (it == jobs_.end()) return;
+  const auto sent = std::ranges::find(it->second.out, key.number, &Sent::number);
+  if (sent != it->second.out.end()) log_.crossed(name_of(it->second, *sent), word);
+}
+
 void Front::talk_progress(DispatchKey key, double share_done) {
   ++counters_.notes;
   manager_.progress_told(loop_.now(), key.job, key.number, share_done);
@@ -229,14 +266,17 @@
   for (const Member& member : members) {
     engines.push_back(member.engine);
     if (member.engine.state == EngineState::gone) continue;
+    engine_names_[member.engine.id] = member.name;
     listed.insert(member.engine.id);
     if (!member.address.empty()) engines_.place(member.engine.id, member.address, member.engine.state);
   }
   manager_.list_came(loop_.now(), news, engines);
   // Only now, so that what ends by it is not sent there again.
   if (news != ListNews::changes) engines_.forget_others(listed);
+  if (news != ListNews::changes)
+    std::erase_if(engine_names_, [&](const auto& one) { return !listed.contains(one.first); });
   for (const ListedEngine& engine : engines) {
-    if (engine.state == EngineState::gone) engines_.forget(engine.id);
+    if (engine.state == EngineState::gone) engines_.forget(engine.id), engine_names_.erase(engine.id);
     // What was decided before and has not left goes elsewhere.
     if (engine.state != EngineState::up) engines_.withhold(engine.id);
   }
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -13,19 +13,31 @@
 
 namespace {
 
-// Writes only what standard error takes at once.
+// Writes only what standard error takes at once, several lines by one call.
 class PatientSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  ~PatientSink() override { flush_(); }
+
  protected:
   void sink_it_(const spdlog::details::log_msg& message) override {
     spdlog::memory_buf_t line;
     formatter_->format(message, line);
-    // A pipe that is ready takes this much whole (PIPE_BUF), so the write can't block.
-    const std::size_t length = std::min<std::size_t>(line.size(), 4096);
+    if (gathered_.size() + line.size() > most_at_once) flush_();
+    gathered_.append(line.data(), line.data() + std::min<std::size_t>(line.size(), most_at_once));
+    if (message.level >= spdlog::level::warn) flush_();
+  }
+  void flush_() override {
+    if (gathered_.size() == 0) return;
     pollfd ready{STDERR_FILENO, POLLOUT, 0};
-    if (::poll(&ready, 1, 0) != 1 || !(ready.revents & POLLOUT)) return;
-    [[maybe_unused]] const auto written = ::write(STDERR_FILENO, line.data(), length);
+    if (::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT)) [[maybe_unused]]
+      const auto written = ::write(STDERR_FILENO, gathered_.data(), gathered_.size());
+    gathered_.clear();
   }
-  void flush_() override {}
+
+ private:
+  // A pipe that is ready takes this much whole (PIPE_BUF), so the write can't block.
+  static constexpr std::size_t most_at_once = 4096;
+  spdlog::memory_buf_t gathered_;
 };
 
 }  // namespace
@@ -37,11 +49,15 @@
   spdlog::set_default_logger(std::move(logger));
 }
 
+void flush_log() {
+  if (spdlog::logger* logger = spdlog::default_logger_raw()) logger->flush();
+}
+
 bool LineRation::allows() {
   const std::int64_t now = std::chrono::duration_cast<std::chrono::milliseconds>(
                                std::chrono::steady_clock::now().time_since_epoch())
                                .count();
-  left_ = std::min(5.0, left_ + static_cast<double>(now - last_ms_) / 1000);
+  left_ = std::min(at_once_, left_ + a_second_ * static_cast<double>(now - last_ms_) / 1000);
   last_ms_ = now;
   if (left_ < 1) return ++kept_back_, false;
   left_ -= 1;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -1,5 +1,7 @@
 // Log lines and counters. Lines go to standard error through spdlog and never hold up the program: what the
-// reader does not take is dropped and counted, and each kind of line has a ration. It never ends the program.
+// reader does not take is dropped and counted, and each kind of line has a ration. Lines are gathered for a
+// few milliseconds, but for warnings and errors; `flush_log` writes what is gathered. It never ends the
+// program.
 #pragma once
 
 #include <spdlog/formatter.h>
@@ -17,14 +19,18 @@
 
 // Lines of `form`; without one, plain ones.
 void start_log(const std::string& name, std::unique_ptr<spdlog::formatter> form = {});
+// Writes what has been gathered. Called some times a second, and before a program ends.
+void flush_log();
 
 // How often a kind of line may come: a few at once, then one by one.
 class LineRation {
  public:
+  explicit LineRation(double at_once = 5, double a_second = 1)
+      : at_once_(at_once), a_second_(a_second), left_(at_once) {}
   bool allows();
 
  private:
-  double left_ = 5;
+  double at_once_, a_second_, left_;
   std::int64_t last_ms_ = 0;
   std::uint64_t kept_back_ = 0;
 };
