A word that crosses a give-up is no answer: the attempt's end stays unsure, its key rests

Cause: EngineTalk::answer ended an attempt by SHED, FAULT or LATE although its give-up was out (resp.cpp), so the module saw a sure end and let the key go on at once; a whole HIT that crossed did the same (dispatch_ended in control.cpp). Ruled out: take-backs, resets, patience (302 ms and more).

Change: after a give-up only PONG, the end of patience or the connection's end it; a whole result that crosses still serves its request, and the key rests. Same mistake elsewhere: a LATE that crosses a move of a request that is still wanted had it refused as not taken, though it had seconds left (order_word_crosses_a_move; before: answered 503 after one attempt, now 200 after two). Newly red: a call written behind an open one is overtaken by one of its key.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -242,7 +242,9 @@
     held.doubt_zone = engine.listed.zone, held.doubt_cell = engine.listed.cell;
   }
   const bool sure = proves_not_run(outcome) || outcome == Outcome::done || outcome == Outcome::error;
-  if (held.job.key && type.type.in_order && !sure) {
+  // A result that crosses the give-up is one, and yet the dispatch was given up when it was written.
+  const bool crossed = dispatch.stopping && (outcome == Outcome::done || outcome == Outcome::error);
+  if (held.job.key && type.type.in_order && (!sure || crossed)) {
     OrderLine& line = lines_[*held.job.key];
     line.rests_until = std::max(line.rests_until, now + rules_.order_rest);
     host_.wake_in(rules_.order_rest + rules_.round, beat_mark + 2);
--- a/src/engines/resp.cpp
+++ b/src/engines/resp.cpp
@@ -226,12 +226,14 @@
       else if (note == "spill_mb") listener_.talk_spill(key, figure);
       else if (note == "blocked") listener_.talk_wait(key, figure == 2 ? Wait::load : Wait::memory);
       return true;
-    } else if (words[1] == "SHED") {
-      return end(it, Outcome::full), true;
-    } else if (words[1] == "FAULT") {
-      return end(it, Outcome::error), true;
-    } else if (words[1] == "LATE") {
-      return end(it, Outcome::never_sent), true;
+    } else if (words[1] == "SHED" || words[1] == "FAULT" || words[1] == "LATE") {
+      // Guards against a word that is taken for the answer to what was asked before the give-up: it may be the
+      // engine's way of heeding it, so that the attempt's end stays unsure.
+      if (!open.farewell.empty()) return true;
+      const Outcome outcome = words[1] == "SHED"    ? Outcome::full
+                              : words[1] == "FAULT" ? Outcome::error
+                                                    : Outcome::never_sent;
+      return end(it, outcome), true;
     } else {
       return false;
     }
--- a/src/engines/resp.h
+++ b/src/engines/resp.h
@@ -73,8 +73,8 @@
   explicit EngineTalk(Listener& listener) : listener_(listener) {}
 
   void want(DispatchKey key, const Want& want, std::string& out);
-  // Gives it up. It ends as stopped once the engine is known to have heard, or as what had crossed on the
-  // way.
+  // Gives it up. It ends as stopped once the engine is known to have heard, whatever the engine says of it
+  // meanwhile: only a whole result that had crossed on the way is still one.
   void never_mind(DispatchKey key, std::string& out);
   // The engine has not said in time that it heard: what was given up ends without its word.
   void lose_patience(DispatchKey key);
--- a/tests/test_order.cpp
+++ b/tests/test_order.cpp
@@ -191,9 +191,59 @@
   assert(fixture.faults.struck(FaultKind::accept_fails) > 0);
 }
 
+// A call is written behind an open one on its connection, and another one of the same key comes on another
+// connection meanwhile: it does not overtake the one that waits unread.
+void call_behind_an_open_one() {
+  ScriptedEngine::Script script;
+  const JobCall open = load(300), first = load(301), second = load(301);
+  script.wanted = [&](const std::string& id, const ScriptedEngine::Say& say) {
+    pass(milliseconds(id == id_of(open.number) ? 400 : 10));
+    say({id, "HIT", "fetches=1", "a\tb\tc\n"});
+  };
+  ScriptedEngine engine(script);
+  DaemonFixture fixture;
+  fixture.go(ordered_settings, known({{"a", engine.address()}}));
+  const int piped = connect_to(fixture.port);
+  say(piped, open.bytes() + first.bytes());
+  pass(milliseconds(100));
+  const int other = fixture.open(second);
+  assert(hear(piped).starts_with("HTTP/1.1 200"));
+  assert(hear(piped).starts_with("HTTP/1.1 200"));
+  assert(hear(other).starts_with("HTTP/1.1 "));
+  assert_in_turn(engine, first, second);
+  close(piped), close(other);
+}
+
+// The manager calls an attempt off because it gets on too slowly, and the engine says LATE of it before it
+// has read that: the request has time left, so it goes on, and is not refused as one whose time was over.
+void word_crosses_a_move() {
+  std::atomic<int> wanted = 0;
+  ScriptedEngine::Script script;
+  script.wanted = [&](const std::string& id, const ScriptedEngine::Say& say) {
+    if (++wanted > 1) return say({id, "HIT", "fetches=1", "a\tb\tc\n"});
+    pass(milliseconds(100));
+    say({id, "INFO", "res=progress,figure=0.001", ""});
+  };
+  script.given_up = [](const std::string& id, const std::string& tag, const ScriptedEngine::Say& say) {
+    say({id, "LATE", "-", ""});
+    say({tag, "PONG", "-", ""});
+  };
+  ScriptedEngine engine(script);
+  DaemonFixture fixture;
+  fixture.go(usual_settings, known({{"a", engine.address()}}));
+  const JobCall call = job("SELECT work=5", 5000);
+  const int fd = fixture.open(call);
+  const std::string answer = hear_out(fd, call);
+  std::fprintf(stderr, "wanted %d times, answered %s\n", wanted.load(), answer.substr(9, 3).c_str());
+  assert(wanted == 2 && answer.starts_with("HTTP/1.1 200"));
+  close(fd);
+}
+
 constexpr Scenario scenarios[] = {{"answer_crosses_give_up", answer_crosses_give_up},
                                   {"calls_unread_together", calls_unread_together},
-                                  {"call_behind_failing_accepts", call_behind_failing_accepts}};
+                                  {"call_behind_failing_accepts", call_behind_failing_accepts},
+                                  {"call_behind_an_open_one", call_behind_an_open_one},
+                                  {"word_crosses_a_move", word_crosses_a_move}};
 
 }  // namespace
 
