Calls of a key go in the order they came; one guard asks all rules as bytes leave

Cause: Front::take_job handed calls to the module as they were read, so of several that lay unread (a stall, a queue that can't be accepted from, a call behind an open one) a later one could go first (front.cpp). It let go unseen because core/rule_guard asked nothing of order, rests, placement, budgets; the module was judge of its own work.

Change: core/arrival_order holds a call of a key until the loop has read all that came before it (Loop::read_up_to: whole looks, accepts, shortages and short reads counted), and sorts by when the bytes came, as the system tells it (TCP_INFO) where the loop's own bounds are wide. What can't be ordered in 300 ms or at all the module refuses with advice (order_unknown). core/rule_guard keeps records of its own (key_order, cold_budgets, attempt_budget) and is asked as the first byte leaves: order, rest, cold part, placement, repeat group, attempts, time told; all counted by name. A dispatch taken back unsent counts as never out.

--- /dev/null
+++ b/src/core/cold_budgets.cpp
@@ -0,0 +1,74 @@
+#include "core/cold_budgets.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pearchute {
+
+ColdBudgets::ColdBudgets(const ServiceDefinition& service)
+    : multiple_(service.tip_multiple),
+      cold_from_(service.cold_from),
+      window_(service.tip_window),
+      lasts_(service.cold_lasts),
+      managers_(std::max(1, service.managers)),
+      kinds_(service.kinds) {}
+
+void ColdBudgets::list_came(Span now, ListNews news, const std::vector<ListedEngine>& engines) {
+  std::set<EngineId> named;
+  for (const ListedEngine& listed : engines) {
+    named.insert(listed.id);
+    Start& start = engines_[listed.id];
+    const bool is_new = start.listed.id != listed.id || start.listed.online_since != listed.online_since;
+    if (is_new) start.told = now;
+    start.listed = listed;
+  }
+  std::erase_if(engines_, [&](const auto& one) {
+    const bool has_gone = one.second.listed.state == EngineState::gone;
+    return has_gone || (news != ListNews::changes && !named.contains(one.first));
+  });
+}
+
+const ListedEngine* ColdBudgets::listed(EngineId engine) const {
+  const auto at = engines_.find(engine);
+  return at == engines_.end() ? nullptr : &at->second.listed;
+}
+
+// From the listed start, or from when the list told of it if that came late, by five seconds at most.
+bool ColdBudgets::cold(Span now, const Start& start) const {
+  if (multiple_ <= 0 || window_ <= Span(0) || !start.listed.online_since) return false;
+  const Span began = *start.listed.online_since;
+  constexpr std::chrono::seconds told_late(5);
+  return now < std::max(began, std::min(start.told, began + told_late)) + lasts_;
+}
+
+// An even part of what the settings allow all managers together. Where that is less than a single request,
+// managers take turns at the engine, of which the longest allows half of the whole.
+double ColdBudgets::own_part(const Start& start) const {
+  const auto kind = static_cast<std::size_t>(std::max(start.listed.kind.value, 0));
+  const int cores = kind < kinds_.size() ? kinds_[kind].cores : 1;
+  const double window_ms = static_cast<double>(window_.count()) / 1000;
+  const double whole = multiple_ * cold_from_ * cores * window_ms;
+  const double even = whole / managers_;
+  return largest_work_ms_ > even / 2 ? std::max(even, whole / 2) : even;
+}
+
+bool ColdBudgets::forbids(Span now, EngineId engine, double work_ms) const {
+  const auto at = engines_.find(engine);
+  if (at == engines_.end() || !cold(now, at->second)) return false;
+  double sent = work_ms;
+  for (const Sent& one : at->second.sent) {
+    if (one.at > now - window_) sent += one.work_ms;
+  }
+  return sent > own_part(at->second);
+}
+
+void ColdBudgets::attempt_left(Span now, EngineId engine, double work_ms) {
+  largest_work_ms_ = std::max(largest_work_ms_, work_ms);
+  const auto at = engines_.find(engine);
+  if (at == engines_.end()) return;
+  std::deque<Sent>& sent = at->second.sent;
+  while (!sent.empty() && sent.front().at <= now - window_) sent.pop_front();
+  if (cold(now, at->second)) sent.push_back({now, work_ms});
+}
+
+}  // namespace pearchute
--- /dev/null
+++ b/src/core/cold_budgets.h
@@ -0,0 +1,46 @@
+// The rule on cold engines, as it binds one manager: how much work it may send to an engine that has just
+// started, within the time in which such an engine falls over. Counted by what has left for the engine, with
+// the usual work of each class. No I/O, no clock.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "core/types.h"
+
+namespace pearchute {
+
+class ColdBudgets {
+ public:
+  ColdBudgets() = default;
+  explicit ColdBudgets(const ServiceDefinition& service);
+  void list_came(Span now, ListNews news, const std::vector<ListedEngine>& engines);
+  // Whether an attempt of that much work would be more than this manager's part.
+  bool forbids(Span now, EngineId engine, double work_ms) const;
+  void attempt_left(Span now, EngineId engine, double work_ms);
+  // Where it stands; nothing where the engine was never listed.
+  const ListedEngine* listed(EngineId engine) const;
+
+ private:
+  struct Sent {
+    Span at{};
+    double work_ms = 0;
+  };
+  struct Start {
+    ListedEngine listed;
+    Span told{};  // when the list first told of this start
+    std::deque<Sent> sent;
+  };
+  bool cold(Span now, const Start& start) const;
+  double own_part(const Start& start) const;
+
+  double multiple_ = 0, cold_from_ = 1;
+  Span window_{}, lasts_{};
+  int managers_ = 1;
+  std::vector<MachineKind> kinds_;
+  double largest_work_ms_ = 0;
+  std::map<EngineId, Start> engines_;
+};
+
+}  // namespace pearchute
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -113,6 +113,9 @@
   const double pace = std::max(1.0, type.best_pace * crowd);
   const bool hopeless = now + from_ms(ideal_ms(held) * pace) > held.sla_end;
   if (held.end <= now) return give_up(now, held, GiveUpReason::time_is_up);
+  // Guards against jobs of a key that go in another order than they came: refused, the other ones are in
+  // order whichever came first.
+  if (!job.order_is_known && type.type.in_order) return give_up(now, held, GiveUpReason::order_unknown);
   if (costly) return give_up(now, held, GiveUpReason::costly);
   if (hopeless) return give_up(now, held, GiveUpReason::hopeless);
   if (held_.size() >= longest_queue) return give_up(now, held, GiveUpReason::queue_full);
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -86,6 +86,8 @@
     return held.dispatches.empty() || within_ration(now) ? Waits::room : Waits::ration;
   }
   std::size_t held_jobs() const { return held_.size(); }
+  // What a job of that type usually needs, as time on one thread.
+  double usual_work_ms(TypeId type) const { return usual_work(types_[static_cast<std::size_t>(type.value)]); }
 
  private:
   enum : std::uint64_t { beat_mark = 1, subscribe_mark = 2, job_marks = 16 };
--- a/src/core/rule_guard.cpp
+++ b/src/core/rule_guard.cpp
@@ -1,5 +1,6 @@
 #include "core/rule_guard.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace pearchute {
@@ -9,8 +10,113 @@
 // Up to half a second after its time an answer only earns nothing; later the request counts as lost.
 constexpr std::chrono::milliseconds latest_answer(500);
 
+// Engines are told whole milliseconds, one at least.
+constexpr std::chrono::milliseconds told_in_steps_of(1);
+
 }  // namespace
 
+void RuleGuard::serve(const ServiceDefinition& service) {
+  types_ = service.types;
+  most_attempts_ = service.most_dispatches;
+  second_copies_ = service.second_copies;
+  order_ = KeyOrder(service.order_rest);
+  cold_ = ColdBudgets(service);
+  attempts_ = AttemptBudget(service);
+}
+
+void RuleGuard::list_came(Span now, ListNews news, const std::vector<ListedEngine>& engines) {
+  cold_.list_came(now, news, engines);
+}
+
+void RuleGuard::taken(Span now, const TakenRequest& request) {
+  Record record;
+  record.type = request.type;
+  records_.emplace(request.id, record);
+  attempts_.request_taken(now);
+  if (request.order_key) order_.taken(request.id, *request.order_key);
+}
+
+void RuleGuard::attempt_left(Span now, const Attempt& attempt) {
+  const auto at = records_.find(attempt.request);
+  if (at == records_.end()) return;
+  Record& record = at->second;
+  if (record.attempts > 0) attempts_.further_left(now);
+  record.attempts += 1, record.out += 1;
+  record.last_left = now;
+  order_.attempt_left(attempt.request);
+  cold_.attempt_left(now, attempt.engine, attempt.usual_work_ms);
+}
+
+void RuleGuard::attempt_taken_back(JobId request) {
+  const auto at = records_.find(request);
+  if (at == records_.end()) return;
+  at->second.attempts -= 1, at->second.out -= 1;
+  order_.attempt_taken_back(request);
+  drop_if_done(request);
+}
+
+void RuleGuard::attempt_called_off(Span now, JobId request) { order_.attempt_called_off(now, request); }
+
+void RuleGuard::attempt_ended(Span now, const Attempt& attempt, Outcome outcome) {
+  const auto at = records_.find(attempt.request);
+  if (at == records_.end()) return;
+  Record& record = at->second;
+  record.out -= 1;
+  if (!proves_not_run(outcome) && outcome != Outcome::done && !record.first_doubt) {
+    record.first_doubt = record.last_left;
+    if (const ListedEngine* listed = cold_.listed(attempt.engine))
+      record.doubt_zone = listed->zone, record.doubt_cell = listed->cell;
+  }
+  order_.attempt_ended(now, attempt.request, outcome);
+  drop_if_done(attempt.request);
+}
+
+void RuleGuard::over(JobId request) {
+  const auto at = records_.find(request);
+  if (at == records_.end()) return;
+  at->second.over = true;
+  order_.over(request);
+  drop_if_done(request);
+}
+
+void RuleGuard::drop_if_done(JobId request) {
+  const auto at = records_.find(request);
+  if (at->second.over && at->second.out <= 0) records_.erase(at);
+}
+
+void RuleGuard::forget_old(Span now) { order_.forget_rested(now); }
+
+std::optional<Rule> RuleGuard::broken_by_place(const ReservationType& type, const Record& record,
+                                               const ListedEngine& engine) const {
+  const auto is_named = [](const auto& allowed, auto id) {
+    return !allowed || std::ranges::count(*allowed, id) > 0;
+  };
+  if (!is_named(type.zones, engine.zone) || !is_named(type.kinds, engine.kind)) return Rule::placement;
+  if (!record.first_doubt || type.effect != Effect::keyed) return std::nullopt;
+  const bool is_known_there = type.reach == Reach::all ||
+                              (type.reach == Reach::zone && engine.zone == record.doubt_zone) ||
+                              (type.reach == Reach::cell && engine.cell == record.doubt_cell);
+  return is_known_there ? std::nullopt : std::optional(Rule::repeat_group);
+}
+
+std::optional<Rule> RuleGuard::broken_by_attempt(Span now, const Attempt& attempt) const {
+  const auto at = records_.find(attempt.request);
+  if (at == records_.end()) return Rule::one_answer;
+  const Record& record = at->second;
+  const ReservationType& type = types_.at(static_cast<std::size_t>(record.type.value));
+  const auto repeat = broken_by(RepeatFacts{now, type.effect, type.repeat_window, record.attempts,
+                                            most_attempts_, record.out, second_copies_, record.first_doubt});
+  if (repeat) return repeat;
+  if (const ListedEngine* listed = cold_.listed(attempt.engine)) {
+    if (const auto rule = broken_by_place(type, record, *listed)) return rule;
+  }
+  if (record.attempts > 0 && attempts_.forbids_further(now)) return Rule::attempt_budget;
+  if (const auto order = order_.forbids(now, attempt.request))
+    return *order == KeyOrder::Break::out_of_turn ? Rule::order_by_key : Rule::key_rests;
+  if (cold_.forbids(now, attempt.engine, attempt.usual_work_ms)) return Rule::cold_budget;
+  return std::nullopt;
+}
+
 std::optional<Rule> RuleGuard::hold_back(Rule rule) {
   ++held_back_[static_cast<std::size_t>(rule)];
   return rule;
@@ -18,30 +124,47 @@
 
 void RuleGuard::note_broken(Rule rule) { ++broken_[static_cast<std::size_t>(rule)]; }
 
+std::optional<Rule> RuleGuard::broken_by(const SendingFacts& facts) const {
+  if (facts.answered) return Rule::one_answer;
+  if (facts.now >= facts.end) return Rule::time_is_left;
+  if (!facts.client_is_there) return Rule::client_is_there;
+  if (facts.engine != EngineState::up) return Rule::engine_takes_work;
+  const Span left = std::max<Span>(facts.end - facts.now, told_in_steps_of);
+  if (facts.time_told && *facts.time_told > left) return Rule::time_told;
+  return std::nullopt;
+}
+
 std::optional<Rule> RuleGuard::forbids_sending(const SendingFacts& facts) {
   ++checked_;
-  if (facts.answered) return hold_back(Rule::one_answer);
-  if (facts.now >= facts.end) return hold_back(Rule::time_is_left);
-  if (!facts.client_is_there) return hold_back(Rule::client_is_there);
-  if (facts.engine != EngineState::up) return hold_back(Rule::engine_takes_work);
-  return std::nullopt;
+  const std::optional<Rule> rule = broken_by(facts);
+  return rule ? hold_back(*rule) : rule;
 }
 
-std::optional<Rule> RuleGuard::forbids_repeating(const RepeatFacts& facts) {
+std::optional<Rule> RuleGuard::forbids_sending(const SendingFacts& facts, const Attempt& attempt) {
   ++checked_;
-  const auto forbid = [&](Rule rule) {
-    note_broken(rule);
-    return hold_back(rule);
-  };
-  if (facts.attempts >= facts.most_attempts) return forbid(Rule::attempts_are_few);
+  std::optional<Rule> rule = broken_by(facts);
+  if (!rule) rule = broken_by_attempt(facts.now, attempt);
+  return rule ? hold_back(*rule) : rule;
+}
+
+std::optional<Rule> RuleGuard::broken_by(const RepeatFacts& facts) const {
+  if (facts.attempts >= facts.most_attempts) return Rule::attempts_are_few;
   const bool may_be_copied = facts.effect == Effect::restartable && facts.second_copies;
-  if (facts.out > 0 && !may_be_copied) return forbid(Rule::one_attempt_out);
+  if (facts.out > 0 && !may_be_copied) return Rule::one_attempt_out;
   if (!facts.first_doubt || facts.effect == Effect::restartable) return std::nullopt;
-  if (facts.effect == Effect::run_once) return forbid(Rule::runs_once);
-  if (facts.now >= *facts.first_doubt + facts.repeat_window) return forbid(Rule::runs_once);
+  if (facts.effect == Effect::run_once) return Rule::runs_once;
+  if (facts.now >= *facts.first_doubt + facts.repeat_window) return Rule::runs_once;
   return std::nullopt;
 }
 
+std::optional<Rule> RuleGuard::forbids_repeating(const RepeatFacts& facts) {
+  ++checked_;
+  const std::optional<Rule> rule = broken_by(facts);
+  if (!rule) return rule;
+  note_broken(*rule);
+  return hold_back(*rule);
+}
+
 std::optional<Rule> RuleGuard::forbids_taking(bool answers_all) {
   ++checked_;
   if (answers_all) return hold_back(Rule::not_while_ending);
--- a/src/core/rule_guard.h
+++ b/src/core/rule_guard.h
@@ -1,8 +1,9 @@
 // The rules of the service as they bind at four moments: before a request's bytes go to an engine, before it
 // is repeated, before a client's connection is closed, and before a request is taken on. Whoever acts asks
 // here first and is told which rule forbids it, if one does. What was held back is counted, and so is what
-// was found broken after the fact; a run is sound while the latter stays at zero. It decides nothing else: no
-// I/O, no clock.
+// was found broken after the fact; a run is sound while the latter stays at zero. It keeps records of its own
+// of what happened at the sockets, so that the module that decides is not the judge of its own work. It
+// decides nothing else: no I/O, no clock.
 #pragma once
 
 #include <array>
@@ -10,7 +11,11 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <unordered_map>
 
+#include "core/attempt_budget.h"
+#include "core/cold_budgets.h"
+#include "core/key_order.h"
 #include "core/types.h"
 
 namespace pearchute {
@@ -26,12 +31,21 @@
   one_attempt_out,    // nor has it two attempts out
   attempts_are_few,   // no more than the settings allow
   not_while_ending,   // nothing is taken on once the manager answers all that it has
+  order_by_key,       // nothing begins while an earlier request of its key is not over
+  key_rests,          // nor before its key has rested after an attempt whose end is not sure
+  cold_budget,        // no more work goes to an engine that has just started than this manager's part
+  placement,          // nothing goes where its class may not run
+  repeat_group,       // what may have run is repeated only where its repeat is known
+  attempt_budget,     // further attempts stay within the stated few and share
+  time_told,          // an engine is told no more time than the client has left
   count
 };
 inline constexpr std::size_t rule_count = static_cast<std::size_t>(Rule::count);
 inline constexpr std::array<std::string_view, rule_count> rule_names = {
-    "one_answer",   "answer_in_time", "no_silent_close", "client_is_there",  "engine_takes_work",
-    "time_is_left", "runs_once",      "one_attempt_out", "attempts_are_few", "not_while_ending"};
+    "one_answer",     "answer_in_time", "no_silent_close", "client_is_there",  "engine_takes_work",
+    "time_is_left",   "runs_once",      "one_attempt_out", "attempts_are_few", "not_while_ending",
+    "order_by_key",   "key_rests",      "cold_budget",     "placement",        "repeat_group",
+    "attempt_budget", "time_told"};
 
 // An attempt whose first byte is about to go.
 struct SendingFacts {
@@ -40,6 +54,21 @@
   bool answered = false;
   bool client_is_there = true;
   EngineState engine = EngineState::up;
+  std::optional<Span> time_told = std::nullopt;  // to the engine
+};
+
+// A request as it is taken.
+struct TakenRequest {
+  JobId id;
+  TypeId type;
+  std::optional<OrderKey> order_key;  // in a class that keeps order
+};
+
+// Which attempt of which request goes where, and what such a request usually needs of an engine.
+struct Attempt {
+  JobId request;
+  EngineId engine;
+  double usual_work_ms = 0;
 };
 
 // An attempt that has been decided on, and those before it.
@@ -70,8 +99,23 @@
 
 class RuleGuard {
  public:
+  // The figures that the rules go by; without them the rules on order, budgets and placement ask for nothing.
+  void serve(const ServiceDefinition& service);
+
+  // What happens at the sockets, as it happens.
+  void list_came(Span now, ListNews news, const std::vector<ListedEngine>& engines);
+  void taken(Span now, const TakenRequest& request);
+  void attempt_left(Span now, const Attempt& attempt);
+  void attempt_taken_back(JobId request);            // no byte of it has left this machine after all
+  void attempt_called_off(Span now, JobId request);  // of one that has left
+  void attempt_ended(Span now, const Attempt& attempt, Outcome outcome);
+  void over(JobId request);  // it has its final answer, or its client has gone
+  void forget_old(Span now);
+  Span rest_left(Span now, OrderKey key) const { return order_.rest_left(now, key); }
+
   // The rule that forbids it; it is counted as held back.
   std::optional<Rule> forbids_sending(const SendingFacts& facts);
+  std::optional<Rule> forbids_sending(const SendingFacts& facts, const Attempt& attempt);
   // The same; whoever decided on it has broken the rule, so it is counted as broken, too.
   std::optional<Rule> forbids_repeating(const RepeatFacts& facts);
   std::optional<Rule> forbids_taking(bool answers_all);
@@ -87,8 +131,32 @@
   std::uint64_t broken_in_all() const;
 
  private:
+  // What is known of a request that has not been answered, or has an attempt out.
+  struct Record {
+    TypeId type;
+    int attempts = 0, out = 0;
+    std::optional<Span> first_doubt;  // when the first attempt that may have run left
+    Span last_left{};
+    ZoneId doubt_zone{-1};
+    CellId doubt_cell{};
+    bool over = false;
+  };
+  std::optional<Rule> broken_by(const SendingFacts& facts) const;
+  std::optional<Rule> broken_by(const RepeatFacts& facts) const;
+  std::optional<Rule> broken_by_attempt(Span now, const Attempt& attempt) const;
+  std::optional<Rule> broken_by_place(const ReservationType& type, const Record& record,
+                                      const ListedEngine& engine) const;
   std::optional<Rule> hold_back(Rule rule);
   void note_broken(Rule rule);
+  void drop_if_done(JobId request);
+
+  std::vector<ReservationType> types_;
+  int most_attempts_ = 1;
+  bool second_copies_ = false;
+  std::unordered_map<JobId, Record> records_;
+  KeyOrder order_;
+  ColdBudgets cold_;
+  AttemptBudget attempts_;
 
   std::uint64_t checked_ = 0;
   std::array<std::uint64_t, rule_count> held_back_{}, broken_{};
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -61,13 +61,14 @@
   spent,       // its attempts are used up, or a further one might run it twice
   not_taken,   // its attempt could not leave
   client_gone,
-  crammed,  // near the most jobs that may be open, it made room
-  ending,   // the manager ends
+  crammed,        // near the most jobs that may be open, it made room
+  ending,         // the manager ends
+  order_unknown,  // whether it came before or after another one of its key can't be told
   count
 };
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(GiveUpReason::count)> give_up_names = {
-    "costly", "hopeless",  "queue_full",  "time_is_up", "too_late",
-    "spent",  "not_taken", "client_gone", "crammed",    "ending"};
+    "costly",    "hopeless",    "queue_full", "time_is_up", "too_late",     "spent",
+    "not_taken", "client_gone", "crammed",    "ending",     "order_unknown"};
 
 enum class Effect { restartable, keyed, run_once };
 enum class Reach { all, zone, cell };  // which engines drop a repeat of a keyed job
@@ -153,6 +154,7 @@
   TypeId type;
   CustomerId customer{-1};
   std::optional<OrderKey> key;
+  bool order_is_known = true;  // among the jobs of its key
   Span time_left{};
   std::optional<double> work_ms;    // estimated, as time on one thread
   std::optional<double> memory_mb;  // estimated
--- a/src/front/client.h
+++ b/src/front/client.h
@@ -36,7 +36,8 @@
     Span at = paused_since_.value_or(front_.loop_.unread_since());
     // So may those that came with the connection, where nothing was waited for since it was taken.
     if (http_.bytes_fed() == 0 && at <= since_) at = std::min(at, came_since_);
-    arrivals_.came(http_.bytes_fed() + bytes.size(), std::min(at, front_.loop_.now()));
+    const Span now = front_.loop_.now();
+    arrivals_.came(http_.bytes_fed() + bytes.size(), std::min(at, now), now);
     http_.feed(bytes);
     if (!wire_->paused()) paused_since_.reset();
     heed_bounds();
@@ -47,6 +48,7 @@
     ++front_.counters_.calls, ++calls_;
     owes_answer_ = true;
     call_came_ = arrivals_.of(http_.bytes_taken(), front_.loop_.unread_since());
+    call_came_by_ = arrivals_.latest(front_.loop_.now());
     front_.called(*this, method, path, message);
   }
   void refused_call(int status) override {
@@ -63,6 +65,20 @@
   bool owes_answer() const { return owes_answer_; }
   void note_answered() { owes_answer_ = false; }
   Span call_came() const { return call_came_; }  // the last byte of the open call, at the earliest
+  // The bounds of when it came, as close as this system tells.
+  std::pair<Span, Span> call_came_between() {
+    constexpr std::chrono::milliseconds close_enough(5);
+    const Span now = front_.loop_.now();
+    const bool is_last = http_.bytes_taken() == http_.bytes_fed() && wire_ && !wire_->has_unread();
+    if (call_came_by_ - call_came_ <= close_enough || !is_last) return {call_came_, call_came_by_};
+    const auto age = wire_->age_of_last_data();
+    if (!age) return {call_came_, call_came_by_};
+    const Span earliest = std::max<Span>(call_came_, now - *age - data_age_resolution);
+    const Span latest = std::min<Span>(call_came_by_, now - *age + data_age_resolution);
+    return earliest <= latest ? std::pair(earliest, latest) : std::pair(call_came_, call_came_by_);
+  }
+  // Whether what it has written behind its open call may be a call of that key.
+  bool may_hold_call_of(std::string_view key) const { return http_.holds_behind(key); }
   // A call's answer has been put out.
   void answered() {
     since_ = front_.loop_.now();
@@ -123,7 +139,7 @@
   ClientId id_;
   HttpServerSide http_;
   std::unique_ptr<Wire> wire_;
-  Span since_, stuck_since_, came_since_, call_came_{};
+  Span since_, stuck_since_, came_since_, call_came_{}, call_came_by_{};
   std::optional<Span> paused_since_;  // what came since then was not read at once
   ArrivalTimes arrivals_;
   bool owes_answer_ = false;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -51,6 +51,8 @@
       engines_(loop, deployment.links, descriptors > 40 ? descriptors - descriptors / 2 - 20 : 1, *this,
                counters),
       manager_(deployment_.service, seed, *this) {
+  counters_.rules.serve(deployment_.service);
+  loop.after_each_look([this] { return !arrivals_.empty(); }, [this] { hand_over_what_is_settled(); });
   sweep();
 }
 
@@ -59,12 +61,14 @@
 void Front::settle_account(JobId id, OpenJob& job) {
   if (!job.answered) owed_ -= 1;
   job.answered = true;
+  counters_.rules.over(id);
   // Guards against a dispatch that leaves after the final answer, once its connection is up: where nothing
   // can be called off the module leaves alone what is out, and only the sockets know that this never went
   // out.
-  for (const Sent& sent : job.out) engines_.take_back({id, sent.number}, Outcome::never_sent);
+  take_back_unsent(id, job);
   statement_bytes_ -= job.statement.size();
   job.statement = {};
+  if (arriving_.erase(id) > 0) arrivals_.withdrawn(id);
 }
 
 std::string Front::counters_now() {
@@ -172,7 +176,18 @@
   const auto it = jobs_.find(id);
   if (it == jobs_.end() || it->second.answered) return;
   manager_.caller_left(loop_.now(), id);
-  for (const Sent& sent : it->second.out) engines_.take_back({id, sent.number}, Outcome::never_sent);
+  take_back_unsent(id, it->second);
+}
+
+void Front::take_back_unsent(JobId id, OpenJob& job) {
+  for (Sent& sent : job.out) {
+    if (engines_.take_back({id, sent.number}, Outcome::never_sent)) note_taken_back(id, sent);
+  }
+}
+
+void Front::note_taken_back(JobId id, Sent& sent) {
+  if (!std::exchange(sent.has_left, false)) return;
+  counters_.rules.attempt_taken_back(id);
 }
 
 void Front::left_alone(JobId id) {
@@ -309,15 +324,52 @@
   client.waits_for = job.id;
   if (job.key && deployment_.service.types[static_cast<std::size_t>(type.value)].in_order) {
     open.order_key = job.key;
-    log_.taken(open.id, open.kind, *job.key, job.time_left, now - std::min(now, client.call_came()), Span(0));
+    await_earlier_calls(client, job, message.header("x-object"));
+  } else {
+    hand_over(job);
   }
-  manager_.job_taken(now, job);
-  log_what_it_waits_for(job.id);
   // Guards long jobs against the loss of their connection: with a path, the client can call again.
   constexpr milliseconds long_hold(2000);  // most jobs are over by then, without a call more
   if (job.time_left > long_hold) loop_.at(now + long_hold, [this, id = job.id] { give_path(id); });
 }
 
+// Guards against calls of a key that are taken in the order in which they are read, where several lie unread
+// or one waits behind an open call: the module hears of them as they came.
+void Front::await_earlier_calls(Client& client, const Job& job, std::string_view key) {
+  const Span now = loop_.now();
+  const auto [earliest, latest] = client.call_came_between();
+  log_.taken(jobs_.at(job.id).id, jobs_.at(job.id).kind, *job.key, job.time_left, now - earliest,
+             now - latest);
+  Job arriving = job;
+  arriving.order_is_known = std::ranges::none_of(clients_, [&](const auto& one) {
+    return one.second.get() != &client && one.second->may_hold_call_of(key);
+  });
+  arriving_.emplace(job.id, arriving);
+  arrivals_.came({job.id, *job.key, earliest, latest, now});
+}
+
+void Front::hand_over_what_is_settled() {
+  for (const ArrivalOrder::Settled& settled : arrivals_.settle(loop_.now(), loop_.read_up_to())) {
+    const auto at = arriving_.find(settled.id);
+    Job job = at->second;
+    arriving_.erase(at);
+    job.order_is_known &= settled.order_is_known;
+    hand_over(job);
+  }
+}
+
+// Its client may have left meanwhile.
+void Front::hand_over(const Job& job) {
+  const auto it = jobs_.find(job.id);
+  if (it == jobs_.end() || it->second.answered) return;
+  const Span now = loop_.now();
+  Job taken = job;
+  taken.time_left = it->second.end - now;
+  counters_.rules.taken(now, {job.id, job.type, it->second.order_key});
+  manager_.job_taken(now, taken);
+  log_what_it_waits_for(job.id);
+}
+
 void Front::log_what_it_waits_for(JobId id) {
   constexpr std::string_view words[] = {"", "for its turn of its key", "for its key's rest", "for the ration",
                                         "for room"};
@@ -412,11 +464,16 @@
 void Front::answer_all() {
   if (closing_) return;
   closing_ = true;
+  // What still waits for its place in the order has to be answered, too.
+  const auto arriving = std::exchange(arriving_, {});
+  for (const auto& [id, job] : arriving) arrivals_.withdrawn(id);
+  for (const auto& [id, job] : std::map(arriving.begin(), arriving.end())) hand_over(job);
   manager_.closing(loop_.now());
 }
 
 void Front::sweep() {
   const Span now = loop_.now();
+  counters_.rules.forget_old(now);
   std::vector<std::pair<Client*, int>> overdue;
   for (const auto& [id, client] : clients_) {
     if (const auto status = client->overdue(now)) overdue.emplace_back(client.get(), *status);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/arrival_order.h"
 #include "core/control.h"
 #include "engines/engines.h"
 #include "engines/list.h"
@@ -124,6 +125,9 @@
 
   void called(Client& client, const std::string& method, const std::string& path, Message& message);
   void take_job(Client& client, std::string_view kind, Message& message);
+  void hand_over(const Job& job);
+  void await_earlier_calls(Client& client, const Job& job, std::string_view key);
+  void hand_over_what_is_settled();
   void client_left(Client& client, ClientCloseReason reason);
   void left_alone(JobId id);  // unless its client waits on another connection
   void lose_sight(JobId id);
@@ -140,7 +144,10 @@
   void refuse_for_now(Client& client, RefusalReason reason);
   bool client_is_there(const OpenJob& job) const;
   bool repeat_is_forbidden(JobId id, const OpenJob& job);
+  void take_back_unsent(JobId id, OpenJob& job);
+  void note_taken_back(JobId id, Sent& sent);
   void call_off(DispatchKey key, CallOffReason reason);
+  Attempt attempt_of(DispatchKey key, const OpenJob& job, const Sent& sent) const;
   static AttemptName name_of(const OpenJob& job, const Sent& sent);
   void drop(Client& client, ClientCloseReason reason);
   void shed_unread();
@@ -167,6 +174,8 @@
   std::function<void(std::string_view)> remarked_;
   Engines engines_;
   WorkloadManager manager_;
+  ArrivalOrder arrivals_;
+  std::unordered_map<JobId, Job> arriving_;  // read, and not with the module yet
 };
 
 }  // namespace pearchute::net
--- a/src/front/front_engines.cpp
+++ b/src/front/front_engines.cpp
@@ -92,28 +92,41 @@
   OpenJob& job = it->second;
   const auto sent = std::ranges::find(job.out, key.number, &Sent::number);
   if (sent == job.out.end()) return Outcome::never_sent;
+  const Span now = loop_.now();
+  const Attempt attempt = attempt_of(key, job, *sent);
   const auto rule = counters_.rules.forbids_sending(
-      {loop_.now(), job.end, job.answered, client_is_there(job), departure.state});
+      {now, job.end, job.answered, client_is_there(job), departure.state, departure.told}, attempt);
   if (!rule) {
     sent->has_left = true;
+    counters_.rules.attempt_left(now, attempt);
     log_.leaves(name_of(job, *sent), departure.told);
     return std::nullopt;
   }
   log_.held_back(name_of(job, *sent), rule_names[static_cast<std::size_t>(*rule)]);
   if (*rule == Rule::engine_takes_work) return Outcome::unreachable;
+  if (*rule == Rule::cold_budget) return Outcome::full;  // another engine may have room
   if (*rule == Rule::client_is_there) lose_sight(key.job);
   return Outcome::never_sent;
 }
 
+Attempt Front::attempt_of(DispatchKey key, const OpenJob& job, const Sent& sent) const {
+  return {key.job, sent.engine, manager_.usual_work_ms(job.type)};
+}
+
 AttemptName Front::name_of(const OpenJob& job, const Sent& sent) {
   return {job.id, sent.number + 1, sent.engine_name, job.order_key.has_value()};
 }
 
 void Front::call_off(DispatchKey key, CallOffReason reason) {
   const auto it = jobs_.find(key.job);
-  if (it != jobs_.end()) {
-    const auto sent = std::ranges::find(it->second.out, key.number, &Sent::number);
-    if (sent != it->second.out.end() && sent->has_left) log_.called_off(name_of(it->second, *sent), reason);
+  if (it == jobs_.end()) return engines_.never_mind(key);
+  const auto sent = std::ranges::find(it->second.out, key.number, &Sent::number);
+  if (sent != it->second.out.end()) {
+    if (engines_.take_back(key, Outcome::stopped)) return note_taken_back(key.job, *sent);
+    if (sent->has_left) {
+      log_.called_off(name_of(it->second, *sent), reason);
+      counters_.rules.attempt_called_off(loop_.now(), key.job);
+    }
   }
   engines_.never_mind(key);
 }
@@ -222,6 +235,10 @@
   if (!proves_not_run(outcome) && outcome != Outcome::done && !job.first_doubt) job.first_doubt = sent->at;
   job.last_end = outcome;
   log_.ended(name_of(job, *sent), outcome, elapsed);
+  if (sent->has_left) {
+    counters_.rules.attempt_ended(now, attempt_of(key, job, *sent), outcome);
+    if (job.order_key) log_.rests(*job.order_key, counters_.rules.rest_left(now, *job.order_key));
+  }
   job.out.erase(sent);
   if (outcome == Outcome::done && !job.answered) {
     if (auto body = rows_as_json(pages)) {
@@ -270,6 +287,7 @@
     listed.insert(member.engine.id);
     if (!member.address.empty()) engines_.place(member.engine.id, member.address, member.engine.state);
   }
+  counters_.rules.list_came(loop_.now(), news, engines);
   manager_.list_came(loop_.now(), news, engines);
   // Only now, so that what ends by it is not sent there again.
   if (news != ListNews::changes) engines_.forget_others(listed);
--- a/src/front/request_log.cpp
+++ b/src/front/request_log.cpp
@@ -52,7 +52,7 @@
 }
 
 void RequestLog::rests(OrderKey key, Span span) {
-  write(notable_, "key {:016x} rests for {:.1f} ms", key.value, in_ms(span));
+  if (span > Span(0)) write(notable_, "key {:016x} rests for {:.1f} ms", key.value, in_ms(span));
 }
 
 void RequestLog::answered(std::string_view request, bool keeps_order, int status, std::string_view how,
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -108,8 +108,10 @@
 // is told later what the socket is watched for by then.
 void Loop::tell_interest_later(WatchId id, Watch& watch) {
   if (std::exchange(watch.is_later, true)) return;
+  ++unwatched_;
   constexpr std::chrono::milliseconds later(10);
   at(now() + later, [this, id] {
+    --unwatched_;
     const auto found = watches_.find(id.value);
     if (found == watches_.end()) return;
     found->second.is_later = false;
@@ -180,6 +182,7 @@
   const int found = ::epoll_wait(poll_descriptor_, events.data(), most_events, at_most_ms);
   note_wait(begun, std::chrono::milliseconds(at_most_ms), found >= 0);
   note_backlog(found);
+  unread_left_ = found < 0 || found == most_events, accepted_ = false;
   for (int i = 0; i < found && !stopped_; ++i) {
     const epoll_event& event = events[static_cast<std::size_t>(i)];
     const auto found_watch = watches_.find(event.data.u64);
@@ -190,6 +193,26 @@
     guarded([&] { watch.watcher->socket_ready(ready); });
     settle();
   }
+  note_look(begun);
+}
+
+// A look finds all that had come to watched sockets by when it began. What came on connections that it
+// accepted is found by the next one.
+void Loop::note_look(Span begun) {
+  if (unread_left_ || unwatched_ > 0) {
+    last_whole_look_.reset();
+  } else {
+    if (!accepted_) read_up_to_ = begun;
+    else if (last_whole_look_) read_up_to_ = *last_whole_look_;
+    last_whole_look_ = begun;
+  }
+  if (!look_listener_ || !look_listener_->needs()) return;
+  guarded(look_listener_->what);
+  settle();
+}
+
+void Loop::after_each_look(std::function<bool()> needs, std::function<void()> what) {
+  look_listener_ = LookListener{std::move(needs), std::move(what)};
 }
 
 Span Loop::now() const { return std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - start_); }
@@ -204,6 +227,10 @@
   // counts in: rounded down, it would spin through the last one.
   if (is_behind()) return 0;
   Span wait = std::chrono::milliseconds(100);
+  // While something can't be read yet, looking at once would find the same again.
+  constexpr Span between_looks = std::chrono::milliseconds(2);
+  if (look_listener_ && look_listener_->needs())
+    wait = unread_left_ || unwatched_ > 0 ? between_looks : Span(0);
   if (!timers_.empty()) wait = std::clamp(timers_.front().when - now(), Span(0), wait);
   return static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(wait).count());
 }
@@ -510,9 +537,14 @@
 void Wire::read() {
   auto buffer = loop_.buffers_.take();
   // A few rounds at most: others wait for their turn, and what is left is told again.
-  for (int round = 0; round < 4 && !closed_ && !paused_; ++round) {
+  constexpr int most_rounds = 4;
+  for (int round = 0; round < most_rounds && !closed_ && !paused_; ++round) {
     const Transfer got = receive_some(descriptor(), buffer->bytes.data(), BufferPool::buffer_size);
-    if (got.status == TransferStatus::not_now) break;
+    if (got.status == TransferStatus::not_now) {
+      if (round == 0) loop_.note_unread_left();  // the system has said that there is something
+      break;
+    }
+    if (round + 1 == most_rounds) loop_.note_unread_left();
     if (got.status != TransferStatus::done) {
       error_ = got.error;
       ended();
@@ -521,7 +553,10 @@
     constexpr std::size_t most_discarded = 1 << 20;  // more is a flood that no reader of the answer sends
     if (closing_ && (discarded_ += got.bytes) > most_discarded) close();
     if (user_) user_->wire_brought({buffer->bytes.data(), got.bytes});
-    if (got.bytes < BufferPool::buffer_size) break;
+    if (got.bytes == BufferPool::buffer_size) continue;
+    if (!closed_ && !paused_ && net::has_unread(descriptor()))
+      loop_.note_unread_left();  // a read that fell short
+    break;
   }
   loop_.buffers_.give_back(std::move(buffer));
 }
@@ -594,7 +629,9 @@
 // Guards against spinning on a connection that can't be accepted: those that wait stay in the backlog.
 void Door::rest() {
   loop_.change_interest(*watch_, {});
-  loop_.at(loop_.now() + std::chrono::milliseconds(20), [this, alive = alive_] {
+  ++loop_.unwatched_;
+  loop_.at(loop_.now() + std::chrono::milliseconds(20), [this, &loop = loop_, alive = alive_] {
+    --loop.unwatched_;
     if (*alive && watch_) loop_.change_interest(*watch_, {true, false, false});
   });
 }
@@ -604,6 +641,7 @@
     const Accepted one = accept_one(descriptor_);
     switch (one.status) {
       case AcceptStatus::accepted:
+        loop_.note_accepted();
         came_(socket_of(one.descriptor));
         break;
       case AcceptStatus::none_waits:
@@ -628,6 +666,7 @@
   const Taken taken = take(at_a_time);
   loop_.unread_since_ = found_since;
   waits_since_ = taken == Taken::all ? std::nullopt : std::optional(waits_since);
+  if (taken != Taken::all) loop_.note_unread_left();
   if (taken == Taken::shortage && !shut_) rest();
 }
 
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -79,6 +79,13 @@
   // bounds: what peers have said meanwhile may not have been read yet.
   bool is_behind() const { return behind_since_.has_value(); }
   void when_caught_up(std::function<void()> what);  // after the event at hand, where it is not behind
+  // All that had come by then has been read, also from connections that waited to be accepted.
+  Span read_up_to() const { return read_up_to_; }
+  // Heard after each look for what has come, while `needs` asks for one: the loop does not wait meanwhile.
+  void after_each_look(std::function<bool()> needs, std::function<void()> what);
+  // Something that has come is left unread for now.
+  void note_unread_left() { unread_left_ = true; }
+  void note_accepted() { accepted_ = true; }
   void at(Span when, std::function<void()> what);
   void soon(std::function<void()> what);    // after the event at hand, before the next
   void retire(std::unique_ptr<Wire> wire);  // closes it; destroyed once no event can be within it
@@ -97,8 +104,13 @@
  private:
   friend class Wire;
   friend class Door;
+  struct LookListener {
+    std::function<bool()> needs;
+    std::function<void()> what;
+  };
   void wait();
   void note_wait(Span begun, Span at_most, bool looked);
+  void note_look(Span begun);
   void note_backlog(int found);
   void run_timers();
   int wait_ms() const;
@@ -146,6 +158,11 @@
   int poll_descriptor_ = -1;
   std::unordered_map<std::uint64_t, Watch> watches_;
   std::uint64_t next_watch_ = 1, failed_events_ = 0;
+  std::optional<LookListener> look_listener_;
+  Span read_up_to_{-1};
+  std::optional<Span> last_whole_look_;  // the one before, where all that it found was read
+  bool unread_left_ = false, accepted_ = false;
+  std::size_t unwatched_ = 0;  // sockets that the system has not taken yet, or not as they are to be watched
 };
 
 // One TCP connection.
@@ -184,6 +201,9 @@
   bool peer_has_ended() const;
   // Whether bytes of the peer's lie with the system.
   bool has_unread() const { return has_socket_ && net::has_unread(descriptor()); }
+  std::optional<std::chrono::milliseconds> age_of_last_data() const {
+    return has_socket_ ? net::age_of_last_data(descriptor()) : std::nullopt;
+  }
   // Bytes that have not left this machine, and will as soon as the peer takes them.
   std::size_t unsent() const;
   // While paused nothing is read, so what the peer sends stays with the system, and its end goes unseen.
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -67,6 +67,8 @@
   // Nothing more should be read until the open call has its answer.
   bool has_enough() const { return open_ && kept_.size() >= most_kept; }
   bool within_call() const { return !open_ && reader_.begun(); }
+  // Whether a text stands in what has come behind the open call.
+  bool holds_behind(std::string_view text) const { return kept_.find(text) != std::string::npos; }
 
  private:
   static constexpr std::size_t most_kept = 16 * 1024;  // clients make one call at a time
--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -147,6 +147,14 @@
   return ::ioctl(descriptor, FIONREAD, &bytes) == 0 && bytes > 0;
 }
 
+std::optional<std::chrono::milliseconds> age_of_last_data(int descriptor) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
+  if (size < offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv) return std::nullopt;
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 bool is_reset(int error_number) { return error_number == ECONNRESET; }
 
 std::size_t unsent_bytes(int descriptor) {
--- a/src/net/system_calls.h
+++ b/src/net/system_calls.h
@@ -5,7 +5,9 @@
 
 #include <Poco/Net/SocketAddress.h>
 
+#include <chrono>
 #include <cstddef>
+#include <optional>
 
 #include "system/failures.h"
 
@@ -64,5 +66,9 @@
 // system does not tell.
 std::size_t unsent_bytes(int descriptor);
 bool is_reset(int error_number);
+// How long ago the last bytes came, by the system's own clock, within `data_age_resolution`; nothing where it
+// does not tell.
+std::optional<std::chrono::milliseconds> age_of_last_data(int descriptor);
+inline constexpr std::chrono::milliseconds data_age_resolution(12);  // a tick of a slow system, and a little
 
 }  // namespace pearchute::net
--- a/tests/test_order.cpp
+++ b/tests/test_order.cpp
@@ -140,11 +140,12 @@
 // The process has no turn; a call comes on a new connection, and 260 ms later another one of the same key on
 // a connection that is there already. The earlier one goes first, whichever is read first, or is refused.
 void calls_unread_together() {
-  ScriptedEngine engine(answers_after(milliseconds(30)));
-  DaemonFixture fixture;
-  fixture.go(ordered_settings, known({{"a", engine.address()}}));
   int both_served = 0;
   for (int round = 0; round < 4; ++round) {
+    // A process that stands still again and again takes itself for overloaded: each round has its own.
+    ScriptedEngine engine(answers_after(milliseconds(30)));
+    DaemonFixture fixture;
+    fixture.go(ordered_settings, known({{"a", engine.address()}}));
     const std::uint64_t key = 100 + static_cast<std::uint64_t>(round);
     const int old = resting_client(fixture, 50);
     const JobCall first = load(key), second = load(key);
--- a/tests/test_rule_guard.cpp
+++ b/tests/test_rule_guard.cpp
@@ -2,7 +2,9 @@
 // started.
 #include <cassert>
 #include <chrono>
+#include <cstdio>
 
+#include "core/arrival_order.h"
 #include "core/rule_guard.h"
 #include "engines/start_times.h"
 #include "front/arrival_times.h"
@@ -126,6 +128,191 @@
          milliseconds(1500));  // clocks differ a little, and stay
 }
 
+// A service with one class that keeps order, one that is bound to a zone, one whose repeats a zone knows.
+ServiceDefinition ordered_service() {
+  ServiceDefinition service;
+  ReservationType ordered;
+  ordered.effect = Effect::keyed, ordered.repeat_window = seconds(9), ordered.in_order = true;
+  ReservationType bound;
+  bound.zones = std::vector<ZoneId>{ZoneId{0}};
+  ReservationType zonal;
+  zonal.effect = Effect::keyed, zonal.reach = Reach::zone, zonal.repeat_window = seconds(9);
+  service.types = {ordered, bound, zonal};
+  service.kinds = {{.cores = 10, .memory_mb = 100}};
+  service.order_rest = milliseconds(300);
+  service.most_dispatches = 3;
+  service.ration_window = seconds(1), service.ration_few = 1, service.ration_share = 0.5;
+  service.tip_multiple = 2, service.cold_from = 0.5, service.tip_window = seconds(1);
+  service.cold_lasts = seconds(10), service.managers = 2;
+  return service;
+}
+
+constexpr EngineId near_engine{1}, far_engine{2}, cold_engine{3};
+
+struct ServedGuard : RuleGuard {
+  ServedGuard() {
+    serve(ordered_service());
+    const KindId kind{0};
+    list_came(Span(0), ListNews::complete,
+              {{near_engine, EngineState::up, ZoneId{0}, kind, {}, {}},
+               {far_engine, EngineState::up, ZoneId{1}, kind, {}, {}},
+               {cold_engine, EngineState::up, ZoneId{0}, kind, {}, seconds(0)}});
+  }
+  std::optional<Rule> asks(Span now, const Attempt& attempt) {
+    return forbids_sending({now, now + seconds(5), false, true, EngineState::up, seconds(5)}, attempt);
+  }
+};
+
+// Whatever the module decides: nothing leaves before its turn, nor before its key has rested.
+void order_by_key() {
+  constexpr OrderKey key{7};
+  constexpr TypeId ordered{0};
+  constexpr Attempt first{JobId{1}, near_engine}, second{JobId{2}, near_engine}, third{JobId{3}, near_engine};
+  // How the first attempt ends, whether it was called off before, and whether its key rests then.
+  struct Case {
+    Outcome outcome;
+    bool called_off;
+    bool rests;
+  };
+  const Case cases[] = {{Outcome::done, false, false},        {Outcome::done, true, true},
+                        {Outcome::error, false, false},       {Outcome::error, true, true},
+                        {Outcome::full, false, false},        {Outcome::full, true, true},
+                        {Outcome::never_sent, false, false},  {Outcome::never_sent, true, true},
+                        {Outcome::unreachable, false, false}, {Outcome::reset, false, true},
+                        {Outcome::timed_out, false, true},    {Outcome::stopped, false, true}};
+  for (const Case& one : cases) {
+    ServedGuard guard;
+    for (const Attempt& attempt : {first, second, third})
+      guard.taken(Span(0), {attempt.request, ordered, key});
+    assert(guard.asks(seconds(1), second) == Rule::order_by_key);
+    assert(!guard.asks(seconds(1), first));
+    guard.attempt_left(seconds(1), first);
+    if (one.called_off) guard.attempt_called_off(milliseconds(1010), first.request);
+    guard.over(first.request);
+    assert(guard.asks(milliseconds(1015), second) == Rule::order_by_key);  // it is still out
+    guard.attempt_ended(milliseconds(1020), first, one.outcome);
+    const Span soon = milliseconds(1021), rested = milliseconds(1320);
+    assert(guard.asks(soon, third) == Rule::order_by_key);
+    assert(guard.asks(soon, second) == (one.rests ? std::optional(Rule::key_rests) : std::nullopt));
+    assert(!guard.asks(rested, second));
+    assert(guard.broken_in_all() == 0 && guard.held_back(Rule::order_by_key) == 3);
+  }
+  // What has the turn is tried again without a rest, and one that was taken back has never been out.
+  ServedGuard guard;
+  for (const Attempt& attempt : {first, second}) guard.taken(Span(0), {attempt.request, ordered, key});
+  guard.attempt_left(Span(1), first);
+  guard.attempt_ended(Span(2), first, Outcome::reset);
+  assert(!guard.asks(Span(3), first));
+  guard.over(first.request);
+  assert(guard.asks(Span(3), second) == Rule::key_rests);
+  ServedGuard other;
+  for (const Attempt& attempt : {first, second}) other.taken(Span(0), {attempt.request, ordered, key});
+  other.attempt_left(Span(1), first);
+  other.attempt_taken_back(first.request), other.over(first.request);
+  assert(!other.asks(Span(2), second));
+}
+
+void places_and_budgets() {
+  constexpr TypeId bound{1}, zonal{2};
+  ServedGuard guard;
+  guard.taken(Span(0), {JobId{1}, bound, {}});
+  assert(guard.asks(Span(1), {JobId{1}, far_engine}) == Rule::placement);
+  assert(!guard.asks(Span(1), {JobId{1}, near_engine}));
+  // What may have run is repeated in its zone only.
+  guard.taken(Span(0), {JobId{2}, zonal, {}});
+  guard.attempt_left(Span(1), {JobId{2}, near_engine});
+  assert(guard.asks(Span(2), {JobId{2}, near_engine}) == Rule::one_attempt_out);
+  guard.attempt_ended(Span(2), {JobId{2}, near_engine}, Outcome::reset);
+  assert(guard.asks(Span(3), {JobId{2}, far_engine}) == Rule::repeat_group);
+  assert(!guard.asks(Span(3), {JobId{2}, near_engine}));
+  assert(guard.asks(seconds(10), {JobId{2}, near_engine}) == Rule::runs_once);
+  // One further attempt, and one more for each two requests of the last second.
+  for (std::uint64_t id = 2; id < 4; ++id) {
+    guard.attempt_left(Span(3), {JobId{id}, near_engine});
+    guard.attempt_ended(Span(4), {JobId{id}, near_engine}, Outcome::full);
+  }
+  guard.taken(Span(5), {JobId{3}, bound, {}});
+  guard.attempt_left(Span(6), {JobId{3}, near_engine});
+  guard.attempt_ended(Span(7), {JobId{3}, near_engine}, Outcome::full);
+  assert(!guard.asks(Span(8), {JobId{3}, near_engine}));
+  guard.attempt_left(Span(8), {JobId{3}, near_engine});
+  guard.attempt_ended(Span(9), {JobId{3}, near_engine}, Outcome::full);
+  assert(guard.asks(Span(10), {JobId{3}, near_engine}) == Rule::attempt_budget);
+  assert(!guard.asks(Span(10) + seconds(2), {JobId{3}, near_engine}));
+  // An even part of 2 x 0.5 x 10 cores x 1 s for two managers: five seconds of work in any second.
+  ServedGuard cold;
+  for (std::uint64_t id = 1; id < 7; ++id) cold.taken(Span(0), {JobId{id}, bound, {}});
+  for (std::uint64_t id = 1; id < 6; ++id) {
+    assert(!cold.asks(seconds(2), {JobId{id}, cold_engine, 1000}));
+    cold.attempt_left(seconds(2), {JobId{id}, cold_engine, 1000});
+  }
+  assert(cold.asks(milliseconds(2900), {JobId{6}, cold_engine, 1000}) == Rule::cold_budget);
+  assert(!cold.asks(milliseconds(2900), {JobId{6}, near_engine, 1000}));
+  assert(!cold.asks(milliseconds(3001), {JobId{6}, cold_engine, 1000}));
+  assert(!cold.asks(seconds(11), {JobId{6}, cold_engine, 1000}));  // it is warm by then
+  // No engine is told more time than is left.
+  assert(guard.forbids_sending({seconds(1), seconds(2), false, true, EngineState::up, milliseconds(1001)}) ==
+         Rule::time_told);
+  assert(!guard.forbids_sending({seconds(1), seconds(2), false, true, EngineState::up, milliseconds(1000)}));
+}
+
+// Calls of a key that are read in another order than they came, or whose order nobody knows.
+void arrival_order() {
+  using Settled = std::vector<std::pair<std::uint64_t, bool>>;
+  struct Case {
+    const char* what;
+    std::vector<ArrivalOrder::Call> calls;
+    Span now, read_up_to;
+    Settled settled;
+  };
+  const auto at = [](int ms) { return Span(milliseconds(ms)); };
+  constexpr OrderKey key{1}, other{2};
+  const Case cases[] = {
+      {"one that is read", {{JobId{1}, key, at(1), at(2), at(2)}}, at(3), at(2), {{1, true}}},
+      {"others may lie unread", {{JobId{1}, key, at(1), at(2), at(2)}}, at(3), at(1), {}},
+      {"they lie unread for too long", {{JobId{1}, key, at(1), at(2), at(2)}}, at(302), at(1), {{1, false}}},
+      {"read in another order",
+       {{JobId{1}, key, at(260), at(280), at(300)}, {JobId{2}, key, at(0), at(20), at(300)}},
+       at(301),
+       at(300),
+       {{2, true}, {1, true}}},
+      {"nobody knows the order",
+       {{JobId{1}, key, at(0), at(300), at(300)}, {JobId{2}, key, at(0), at(301), at(301)}},
+       at(302),
+       at(301),
+       {{1, true}, {2, false}}},
+      {"of other keys",
+       {{JobId{1}, key, at(0), at(300), at(300)}, {JobId{2}, other, at(0), at(301), at(301)}},
+       at(302),
+       at(301),
+       {{1, true}, {2, true}}},
+      {"one that may have come before is not settled",
+       {{JobId{1}, key, at(0), at(300), at(300)}, {JobId{2}, key, at(0), at(310), at(310)}},
+       at(311),
+       at(305),
+       {}},
+      {"one that came later is not settled",
+       {{JobId{1}, key, at(0), at(300), at(300)}, {JobId{2}, key, at(306), at(310), at(310)}},
+       at(311),
+       at(305),
+       {{1, true}}},
+  };
+  for (const Case& one : cases) {
+    ArrivalOrder order;
+    for (const ArrivalOrder::Call& call : one.calls) order.came(call);
+    Settled settled;
+    for (const ArrivalOrder::Settled& call : order.settle(one.now, one.read_up_to))
+      settled.emplace_back(call.id.value, call.order_is_known);
+    if (settled != one.settled) std::fprintf(stderr, "%s\n", one.what);
+    assert(settled == one.settled);
+    assert(order.empty() == (settled.size() == one.calls.size()));
+  }
+  ArrivalOrder order;
+  order.came({JobId{1}, key, at(1), at(2), at(2)});
+  order.withdrawn(JobId{1});
+  assert(order.empty());
+}
+
 }  // namespace
 
 int main() {
@@ -134,4 +321,7 @@
   closing_and_answering();
   arrivals();
   starts();
+  order_by_key();
+  places_and_budgets();
+  arrival_order();
 }
