Red test: a time without a turn within an event is not seen as one

A process that is stopped while it is at work on an event goes on with what it knew before, so an attempt may leave for an engine whose drain, or for a client whose cancel, has lain unread for that long.

--- a/tests/test_stalls.cpp
+++ b/tests/test_stalls.cpp
@@ -140,9 +140,26 @@
   close(door);
 }
 
+// The process has no turn while it is at work on an event: what it decides after that waits until it has
+// looked for what has come meanwhile, as what it decides after a wait without a turn does.
+void held_up_within_an_event() {
+  pearchute::net::Loop loop;
+  bool was_behind = false, was_before = false;
+  loop.at(loop.now() + milliseconds(20), [&] {
+    was_before = loop.is_behind();
+    pass(milliseconds(100));
+    was_behind = loop.is_behind();
+    loop.when_caught_up([&] { loop.stop(); });
+  });
+  loop.run();
+  std::fprintf(stderr, "behind before: %d, after: %d\n", was_before, was_behind);
+  assert(!was_before && was_behind);
+}
+
 constexpr Scenario scenarios[] = {{"call_behind_a_full_table", call_behind_a_full_table},
                                   {"cancelled_while_stalled", cancelled_while_stalled},
-                                  {"last_answer_read_slowly", last_answer_read_slowly}};
+                                  {"last_answer_read_slowly", last_answer_read_slowly},
+                                  {"held_up_within_an_event", held_up_within_an_event}};
 
 }  // namespace
 
