A time without a turn within an event counts; the soak judges order, rests, budgets, places

Cause: Loop::is_behind went by waits only (driver.cpp). The soak let the incident through: its engines heeded a give-up before another word, its checker knew no rests, budgets or places and passed over order where an engine lay unread.

Soak: engines say SHED, LATE, FAULT, HIT across give-ups and PONG up to 0.1 s late; one that hangs still notes what comes and when, so nothing is passed over. Checker: order by last byte written, overtaking, rests, ration, cold budgets with the terms' chance, zones, by what clients and engines saw, with the laboratory's own delay as slack. Terms: clients use open connections until a kill at the earliest moment, signals in series, crowds, short deadlines, 60 and 250 ms between calls of a key, early leavers, pairs of calls in a stall; logs of failing runs are kept (--logs). The guard's question on the time told has the terms' slack: without it, it held back attempts that had lost microseconds since the sum (1 or 2 a run).

--- a/src/core/rule_guard.cpp
+++ b/src/core/rule_guard.cpp
@@ -10,8 +10,8 @@
 // Up to half a second after its time an answer only earns nothing; later the request counts as lost.
 constexpr std::chrono::milliseconds latest_answer(500);
 
-// Engines are told whole milliseconds, one at least.
-constexpr std::chrono::milliseconds told_in_steps_of(1);
+// By the operators' terms; some moments pass between the sum that is told and the question whether it may be.
+constexpr std::chrono::milliseconds time_told_slack(150);
 
 }  // namespace
 
@@ -129,8 +129,8 @@
   if (facts.now >= facts.end) return Rule::time_is_left;
   if (!facts.client_is_there) return Rule::client_is_there;
   if (facts.engine != EngineState::up) return Rule::engine_takes_work;
-  const Span left = std::max<Span>(facts.end - facts.now, told_in_steps_of);
-  if (facts.time_told && *facts.time_told > left) return Rule::time_told;
+  const Span left = facts.end - facts.now;
+  if (facts.time_told && *facts.time_told > left + time_told_slack) return Rule::time_told;
   return std::nullopt;
 }
 
--- a/src/lab/checkers/history_checker.h
+++ b/src/lab/checkers/history_checker.h
@@ -2,6 +2,7 @@
 // the managers' own word. Times are the machine's steady clock.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -11,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include "lab/checkers/service_terms.h"
+
 namespace pearchute::lab {
 
 using Time = std::chrono::microseconds;  // of the steady clock
@@ -21,10 +24,31 @@
 class HistoryChecker {
  public:
   struct Kind {
-    bool once = false;      // must never be begun twice unless the first was turned away
-    bool in_order = false;  // jobs of one key one at a time, as sent
+    bool once = false;              // must never be begun twice unless the first was turned away
+    bool in_order = false;          // jobs of one key one at a time, as sent
+    std::set<std::string> zones{};  // where it may run; everywhere where none is named
+    double usual_work_ms = 0;       // what it counts against a cold engine's budget
+  };
+  // How a run ends, as its engine sees it.
+  enum class RunEnd {
+    answered,
+    turned_away,  // it never ran
+    given_up,     // the manager's word
+    cut,          // its connection ended
   };
+  // What the rules ask beyond those that need no figures. Nothing where it is never told.
+  void set_terms(const ServiceTerms& terms) { terms_ = terms; }
+  void set_zone(const std::string& engine, const std::string& zone) { zones_[engine] = zone; }
+  // It counts as cold from now on; `cores` says how much it is to be sent.
+  void engine_starts(const std::string& engine, int cores);
+  // How late this laboratory's own thread was just now: what it sees happened up to so much earlier.
+  void own_delay(Time delay);
+
+  // It is about to be written; `written` says when its last byte was.
   void sent(const std::string& job, int manager, Kind kind, std::uint64_t key, Time until);
+  void written(const std::string& job);
+  void crossed(
+      const std::string& job);  // the close of its connection: it came to nobody, and is written again
   void answered(const std::string& job, Answer answer);
   void unanswered(const std::string& job);  // its connection ended without one, or its time did
   void withdrawn(const std::string& job);
@@ -41,7 +65,7 @@
   // `lay_unread`: the engine did not read for a while, so it may have come earlier, and in another order.
   // That counts only together with unseen give-ups.
   void begun(const std::string& engine, const std::string& job, bool lay_unread = false);
-  void ended(const std::string& engine, const std::string& job, bool turned_away);
+  void ended(const std::string& engine, const std::string& job, RunEnd how);
 
   // Manager `manager` had the order to drain `engine` at `came`; nothing new may reach it much later.
   void drain_came(const std::string& engine, int manager, Time came);
@@ -54,13 +78,18 @@
     std::uint64_t excused = 0;         // open at a manager that was killed
     std::uint64_t after_leaving = 0;   // begun over 0.1 s after their client had left
     std::uint64_t waits_too_long = 0;  // told an engine more time than the client has left
-    std::vector<Time> drain_delays;    // from the order to the last new dispatch; 0 where none came after
-    std::vector<std::string> faults;   // the first few, in words
+    std::uint64_t unrested = 0;        // begun before their key had rested
+    std::uint64_t misplaced = 0;       // begun where their class may not run
+    std::uint64_t over_ration = 0;     // further attempts beyond the budget
+    std::uint64_t over_cold_budget = 0;
+    std::uint64_t rests_seen = 0, further_seen = 0, cold_seen = 0;  // how often each was put to the test
+    std::vector<Time> drain_delays;   // from the order to the last new dispatch; 0 where none came after
+    std::vector<std::string> faults;  // the first few, in words
     bool clean() const { return keeps_rules() && late == 0; }
     // As far as the operators' rules go: an answer up to half a second late only earns nothing.
     bool keeps_rules() const {
       return lost + doubled + twice_run + overlaps + disorder + late_over_500ms + after_leaving +
-                 waits_too_long ==
+                 waits_too_long + unrested + misplaced + over_ration + over_cold_budget ==
              0;
     }
   };
@@ -80,18 +109,45 @@
     Time until{};
     int answers = 0;
     bool given_up = false;
+    bool excused = false;         // its manager was killed; an answer may have been on its way
     std::optional<Time> left_at;  // by its client
     std::vector<Run> runs;
+    bool is_closed() const { return answers > 0 || given_up; }
+    bool is_out() const {
+      return std::ranges::any_of(runs, [](const Run& run) { return !run.over; });
+    }
   };
+  // The jobs of a key at one manager.
   struct Line {
+    int manager = 0;
     std::uint64_t next_turn = 1, last_begun = 0;
-    std::string out;  // the job of the key that is out
+    std::string out;                  // the job of the key that is out
+    std::deque<std::string> earlier;  // written, and not known to be over
+    Time rests_until{};
+  };
+  // A job began while an earlier one was open; that one has its answer within moments, or it was a break.
+  struct Overtaken {
+    std::string earlier, later;
+    Time at{};
+  };
+  struct ColdEngine {
+    Time since{};
+    double limit_ms = 0;
+    std::deque<std::pair<Time, double>> work;
   };
   struct Drained {
     Time came{}, last{};
   };
   void fault(std::uint64_t& count, const std::string& what);
   void closed(const std::string& id, Job& job);
+  void judge_order(const std::string& id, Job& job);
+  void judge_overtaken();
+  void judge_place(const std::string& engine, const std::string& id, const Job& job);
+  void judge_ration(const std::string& id, const Job& job);
+  void judge_cold_budget(const std::string& engine, const Job& job);
+  void forget_lines_of(int manager);
+  // What happened may have done so this much earlier than it was seen.
+  Time slack() const;
 
   std::map<std::string, Job> jobs_;
   std::deque<std::pair<Time, std::string>> over_;  // to be forgotten in time
@@ -100,6 +156,12 @@
   std::map<std::pair<std::string, int>, Drained> drained_;
   std::uint64_t open_ = 0;
   bool unseen_give_ups_ = false;
+  ServiceTerms terms_;
+  std::map<std::string, std::string> zones_;
+  std::map<std::string, ColdEngine> cold_;
+  std::vector<Overtaken> overtaken_;
+  std::map<int, std::deque<Time>> taken_, further_;  // by manager, of the ration's window
+  std::deque<std::pair<Time, Time>> delays_;         // when, and how long, of the last two seconds
   std::set<int> dead_managers_;
   Verdict verdict_;
 };
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -167,6 +167,8 @@
   soak_app->add_option("--for", soak_seconds, "each run's troubles")
       ->type_name("S")
       ->check(CLI::Range(1, 7200));
+  soak_app->add_option("--logs", soak.spec.logs, "keeps the managers' logs of runs that fail")
+      ->type_name("FOLDER");
   soak_app->add_flag("--every-kind", soak.every_kind, "fails where a kind of trouble never came about");
   soak_app->add_flag("--calls", soak.calls_only, "failing system calls instead: each kind, and all together");
   soak_app->add_flag("--together", soak.together, "of calls: all kinds together only");
--- a/src/lab/soak/soak_run.h
+++ b/src/lab/soak/soak_run.h
@@ -33,6 +33,7 @@
   bool troubles = true;  // by schedule; else managers are only reloaded and restarted in turn
   std::optional<FailingCalls> failing_calls;
   std::string programs;  // the folder of pearchuted and the library of faults
+  std::string logs;      // where the managers' logs of a run that is not sound are kept; empty: nowhere
 };
 
 struct SoakResult {
@@ -41,8 +42,10 @@
   std::array<std::uint64_t, fault_kinds> calls_failed{};  // over all managers
   std::uint64_t clock_reads = 0;                          // while a wall clock was off
   std::uint64_t restarts = 0, kills = 0;
-  std::uint64_t failed_starts = 0;  // ended before it served, or did not serve in time
-  std::uint64_t bad_ends = 0;       // a status other than 0, or no end in time, after SIGTERM
+  std::uint64_t failed_starts = 0;      // ended before it served, or did not serve in time
+  std::uint64_t bad_ends = 0;           // a status other than 0, or no end at last, after SIGTERM
+  std::uint64_t killed_at_the_end = 0;  // told to end, and still there when the platform may kill
+  std::uint64_t words_across = 0;       // that engines said across a give-up
   std::map<std::string, std::uint64_t> rules_broken, rules_held_back;  // by the managers' guards
   std::uint64_t failed_events = 0;
   std::vector<std::string> remarks;  // the first few, of what went wrong beside the verdict's
--- a/src/lab/stand_ins/clients.h
+++ b/src/lab/stand_ins/clients.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -39,6 +40,13 @@
   void withdraw(const std::string& job);  // closes its connection, or deletes its path
   // Offers `rate` jobs a second to the managers in turn, of the mix, until told 0.
   void offer(double rate, std::vector<Ask> mix);
+  // Of the jobs offered, this share is left by its client within some milliseconds; of jobs with a key half.
+  void leave_early(double share) { leave_early_ = share; }
+  // Two jobs of one key, as close as clients may write them: one on a new connection, the other on one that
+  // is open already.
+  void ask_pair(int manager, const Ask& ask);
+  // As clients do with a manager that ends: what is open is used on, though no new connection is made.
+  void use_open_lines(int manager, bool use);
   // As the front does that stands before managers, it asks each for its check five times a second, and sends
   // nothing new where the answer is no or does not come.
   bool up(int manager) const;        // by its last check
@@ -51,7 +59,21 @@
   struct Manager {
     std::string address;
     std::vector<std::unique_ptr<Line>> lines;
+    bool uses_open_lines = false;
   };
+  // When a key's last job was written, and whether on a new connection: the next one keeps its distance.
+  struct KeySent {
+    Time written{};
+    bool on_new_connection = false, is_written = true;
+  };
+  bool keeps_distance(std::uint64_t key) const;
+  void wrote(const std::string& job, std::uint64_t key, bool on_new_connection);
+  void leave_soon(const std::string& job);
+  std::optional<int> next_manager();
+  void ask_second(Line& line, const Ask& ask);
+  std::string ask_on(Line& line, int manager, const Ask& ask,
+                     std::function<void(std::optional<Answer>)> heard);
+  Line* free_line(int manager);
   Line& line_to(int manager);
   void drop(Line& line);
   void next(std::uint64_t turn);
@@ -63,7 +85,9 @@
   std::vector<Manager> managers_;
   class Check;
   std::vector<std::unique_ptr<Check>> checks_;  // one for each manager
-  std::map<std::uint64_t, Time> key_sent_;
+  std::map<std::uint64_t, KeySent> key_sent_;
+  std::map<std::string, double> usual_cost_ms_;  // by type, of the jobs on offer
+  double leave_early_ = 0;
   net::DeferredDeletion<Line> gone_;
   std::vector<Ask> mix_;
   double rate_ = 0;
--- a/src/lab/stand_ins/engine_list_channel.h
+++ b/src/lab/stand_ins/engine_list_channel.h
@@ -18,6 +18,7 @@
  public:
   struct Member {
     std::string name, address, zone, kind, phase;  // active, leaving, left
+    std::int64_t up_since_ms = 0;                  // since 1970; 0: long ago
   };
   static nlohmann::json event(std::size_t number, const std::vector<Member>& members, bool complete);
   explicit StandInChannel(net::Loop& loop);
@@ -28,8 +29,8 @@
   void cut_next() { cut_next_ = true; }                     // the next stream ends within its first event
   std::uint64_t asked_from() const { return asked_from_; }  // by the last stream
   std::uint64_t asked() const { return asked_; }
-  void fall_silent(bool silent) { silent_ = silent; }
-  void strand();  // the streams that are open fall silent for good, and stay open
+  void fall_silent(bool silent);  // what it owes by then is told when it speaks again
+  void strand();                  // the streams that are open fall silent for good, and stay open
   std::size_t streams() const { return lines_.size(); }
   std::uint64_t bytes_received() const { return bytes_received_; }  // over all streams so far
   std::uint64_t bytes_sent() const { return bytes_sent_; }
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -155,12 +155,13 @@
 }
 
 // Guards against acting on what is known while a peer has said otherwise some time ago: after a time without
-// a turn, what came is read before anything leaves that can wait. The least time is half of the tenth of a
-// second within which an attempt may begin after its client has gone; so is the longest that this takes.
+// a turn, what came is read before anything leaves that can wait. The longest that this takes is again half
+// of the tenth of a second within which an attempt may begin after its client has gone.
 void Loop::note_backlog(int found) {
-  constexpr std::chrono::milliseconds least(50), at_most(50);
-  if (!behind_since_ && found > 0 && now() - unread_since_ > least) behind_since_ = now();
-  if (!behind_since_ || (found != 0 && now() - *behind_since_ <= at_most)) return;
+  constexpr std::chrono::milliseconds at_most(50);
+  looked_at_ = now();
+  if (!behind_since_ && found > 0 && looked_at_ - unread_since_ > stale_after) behind_since_ = looked_at_;
+  if (behind_since_ && found != 0 && looked_at_ - *behind_since_ <= at_most) return;
   behind_since_.reset();
   for (auto& what : when_caught_up_) soon(std::move(what));
   when_caught_up_.clear();
--- a/src/net/driver.h
+++ b/src/net/driver.h
@@ -75,9 +75,9 @@
   // The earliest moment at which bytes that are read now can have come: while the loop is busy they lie
   // unread.
   Span unread_since() const { return unread_since_; }
-  // From a wait that found events which may have lain there for long, until one that finds none, within
-  // bounds: what peers have said meanwhile may not have been read yet.
-  bool is_behind() const { return behind_since_.has_value(); }
+  // From a wait that found events which may have lain there for long, or from when none was made for long,
+  // until one that finds none, within bounds: what peers have said meanwhile may not have been read yet.
+  bool is_behind() const { return behind_since_ || now() - looked_at_ > stale_after; }
   void when_caught_up(std::function<void()> what);  // after the event at hand, where it is not behind
   // All that had come by then has been read, also from connections that waited to be accepted.
   Span read_up_to() const { return read_up_to_; }
@@ -104,6 +104,8 @@
  private:
   friend class Wire;
   friend class Door;
+  // Half of the tenth of a second within which an attempt may begin after its client has gone.
+  static constexpr std::chrono::milliseconds stale_after{50};
   struct LookListener {
     std::function<bool()> needs;
     std::function<void()> what;
@@ -159,7 +161,7 @@
   std::unordered_map<std::uint64_t, Watch> watches_;
   std::uint64_t next_watch_ = 1, failed_events_ = 0;
   std::optional<LookListener> look_listener_;
-  Span read_up_to_{-1};
+  Span read_up_to_{-1}, looked_at_{};
   std::optional<Span> last_whole_look_;  // the one before, where all that it found was read
   bool unread_left_ = false, accepted_ = false;
   std::size_t unwatched_ = 0;  // sockets that the system has not taken yet, or not as they are to be watched
