--- a/src/core/cold_budgets.cpp
+++ b/src/core/cold_budgets.cpp
@@ -43,27 +43,26 @@
 
 // An even part of what the settings allow all managers together. Where that is less than a single request,
 // managers take turns at the engine, of which the longest allows half of the whole.
-double ColdBudgets::own_part(const Start& start) const {
+double ColdBudgets::own_part(const Start& start, double largest_ms) const {
   const auto kind = static_cast<std::size_t>(std::max(start.listed.kind.value, 0));
   const int cores = kind < kinds_.size() ? kinds_[kind].cores : 1;
   const double window_ms = static_cast<double>(window_.count()) / 1000;
   const double whole = multiple_ * cold_from_ * cores * window_ms;
   const double even = whole / managers_;
-  return largest_work_ms_ > even / 2 ? std::max(even, whole / 2) : even;
+  return largest_ms > even / 2 ? std::max(even, whole / 2) : even;
 }
 
-bool ColdBudgets::forbids(Span now, EngineId engine, double work_ms) const {
+bool ColdBudgets::forbids(Span now, EngineId engine, double work_ms, double largest_ms) const {
   const auto at = engines_.find(engine);
   if (at == engines_.end() || !cold(now, at->second)) return false;
   double sent = work_ms;
   for (const Sent& one : at->second.sent) {
     if (one.at > now - window_) sent += one.work_ms;
   }
-  return sent > own_part(at->second);
+  return sent > own_part(at->second, largest_ms);
 }
 
 void ColdBudgets::attempt_left(Span now, EngineId engine, double work_ms) {
-  largest_work_ms_ = std::max(largest_work_ms_, work_ms);
   const auto at = engines_.find(engine);
   if (at == engines_.end()) return;
   std::deque<Sent>& sent = at->second.sent;
--- a/src/core/cold_budgets.h
+++ b/src/core/cold_budgets.h
@@ -17,7 +17,9 @@
   explicit ColdBudgets(const ServiceDefinition& service);
   void list_came(Span now, ListNews news, const std::vector<ListedEngine>& engines);
   // Whether an attempt of that much work would be more than this manager's part.
-  bool forbids(Span now, EngineId engine, double work_ms) const;
+  // `largest_ms` is the usual work of the class that needs most: where that is over an even part, managers
+  // take turns.
+  bool forbids(Span now, EngineId engine, double work_ms, double largest_ms) const;
   void attempt_left(Span now, EngineId engine, double work_ms);
   // Where it stands; nothing where the engine was never listed.
   const ListedEngine* listed(EngineId engine) const;
@@ -33,13 +35,12 @@
     std::deque<Sent> sent;
   };
   bool cold(Span now, const Start& start) const;
-  double own_part(const Start& start) const;
+  double own_part(const Start& start, double largest_ms) const;
 
   double multiple_ = 0, cold_from_ = 1;
   Span window_{}, lasts_{};
   int managers_ = 1;
   std::vector<MachineKind> kinds_;
-  double largest_work_ms_ = 0;
   std::map<EngineId, Start> engines_;
 };
 
--- a/src/core/control.h
+++ b/src/core/control.h
@@ -1,6 +1,7 @@
 // The workload manager's interface, and the host through which it acts.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -87,6 +88,11 @@
   }
   std::size_t held_jobs() const { return held_.size(); }
   // What a job of that type usually needs, as time on one thread.
+  double largest_usual_work_ms() const {
+    double largest = 0;
+    for (const TypeFigures& type : types_) largest = std::max(largest, usual_work(type));
+    return largest;
+  }
   double usual_work_ms(TypeId type) const { return usual_work(types_[static_cast<std::size_t>(type.value)]); }
 
  private:
--- a/src/core/rule_guard.cpp
+++ b/src/core/rule_guard.cpp
@@ -113,7 +113,8 @@
   if (record.attempts > 0 && attempts_.forbids_further(now)) return Rule::attempt_budget;
   if (const auto order = order_.forbids(now, attempt.request))
     return *order == KeyOrder::Break::out_of_turn ? Rule::order_by_key : Rule::key_rests;
-  if (cold_.forbids(now, attempt.engine, attempt.usual_work_ms)) return Rule::cold_budget;
+  if (cold_.forbids(now, attempt.engine, attempt.usual_work_ms, attempt.largest_usual_work_ms))
+    return Rule::cold_budget;
   return std::nullopt;
 }
 
--- a/src/core/rule_guard.h
+++ b/src/core/rule_guard.h
@@ -69,6 +69,7 @@
   JobId request;
   EngineId engine;
   double usual_work_ms = 0;
+  double largest_usual_work_ms = 0;  // of any class
 };
 
 // An attempt that has been decided on, and those before it.
--- a/src/engines/resp.cpp
+++ b/src/engines/resp.cpp
@@ -227,8 +227,8 @@
       else if (note == "blocked") listener_.talk_wait(key, figure == 2 ? Wait::load : Wait::memory);
       return true;
     } else if (words[1] == "SHED" || words[1] == "FAULT" || words[1] == "LATE") {
-      // Guards against a word that is taken for the answer to what was asked before the give-up: it may be the
-      // engine's way of heeding it, so that the attempt's end stays unsure.
+      // Guards against a word that is taken for the answer to what was asked before the give-up: it may be
+      // the engine's way of heeding it, so that the attempt's end stays unsure.
       if (!open.farewell.empty()) return true;
       const Outcome outcome = words[1] == "SHED"    ? Outcome::full
                               : words[1] == "FAULT" ? Outcome::error
--- a/src/front/front_engines.cpp
+++ b/src/front/front_engines.cpp
@@ -110,7 +110,7 @@
 }
 
 Attempt Front::attempt_of(DispatchKey key, const OpenJob& job, const Sent& sent) const {
-  return {key.job, sent.engine, manager_.usual_work_ms(job.type)};
+  return {key.job, sent.engine, manager_.usual_work_ms(job.type), manager_.largest_usual_work_ms()};
 }
 
 AttemptName Front::name_of(const OpenJob& job, const Sent& sent) {
--- a/src/lab/checkers/history_checker.cpp
+++ b/src/lab/checkers/history_checker.cpp
@@ -59,7 +59,8 @@
   std::erase_if(overtaken_, [&](const Overtaken& one) { return one.earlier == id; });
 }
 
-void HistoryChecker::sent(const std::string& id, int manager, Kind kind, std::uint64_t key, Time until) {
+void HistoryChecker::sent(const std::string& id, int manager, const Kind& kind, std::uint64_t key,
+                          Time until) {
   // What has been over for long is forgotten: late second answers come within seconds.
   while (!over_.empty() && over_.front().first + std::chrono::seconds(10) < steady_now()) {
     jobs_.erase(over_.front().second);
--- a/src/lab/checkers/history_checker.h
+++ b/src/lab/checkers/history_checker.h
@@ -45,7 +45,7 @@
   void own_delay(Time delay);
 
   // It is about to be written; `written` says when its last byte was.
-  void sent(const std::string& job, int manager, Kind kind, std::uint64_t key, Time until);
+  void sent(const std::string& job, int manager, const Kind& kind, std::uint64_t key, Time until);
   void written(const std::string& job);
   void crossed(
       const std::string& job);  // the close of its connection: it came to nobody, and is written again
--- a/tests/test_rule_guard.cpp
+++ b/tests/test_rule_guard.cpp
@@ -250,6 +250,8 @@
   assert(!cold.asks(milliseconds(2900), {JobId{6}, near_engine, 1000}));
   assert(!cold.asks(milliseconds(3001), {JobId{6}, cold_engine, 1000}));
   assert(!cold.asks(seconds(11), {JobId{6}, cold_engine, 1000}));  // it is warm by then
+  // Where a class needs more than an even part, a turn at the engine is half of the whole.
+  assert(cold.asks(milliseconds(2900), {JobId{6}, cold_engine, 1000, 9000}) == Rule::cold_budget);
   // No engine is told more time than is left.
   assert(guard.forbids_sending({seconds(1), seconds(2), false, true, EngineState::up, milliseconds(1151)}) ==
          Rule::time_told);
