The guard counts a request against a cold engine by its estimate where that is less

Change: the lesser of both counts, so that what the module's own arithmetic allows is not held back; where no estimates come it is the usual work as before.

--- a/src/core/cold_budgets.h
+++ b/src/core/cold_budgets.h
@@ -1,6 +1,6 @@
 // The rule on cold engines, as it binds one manager: how much work it may send to an engine that has just
-// started, within the time in which such an engine falls over. Counted by what has left for the engine, with
-// the usual work of each class. No I/O, no clock.
+// started, within the time in which such an engine falls over. Counted by what has left for the engine. No
+// I/O, no clock.
 #pragma once
 
 #include <deque>
--- a/src/core/rule_guard.cpp
+++ b/src/core/rule_guard.cpp
@@ -44,7 +44,7 @@
   record.attempts += 1, record.out += 1;
   record.last_left = now;
   order_.attempt_left(attempt.request);
-  cold_.attempt_left(now, attempt.engine, attempt.usual_work_ms);
+  cold_.attempt_left(now, attempt.engine, attempt.work_ms);
 }
 
 void RuleGuard::attempt_taken_back(JobId request) {
@@ -113,7 +113,7 @@
   if (record.attempts > 0 && attempts_.forbids_further(now)) return Rule::attempt_budget;
   if (const auto order = order_.forbids(now, attempt.request))
     return *order == KeyOrder::Break::out_of_turn ? Rule::order_by_key : Rule::key_rests;
-  if (cold_.forbids(now, attempt.engine, attempt.usual_work_ms, attempt.largest_usual_work_ms))
+  if (cold_.forbids(now, attempt.engine, attempt.work_ms, attempt.largest_usual_work_ms))
     return Rule::cold_budget;
   return std::nullopt;
 }
--- a/src/core/rule_guard.h
+++ b/src/core/rule_guard.h
@@ -64,11 +64,11 @@
   std::optional<OrderKey> order_key;  // in a class that keeps order
 };
 
-// Which attempt of which request goes where, and what such a request usually needs of an engine.
+// Which attempt of which request goes where, and what it counts against the part of a cold engine.
 struct Attempt {
   JobId request;
   EngineId engine;
-  double usual_work_ms = 0;
+  double work_ms = 0;
   double largest_usual_work_ms = 0;  // of any class
 };
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -319,6 +319,7 @@
   open.statement = std::move(message.body);
   statement_bytes_ += open.statement.size();
   open.type = type;
+  open.estimate_ms = job.work_ms;
   open.taken = now, open.end = now + std::max(job.time_left, Span(0));
   open.caller = client.id();
   client.waits_for = job.id;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -106,6 +106,7 @@
     Span end{};  // the client's patience
     TypeId type;
     std::optional<OrderKey> order_key;  // in a class that keeps order
+    std::optional<double> estimate_ms;
     std::optional<ClientId> caller;
     std::optional<ClientId> path_given_to;  // it is about to call the path there
     bool has_path = false;
--- a/src/front/front_engines.cpp
+++ b/src/front/front_engines.cpp
@@ -109,8 +109,12 @@
   return Outcome::never_sent;
 }
 
+// A request counts with the usual work of its class, or less where it is estimated at less: the module goes
+// by either.
 Attempt Front::attempt_of(DispatchKey key, const OpenJob& job, const Sent& sent) const {
-  return {key.job, sent.engine, manager_.usual_work_ms(job.type), manager_.largest_usual_work_ms()};
+  const double usual = manager_.usual_work_ms(job.type);
+  return {key.job, sent.engine, std::min(usual, job.estimate_ms.value_or(usual)),
+          manager_.largest_usual_work_ms()};
 }
 
 AttemptName Front::name_of(const OpenJob& job, const Sent& sent) {
