What is only read to be thrown away holds up no order; module's test of give-ups

Cause: by reading, a client that floods a connection whose last answer is out would keep every look from being whole, so that calls of a key would wait 0.3 s and be refused.

Change: only wires with a user note what they leave unread (wire.cpp). A test of the module by table: what ends after it was called off rests its key, what never left does not, a job without a known place is refused and holds up no other.

--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -235,13 +235,17 @@
   auto buffer = loop_.buffers_.take();
   // A few rounds at most: others wait for their turn, and what is left is told again.
   constexpr int most_rounds = 4;
+  // Of one that is only read to be thrown away nothing can matter any more, however much it still sends.
+  const auto note_unread_left = [this] {
+    if (user_) loop_.note_unread_left();
+  };
   for (int round = 0; round < most_rounds && !closed_ && !paused_; ++round) {
     const Transfer got = receive_some(descriptor(), buffer->bytes.data(), BufferPool::buffer_size);
     if (got.status == TransferStatus::not_now) {
-      if (round == 0) loop_.note_unread_left();  // the system has said that there is something
+      if (round == 0) note_unread_left();  // the system has said that there is something
       break;
     }
-    if (round + 1 == most_rounds) loop_.note_unread_left();
+    if (round + 1 == most_rounds) note_unread_left();
     if (got.status != TransferStatus::done) {
       error_ = got.error;
       ended();
@@ -251,8 +255,7 @@
     if (closing_ && (discarded_ += got.bytes) > most_discarded) close();
     if (user_) user_->wire_brought({buffer->bytes.data(), got.bytes});
     if (got.bytes == BufferPool::buffer_size) continue;
-    if (!closed_ && !paused_ && net::has_unread(descriptor()))
-      loop_.note_unread_left();  // a read that fell short
+    if (!closed_ && !paused_ && net::has_unread(descriptor())) note_unread_left();  // a read that fell short
     break;
   }
   loop_.buffers_.give_back(std::move(buffer));
--- a/tests/daemon_fixture.h
+++ b/tests/daemon_fixture.h
@@ -124,6 +124,21 @@
 
 inline void pass(milliseconds time) { std::this_thread::sleep_for(time); }
 
+// A process that has no turn for as long as this lives.
+class Stalled {
+ public:
+  explicit Stalled(pid_t process) : process_(process) {
+    kill(process_, SIGSTOP);
+    pass(milliseconds(20));
+  }
+  ~Stalled() { kill(process_, SIGCONT); }
+  Stalled(const Stalled&) = delete;
+  Stalled& operator=(const Stalled&) = delete;
+
+ private:
+  const pid_t process_;
+};
+
 inline std::string fetch_of(const JobCall& job) {
   return "GET /job/" + id_of(job.number) + " HTTP/1.1\r\n\r\n";
 }
--- a/tests/test_order.cpp
+++ b/tests/test_order.cpp
@@ -100,18 +100,6 @@
   assert(broken == 0);
 }
 
-class Stopped {
- public:
-  explicit Stopped(pid_t process) : process_(process) {
-    kill(process_, SIGSTOP);
-    pass(milliseconds(20));
-  }
-  ~Stopped() { kill(process_, SIGCONT); }
-
- private:
-  const pid_t process_;
-};
-
 // Which of the two came to an engine first, and whether the other came while it was out or before it rested.
 void assert_in_turn(const ScriptedEngine& engine, const JobCall& earlier, const JobCall& later) {
   const auto first = engine.seen(earlier), second = engine.seen(later);
@@ -151,7 +139,7 @@
     const JobCall first = load(key), second = load(key);
     int fresh = -1;
     {
-      const Stopped process(fixture.daemon);
+      const Stalled process(fixture.daemon);
       fresh = fixture.open(first);
       pass(milliseconds(260));
       say(old, second.bytes());
--- a/tests/test_rules.cpp
+++ b/tests/test_rules.cpp
@@ -195,6 +195,43 @@
   }
 }
 
+// What has been called off has ended unsurely, whatever comes of it then; what never left has not been out. A
+// job whose place in the order nobody knows is refused, and holds up no other.
+void order_across_a_give_up() {
+  struct Case {
+    Outcome outcome;
+    bool rests;
+  };
+  const Case cases[] = {{Outcome::done, true},  {Outcome::error, true},       {Outcome::stopped, true},
+                        {Outcome::reset, true}, {Outcome::never_sent, false}, {Outcome::unreachable, false}};
+  for (const Case& c : cases) {
+    ServiceDefinition service = small_service();
+    service.types[1].in_order = true;
+    service.order_rest = ms(300), service.may_stop = true;
+    Bench bench(service);
+    bench.take(1, 1, 1000, 5);
+    bench.take(2, 1, 1000, 5);
+    bench.pass(ms(5));
+    bench.manager.job_withdrawn(bench.now, JobId{1});
+    assert(bench.host.stopped.size() == 1 && bench.dispatches(2) == 0);
+    bench.end(1, c.outcome, ms(5));
+    assert(bench.dispatches(2) == (c.rests ? 0 : 1));
+    bench.pass(ms(290));
+    assert(bench.dispatches(2) == (c.rests ? 0 : 1));
+    bench.pass(ms(20));
+    assert(bench.dispatches(2) == 1);
+  }
+  ServiceDefinition service = small_service();
+  service.types[1].in_order = true;
+  Bench bench(service);
+  Job unknown;
+  unknown.id = JobId{1}, unknown.type = TypeId{1}, unknown.key = OrderKey{5}, unknown.time_left = ms(20000);
+  unknown.order_is_known = false;
+  bench.manager.job_taken(bench.now, unknown);
+  bench.take(2, 1, 1000, 5);
+  assert(bench.throttled(1) && bench.dispatches(1) == 0 && bench.dispatches(2) == 1);
+}
+
 // Rule 6: a bound type goes only where it is bound to, or nowhere.
 void placement() {
   struct Case {
@@ -331,5 +368,5 @@
 int main() {
   asked_to_end(), answered_at_once(), client_away();
   effects(), keyed_stays(), one_answer(), drains();
-  cold_engines(), starts_of_the_first_list(), order(), placement(), ration();
+  cold_engines(), starts_of_the_first_list(), order(), order_across_a_give_up(), placement(), ration();
 }
--- a/tests/test_stalls.cpp
+++ b/tests/test_stalls.cpp
@@ -15,18 +15,6 @@
 // which an attempt may begin after its client has cancelled.
 constexpr milliseconds stall(400);
 
-class Stalled {
- public:
-  explicit Stalled(pid_t process) : process_(process) {
-    kill(process_, SIGSTOP);
-    pass(milliseconds(20));
-  }
-  ~Stalled() { kill(process_, SIGCONT); }
-
- private:
-  const pid_t process_;
-};
-
 // The table of clients is full, and more come while the process has no turn. Then a client that rests between
 // calls makes one: it has to be answered, although its connection is the least useful one when the newcomers
 // are seen.
