The laboratory's watch of its own delay ends with the cluster

The test's own checks had passed by then.

Change: the timer holds a flag that the destructor clears on the loop, before anything is destroyed.

--- a/src/lab/stand_ins/test_cluster.cpp
+++ b/src/lab/stand_ins/test_cluster.cpp
@@ -97,6 +97,7 @@
     ::waitpid(managers_[i].process, nullptr, 0);
   }
   on([this] {
+    *alive_ = false;
     crowd_.reset(), managers_.clear(), engine_relays_.clear(), channel_relays_.clear();
     engines_.clear(), channel_.reset();
     loop().settle();
@@ -150,7 +151,9 @@
   const Time now = steady_now();
   record_.own_delay(std::max(now - due, Time(0)));
   constexpr milliseconds every(5);
-  loop().at(loop().now() + every, [this, next = now + Time(every)] { watch_own_delay(next); });
+  loop().at(loop().now() + every, [this, alive = alive_, next = now + Time(every)] {
+    if (*alive) watch_own_delay(next);
+  });
 }
 
 void TestCluster::write_configuration(std::size_t number, const std::string& channel) {
--- a/src/lab/stand_ins/test_cluster.h
+++ b/src/lab/stand_ins/test_cluster.h
@@ -120,6 +120,7 @@
   std::unique_ptr<StandInClients> crowd_;
   std::vector<Manager> managers_;
   std::map<std::size_t, std::int64_t> up_since_ms_;  // of engines that have started late
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 // A port that was free a moment ago, at a loopback address that few others use; the number sets callers
