Lines are gathered only where they are written out regularly; close calls go as read

(2) agent_shortages_rollout_while_calls_fail counts lines of an agent's log, which the sink gathered and nobody wrote out, as only the manager calls flush_log (log.cpp).

Change: calls that came within 50 ms of each other go as they are read, since clients keep 60 ms; lines are gathered only once flush_log is called.

--- a/src/core/arrival_order.cpp
+++ b/src/core/arrival_order.cpp
@@ -6,8 +6,15 @@
 
 namespace {
 
+// Clients write calls of a key at least 60 ms apart: of two that came closer together than that, which no
+// such client writes, the order of reading is as good as any.
+constexpr std::chrono::milliseconds closer_than_clients_write(50);
+
+// Whether it can't be told which of the two came first.
 bool overlap(const ArrivalOrder::Call& one, const ArrivalOrder::Call& other) {
-  return one.key == other.key && one.earliest < other.latest && other.earliest < one.latest;
+  const bool is_open = one.earliest < other.latest && other.earliest < one.latest;
+  const Span within = std::max(one.latest, other.latest) - std::min(one.earliest, other.earliest);
+  return one.key == other.key && is_open && within >= closer_than_clients_write;
 }
 
 }  // namespace
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Lines are gathered only where somebody writes them out regularly: from the first call of flush_log on.
+bool gathers = false;
+
 // Writes only what standard error takes at once, several lines by one call.
 class PatientSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
  public:
@@ -24,7 +27,7 @@
     formatter_->format(message, line);
     if (gathered_.size() + line.size() > most_at_once) flush_();
     gathered_.append(line.data(), line.data() + std::min<std::size_t>(line.size(), most_at_once));
-    if (message.level >= spdlog::level::warn) flush_();
+    if (!gathers || message.level >= spdlog::level::warn) flush_();
   }
   void flush_() override {
     if (gathered_.size() == 0) return;
@@ -50,6 +53,7 @@
 }
 
 void flush_log() {
+  gathers = true;
   if (spdlog::logger* logger = spdlog::default_logger_raw()) logger->flush();
 }
 
