Red test: a step is refused for good because a file can't be opened just then

Cause by reading: Store::transact (store.cpp) takes CANTOPEN of one attempt for a refusal; LeaseOwner then refuses the step, and Rollout::step_answered counts the instance as failed.

--- a/tests/test_store.cpp
+++ b/tests/test_store.cpp
@@ -249,6 +249,35 @@
   assert(open(after) == Store::Opened::usable && after.instances().size() == 200);
 }
 
+// No file can be opened while a write begins, and one can again at once: what was to be written is.
+void short_of_files_for_a_moment() {
+  const std::string path = folder + "/short.db";
+  rlimit usual{};
+  assert(getrlimit(RLIMIT_NOFILE, &usual) == 0);
+  int attempts = 0, short_ones = 0;
+  Store store(path, [&](const char* point) {
+    if (std::string_view(point) != "begun") return;
+    rlimit limit = usual;
+    if (attempts++ < short_ones) limit.rlim_cur = 0;  // what is open stays open
+    assert(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  });
+  assert(open(store) == Store::Opened::usable);
+  for (short_ones = 1; short_ones <= 3; ++short_ones) {
+    attempts = 0;
+    const auto fence = static_cast<std::uint64_t>(short_ones);
+    const bool written = store.write({{"i1", kept(fence)}});
+    assert(setrlimit(RLIMIT_NOFILE, &usual) == 0);
+    assert(written && attempts == short_ones + 1 && store.fault().empty());
+    assert(store.instances().at("i1").last_fence == fence);
+  }
+  // A shortage that stays is told.
+  attempts = 0, short_ones = 1000;
+  const bool written = store.write({{"i1", kept(9)}});
+  assert(setrlimit(RLIMIT_NOFILE, &usual) == 0);
+  assert(!written && !store.fault().empty() && attempts < 20);
+  assert(store.instances().at("i1").last_fence == 3);
+}
+
 int main() {
   char name[] = "/tmp/pearchute-store-XXXXXX";
   assert(mkdtemp(name));
@@ -259,5 +288,6 @@
   older_and_newer();
   configuration();
   damage();
+  short_of_files_for_a_moment();
   std::filesystem::remove_all(folder);
 }
