A write to the agent's store whose file can't be opened just then is made again at once

Cause: as the red test says; line at fault: Store::transact (store.cpp), which had one attempt and one kind of failure.

Change: 'not now' and 'failed' are two results of an attempt; the former, CANTOPEN, is tried eight times. A full or failing device is told as before.

Result: store passes, with one, two and three attempts without descriptors and with none at all.

--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -225,11 +225,22 @@
   }
 }
 
+// Guards against a write that is refused for good because its journal could not be opened just then: nothing
+// of it has been done, so it is made again at once, some times. A device that is full or fails stays so for
+// longer, and is told.
 bool Store::transact(const std::function<void()>& what) {
+  if (!database_) return fault_ = "the store is not open", false;
+  constexpr int most_attempts = 8;
+  Written written = Written::not_now;
+  for (int attempt = 0; attempt < most_attempts && written == Written::not_now; ++attempt)
+    written = try_to_write(what);
+  return written == Written::whole;
+}
+
+Store::Written Store::try_to_write(const std::function<void()>& what) {
   const auto pass = [&](const char* point) {
     if (passes_) passes_(point);
   };
-  if (!database_) return fault_ = "the store is not open", false;
   try {
     SQLite::Transaction transaction(*database_);
     pass("begun");
@@ -238,10 +249,11 @@
     transaction.commit();
     pass("committed");
     fault_.clear();
-    return true;
+    return Written::whole;
   } catch (const SQLite::Exception& error) {
     fault_ = path_ + ": " + error.what();
-    return false;
+    constexpr int can_not_open = 14;  // SQLITE_CANTOPEN
+    return error.getErrorCode() == can_not_open ? Written::not_now : Written::failed;
   }
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -73,7 +73,9 @@
   fleet::ConfigReplica::State config() const;
 
  private:
+  enum class Written { whole, not_now, failed };
   bool transact(const std::function<void()>& what);
+  Written try_to_write(const std::function<void()>& what);
   void migrate(int from);
 
   const std::string path_;
