The log makes interrupted looks and writes again, and is locked

Cause: as the red test says; PatientSink (log.cpp) took EINTR of poll for 'takes nothing'.

Change: poll and write through 'uninterrupted', as all other calls; a mutex.

--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -1,23 +1,27 @@
 #include "net/log.h"
 
 #include <poll.h>
-#include <spdlog/details/null_mutex.h>
 #include <spdlog/sinks/base_sink.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <memory>
+#include <mutex>
+
+#include "system/failures.h"
 
 namespace pearchute::net {
 
 namespace {
 
 // Lines are gathered only where somebody writes them out regularly: from the first call of flush_log on.
-bool gathers = false;
+std::atomic<bool> gathers = false;
 
-// Writes only what standard error takes at once, several lines by one call.
-class PatientSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+// Writes only what standard error takes at once, several lines by one call. Locked, since an agent has
+// threads.
+class PatientSink final : public spdlog::sinks::base_sink<std::mutex> {
  public:
   ~PatientSink() override { flush_(); }
 
@@ -32,8 +36,9 @@
   void flush_() override {
     if (gathered_.size() == 0) return;
     pollfd ready{STDERR_FILENO, POLLOUT, 0};
-    if (::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT)) [[maybe_unused]]
-      const auto written = ::write(STDERR_FILENO, gathered_.data(), gathered_.size());
+    const bool takes_it =
+        uninterrupted([&] { return ::poll(&ready, 1, 0); }) == 1 && (ready.revents & POLLOUT) != 0;
+    if (takes_it) uninterrupted([&] { return ::write(STDERR_FILENO, gathered_.data(), gathered_.size()); });
     gathered_.clear();
   }
 
