Review: stand-in engines serve pages when asked, and shorter run-once jobs

Cause: the stand-in engine of case 3 sent all pages without being asked, which the protocol does not allow; jobs of case 1 ran longer than their stated cost; four jobs at one moment met the crowd by chance, once only one of four.

Change: pages are kept and sent on turn; eight jobs of case 1, 0.1 s apart, run for 3 s; what no case uses is gone from the stand-ins.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-constexpr int run_once_jobs = 4, bad_clients = 200;
+constexpr int run_once_jobs = 8, bad_clients = 200;
 constexpr int memory_mb = 192, descriptors = 256;
-constexpr double job_seconds = 5;
-constexpr double crowd_from = 1.5, crowd_until = 3;  // after the jobs are sent; their paths come after 2 s
-constexpr double client_one_way = 0.0012;            // the slowest of tills-central's client_ms
+constexpr double job_seconds = 3, between_jobs = 0.1;
+constexpr double crowd_from = 1.5, crowd_until = 3.2;  // after the jobs are sent; their paths come after 2 s
+constexpr double client_one_way = 0.0012;              // the slowest of tills-central's client_ms
 
 // The network between the run-once clients and the manager: it relays their connections, and delays what is
 // written in each direction.
@@ -89,7 +89,7 @@
       const Job job{.type = "load",
                     .statement = statement_of(number_),
                     .timeout_ms = 20000,
-                    .cost_ms = 5000,
+                    .cost_ms = 2 * 1000 * job_seconds,
                     .token = "",
                     .key = "",
                     .is_retry = tries > 0};
@@ -202,8 +202,12 @@
   DelayingNetwork network(manager.port());
   const double begun = now();
   std::vector<std::thread> clients;
-  for (int i = 0; i < run_once_jobs; ++i)
-    clients.emplace_back([&, i] { RunOnceClient(i, network.port(), record, runs, totals).run(); });
+  for (int i = 0; i < run_once_jobs; ++i) {
+    clients.emplace_back([&, i] {
+      sleep_for(i * between_jobs);
+      RunOnceClient(i, network.port(), record, runs, totals).run();
+    });
+  }
   sleep_for(begun + crowd_from - now());
   std::atomic<bool> stops = false;
   std::atomic<int> turned_away = 0;
--- a/review/stand_ins.h
+++ b/review/stand_ins.h
@@ -71,7 +71,6 @@
     std::fprintf(file_, "%8.3f %s\n", now() - start_, text);
     std::fflush(file_);
   }
-  double since_start(double at) const { return at - start_; }
 
  private:
   std::mutex mutex_;
@@ -89,7 +88,8 @@
   return address;
 }
 
-inline int listen_on_free_port(int& port, int backlog = 256) {
+inline int listen_on_free_port(int& port) {
+  constexpr int backlog = 256;
   const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = loopback(0);
   socklen_t size = sizeof address;
@@ -108,13 +108,12 @@
 }
 
 // Returns -1 where the connection is refused.
-inline int connect_to(int port, int flags = 0) {
-  const int peer = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0);
+inline int connect_to(int port) {
+  const int peer = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = loopback(port);
   const int yes = 1;
   ::setsockopt(peer, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
   if (::connect(peer, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) return peer;
-  if (flags & SOCK_NONBLOCK) return peer;
   ::close(peer);
   return -1;
 }
@@ -130,12 +129,6 @@
   return true;
 }
 
-inline void close_with_reset(int peer) {
-  const linger at_once{1, 0};
-  ::setsockopt(peer, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-  ::shutdown(peer, SHUT_RD);  // wakes the thread that reads from it
-}
-
 // Reads from a blocking socket up to a mark or a length.
 class Reader {
  public:
@@ -214,13 +207,7 @@
     const std::lock_guard lock(mutex_);
     send_all(peer_, resp(strings));
   }
-  void end_with_reset() { close_with_reset(peer_); }
   int peer() const { return peer_; }
-  // Whether the request is open on this connection: it has come, and nobody has given it up.
-  bool has_open(const std::string& id) {
-    const std::lock_guard lock(mutex_);
-    return open_.contains(id);
-  }
   void open(const std::string& id) {
     const std::lock_guard lock(mutex_);
     open_.insert(id);
@@ -233,12 +220,36 @@
   void end_all() {
     const std::lock_guard lock(mutex_);
     open_.clear();
+    pages_.clear();
+  }
+  // Answers with page 0; the other pages are kept until the manager wants no more of them.
+  void answer(const std::string& id, const Strings& pages) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (pages.size() > 1) pages_[id] = pages;
+    }
+    say({id, "HIT", "fetches=" + std::to_string(pages.size()), pages.front()});
+  }
+  void answer_page(const std::string& id, std::size_t number) {
+    std::optional<std::string> page;
+    {
+      const std::lock_guard lock(mutex_);
+      const auto pages = pages_.find(id);
+      if (pages != pages_.end() && number < pages->second.size()) page = pages->second[number];
+    }
+    if (page) say({id, "PART", "fetch_no=" + std::to_string(number), *page});
+    else say({id, "FAULT", "-", ""});
+  }
+  void forget_pages(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    pages_.erase(id);
   }
 
  private:
   int peer_;
   std::mutex mutex_;
   std::set<std::string> open_;
+  std::map<std::string, Strings> pages_;
 };
 
 // A request as an engine receives it.
@@ -260,29 +271,15 @@
   }
   const std::string& name() const { return name_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
-  // Ends as a process that dies: nothing listens any more, and all connections are reset.
-  void die() {
-    const std::lock_guard lock(mutex_);
-    is_dead_ = true;
-    ::shutdown(listener_, SHUT_RDWR);
-    for (const auto& weak : connections_) {
-      if (const auto connection = weak.lock()) connection->end_all(), connection->end_with_reset();
-    }
-  }
 
  private:
   void accept_all() {
     while (true) {
       const int peer = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-      if (peer < 0 && is_dead_) return;
       if (peer < 0) continue;
       const int yes = 1;
       ::setsockopt(peer, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
       const auto connection = std::make_shared<EngineConnection>(peer);
-      {
-        const std::lock_guard lock(mutex_);
-        connections_.push_back(connection);
-      }
       std::thread([this, connection] { serve(connection); }).detach();
     }
   }
@@ -292,6 +289,9 @@
       const Strings& words = *command;
       if (words[0] == "there" && words.size() == 2) connection->say({words[1], "PONG", "-", ""});
       if (words[0] == "never_mind" && words.size() == 2) connection->end(words[1]);
+      if (words[0] == "turn" && words.size() == 3)
+        connection->answer_page(words[1], static_cast<std::size_t>(std::atoi(words[2].c_str())));
+      if (words[0] == "shut" && words.size() == 2) connection->forget_pages(words[1]);
       if (words[0] != "want" || words.size() != 4) continue;
       Want want{words[1], words[3], {}, now(), connection};
       std::stringstream fields(words[2]);
@@ -306,13 +306,14 @@
   std::string name_;
   Handler on_want_;
   int port_ = 0, listener_;
-  std::atomic<bool> is_dead_ = false;
-  std::mutex mutex_;
-  std::vector<std::weak_ptr<EngineConnection>> connections_;
 };
 
+inline void answer_with_pages(const Want& want, const Strings& pages) {
+  if (want.connection->end(want.id)) want.connection->answer(want.id, pages);
+}
+
 inline void answer_with_row(const Want& want, const std::string& row) {
-  if (want.connection->end(want.id)) want.connection->say({want.id, "HIT", "fetches=1", row + "\n"});
+  answer_with_pages(want, {row + "\n"});
 }
 
 // ---- The command channel
@@ -352,60 +353,27 @@
     for (const std::string& event : events_) list += (list.empty() ? "" : ",") + event;
     return R"({"cursor":)" + std::to_string(events_.size()) + R"(,"cmds":[)" + list + "]}";
   }
-  // From here on the machine of the channel is cut off: open connections stay open and silent, new ones never
-  // come up. The queue of pending connections is kept full, so that the system drops further ones.
-  void cut_off() {
-    is_cut_ = true;
-    sleep_for(0.15);  // the accepting thread has seen it
-    ::listen(listener_, 0);
-    for (int i = 0; i < 4; ++i) fillers_.push_back(connect_to(port_, SOCK_NONBLOCK));
-  }
-  // The machine is back: connections come up, those from before the cut stay silent.
-  void come_back() {
-    for (const int filler : fillers_) ::close(filler);
-    fillers_.clear();
-    ::listen(listener_, 256);
-    ++generation_;
-    is_cut_ = false;
-  }
-  std::function<void(int last_event)> on_stream = [](int) {};  // called as a manager's call has been read
 
  private:
   void accept_all() {
     while (true) {
-      pollfd one{listener_, POLLIN, 0};
-      if (is_cut_ || ::poll(&one, 1, 50) <= 0 || is_cut_) {
-        sleep_for(is_cut_ ? 0.005 : 0);
-        continue;
-      }
       const int peer = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
       if (peer < 0) continue;
       const int yes = 1;
       ::setsockopt(peer, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
-      std::thread([this, peer, generation = generation_.load()] { serve(peer, generation); }).detach();
+      std::thread([this, peer] { serve(peer); }).detach();
     }
   }
-  void serve(int peer, int generation) {
+  void serve(int peer) {
     Reader reader(peer);
     std::size_t next = 0;
-    bool has_head = false;
-    while (const auto line = reader.line(now() + 60)) {
-      if (line->empty()) {
-        has_head = true;
-        break;
-      }
+    std::optional<std::string> line;
+    while ((line = reader.line(never)) && !line->empty()) {
       if (line->starts_with("Last-Event-ID:")) next = static_cast<std::size_t>(std::atoi(line->c_str() + 14));
     }
-    if (!has_head) return (void)::close(peer);
-    on_stream(static_cast<int>(next));
-    send_all(peer, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n");
-    double commented_at = now();
-    while (true) {
-      sleep_for(0.01);
-      if (is_cut_ || generation != generation_) {
-        // Cut off: the connection stays open and silent for good.
-        while (true) sleep_for(1);
-      }
+    bool is_open =
+        line && send_all(peer, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n");
+    for (double commented_at = now(); is_open; sleep_for(0.01)) {
       std::string out;
       {
         const std::lock_guard lock(mutex_);
@@ -413,13 +381,11 @@
           out += "id: " + std::to_string(next + 1) + "\ndata: " + events_[next] + "\n\n";
       }
       if (now() - commented_at >= 1) out += ": still here\n\n", commented_at = now();
-      if (!out.empty() && !send_all(peer, out)) return (void)::close(peer);
+      if (!out.empty()) is_open = send_all(peer, out);
     }
+    ::close(peer);
   }
   int port_ = 0, listener_;
-  std::atomic<bool> is_cut_ = false;
-  std::atomic<int> generation_ = 0;
-  std::vector<int> fillers_;
   std::mutex mutex_;
   std::vector<std::string> events_;
 };
@@ -530,7 +496,6 @@
         port_(free_port()) {}
   ~Manager() { kill_now(); }
   int port() const { return port_; }
-  pid_t process() const { return process_; }
   void configure(const std::string& settings, const std::string& channel, const std::string& known,
                  int memory_mb = 192, int sockets = 1024) {
     std::ofstream(configuration_) << R"({"name":")" << name_ << R"(","listen":"127.0.0.1:)" << port_
@@ -568,13 +533,6 @@
     ::close(peer);
     return ready;
   }
-  bool has_ended() {
-    if (process_ > 0 && ::waitpid(process_, nullptr, WNOHANG) == process_) process_ = -1;
-    return process_ < 0;
-  }
-  void signal(int number) const {
-    if (process_ > 0) ::kill(process_, number);
-  }
   void kill_now() {
     if (process_ <= 0) return;
     ::kill(process_, SIGKILL);
