Counters tell what a client's connection was in the middle of when it was closed

Change: a new key `client_states_at_close` in the counters, by reason and within it by state (idle, reading_request, request_open, path_given, result_awaited, answer_unsent); the same state in the log line of a close. No key is renamed. The state is taken before the connection is closed, so drop() now comes before close() where both are called.

--- a/src/front/client.h
+++ b/src/front/client.h
@@ -107,6 +107,14 @@
       front_.manager_.on_client_reconnected(front_.loop_.now(), *waiting_request);
   }
 
+  ClientState state() const {
+    if (waiting_request)
+      return front_.has_path(*waiting_request) ? ClientState::result_awaited : ClientState::request_open;
+    if (expected_path && front_.may_be_fetched(*expected_path)) return ClientState::path_given;
+    if (connection_ && connection_->waiting() > 0) return ClientState::answer_unsent;
+    if (http_.has_open_request()) return ClientState::request_open;
+    return http_.is_within_request() ? ClientState::reading_request : ClientState::idle;
+  }
   // Whether no HTTP request is open and no request waits for its answer here, so the connection may be
   // closed.
   bool is_evictable() const { return !http_.has_open_request() && !waiting_request; }
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -105,8 +105,8 @@
       if (is_less_useful && may_close(*client)) least_useful = client.get();
     }
     if (!least_useful) return reject_connection(socket);
-    least_useful->connection().close();  // at once: many connections may be accepted before the next event
     drop(*least_useful, ClientCloseReason::table_full);
+    least_useful->connection().close();  // at once: many connections may be accepted before the next event
   }
   const ClientId id{next_client_++};
   clients_[id] = std::make_unique<Client>(*this, id, socket);
@@ -144,12 +144,15 @@
 void Front::drop(Client& client, ClientCloseReason reason) {
   const auto it = clients_.find(client.id());
   if (it == clients_.end()) return;
+  const ClientState state = client.state();
   counters_.clients_closed.add(reason);
+  counters_.client_states_at_close.add(reason, state);
   const bool has_left = reason == ClientCloseReason::client_left || reason == ClientCloseReason::came_again;
   counters_.rules.on_closing({client.owes_answer(), has_left});
   if (!has_left && reason != ClientCloseReason::last_answer && reason != ClientCloseReason::idle)
-    PEARCHUTE_LOG(spdlog::level::info, "client connection {} closed: reason={}", client.id().value,
-                  client_close_names[static_cast<std::size_t>(reason)]);
+    PEARCHUTE_LOG(spdlog::level::info, "client connection {} closed: reason={} state={}", client.id().value,
+                  client_close_names[static_cast<std::size_t>(reason)],
+                  client_state_names[static_cast<std::size_t>(state)]);
   if (const auto id = std::exchange(client.expected_path, std::nullopt)) disconnect_if_unattended(*id);
   closed_clients_.push_back(std::move(it->second));
   clients_.erase(it);
@@ -163,9 +166,8 @@
 }
 
 void Front::on_client_left(Client& client, ClientCloseReason reason) {
-  const std::optional<RequestId> id = client.waiting_request;
-  client.waiting_request.reset();
   drop(client, reason);
+  const std::optional<RequestId> id = std::exchange(client.waiting_request, std::nullopt);
   if (!id) return;
   const auto it = requests_.find(*id);
   if (it == requests_.end()) return;
@@ -246,6 +248,16 @@
   return RequestId{*number};
 }
 
+bool Front::has_path(RequestId id) const {
+  const auto it = requests_.find(id);
+  return it != requests_.end() && it->second.has_path;
+}
+
+bool Front::may_be_fetched(RequestId id) const {
+  const auto it = requests_.find(id);
+  return it != requests_.end() && (!it->second.answered || it->second.status != 0);
+}
+
 void Front::on_http_request(Client& client, const std::string& method, const std::string& path,
                             Message& message) {
   const std::string_view target(path);
@@ -283,9 +295,11 @@
   }
   ++counters_.fetched_again;
   if (request.waiting_client) {  // the client reconnected before the end of its old connection was noticed
-    const auto old = clients_.find(*request.waiting_client);
-    if (old != clients_.end())
-      old->second->waiting_request.reset(), drop(*old->second, ClientCloseReason::came_again);
+    if (const auto at = clients_.find(*request.waiting_client); at != clients_.end()) {
+      Client& old = *at->second;
+      drop(old, ClientCloseReason::came_again);
+      old.waiting_request.reset();
+    }
   }
   request.waiting_client = client.id();
   request.path_given_to.reset();
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -165,6 +165,9 @@
   void evict_unparsed_request();
   void sweep();
   std::optional<RequestId> request_of_path(std::string_view path) const;
+  bool has_path(RequestId id) const;  // whether the client fetches the answer by the request's path
+  // Whether the request is open, or its answer is kept for its path.
+  bool may_be_fetched(RequestId id) const;
 
   Loop& loop_;
   service::Deployment deployment_;
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -105,6 +105,7 @@
       open_dispatches, open_clients, open_engine_connections);
   text.pop_back();  // the closing brace; more members follow
   text += R"(,"clients_closed":)" + as_json_object(clients_closed, client_close_names);
+  text += R"(,"client_states_at_close":)" + client_states_at_close.as_json();
   text += R"(,"engines_closed":)" + as_json_object(engines_closed, engine_close_names);
   text += R"(,"refused":)" + as_json_object(refused, refusal_names);
   text += R"(,"given_up":)" + as_json_object(given_up, rejection_reason_keys);
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -54,6 +54,7 @@
   // Current values; all others count since the start.
   std::uint64_t open_jobs = 0, open_dispatches = 0, open_clients = 0, open_engine_connections = 0;
   ReasonCounts<ClientCloseReason> clients_closed;
+  ClientCloseCounts client_states_at_close;
   ReasonCounts<EngineCloseReason> engines_closed;
   ReasonCounts<RefusalReason> refused;
   ReasonCounts<RejectionReason> given_up;
--- a/src/net/reasons.h
+++ b/src/net/reasons.h
@@ -30,6 +30,20 @@
                           "call_unreadable", "answer_unread", "table_full",  "no_place",
                           "too_much_unread", "came_again",    "manager_ends"};
 
+// What a client's connection was in the middle of when it was closed.
+enum class ClientState : std::size_t {
+  idle,             // between requests, or before the first one
+  reading_request,  // an HTTP request has arrived in part
+  request_open,     // a request is open, and its client has no path
+  path_given,       // the client was given the path of its result and has not called it yet
+  result_awaited,   // the client has called the path and waits for the result
+  answer_unsent,    // a final answer has not been handed to the system completely
+  count
+};
+inline constexpr std::array<std::string_view, static_cast<std::size_t>(ClientState::count)>
+    client_state_names = {"idle",       "reading_request", "request_open",
+                          "path_given", "result_awaited",  "answer_unsent"};
+
 // Why a connection to an engine was closed.
 enum class EngineCloseReason : std::size_t {
   engine_ended,        // closed, reset or refused by the engine
@@ -89,4 +103,29 @@
   return text + "}";
 }
 
+// Counts of closed client connections by reason and, within each reason, by state.
+class ClientCloseCounts {
+ public:
+  void add(ClientCloseReason reason, ClientState state) {
+    by_reason_[static_cast<std::size_t>(reason)].add(state);
+  }
+  std::uint64_t of(ClientCloseReason reason, ClientState state) const {
+    return by_reason_[static_cast<std::size_t>(reason)].of(state);
+  }
+  // Returns a JSON object of objects, without the counts and the reasons that are zero.
+  std::string as_json() const {
+    std::string text = "{";
+    for (std::size_t i = 0; i < by_reason_.size(); ++i) {
+      const std::string states = as_json_object(by_reason_[i], client_state_names);
+      if (states == "{}") continue;
+      if (text.size() > 1) text += ',';
+      text.append("\"").append(client_close_names[i]).append("\":").append(states);
+    }
+    return text + "}";
+  }
+
+ private:
+  std::array<ReasonCounts<ClientState>, static_cast<std::size_t>(ClientCloseReason::count)> by_reason_;
+};
+
 }  // namespace pearchute::net
--- a/tests/test_characterization_wire.cpp
+++ b/tests/test_characterization_wire.cpp
@@ -331,8 +331,9 @@
 // ---- GET /counters
 
 // These objects contain only counts over zero. `NamesOfReasonsAreUnchanged` checks their keys.
-const std::set<std::string> counts_by_name = {"clients_closed", "engines_closed",  "refused",     "given_up",
-                                              "retried",        "rules.held_back", "rules.broken"};
+const std::set<std::string> counts_by_name = {
+    "clients_closed", "client_states_at_close", "engines_closed", "refused", "given_up",
+    "retried",        "rules.held_back",        "rules.broken"};
 
 void add_keys(const nlohmann::json& value, const std::string& path, Lines& keys) {
   if (!value.is_object() || counts_by_name.contains(path)) return keys.push_back(path);
@@ -375,6 +376,9 @@
             "{\"client_left\":1,\"last_answer\":2,\"idle\":3,\"call_incomplete\":4,\"call_unreadable\":5,"
             "\"answer_unread\":6,\"table_full\":7,\"no_place\":8,\"too_much_unread\":9,\"came_again\":10,"
             "\"manager_ends\":11}");
+  EXPECT_EQ(all_names<net::ClientState>(net::client_state_names),
+            "{\"idle\":1,\"reading_request\":2,\"request_open\":3,\"path_given\":4,\"result_awaited\":5,"
+            "\"answer_unsent\":6}");
   EXPECT_EQ(all_names<net::EngineCloseReason>(net::engine_close_names),
             "{\"engine_ended\":1,\"not_up_in_time\":2,\"short_of_resources\":3,\"idle\":4,\"room_needed\":5,"
             "\"silent\":6,\"answer_broken\":7,\"answer_stops\":8,\"in_doubt\":9,\"takes_nothing\":10,"
@@ -396,6 +400,16 @@
             "placement repeat_group attempt_budget time_told ");
 }
 
+TEST(Counters, ClosedConnectionsAreCountedByReasonAndState) {
+  net::ClientCloseCounts counts;
+  EXPECT_EQ(counts.as_json(), "{}");
+  counts.add(net::ClientCloseReason::table_full, net::ClientState::path_given);
+  counts.add(net::ClientCloseReason::table_full, net::ClientState::idle);
+  counts.add(net::ClientCloseReason::table_full, net::ClientState::idle);
+  counts.add(net::ClientCloseReason::idle, net::ClientState::idle);
+  EXPECT_EQ(counts.as_json(), "{\"idle\":{\"idle\":1},\"table_full\":{\"idle\":2,\"path_given\":1}}");
+}
+
 // ---- The discovery service's stream
 
 TEST(Discovery, RequestIsUnchanged) {
