--- a/src/front/front.h
+++ b/src/front/front.h
@@ -98,6 +98,8 @@
   class Client;
   friend class Client;
   using ClientId = Id<struct ClientTag, std::uint64_t>;
+  // Descriptors of the clients' share that are reserved for sending 503 on rejected connections.
+  static constexpr std::size_t max_rejected_connections = 8;
 
   // An attempt that has been submitted to the engine pool.
   struct SubmittedAttempt {
