A client that was given a path, or whose answer is on its way, keeps its connection

What callers saw: a client of a run-once job was given its path after 2 s; its connection was closed before its call of the path had come, and the call, made again on a new connection, was answered 503 and TryLater while the engine ran the job. The client sent the job again, and it ran twice. In the same crowd, clients lost the rest of large answers.

Cause: the front judged whether a connection may be closed by the HTTP parser alone (no call open), not by what is owed on it. A connection between its answer with a path and the call of it, and one with a part of an answer unsent, counted as idle. And a new connection that found no place was refused before its call was read, which is true for a new request only.

Change: one definition of a connection that owes its client nothing (client_places.h), used wherever a connection is closed for another, for a timeout or because the manager ends; the rule guard refuses such closes by itself. A new connection without a place is kept until its first call is read: a new request is refused, the call of a path is served. The place of a client that was given a path is reserved when its connection ends, until the request is answered, so that its call finds one. The largest unfinished request is not answered 503 where a path was given. Only connections that have written all their data are closed to spare their descriptors. Where nothing can be closed, connections wait 2 ms in the backlog.

Why it works: no path on which the manager closes or refuses is left that takes the state for granted: what it closes owes nothing, and what it refuses has been read and never passed on.

--- a/src/core/rule_guard.cpp
+++ b/src/core/rule_guard.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// An answer that is late by up to this earns no value; one that is later counts as a lost request.
-constexpr std::chrono::milliseconds max_answer_lateness(500);
-
 // The timeout that is sent to an engine may exceed the time left by this much, since time passes between its
 // computation and this check.
 constexpr std::chrono::milliseconds engine_timeout_slack(150);
@@ -183,7 +180,8 @@
 std::optional<Rule> RuleGuard::forbids_closing(const ClosingFacts& facts) {
   ++checked_;
   if (facts.client_has_left) return std::nullopt;
-  if (facts.request_is_open || facts.has_unread_bytes) return suppress(Rule::no_silent_close);
+  const bool is_owed = facts.request_is_open || facts.path_call_is_due || facts.answer_is_unsent;
+  if (is_owed || facts.has_unread_bytes) return suppress(Rule::no_silent_close);
   return std::nullopt;
 }
 
--- a/src/core/rule_guard.h
+++ b/src/core/rule_guard.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -49,6 +50,9 @@
     "order_by_key",   "key_rests",      "cold_budget",     "placement",        "repeat_group",
     "attempt_budget", "time_told"};
 
+// An answer that is late by up to this earns no value; one that is later counts as a lost request.
+inline constexpr std::chrono::milliseconds max_answer_lateness(500);
+
 // An attempt whose first byte is about to be sent.
 struct SendingFacts {
   TimePoint now{};
@@ -93,6 +97,8 @@
   bool request_is_open = false;   // a request was read and has no final answer
   bool client_has_left = false;   // the client has closed the connection, or asks on another one
   bool has_unread_bytes = false;  // the socket's receive buffer has data, which may be a request
+  bool path_call_is_due = false;  // the client was given the path of its result and has not called it yet
+  bool answer_is_unsent = false;  // a part of an answer has not been handed to the system
 };
 
 // A final answer that is about to be sent.
@@ -134,8 +140,9 @@
   std::optional<Rule> forbids_repeating(const RepeatFacts& facts);
   // Returns the rule that forbids admitting a request. `answers_all`: a shutdown answers all open requests.
   std::optional<Rule> forbids_taking(bool answers_all);
-  // Returns the rule that forbids closing the connection now. For closes that can be postponed; on_closing is
-  // for those that cannot, such as closing on a client that exceeds a limit.
+  // Returns the rule that forbids closing the connection now. For closes at once that can be postponed;
+  // on_closing is for those that cannot, such as closing on a client that exceeds a limit, and for those that
+  // first send what is unsent.
   std::optional<Rule> forbids_closing(const ClosingFacts& facts);
   // Actions that cannot be suppressed; a broken rule is counted as a violation.
   void on_closing(const ClosingFacts& facts);
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -166,7 +166,8 @@
   }
   listener_ = std::make_unique<ListeningSocket>(
       loop_, resolved_address(address, "listen"),
-      [this](const Poco::Net::StreamSocket& socket) { front_->on_client_accepted(socket); });
+      [this](const Poco::Net::StreamSocket& socket) { front_->on_client_accepted(socket); },
+      [this] { return front_->can_accept(); });
   if (const std::string channel = configuration.value("channel", ""); !channel.empty()) {
     endpoint_list_client_ =
         std::make_unique<EndpointListClient>(loop_, channel, *endpoint_list_, endpoint_listener(), counters_);
--- a/src/front/client.h
+++ b/src/front/client.h
@@ -18,8 +18,9 @@
       : front_(front),
         id_(id),
         http_(*this),
-        state_since_(front.loop_.now()),
-        stuck_since_(state_since_),
+        accepted_at_(front.loop_.now()),
+        state_since_(accepted_at_),
+        stuck_since_(accepted_at_),
         connected_since_(front.loop_.unread_since()) {
     connection_ = std::make_unique<Connection>(front.loop_, socket, *this);
   }
@@ -111,13 +112,19 @@
     if (waiting_request)
       return front_.has_path(*waiting_request) ? ClientState::result_awaited : ClientState::request_open;
     if (expected_path && front_.may_be_fetched(*expected_path)) return ClientState::path_given;
-    if (connection_ && connection_->waiting() > 0) return ClientState::answer_unsent;
+    if (connection_ && connection_->waiting() > 0 && front_.loop_.now() < answer_useful_until_)
+      return ClientState::answer_unsent;
     if (http_.has_open_request()) return ClientState::request_open;
     return http_.is_within_request() ? ClientState::reading_request : ClientState::idle;
   }
-  // Whether no HTTP request is open and no request waits for its answer here, so the connection may be
-  // closed.
-  bool is_evictable() const { return !http_.has_open_request() && !waiting_request; }
+  // Whether an HTTP request is open, or a request waits for its answer here.
+  bool has_open_request() const { return http_.has_open_request() || waiting_request; }
+  // Whether the connection has a place, see ClientPlaces.
+  bool is_admitted() const { return is_admitted_; }
+  void set_admitted() { is_admitted_ = true; }
+  Duration age(TimePoint now) const { return now - accepted_at_; }
+  // Sets when the client stops waiting for the rest of the answer that is sent now.
+  void set_answer_useful_until(TimePoint until) { answer_useful_until_ = until; }
   bool has_sent_no_request() const { return request_count_ == 0; }
   // Orders connections for closing when the table is full; the lowest value is closed first. First those that
   // have sent nothing for longer than a usual client needs, then those that are idle between requests, last
@@ -140,11 +147,16 @@
       stuck_since_ = now;
       if (connection_->paused()) apply_backpressure();
     }
-    if (!is_evictable()) return std::nullopt;
+    if (has_open_request()) return std::nullopt;
+    const ClientState current = state();
+    // The connection is idle once the answer is written.
+    if (current == ClientState::answer_unsent) state_since_ = now;
+    const bool is_within_request = http_.is_within_request();
+    const bool is_call_due = current == ClientState::path_given && !is_within_request;
+    if (current == ClientState::answer_unsent || is_call_due) return std::nullopt;
     // Usual clients send their request as soon as they are connected, in one piece. They keep an idle
     // connection for four seconds; a client that keeps it for longer can reconnect for its next request.
     constexpr std::chrono::milliseconds request_timeout(2000), idle_timeout(5500);
-    const bool is_within_request = http_.is_within_request();
     if (now - state_since_ < (has_sent_no_request() || is_within_request ? request_timeout : idle_timeout))
       return std::nullopt;
     return is_within_request ? 408 : 0;
@@ -158,10 +170,12 @@
   ClientId id_;
   HttpServerSide http_;
   std::unique_ptr<Connection> connection_;
-  TimePoint state_since_, stuck_since_, connected_since_, request_arrival_{}, request_read_by_{};
+  TimePoint accepted_at_, state_since_, stuck_since_, connected_since_, request_arrival_{},
+      request_read_by_{};
   std::optional<TimePoint> paused_since_;  // set while bytes that arrived since then may be unread
   ArrivalTimes arrivals_;
-  bool owes_answer_ = false;
+  TimePoint answer_useful_until_{};
+  bool owes_answer_ = false, is_admitted_ = false;
   std::uint64_t request_count_ = 0, written_ = 0;
 };
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -44,12 +44,9 @@
     : loop_(loop),
       deployment_(with_descriptor_limits(deployment, descriptors)),
       counters_(counters),
-      // Open requests hold a third of the descriptors at most; client connections may use half, which leaves
-      // room for connections without a request and for those that are closing. Of the rest, 20 are reserved
-      // for the log, the command channel and the like.
-      max_clients_(std::max<std::size_t>(descriptors / 2, 2 * max_rejected_connections) -
-                   max_rejected_connections),
+      places_(descriptors),
       max_unparsed_bytes_(memory / 8),
+      // 20 descriptors are reserved for the log, the command channel and the like.
       engines_(loop, deployment.links, descriptors > 40 ? descriptors - descriptors / 2 - 20 : 1, *this,
                counters),
       manager_(deployment_.service, seed, *this) {
@@ -63,6 +60,7 @@
 void Front::finish_request(RequestId id, OpenRequest& request) {
   if (!request.answered) unanswered_requests_ -= 1;
   request.answered = true;
+  places_.release(id);
   counters_.rules.on_finished(id);
   // Guards against an attempt that is sent after the final answer, once its connection opens: where attempts
   // can't be cancelled the WorkloadManager leaves them open, and only the engine pool knows that this one is
@@ -155,6 +153,8 @@
     return forget_if_done(*id);
   }
   ++counters_.fetched_again;
+  if (!request.answered && !admit_caller_of_path(client, *id, request))
+    return respond(client.id(), 500, "", error_body("all connections are in use"));
   if (request.waiting_client) {  // the client reconnected before the end of its old connection was noticed
     if (const auto at = clients_.find(*request.waiting_client); at != clients_.end()) {
       Client& old = *at->second;
@@ -169,7 +169,8 @@
     request.waiting_client.reset();
     if (request.status == 0) return respond(client.id(), 404, "", error_body("withdrawn"));
     request.fetched = true;
-    respond(client.id(), request.status, request.headers, request.body);
+    respond(client.id(), request.status, request.headers, request.body,
+            request.deadline + max_answer_lateness);
     expire_answer_at(loop_.now() + client_retry_window, *id);
     return;
   }
@@ -189,6 +190,7 @@
   request.time_left -= now - std::min(now, client.request_arrival());
   if (requests_.contains(request.id))
     return reject(client, RefusalReason::id_in_use, 409, "this request is being served");
+  if (!admit(client)) return refuse_for_lack_of_place(client);
   if (counters_.rules.forbids_taking(closing_)) return reject_temporarily(client, RefusalReason::ending);
   if (draining_) return reject_temporarily(client, RefusalReason::draining);
   // Accepts some requests above the limit, since a connection's previous request may not be forgotten yet
@@ -299,7 +301,10 @@
   respond(waiting_client, 200, "", "{\"link\":\"" + std::string(result_path_prefix) + request.id + "\"}");
   expire_answer_at(request.deadline + milliseconds(100), id);
   const auto at = clients_.find(waiting_client);
-  if (at == clients_.end()) return disconnect_if_unattended(id);
+  if (at == clients_.end()) {  // the client wanted the connection closed after this answer
+    reserve_place(id);
+    return disconnect_if_unattended(id);
+  }
   at->second->expected_path = id;
   request.path_given_to = waiting_client;
 }
@@ -328,7 +333,7 @@
   }
   if (request.waiting_client) {
     request.fetched = true;
-    respond(*request.waiting_client, status, headers, body);
+    respond(*request.waiting_client, status, headers, body, request.deadline + max_answer_lateness);
     if (request.has_path) expire_answer_at(loop_.now() + client_retry_window, id);
   }
   request.waiting_client.reset();
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -16,6 +16,7 @@
 #include "core/workload_manager.h"
 #include "engines/endpoint_list.h"
 #include "engines/engine_pool.h"
+#include "front/client_places.h"
 #include "front/request_log.h"
 #include "net/connection.h"
 #include "net/event_loop.h"
@@ -32,6 +33,10 @@
   Front(Loop& loop, const service::Deployment& deployment, std::uint64_t seed, std::size_t descriptors,
         std::size_t memory, Counters& counters);
   ~Front() override;
+  // Whether another connection can be accepted now. Where the table of connections is full of ones that are
+  // still to be read, it can't before they are.
+  bool can_accept();
+  // REQUIRES: can_accept().
   void on_client_accepted(const Poco::Net::StreamSocket& socket);
   void set_ready(bool ready) { ready_ = ready; }
   // Whether all requests are answered and no client is expected to fetch an answer by its path.
@@ -98,8 +103,6 @@
   class Client;
   friend class Client;
   using ClientId = Id<struct ClientTag, std::uint64_t>;
-  // Descriptors of the clients' share that are reserved for sending 503 on rejected connections.
-  static constexpr std::size_t max_rejected_connections = 8;
 
   // An attempt that has been submitted to the engine pool.
   struct SubmittedAttempt {
@@ -145,8 +148,18 @@
   void disconnect_if_unattended(RequestId id);
   void on_client_unreachable(RequestId id);
   bool may_close(const Client& client);
-  void reject_connection(const Poco::Net::StreamSocket& socket);
-  void respond(ClientId client, int status, std::string_view headers, std::string_view body);
+  Client* least_useful_connection();
+  Client* oldest_silent_overflow();
+  void evict(Client& client, ClientCloseReason reason);
+  bool is_full() const;
+  bool make_place();
+  bool admit(Client& client);
+  bool admit_caller_of_path(Client& client, RequestId id, OpenRequest& request);
+  void reserve_place(RequestId id);
+  void refuse_for_lack_of_place(Client& client);
+  // `useful_until`: when the client stops waiting for the rest of the answer.
+  void respond(ClientId client, int status, std::string_view headers, std::string_view body,
+               std::optional<TimePoint> useful_until = std::nullopt);
   void answer(RequestId id, OpenRequest& request, int status, std::string headers, std::string body);
   void send_result_path(RequestId id);
   void log_queue_cause(RequestId id);
@@ -176,7 +189,8 @@
   Counters& counters_;
   RequestLog log_;
   std::map<EngineId, std::string> engine_names_;
-  std::size_t max_clients_, max_unparsed_bytes_;
+  ClientPlaces places_;
+  std::size_t max_unparsed_bytes_;
   std::size_t statement_bytes_ = 0;  // of the unanswered requests
   bool ready_ = false, closing_ = false, closing_idle_connections_ = false, sending_stopped_ = false,
        draining_ = false;
@@ -184,10 +198,6 @@
   std::size_t unanswered_requests_ = 0;
   std::map<ClientId, std::unique_ptr<Client>> clients_;
   std::vector<std::unique_ptr<Client>> closed_clients_;
-  struct IgnoreEvents final : Connection::Listener {
-    void on_data(std::string_view) override {}
-    void on_closed() override {}
-  } ignored_;  // the listener of rejected connections
   std::uint64_t next_client_ = 1;
   std::function<void(std::string_view)> trace_listener_;
   EnginePool engines_;
--- a/src/front/front_clients.cpp
+++ b/src/front/front_clients.cpp
@@ -10,43 +10,122 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// A client's first request arrives a round trip after its connection.
+constexpr milliseconds overflow_grace(25);
+
+}  // namespace
+
+bool Front::is_full() const { return clients_.size() + loop_.finishing() >= places_.max_connections(); }
+
+bool Front::can_accept() {
+  return !is_full() || loop_.has_written_finishing() || least_useful_connection() || oldest_silent_overflow();
+}
+
 // Guards against unused connections that fill the table: connections that wait to be accepted would be read
-// late and out of order. The least useful connection is closed, see Client::usefulness; where all have an
-// open HTTP request, the new connection is rejected.
+// late and out of order. The least useful connection is closed, see Client::usefulness. Where all are owed
+// something, the new connection is kept without a place until its first request is read.
 void Front::on_client_accepted(const Poco::Net::StreamSocket& socket) {
   ++counters_.connections;
-  while (loop_.finishing() > 0 &&
-         clients_.size() + loop_.finishing() >= max_clients_ + max_rejected_connections)
-    loop_.close_oldest_finishing();
-  if (clients_.size() >= max_clients_) {
-    ++counters_.shed;
-    const TimePoint now = loop_.now();
-    Client* least_useful = nullptr;
-    for (const auto& [id, client] : clients_) {
-      const bool is_less_useful = client->is_evictable() &&
-                                  (!least_useful || client->usefulness(now) < least_useful->usefulness(now));
-      if (is_less_useful && may_close(*client)) least_useful = client.get();
-    }
-    if (!least_useful) return reject_connection(socket);
-    drop(*least_useful, ClientCloseReason::table_full);
-    least_useful->connection().close();  // at once: many connections may be accepted before the next event
+  const bool has_place = make_place();
+  while (is_full() && loop_.close_oldest_written()) {
+  }
+  if (is_full()) {
+    if (Client* silent = oldest_silent_overflow()) evict(*silent, ClientCloseReason::no_place);
   }
   const ClientId id{next_client_++};
-  clients_[id] = std::make_unique<Client>(*this, id, socket);
+  const auto client = clients_.emplace(id, std::make_unique<Client>(*this, id, socket)).first;
+  if (has_place) admit(*client->second);
 }
 
-// Guards against closing a connection on which an HTTP request has arrived that is not read yet.
-bool Front::may_close(const Client& client) {
-  return !counters_.rules.forbids_closing({client.owes_answer(), false, client.connection().has_unread()});
+bool Front::make_place() {
+  if (places_.has_free_place()) return true;
+  ++counters_.shed;
+  Client* least_useful = least_useful_connection();
+  if (least_useful) evict(*least_useful, ClientCloseReason::table_full);
+  return places_.has_free_place();
+}
+
+Front::Client* Front::least_useful_connection() {
+  const TimePoint now = loop_.now();
+  Client* least_useful = nullptr;
+  for (const auto& [id, client] : clients_) {
+    if (!client->is_admitted() || !owes_client_nothing(client->state())) continue;
+    if (least_useful && !(client->usefulness(now) < least_useful->usefulness(now))) continue;
+    if (may_close(*client)) least_useful = client.get();
+  }
+  return least_useful;
+}
+
+// Clients are in the order in which they were accepted.
+Front::Client* Front::oldest_silent_overflow() {
+  const TimePoint now = loop_.now();
+  for (const auto& [id, client] : clients_) {
+    const bool is_silent =
+        !client->is_admitted() && owes_client_nothing(client->state()) && client->age(now) >= overflow_grace;
+    if (is_silent && may_close(*client)) return client.get();
+  }
+  return nullptr;
 }
 
-void Front::reject_connection(const Poco::Net::StreamSocket& socket) {
-  counters_.clients_closed.add(ClientCloseReason::no_place);
-  auto connection = std::make_unique<Connection>(loop_, socket, ignored_);
+// Closes the connection at once, since many connections may be accepted before the next event.
+void Front::evict(Client& client, ClientCloseReason reason) {
+  drop(client, reason);
+  client.connection().close();
+}
+
+// Returns whether the client has a place.
+bool Front::admit(Client& client) {
+  if (client.is_admitted()) return true;
+  if (!places_.has_free_place()) return false;
+  places_.take();
+  client.set_admitted();
+  return true;
+}
+
+// Returns whether a client that calls the path of an unanswered request has a place: the one that is reserved
+// for it, or that of the connection on which it was before.
+bool Front::admit_caller_of_path(Client& client, RequestId id, OpenRequest& request) {
+  places_.release(id);
+  if (admit(client)) return true;
+  const std::optional<ClientId> former =
+      request.waiting_client ? request.waiting_client : request.path_given_to;
+  const auto at = former ? clients_.find(*former) : clients_.end();
+  if (at == clients_.end()) return false;
+  Client& old = *at->second;
+  if (old.waiting_request != id && old.expected_path != id) return false;  // it has another request now
+  old.expected_path.reset();
+  drop(old, ClientCloseReason::came_again);
+  return admit(client);
+}
+
+// Reserves a place for the client of a request that was given its path and has lost its connection.
+void Front::reserve_place(RequestId id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || it->second.answered || !it->second.has_path || it->second.waiting_client)
+    return;
+  if (places_.has_free_place()) places_.reserve(id);
+}
+
+// The request has not been passed on, so trying again is harmless.
+void Front::refuse_for_lack_of_place(Client& client) {
+  client.clear_owed_answer();
   std::string out;
   append_response(out, 503, "", R"({"abort":"TryLater"})", false);
-  connection->send(out);
-  loop_.finish(std::move(connection));
+  client.connection().send(out);
+  drop(client, ClientCloseReason::no_place);
+}
+
+// Guards against closing a connection on which an HTTP request has arrived that is not read yet, or is about
+// to arrive, or whose answer is on its way.
+bool Front::may_close(const Client& client) {
+  const ClientState state = client.state();
+  return !counters_.rules.forbids_closing({.request_is_open = client.owes_answer(),
+                                           .client_has_left = false,
+                                           .has_unread_bytes = client.connection().has_unread(),
+                                           .path_call_is_due = state == ClientState::path_given,
+                                           .answer_is_unsent = state == ClientState::answer_unsent});
 }
 
 // Guards against many HTTP requests that are never completed: where all together hold too many bytes, the
@@ -56,12 +135,14 @@
   Client* largest = nullptr;
   for (const auto& [id, client] : clients_) {
     total += client->buffered_bytes();
-    if (client->is_evictable() && (!largest || client->buffered_bytes() > largest->buffered_bytes()))
+    if (!client->has_open_request() && (!largest || client->buffered_bytes() > largest->buffered_bytes()))
       largest = client.get();
   }
   if (total <= max_unparsed_bytes_ || !largest || largest->buffered_bytes() == 0) return;
   ++counters_.shed;
-  largest->end_with(503, "too much is unread", ClientCloseReason::too_much_unread);
+  // 503 would refuse the request of a path that was given, which may have executed.
+  const int status = largest->state() == ClientState::path_given ? 413 : 503;
+  largest->end_with(status, "too much is unread", ClientCloseReason::too_much_unread);
 }
 
 void Front::drop(Client& client, ClientCloseReason reason) {
@@ -76,7 +157,11 @@
     PEARCHUTE_LOG(spdlog::level::info, "client connection {} closed: reason={} state={}", client.id().value,
                   client_close_names[static_cast<std::size_t>(reason)],
                   client_state_names[static_cast<std::size_t>(state)]);
-  if (const auto id = std::exchange(client.expected_path, std::nullopt)) disconnect_if_unattended(*id);
+  if (client.is_admitted()) places_.give_back();
+  if (const auto id = std::exchange(client.expected_path, std::nullopt)) {
+    reserve_place(*id);
+    disconnect_if_unattended(*id);
+  }
   closed_clients_.push_back(std::move(it->second));
   clients_.erase(it);
   loop_.post([this] {
@@ -96,7 +181,10 @@
   if (it == requests_.end()) return;
   it->second.waiting_client.reset();
   if (it->second.answered) return;
-  if (it->second.has_path) return disconnect_if_unattended(*id);  // the client may request the path again
+  if (it->second.has_path) {  // the client may request the path again
+    reserve_place(*id);
+    return disconnect_if_unattended(*id);
+  }
   log_.on_cancelled_by_client(it->second.id, client_close_names[static_cast<std::size_t>(reason)],
                               loop_.now() - it->second.accepted_at);
   finish_request(*id, it->second);
@@ -124,7 +212,8 @@
          });
 }
 
-void Front::respond(ClientId id, int status, std::string_view headers, std::string_view body) {
+void Front::respond(ClientId id, int status, std::string_view headers, std::string_view body,
+                    std::optional<TimePoint> useful_until) {
   const auto it = clients_.find(id);
   if (it == clients_.end()) return;
   Client& client = *it->second;
@@ -132,10 +221,11 @@
   client.clear_owed_answer();
   std::string out;
   // Keeps the connection where the answer gives a path, which the client requests on the same connection.
-  const bool keep = client.http().keeps_alive() &&
+  const bool keep = client.http().keeps_alive() && client.is_admitted() &&
                     ((!closing_idle_connections_ && !draining_) || body.starts_with("{\"link\""));
   append_response(out, status, headers, body, keep);
   client.connection().send(out);
+  client.set_answer_useful_until(useful_until.value_or(loop_.now() + max_answer_lateness));
   if (!keep) return drop(client, ClientCloseReason::last_answer);
   // Done after the current event, since a further HTTP request may already be buffered, and the
   // WorkloadManager may still be handling this request.
@@ -149,8 +239,7 @@
   closing_idle_connections_ = true;
   std::vector<Client*> idle;
   for (const auto& [id, client] : clients_) {
-    if (client->is_evictable() && !client->http().is_within_request() && may_close(*client))
-      idle.push_back(client.get());
+    if (client->state() == ClientState::idle && may_close(*client)) idle.push_back(client.get());
   }
   for (Client* client : idle) drop(*client, ClientCloseReason::manager_ends);
 }
@@ -164,12 +253,16 @@
   }
   for (const auto& [client, status] : overdue) {
     const bool has_unread_answer = client->connection().waiting() > 0;
-    if (status > 0)
+    if (status > 0) {
       client->end_with(status, "the call is not whole in time", ClientCloseReason::call_incomplete);
-    else if (!client->is_evictable())
-      client->connection().close(), on_client_left(*client, ClientCloseReason::answer_unread);
-    else if (has_unread_answer) drop(*client, ClientCloseReason::answer_unread);
-    else if (may_close(*client)) drop(*client, ClientCloseReason::idle);
+    } else if (client->has_open_request()) {
+      on_client_left(*client, ClientCloseReason::answer_unread);
+      client->connection().close();
+    } else if (has_unread_answer) {
+      drop(*client, ClientCloseReason::answer_unread);
+    } else if (may_close(*client)) {
+      drop(*client, ClientCloseReason::idle);
+    }
   }
   loop_.at(now + milliseconds(200), [this] { sweep(); });
 }
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -268,14 +268,23 @@
   std::erase_if(finishing_, [](const Finishing& one) { return one.connection->closed(); });
 }
 
+bool Loop::Finishing::has_written_all() const { return connection->waiting() == 0; }
+
 bool Loop::all_written() const {
-  return std::ranges::all_of(finishing_, [](const Finishing& one) { return one.connection->waiting() == 0; });
+  return std::ranges::all_of(finishing_, [](const Finishing& one) { return one.has_written_all(); });
+}
+
+bool Loop::has_written_finishing() const {
+  return std::ranges::any_of(finishing_, [](const Finishing& one) { return one.has_written_all(); });
 }
 
-void Loop::close_oldest_finishing() {
-  if (finishing_.empty()) return;
-  retire(std::move(finishing_.front().connection));
-  finishing_.pop_front();
+bool Loop::close_oldest_written() {
+  const auto oldest =
+      std::ranges::find_if(finishing_, [](const Finishing& one) { return one.has_written_all(); });
+  if (oldest == finishing_.end()) return false;
+  retire(std::move(oldest->connection));
+  finishing_.erase(oldest);
+  return true;
 }
 
 void Loop::settle() {
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -98,9 +98,12 @@
   // Closes the connection after all its data is written and the peer has closed its side, or after a timeout.
   void finish(std::unique_ptr<Connection> connection);
   std::size_t finishing() const { return finishing_.size(); }
-  bool all_written() const;       // whether the finishing connections have written all their data
-  void close_oldest_finishing();  // without waiting for its peer
-  void settle();                  // runs posted callbacks until none is left
+  bool all_written() const;            // whether the finishing connections have written all their data
+  bool has_written_finishing() const;  // whether at least one of them has
+  // Closes the oldest finishing connection that has written all its data, without waiting for its peer.
+  // Returns false where there is none.
+  bool close_oldest_written();
+  void settle();  // runs posted callbacks until none is left
   BufferPool& buffers() { return buffers_; }
   std::size_t descriptors() const { return descriptors_; }
 
@@ -157,6 +160,7 @@
     std::unique_ptr<Connection> connection;
     TimePoint since{}, last_write_at{};
     std::uint64_t written = 0;
+    bool has_written_all() const;
   };
   void close_stalled();
   std::deque<Finishing> finishing_;  // oldest first
--- a/src/net/listening_socket.cpp
+++ b/src/net/listening_socket.cpp
@@ -16,8 +16,9 @@
 }  // namespace
 
 ListeningSocket::ListeningSocket(Loop& loop, const Poco::Net::SocketAddress& at,
-                                 std::function<void(const Poco::Net::StreamSocket&)> on_accepted)
-    : loop_(loop), on_accepted_(std::move(on_accepted)) {
+                                 std::function<void(const Poco::Net::StreamSocket&)> on_accepted,
+                                 std::function<bool()> can_accept)
+    : loop_(loop), on_accepted_(std::move(on_accepted)), can_accept_(std::move(can_accept)) {
   const Opened opened = listen_at(at, backlog);
   if (!opened.is_open()) {
     const std::string wrong = "can't listen: " + text_of_error(opened.error);
@@ -71,12 +72,11 @@
   --loop_.descriptors_;
 }
 
-// Guards against a busy loop over a connection that can't be accepted: it stays in the system's queue for 20
-// ms.
-void ListeningSocket::pause_accepting() {
+// Guards against a busy loop over a connection that can't be accepted: it stays in the system's queue.
+void ListeningSocket::pause_accepting(Duration duration) {
   loop_.change_interest(*watch_, {});
   ++loop_.unwatched_;
-  loop_.at(loop_.now() + std::chrono::milliseconds(20), [this, &loop = loop_, alive = alive_] {
+  loop_.at(loop_.now() + duration, [this, &loop = loop_, alive = alive_] {
     --loop.unwatched_;
     if (*alive && watch_) loop_.change_interest(*watch_, {true, false, false});
   });
@@ -84,6 +84,7 @@
 
 ListeningSocket::AcceptResult ListeningSocket::accept_up_to(int max_count) {
   for (int count = 0; count < max_count; ++count) {
+    if (can_accept_ && !can_accept_()) return AcceptResult::no_room;
     const Accepted one = accept_one(descriptor_);
     switch (one.status) {
       case AcceptStatus::accepted:
@@ -113,7 +114,10 @@
   loop_.unread_since_ = found_since;
   queued_since_ = result == AcceptResult::all ? std::nullopt : std::optional(queued_since);
   if (result != AcceptResult::all) loop_.note_unread_data();
-  if (result == AcceptResult::shortage && !shut_) pause_accepting();
+  if (shut_) return;
+  constexpr std::chrono::milliseconds shortage_pause(20), no_room_pause(2);
+  if (result == AcceptResult::shortage) pause_accepting(shortage_pause);
+  if (result == AcceptResult::no_room) pause_accepting(no_room_pause);
 }
 
 }  // namespace pearchute::net
--- a/tests/scripted_engine.h
+++ b/tests/scripted_engine.h
@@ -28,6 +28,9 @@
     // Called when a request is received. Sends no answer by default.
     std::function<void(const std::string& id, const Say& say)> on_request = [](const std::string&,
                                                                                const Say&) {};
+    // Called when a page of a result, from 1, is requested. Sends no answer by default.
+    std::function<void(const std::string& id, const std::string& page, const Say& say)> on_page =
+        [](const std::string&, const std::string&, const Say&) {};
     // Called when a cancellation and the probe after it are received. The default answers the probe with PONG
     // and its `tag`, as a usual engine does.
     std::function<void(const std::string& id, const std::string& tag, const Say& say)> on_cancel =
@@ -82,6 +85,8 @@
         if (strings[0] == "want") {
           record_request(strings[1]);
           script_.on_request(strings[1], send_answer);
+        } else if (strings[0] == "turn") {
+          script_.on_page(strings[1], strings[2], send_answer);
         } else if (strings[0] == "never_mind") {
           cancelled_id = strings[1];
           const std::lock_guard lock(mutex_);
