A client on a poor line has the time of its request for the last answer on a connection

What callers saw: a client that sends `Connection: close` and reads its result at 5 kB a second lost the rest of it.

Cause: Loop::close_stalled gave an ending connection 1 s without progress and 10 s in all, whatever time the client had left. The system takes data for such a reader in steps that are more than a second apart.

Evidence: at 5 kB a second, 4 kB of receive buffer and segments of 1,460 bytes, the writes of 136 kB were up to 1.2 s apart (a probe of two sockets); the client got 69,504 of 136,106 bytes, all that the system had taken at first.

Change: while a part is unsent the reader has 3 s for each step, as on connections that stay open, and until its request's deadline and half a second, 10 s at least. Connections that have written all keep the 1 s.

Why it works: what ends the connection early now is a reader that takes nothing for 3 s, and the end of its time.

--- a/src/front/client.h
+++ b/src/front/client.h
@@ -125,6 +125,7 @@
   Duration age(TimePoint now) const { return now - accepted_at_; }
   // Sets when the client stops waiting for the rest of the answer that is sent now.
   void set_answer_useful_until(TimePoint until) { answer_useful_until_ = until; }
+  TimePoint answer_useful_until() const { return answer_useful_until_; }
   bool has_sent_no_request() const { return request_count_ == 0; }
   // Orders connections for closing when the table is full; the lowest value is closed first. First those that
   // have sent nothing for longer than a usual client needs, then those that are idle between requests, last
--- a/src/front/front_clients.cpp
+++ b/src/front/front_clients.cpp
@@ -167,7 +167,7 @@
   loop_.post([this] {
     for (auto& one : closed_clients_) {
       if (one->connection().closed()) loop_.retire(one->release_connection());
-      else loop_.finish(one->release_connection());
+      else loop_.finish(one->release_connection(), one->answer_useful_until());
     }
     closed_clients_.clear();
   });
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -248,22 +248,25 @@
   retired_.push_back(std::move(connection));
 }
 
-void Loop::finish(std::unique_ptr<Connection> connection) {
+void Loop::finish(std::unique_ptr<Connection> connection, TimePoint useful_until) {
   if (!connection) return;
+  constexpr std::chrono::seconds min_duration(10);
   connection->close_when_written();
   const std::uint64_t written = connection->written();
-  finishing_.push_back({std::move(connection), now(), now(), written});
+  const TimePoint until = std::max<TimePoint>(now() + min_duration, useful_until);
+  finishing_.push_back({std::move(connection), until, now(), written});
 }
 
-// Guards against peers that neither read nor close, or that read very slowly: a finishing connection is
-// closed 1 s after its last progress, and after 10 s in any case.
+// Guards against peers that neither read nor close. The system takes data for a slow peer in steps that may
+// be more than a second apart.
 void Loop::close_stalled() {
-  constexpr std::chrono::seconds stall_timeout(1), max_duration(10);
+  constexpr std::chrono::seconds unread_timeout(3), unclosed_timeout(1);
   const TimePoint at = now();
   for (Finishing& one : finishing_) {
     if (one.connection->written() != one.written)
       one.written = one.connection->written(), one.last_write_at = at;
-    if (at - one.last_write_at >= stall_timeout || at - one.since >= max_duration) one.connection->close();
+    const Duration stall_timeout = one.has_written_all() ? unclosed_timeout : unread_timeout;
+    if (at - one.last_write_at >= stall_timeout || at >= one.until) one.connection->close();
   }
   std::erase_if(finishing_, [](const Finishing& one) { return one.connection->closed(); });
 }
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -96,7 +96,8 @@
   // Closes the connection, and destroys it after the current event.
   void retire(std::unique_ptr<Connection> connection);
   // Closes the connection after all its data is written and the peer has closed its side, or after a timeout.
-  void finish(std::unique_ptr<Connection> connection);
+  // A peer that takes its data slowly has until `useful_until`, and 10 s at least.
+  void finish(std::unique_ptr<Connection> connection, TimePoint useful_until = {});
   std::size_t finishing() const { return finishing_.size(); }
   bool all_written() const;            // whether the finishing connections have written all their data
   bool has_written_finishing() const;  // whether at least one of them has
@@ -158,7 +159,7 @@
   // A connection that closes after its data is written and the peer has closed its side.
   struct Finishing {
     std::unique_ptr<Connection> connection;
-    TimePoint since{}, last_write_at{};
+    TimePoint until{}, last_write_at{};
     std::uint64_t written = 0;
     bool has_written_all() const;
   };
--- a/tests/test_client_connections.cpp
+++ b/tests/test_client_connections.cpp
@@ -210,8 +210,7 @@
     EXPECT_TRUE(is_readable(fd, milliseconds(2000)));
     return fd;
   }
-  static void expect_whole_answer(int fd) {
-    const std::string answer = hear(fd);
+  static void expect_whole(const std::string& answer) {
     const std::size_t head = answer.find("\r\n\r\n"), length = answer.find("Content-Length: ");
     ASSERT_NE(head, std::string::npos);
     EXPECT_EQ(answer.size(), head + 4 + std::stoul(answer.substr(length + 16)));
@@ -237,7 +236,26 @@
   const int fd = open_until_answer_begins("");
   for (int i = 0; i < 2 * place_count; ++i) crowd_.push_back(connect_to(fixture_.port));
   pass(milliseconds(100));
-  expect_whole_answer(fd);
+  expect_whole(hear(fd));
+  close(fd);
+}
+
+// Guards against taking a client on a poor line for one that doesn't read: it has the time of its request for
+// the whole answer.
+TEST_F(LargeAnswers, LastAnswerIsWholeOnAPoorLine) {
+  const int fd = open_until_answer_begins("Connection: close\r\n");
+  constexpr int part_bytes = 2048;
+  constexpr milliseconds part_interval(400), slow_for(11000);  // 5 kB a second
+  const auto begun = Clock::now();
+  std::string received;
+  char part[part_bytes];
+  while (true) {
+    const auto got = recv(fd, part, sizeof part, 0);
+    if (got <= 0) break;
+    received.append(part, static_cast<std::size_t>(got));
+    if (Clock::now() - begun < slow_for) pass(part_interval);
+  }
+  expect_whole(received);
   close(fd);
 }
 
@@ -250,7 +268,7 @@
     crowd_.push_back(fixture_.open(call));
   }
   pass(milliseconds(100));
-  expect_whole_answer(fd);
+  expect_whole(hear(fd));
   close(fd);
 }
 
