--- a/tests/test_client_connections.cpp
+++ b/tests/test_client_connections.cpp
@@ -91,6 +91,17 @@
   close(fd);
 }
 
+// A client that waits for its result keeps its connection, too.
+TEST_F(ClientConnections, ResultAwaitedStaysOpenInACrowd) {
+  const JobCall request = run_once_request();
+  const int fd = open_until_path_is_given(request);
+  say(fd, fetch_of(request));
+  fill_the_table();
+  const std::string answer = hear(fd);
+  EXPECT_TRUE(is_served(answer)) << answer;
+  close(fd);
+}
+
 // Guards against refusing the call of a path, unread, on a new connection: the request may have executed.
 TEST_F(ClientConnections, PathIsServedOnANewConnectionInACrowd) {
   const JobCall told = run_once_request(), awaiting = run_once_request();
