--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -56,8 +56,9 @@
     if (want.first_byte > in_channel + told_at_the_latest + grace + slack) ++late;
     last = std::max(last, want.first_byte);
   }
-  record.line("the drain was in the channel at %.3f; the last attempt came to the engine %.3f s later; %zu attempts "
-              "came more than %.2f s later; %zu requests without an answer",
-              in_channel, last - in_channel, late, told_at_the_latest + grace + slack, lost);
+  record.line(
+      "the drain was in the channel at %.3f; the last attempt came to the engine %.3f s later; %zu attempts "
+      "came more than %.2f s later; %zu requests without an answer",
+      in_channel, last - in_channel, late, told_at_the_latest + grace + slack, lost);
   return verdict(late, "drain");
 }
--- a/review/harness_2.h
+++ b/review/harness_2.h
@@ -1,6 +1,7 @@
-// Stand-ins for the cases of the second review: engines (RESP), the command channel (server-sent events), clients
-// (HTTP) and the platform (starts and signals workload managers). Each follows the operators' pages; a case scripts
-// the disruption. All addresses are loopback addresses, ports are chosen by the system, and times are real.
+// Stand-ins for the cases of the second review: engines (RESP), the command channel (server-sent events),
+// clients (HTTP) and the platform (starts and signals workload managers). Each follows the operators' pages;
+// a case scripts the disruption. All addresses are loopback addresses, ports are chosen by the system, and
+// times are real.
 #pragma once
 
 #include <arpa/inet.h>
@@ -16,6 +17,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <cmath>
 #include <cstdarg>
@@ -50,7 +52,8 @@
   if (left > 0) std::this_thread::sleep_for(std::chrono::duration<double>(left));
 }
 inline std::int64_t unix_ms() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
@@ -100,8 +103,8 @@
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   sockaddr_in address = loopback(0);
   socklen_t size = sizeof address;
-  if (fd < 0 || ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) < 0 || ::listen(fd, 256) < 0 ||
-      ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) < 0)
+  if (fd < 0 || ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) < 0 ||
+      ::listen(fd, 256) < 0 || ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) < 0)
     cannot_run("can't listen on a loopback address");
   port = ntohs(address.sin_port);
   return fd;
@@ -121,8 +124,8 @@
 struct Want {
   std::string id, kind, token, body;
   std::map<std::string, std::string> fields;
-  double at = 0;         // when it had come whole
-  double first_byte = 0; // when its first byte was read
+  double at = 0;          // when it had come whole
+  double first_byte = 0;  // when its first byte was read
   // How and when it ended, as far as the engine can see: answered, shed, reset by the engine, given up by the
   // workload manager (never_mind, or the end of the connection).
   enum End { open, answered, fault, shed, reset, given_up } end = open;
@@ -218,7 +221,8 @@
     if (words[0] == "turn" && words.size() >= 3) {
       const auto result = results_.find({link.number, words[1]});
       if (result == results_.end()) return put(link.out, {words[1], "FAULT", "-", ""});
-      const std::string page = page_text(words[1], name_, std::atoi(words[2].c_str()), result->second.page_bytes);
+      const std::string page =
+          page_text(words[1], name_, std::atoi(words[2].c_str()), result->second.page_bytes);
       return put(link.out, {words[1], "PART", "fetch_no=" + words[2], page});
     }
     if (words[0] == "shut" && words.size() >= 2) {
@@ -246,7 +250,8 @@
     if (plan.kind != Plan::nothing) due_.push({now() + plan.after, link.number, want.id, plan});
   }
   void on_due(const Due& due) {
-    const auto link = std::find_if(links_.begin(), links_.end(), [&](const Link& l) { return l.number == due.link; });
+    const auto link =
+        std::find_if(links_.begin(), links_.end(), [&](const Link& l) { return l.number == due.link; });
     if (!open_.contains({due.link, due.id}) || link == links_.end() || link->closed) return;
     constexpr Want::End ends[] = {Want::answered, Want::fault, Want::shed, Want::reset, Want::open};
     ended({due.link, due.id}, ends[due.plan.kind]);
@@ -303,7 +308,8 @@
       for (const Link& link : links_)
         fds.push_back({link.fd, static_cast<short>(POLLIN | (link.out.empty() ? 0 : POLLOUT)), 0});
       int wait = 20;
-      if (!due_.empty()) wait = std::clamp(static_cast<int>(std::ceil((due_.top().at - now()) * 1000)), 0, wait);
+      if (!due_.empty())
+        wait = std::clamp(static_cast<int>(std::ceil((due_.top().at - now()) * 1000)), 0, wait);
       ::poll(fds.data(), fds.size(), wait);
       std::size_t i = 1;
       for (Link& link : links_) {
@@ -371,12 +377,13 @@
 };
 inline std::string member_json(const Member& one) {
   return R"({"id":")" + one.id + R"(","host_port":")" + one.address + R"(","locality":")" + one.locality +
-         R"(","flavor":")" + one.flavor + R"(","cell":1,"phase":")" + one.phase + R"(","size":4,"up_since_ms":)" +
-         std::to_string(one.up_since_ms) + "}";
+         R"(","flavor":")" + one.flavor + R"(","cell":1,"phase":")" + one.phase +
+         R"(","size":4,"up_since_ms":)" + std::to_string(one.up_since_ms) + "}";
 }
 inline std::string event_json(int cursor, bool complete, const std::vector<Member>& members) {
-  std::string text = R"({"cursor":)" + std::to_string(cursor) + R"(,"nodes":{"revision":)" + std::to_string(cursor) +
-                     R"(,"complete":)" + (complete ? "true" : "false") + R"(,"members":[)";
+  std::string text = R"({"cursor":)" + std::to_string(cursor) + R"(,"nodes":{"revision":)" +
+                     std::to_string(cursor) + R"(,"complete":)" + (complete ? "true" : "false") +
+                     R"(,"members":[)";
   for (std::size_t i = 0; i < members.size(); ++i) text += (i ? "," : "") + member_json(members[i]);
   return text + "]}}";
 }
@@ -407,7 +414,8 @@
     for (std::size_t i = 0; i < events_.size(); ++i) text += (i ? "," : "") + events_[i];
     return text + "]}";
   }
-  // From now on all streams, open and new, tell nothing more and stay open; a stream that has stopped stays so.
+  // From now on all streams, open and new, tell nothing more and stay open; a stream that has stopped stays
+  // so.
   void stop_streams(bool stopped) {
     stopped_ = stopped;
     record.line("channel %s", stopped ? "stops: streams stay open and tell nothing" : "works again");
@@ -449,7 +457,8 @@
       if (const int how = break_.exchange(0)) {
         for (Stream& one : streams_) {
           if (one.closed) continue;
-          if (how == 2 && one.asked) send(one, "id: " + std::to_string(one.told + 1) + "\ndata: {\"cursor\":");
+          if (how == 2 && one.asked)
+            send(one, "id: " + std::to_string(one.told + 1) + "\ndata: {\"cursor\":");
           if (!one.closed) ::close(one.fd), one.closed = true;
         }
       }
@@ -470,7 +479,8 @@
     one.in.append(bytes, static_cast<std::size_t>(got));
     if (one.asked || one.dead || one.in.find("\r\n\r\n") == std::string::npos) return;
     const std::size_t at = one.in.find("Last-Event-ID:");
-    if (at != std::string::npos) one.told = static_cast<std::size_t>(std::strtol(one.in.c_str() + at + 14, nullptr, 10));
+    if (at != std::string::npos)
+      one.told = static_cast<std::size_t>(std::strtol(one.in.c_str() + at + 14, nullptr, 10));
     one.asked = true;
     send(one, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n\r\n");
     record.line("channel: a stream asks from number %zu", one.told);
@@ -522,8 +532,8 @@
 inline std::string post_text(const Call& call) {
   std::string text = "POST /do/" + call.kind + " HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: " + call.id +
                      "\r\nX-Timeout-Ms: " + std::to_string(call.timeout_ms) +
-                     "\r\nX-Cost-Ms: " + std::to_string(call.cost_ms) + "\r\nX-Est-Mb: " +
-                     std::to_string(call.memory_mb) + "\r\n";
+                     "\r\nX-Cost-Ms: " + std::to_string(call.cost_ms) +
+                     "\r\nX-Est-Mb: " + std::to_string(call.memory_mb) + "\r\n";
   if (!call.token.empty()) text += "Idempotency-Key: " + call.token + "\r\n";
   if (!call.key.empty()) text += "X-Object: " + call.key + "\r\n";
   return text + "Content-Length: " + std::to_string(call.body.size()) + "\r\n\r\n" + call.body;
@@ -608,7 +618,8 @@
   return body.substr(at + 8, end - at - 8);
 }
 inline Answer::Kind kind_of(int status, const std::string& body) {
-  if (status == 429 || status == 503 || body.find("\"abort\":\"TryLater\"") != std::string::npos) return Answer::refused;
+  if (status == 429 || status == 503 || body.find("\"abort\":\"TryLater\"") != std::string::npos)
+    return Answer::refused;
   if (status == 200 && body.find("\"abort\"") == std::string::npos) return Answer::served;
   return Answer::failed;
 }
@@ -689,12 +700,15 @@
  public:
   Manager(const Folder& folder, std::string name, const std::string& settings, const Channel& channel,
           int memory_mb = 192, int sockets = 1024)
-      : name_(std::move(name)), port_(free_port()), config_(folder.path() + "/" + name_ + ".json"),
+      : name_(std::move(name)),
+        port_(free_port()),
+        config_(folder.path() + "/" + name_ + ".json"),
         log_(folder.path() + "/" + name_ + ".log") {
-    std::ofstream(config_) << R"({"name":")" << name_ << R"(","listen":"127.0.0.1:)" << port_ << R"(","seed":")"
-                           << new_id() << R"(","limits":{"cores":1.0,"memory_mb":)" << memory_mb << R"(,"sockets":)"
-                           << sockets << R"(},"channel":")" << channel.address() << R"(","known":)" << channel.known()
-                           << R"(,"settings":)" << settings << "}";
+    std::ofstream(config_) << R"({"name":")" << name_ << R"(","listen":"127.0.0.1:)" << port_
+                           << R"(","seed":")" << new_id() << R"(","limits":{"cores":1.0,"memory_mb":)"
+                           << memory_mb << R"(,"sockets":)" << sockets << R"(},"channel":")"
+                           << channel.address() << R"(","known":)" << channel.known() << R"(,"settings":)"
+                           << settings << "}";
     start();
   }
   ~Manager() { kill(); }
@@ -752,7 +766,8 @@
 
  private:
   void wait_ready() {
-    for (const double until = now() + 15; now() < until; std::this_thread::sleep_for(std::chrono::milliseconds(50))) {
+    for (const double until = now() + 15; now() < until;
+         std::this_thread::sleep_for(std::chrono::milliseconds(50))) {
       if (has_ended()) break;
       ClientLink link(port_);
       int status = 0;
@@ -799,13 +814,16 @@
     no += i ? ",false" : "false";
   }
   out << R"(],"clients":{"marksRetry":false},"discovery":"pushed","domainType":"queries",)"
-      << R"("failureDomains":["floor-1","floor-2","floor-3"],"familyInfo":{"classLoad":[)" << no << R"(],"classWaits":[)"
-      << no << R"(],"coresByKind":[12,8],"costInAnswers":false,"grantCap":0.4,"outOfMemory":"overcommit","parallelism":[)"
+      << R"("failureDomains":["floor-1","floor-2","floor-3"],"familyInfo":{"classLoad":[)" << no
+      << R"(],"classWaits":[)" << no
+      << R"(],"coresByKind":[12,8],"costInAnswers":false,"grantCap":0.4,"outOfMemory":"overcommit","parallelism":[)"
       << threads << R"(],"sizeMb":[24576.0,16384.0],"takesGrants":true,"takesPriority":true,"tellsEvery":)"
-      << 1000 * site.tells_every_ms << R"(},"feedback":{"how":"answers","names":["backlog"]},"hostTypes":["c12","c8"],)"
-      << R"("limits":{"attemptsCap":)" << site.max_attempts << R"(,"cancel":)" << (site.cancel ? "true" : "false")
-      << R"(,"connectTimeout":)" << 1000 * site.connect_ms << R"(,"idleClose":)" << 1000 * site.idle_ms
-      << R"(,"maxOpen":20000,"maxRetryAfter":)" << 1000 * site.max_retry_after_ms
+      << 1000 * site.tells_every_ms
+      << R"(},"feedback":{"how":"answers","names":["backlog"]},"hostTypes":["c12","c8"],)"
+      << R"("limits":{"attemptsCap":)" << site.max_attempts << R"(,"cancel":)"
+      << (site.cancel ? "true" : "false") << R"(,"connectTimeout":)" << 1000 * site.connect_ms
+      << R"(,"idleClose":)" << 1000 * site.idle_ms << R"(,"maxOpen":20000,"maxRetryAfter":)"
+      << 1000 * site.max_retry_after_ms
       << R"(,"mayProbe":false,"peers":false,"retryAfter":true,"secondCopies":)"
       << (site.second_copies ? "true" : "false") << R"(,"streamsPerConn":100)" << site.limits
       << R"(},"me":0,"nInstances":)" << site.managers
@@ -820,11 +838,23 @@
 // A small deployment of optic-main.
 inline SiteSettings optic_main() {
   SiteSettings site;
-  site.classes = {{.name = "lookup", .slo_ms = 1500, .give_up_ms = 7500, .threads = 1, .stretch = 2, .worth = 1},
-                  {.name = "report", .extra = R"(,"boundTo":["c12"])", .slo_ms = 3000, .give_up_ms = 25000,
-                   .threads = 3, .stretch = 2.5, .worth = 4},
-                  {.name = "upload", .repeat = "token", .slo_ms = 3000, .give_up_ms = 20000, .window_ms = 20000,
-                   .threads = 2, .stretch = 3, .worth = 4}};
+  site.classes = {
+      {.name = "lookup", .slo_ms = 1500, .give_up_ms = 7500, .threads = 1, .stretch = 2, .worth = 1},
+      {.name = "report",
+       .extra = R"(,"boundTo":["c12"])",
+       .slo_ms = 3000,
+       .give_up_ms = 25000,
+       .threads = 3,
+       .stretch = 2.5,
+       .worth = 4},
+      {.name = "upload",
+       .repeat = "token",
+       .slo_ms = 3000,
+       .give_up_ms = 20000,
+       .window_ms = 20000,
+       .threads = 2,
+       .stretch = 3,
+       .worth = 4}};
   site.obligations = R"(,"freeResends":2,"extraShare":0.1,"ratioSpan":10000000)";
   return site;
 }
@@ -832,10 +862,20 @@
 inline SiteSettings emoval_centro() {
   SiteSettings site;
   site.classes = {{.name = "plate-lookup", .slo_ms = 1500, .give_up_ms = 7500, .threads = 1, .stretch = 2},
-                  {.name = "registry-report", .slo_ms = 1500, .give_up_ms = 25000, .threads = 2, .stretch = 2.5,
+                  {.name = "registry-report",
+                   .slo_ms = 1500,
+                   .give_up_ms = 25000,
+                   .threads = 2,
+                   .stretch = 2.5,
                    .worth = 3},
-                  {.name = "inspection-load", .repeat = "token", .extra = R"(,"byArrival":true)", .slo_ms = 4000,
-                   .give_up_ms = 25000, .threads = 2, .stretch = 2.5, .worth = 2.5}};
+                  {.name = "inspection-load",
+                   .repeat = "token",
+                   .extra = R"(,"byArrival":true)",
+                   .slo_ms = 4000,
+                   .give_up_ms = 25000,
+                   .threads = 2,
+                   .stretch = 2.5,
+                   .worth = 2.5}};
   site.obligations = R"(,"orderPause":300000)";
   site.max_attempts = 3, site.tells_every_ms = 0, site.max_retry_after_ms = 500;
   return site;
